--- /dev/null
+++ b/crates/daemon/src/callers/answer.rs
@@ -0,0 +1,265 @@
+//! Answers to callers: targets' answers passed on, and problems told in the form
+//! of RFC 9457 with a machine-readable outcome.
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use lynxcleat_policy::{Micros, NotRunReason};
+use lynxcleat_wire::{Answer, Header};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::headers::{CALL, OUTCOME, REPLAYED, RETRY_AFTER_MS, TICKET};
+
+pub(super) type HttpAnswer = Response<Full<Bytes>>;
+
+const PROBLEM_JSON: &str = "application/problem+json";
+const JSON: &str = "application/json";
+
+/// What a caller is told of the run of its call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Outcome {
+    Run,
+    NotRun,
+    Unknown,
+}
+
+impl Outcome {
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Outcome::Run => "run",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a caller gets no answer of a target.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Problem {
+    /// The request is not one that is served.
+    Bad(&'static str),
+    /// The ticket is none of this deployment.
+    BadTicket,
+    /// No place has the service.
+    NoService(String),
+    /// The body is larger than the settings allow.
+    TooLarge { limit: usize },
+    /// The body took too long.
+    TooSlow,
+    /// The settings demand a ticket or a key.
+    KeyRequired,
+    /// No settings are in force yet.
+    NotReady,
+    /// It was not run.
+    NotRun {
+        reason: NotRunReason,
+        retry_after_us: Micros,
+    },
+    /// The key could not be recorded; it was not run.
+    NoClaim { retry_after_us: Micros },
+    /// The memory of operations is full; it was not run.
+    MemoryFull { retry_after_us: Micros },
+    /// The guard is lost; it was not run and needs a new ticket.
+    Fenced { retry_after_us: Micros },
+    /// It may have run.
+    Unknown { retry_after_us: Option<Micros> },
+}
+
+const NOT_READY_RETRY_AFTER_US: Micros = 1_000_000;
+
+struct Told {
+    status: StatusCode,
+    kind: &'static str,
+    outcome: Outcome,
+    detail: String,
+    retry_after_us: Option<Micros>,
+}
+
+impl Problem {
+    /// Whether the call ran, for the metrics.
+    pub(super) fn outcome(&self) -> Outcome {
+        match self {
+            Problem::Unknown { .. } => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// The HTTP answer.
+    pub(super) fn answer(&self, call: &str) -> HttpAnswer {
+        let told = self.told();
+        let body = json!({
+            "type": format!("urn:lynxcleat:problem:{}", told.kind),
+            "title": told.kind,
+            "status": told.status.as_u16(),
+            "detail": told.detail,
+            "outcome": told.outcome,
+            "call": call,
+            "retry_after_ms": told.retry_after_us.map(ms),
+        });
+        let mut answer = build(told.status, PROBLEM_JSON, body.to_string());
+        let headers = answer.headers_mut();
+        headers.insert(OUTCOME, HeaderValue::from_static(told.outcome.label()));
+        if let Some(after_us) = told.retry_after_us {
+            let seconds = after_us.div_ceil(1_000_000);
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+            headers.insert(RETRY_AFTER_MS, HeaderValue::from(ms(after_us)));
+        }
+        answer
+    }
+
+    fn told(&self) -> Told {
+        let not_run = |status, kind, detail: String, retry_after_us| Told {
+            status,
+            kind,
+            outcome: Outcome::NotRun,
+            detail,
+            retry_after_us,
+        };
+        match self {
+            Problem::Bad(detail) => not_run(
+                StatusCode::BAD_REQUEST,
+                "bad-request",
+                (*detail).to_owned(),
+                None,
+            ),
+            Problem::BadTicket => not_run(
+                StatusCode::BAD_REQUEST,
+                "bad-ticket",
+                "the ticket was not minted in this deployment".to_owned(),
+                None,
+            ),
+            Problem::NoService(name) => not_run(
+                StatusCode::NOT_FOUND,
+                "no-service",
+                format!("no place has a service {name:?}"),
+                None,
+            ),
+            Problem::TooLarge { limit } => not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too-large",
+                format!("the body has more than {limit} bytes"),
+                None,
+            ),
+            Problem::TooSlow => not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "too-slow",
+                "the body took too long to arrive".to_owned(),
+                None,
+            ),
+            Problem::KeyRequired => not_run(
+                StatusCode::PRECONDITION_REQUIRED,
+                "key-required",
+                "this service takes calls with effects only under a ticket or an idempotency key"
+                    .to_owned(),
+                None,
+            ),
+            Problem::NotReady => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not-ready",
+                "no settings are in force at this daemon yet".to_owned(),
+                Some(NOT_READY_RETRY_AFTER_US),
+            ),
+            Problem::NotRun {
+                reason,
+                retry_after_us,
+            } => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                reason_kind(*reason),
+                "the call was not run".to_owned(),
+                Some(*retry_after_us),
+            ),
+            Problem::NoClaim { retry_after_us } => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "key-not-recorded",
+                "the platform could not record the idempotency key; a ticket needs no platform"
+                    .to_owned(),
+                Some(*retry_after_us),
+            ),
+            Problem::MemoryFull { retry_after_us } => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "memory-full",
+                "the memory of once-only operations is full".to_owned(),
+                Some(*retry_after_us),
+            ),
+            Problem::Fenced { retry_after_us } => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "fenced",
+                "the daemon that minted the ticket is lost; take a new ticket".to_owned(),
+                Some(*retry_after_us),
+            ),
+            Problem::Unknown { retry_after_us } => Told {
+                status: StatusCode::GATEWAY_TIMEOUT,
+                kind: "outcome-unknown",
+                outcome: Outcome::Unknown,
+                detail: "the call may have run; with a ticket or key, ask again with the same one"
+                    .to_owned(),
+                retry_after_us: *retry_after_us,
+            },
+        }
+    }
+}
+
+fn reason_kind(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::NoTarget => "no-target",
+        NotRunReason::Refused(_) => "refused",
+        NotRunReason::Deadline => "deadline",
+        NotRunReason::NoLink => "no-link",
+    }
+}
+
+/// A target's answer, passed on unchanged but for our own headers.
+pub(super) fn pass_on(answer: Answer, replayed: bool) -> HttpAnswer {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut http = Response::new(Full::new(Bytes::from(answer.body.into_vec())));
+    *http.status_mut() = status;
+    let headers = http.headers_mut();
+    for Header(name, value) in answer.headers {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Run.label()));
+    if replayed {
+        headers.insert(REPLAYED, HeaderValue::from_static("1"));
+    }
+    http
+}
+
+/// A JSON answer of the daemon itself.
+pub(super) fn json_answer(value: &impl Serialize) -> HttpAnswer {
+    let body = serde_json::to_string(value).expect("the reply types encode");
+    build(StatusCode::OK, JSON, body)
+}
+
+/// Adds what every answer carries.
+pub(super) fn stamp(answer: &mut HttpAnswer, call: &str, ticket: Option<&str>, closing: bool) {
+    let headers = answer.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(call) {
+        headers.insert(CALL, value);
+    }
+    if let Some(value) = ticket.and_then(|text| HeaderValue::from_str(text).ok()) {
+        headers.insert(TICKET, value);
+    }
+    if closing {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+fn build(status: StatusCode, content_type: &'static str, body: String) -> HttpAnswer {
+    let length = body.len();
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    answer
+}
+
+fn ms(us: Micros) -> u64 {
+    us.div_ceil(1_000)
+}
--- /dev/null
+++ b/crates/daemon/src/callers/classify.rs
@@ -0,0 +1,210 @@
+//! Accept and classify: from an HTTP request to a checked call.
+//!
+//! The service is the first label of `Host`. A path prefix would have to be
+//! taken off the path again, and paths pass unchanged here; a host name also
+//! lets callers use their own resolver later without a change.
+
+use std::time::Duration;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+use hyper::http::request::Parts;
+use hyper::{Method, Request};
+use lynxcleat_once::Ticket;
+use lynxcleat_settings::{Effective, Once, valid_name};
+use lynxcleat_wire::{Header, RequestHead};
+use serde_bytes::ByteBuf;
+
+use super::answer::Problem;
+use crate::core::Core;
+use crate::headers::{DEADLINE, KEY, PREFIX, RETRY, TICKET, is_hop_by_hop, listed_in_connection};
+
+/// Longest time for the body of a request.
+const BODY_TIME: Duration = Duration::from_secs(15);
+/// Longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 255;
+
+/// How a call's effects are treated.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Effects {
+    /// A lookup: it may be sent again.
+    None,
+    /// It has effects and no name that its caller could repeat.
+    Plain,
+    /// It runs under a ticket.
+    Ticket(Ticket),
+    /// It runs under the ticket that the table has for its key.
+    Key(String),
+}
+
+/// A request's head, checked.
+pub(super) struct Classified {
+    pub service: String,
+    pub deadline_ms: Option<u64>,
+    pub effects: Effects,
+    pub may_retry: bool,
+    pub length: Option<u64>,
+    pub head: RequestHead,
+}
+
+/// Checks a request's head.
+pub(super) fn classify(core: &Core, parts: &Parts) -> Result<Classified, Problem> {
+    check_form(parts)?;
+    let headers = &parts.headers;
+    Ok(Classified {
+        service: service(headers)?,
+        deadline_ms: deadline_ms(headers)?,
+        effects: effects(core, parts)?,
+        may_retry: !headers.contains_key(RETRY),
+        length: length(headers)?,
+        head: RequestHead {
+            method: parts.method.as_str().to_owned(),
+            path: parts
+                .uri
+                .path_and_query()
+                .map_or_else(|| "/".to_owned(), ToString::to_string),
+            headers: end_to_end(headers),
+        },
+    })
+}
+
+/// Checks a call against the settings in force for its service.
+pub(super) fn check_settings(call: &Classified, effective: &Effective) -> Result<(), Problem> {
+    let limit = effective.body_limit_bytes;
+    if call.length.is_some_and(|length| length > limit as u64) {
+        return Err(Problem::TooLarge { limit });
+    }
+    if effective.once == Once::Required && call.effects == Effects::Plain {
+        return Err(Problem::KeyRequired);
+    }
+    Ok(())
+}
+
+/// Reads a request's body, within its limit and its time.
+pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<ByteBuf, Problem> {
+    let whole = Limited::new(body, limit).collect();
+    match tokio::time::timeout(BODY_TIME, whole).await {
+        Ok(Ok(whole)) => Ok(ByteBuf::from(whole.to_bytes().to_vec())),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::TooLarge { limit }),
+        Ok(Err(_)) => Err(Problem::Bad("the body was not sent whole")),
+        Err(_) => Err(Problem::TooSlow),
+    }
+}
+
+/// Splits off the body.
+pub(super) fn split(request: Request<Incoming>) -> (Parts, Incoming) {
+    request.into_parts()
+}
+
+/// Refuses what could be read in two ways by us and a target. A request with both
+/// Content-Length and Transfer-Encoding never shows both here: hyper goes by the
+/// chunks, drops the length and closes the connection after the answer (RFC 9112,
+/// section 6.3), and we frame what we send on anew.
+fn check_form(parts: &Parts) -> Result<(), Problem> {
+    let uri = &parts.uri;
+    if uri.scheme().is_some() || uri.authority().is_some() || !uri.path().starts_with('/') {
+        return Err(Problem::Bad("the target of the request must be a path"));
+    }
+    if parts.method == Method::CONNECT || parts.method == Method::TRACE {
+        return Err(Problem::Bad("the method is not served"));
+    }
+    let headers = &parts.headers;
+    if headers.get_all(HOST).iter().count() != 1 {
+        return Err(Problem::Bad("exactly one Host is needed"));
+    }
+    Ok(())
+}
+
+fn service(headers: &HeaderMap) -> Result<String, Problem> {
+    let bad = Problem::Bad("the first label of Host must name a service");
+    let Some(host) = headers.get(HOST).and_then(|value| value.to_str().ok()) else {
+        return Err(bad);
+    };
+    let name = host.split([':', '.']).next().unwrap_or_default();
+    let name = name.to_ascii_lowercase();
+    if valid_name(&name) {
+        Ok(name)
+    } else {
+        Err(bad)
+    }
+}
+
+fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
+    let Some(text) = single(headers, DEADLINE)? else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(ms) if ms > 0 => Ok(Some(ms)),
+        _ => Err(Problem::Bad(
+            "lynxcleat-deadline-ms must be a whole number above 0",
+        )),
+    }
+}
+
+fn effects(core: &Core, parts: &Parts) -> Result<Effects, Problem> {
+    let ticket = single(&parts.headers, TICKET)?;
+    let key = single(&parts.headers, KEY)?;
+    match (ticket, key) {
+        (Some(_), Some(_)) => Err(Problem::Bad("both a ticket and an idempotency key")),
+        (Some(text), None) => {
+            let ticket = core.once.open(text).map_err(|_| Problem::BadTicket)?;
+            Ok(Effects::Ticket(ticket))
+        }
+        (None, Some(text)) if (1..=KEY_LIMIT).contains(&text.len()) => {
+            Ok(Effects::Key(text.to_owned()))
+        }
+        (None, Some(_)) => Err(Problem::Bad("idempotency-key must have 1 to 255 bytes")),
+        (None, None) if is_safe(&parts.method) => Ok(Effects::None),
+        (None, None) => Ok(Effects::Plain),
+    }
+}
+
+/// Safe methods ask for no effects (RFC 9110, section 9.2.1).
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
+
+fn length(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
+    let Some(text) = single(headers, CONTENT_LENGTH.as_str())? else {
+        return Ok(None);
+    };
+    let length = text.parse();
+    length
+        .map(Some)
+        .map_err(|_| Problem::Bad("Content-Length is not a number"))
+}
+
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Problem::Bad("a header that may stand once stands twice"));
+    }
+    let text = value
+        .to_str()
+        .map_err(|_| Problem::Bad("a header holds characters that are not visible"))?;
+    Ok(Some(text))
+}
+
+/// Headers for the target: end-to-end ones, without any of ours.
+fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    let listed = listed_in_connection(headers);
+    let passes = |name: &HeaderName| {
+        let ours = name.as_str().starts_with(PREFIX);
+        let framing = name == CONTENT_LENGTH || name == EXPECT;
+        !ours && !framing && !is_hop_by_hop(name) && !listed.contains(name)
+    };
+    headers
+        .iter()
+        .filter(|(name, _)| passes(name))
+        .map(|(name, value)| {
+            Header(
+                name.as_str().to_owned(),
+                ByteBuf::from(value.as_bytes().to_vec()),
+            )
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,87 @@
+//! The side towards callers: connections, requests, answers.
+//!
+//! HTTP is by hyper rather than tiny_http here, and the docs say why: a caller's
+//! slow request must be bounded in time, a caller that goes away must cancel its
+//! call, and a stop must not cut a connection under a request. tiny_http offers
+//! none of the three. It serves the operators' endpoint.
+
+mod answer;
+mod classify;
+mod serve;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::core::Core;
+use crate::life::Phase;
+
+/// Longest time for the head of a request, and longest idle time between two.
+const HEAD_LIMIT: Duration = Duration::from_secs(15);
+/// Largest head of a request, in bytes.
+const HEAD_BYTES: usize = 32 << 10;
+/// Headers of a request at most.
+const HEADERS_LIMIT: usize = 100;
+/// Pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the daemon closes; what waits in the listener's queue
+/// by then is still taken.
+pub async fn listen(core: Arc<Core>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(core.config.caller_connections));
+    loop {
+        let place = Arc::clone(&places)
+            .acquire_owned()
+            .await
+            .expect("the semaphore is never closed");
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = core.life.reached(Phase::Closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let core = Arc::clone(&core);
+        let busy = core.life.connections.enter();
+        tokio::spawn(async move {
+            connection(&core, stream).await;
+            drop((place, busy));
+        });
+    }
+}
+
+/// Serves one connection. On a stop, the request in hand is finished first.
+async fn connection(core: &Arc<Core>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|request| {
+        let core = Arc::clone(core);
+        async move { Ok::<_, Infallible>(serve::serve(&core, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_header_size(HEAD_BYTES)
+        .max_headers(HEADERS_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = core.life.reached(Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("caller's connection: {error}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/serve.rs
@@ -0,0 +1,207 @@
+//! One request's way: accept → classify → pin → once-only guard → route → answer.
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use lynxcleat_policy::CallId;
+use lynxcleat_settings::Effective;
+use serde::Serialize;
+
+use super::answer::{self, HttpAnswer, Outcome, Problem};
+use super::classify::{self, Classified, Effects};
+use crate::core::Core;
+use crate::life::Phase;
+use crate::metrics::CallLabels;
+use crate::once::{self, OnceCall, OnceVerdict};
+use crate::route::{self, Outbound, RouteVerdict, ServiceRouter};
+
+/// Path under which the daemon itself answers callers.
+const OWN_PREFIX: &str = "/.lynxcleat/";
+const TICKETS_PATH: &str = "/.lynxcleat/tickets";
+/// Tickets handed out at once.
+const TICKETS_LIMIT: usize = 100;
+
+/// A call with the settings that govern it.
+struct Pinned {
+    call: Classified,
+    effective: Arc<Effective>,
+    generation: u64,
+    service: Arc<ServiceRouter>,
+}
+
+#[derive(Serialize)]
+struct Tickets {
+    tickets: Vec<String>,
+}
+
+/// Answers one request.
+pub(super) async fn serve(core: &Arc<Core>, request: Request<Incoming>) -> HttpAnswer {
+    let busy = core.life.calls.enter();
+    let began = core.clock.now();
+    let id = core.new_call_id();
+    let name = core.call_name(id);
+    let (parts, body) = classify::split(request);
+    if parts.uri.path().starts_with(OWN_PREFIX) {
+        return own(core, &parts, &name);
+    }
+    let mut service = String::new();
+    let outcome = pipeline(core, (id, &name), &parts, body, &mut service).await;
+    let (mut http, label) = match outcome {
+        Ok(http) => (http, Outcome::Run),
+        Err(problem) => (problem.answer(&name), problem.outcome()),
+    };
+    let ticket = core.once.mint_text();
+    let closing = core.life.phase() > Phase::Serving;
+    answer::stamp(&mut http, &name, Some(&ticket), closing);
+    count(core, service, label, core.clock.now() - began);
+    drop(busy);
+    http
+}
+
+async fn pipeline(
+    core: &Arc<Core>,
+    (id, name): (CallId, &str),
+    parts: &hyper::http::request::Parts,
+    body: Incoming,
+    service: &mut String,
+) -> Result<HttpAnswer, Problem> {
+    let classified = classify::classify(core, parts)?;
+    let pinned = pin(core, classified)?;
+    service.clone_from(&pinned.service.name);
+    classify::check_settings(&pinned.call, &pinned.effective)?;
+    let body = classify::read_body(body, pinned.effective.body_limit_bytes).await?;
+    let Pinned {
+        call,
+        effective,
+        generation,
+        service,
+    } = pinned;
+    let deadline_ms = call
+        .deadline_ms
+        .unwrap_or(effective.deadline_ms)
+        .min(effective.deadline_max_ms);
+    let outbound = Outbound {
+        id,
+        name: name.to_owned(),
+        deadline: core.clock.now() + deadline_ms * 1_000,
+        operation: None,
+        may_retry: call.may_retry,
+        generation,
+        head: call.head,
+        body,
+    };
+    run(core, call.effects, service, outbound).await
+}
+
+/// Pins the call to the generation of settings in force now.
+fn pin(core: &Arc<Core>, call: Classified) -> Result<Pinned, Problem> {
+    let in_force = core.settings.current().ok_or(Problem::NotReady)?;
+    let Some(effective) = in_force.service(&call.service) else {
+        return Err(Problem::NoService(call.service));
+    };
+    Ok(Pinned {
+        service: core.routers.get(core, &call.service, &effective),
+        generation: in_force.generation.number,
+        effective,
+        call,
+    })
+}
+
+async fn run(
+    core: &Arc<Core>,
+    effects: Effects,
+    service: Arc<ServiceRouter>,
+    call: Outbound,
+) -> Result<HttpAnswer, Problem> {
+    match effects {
+        Effects::None => routed(route::run(core, &service, call).await),
+        Effects::Plain => routed(run_plain(core, service, call).await),
+        Effects::Ticket(ticket) => {
+            let call = OnceCall { call, service };
+            once_answer(once::run(core, ticket, call).await)
+        }
+        Effects::Key(key) => {
+            let call = OnceCall { call, service };
+            once_answer(once::run_keyed(core, key, call).await)
+        }
+    }
+}
+
+/// Runs a call with effects to its end even if its caller goes away.
+async fn run_plain(
+    core: &Arc<Core>,
+    service: Arc<ServiceRouter>,
+    mut call: Outbound,
+) -> RouteVerdict {
+    let left_us = call.deadline.saturating_sub(core.clock.now());
+    call.operation = Some(core.once.name_plain(left_us));
+    let core = Arc::clone(core);
+    let busy = core.life.calls.enter();
+    let running = tokio::spawn(async move {
+        let verdict = route::run(&core, &service, call).await;
+        drop(busy);
+        verdict
+    });
+    running.await.unwrap_or(RouteVerdict::Unknown {
+        reason: lynxcleat_policy::UnknownReason::LinkLost,
+    })
+}
+
+fn routed(verdict: RouteVerdict) -> Result<HttpAnswer, Problem> {
+    match verdict {
+        RouteVerdict::Answer(answer) => Ok(answer::pass_on(answer, false)),
+        RouteVerdict::NotRun {
+            reason,
+            retry_after_us,
+        } => Err(Problem::NotRun {
+            reason,
+            retry_after_us,
+        }),
+        RouteVerdict::Unknown { .. } => Err(Problem::Unknown {
+            retry_after_us: None,
+        }),
+    }
+}
+
+fn once_answer(verdict: OnceVerdict) -> Result<HttpAnswer, Problem> {
+    match verdict {
+        OnceVerdict::Ran { answer, replayed } => Ok(answer::pass_on(answer, replayed)),
+        OnceVerdict::NotRun {
+            reason,
+            retry_after_us,
+        } => Err(Problem::NotRun {
+            reason,
+            retry_after_us,
+        }),
+        OnceVerdict::Fenced { retry_after_us } => Err(Problem::Fenced { retry_after_us }),
+        OnceVerdict::MemoryFull { retry_after_us } => Err(Problem::MemoryFull { retry_after_us }),
+        OnceVerdict::NoClaim { retry_after_us } => Err(Problem::NoClaim { retry_after_us }),
+        OnceVerdict::Unknown { retry_after_us } => Err(Problem::Unknown {
+            retry_after_us: Some(retry_after_us),
+        }),
+    }
+}
+
+/// Requests to the daemon itself: a batch of tickets.
+fn own(core: &Core, parts: &hyper::http::request::Parts, name: &str) -> HttpAnswer {
+    if parts.uri.path() != TICKETS_PATH {
+        return Problem::Bad("no such path of the daemon").answer(name);
+    }
+    let query = parts.uri.query().unwrap_or("count=1");
+    let count = query
+        .strip_prefix("count=")
+        .and_then(|text| text.parse::<usize>().ok());
+    let Some(count) = count.filter(|count| (1..=TICKETS_LIMIT).contains(count)) else {
+        return Problem::Bad("count must be a whole number from 1 to 100").answer(name);
+    };
+    let tickets = (0..count).map(|_| core.once.mint_text()).collect();
+    answer::json_answer(&Tickets { tickets })
+}
+
+fn count(core: &Core, service: String, outcome: Outcome, took_us: u64) {
+    let outcome = outcome.label();
+    let labels = CallLabels { service, outcome };
+    core.metrics.calls.get_or_create(&labels).inc();
+    core.metrics.call_seconds.observe(took_us as f64 / 1e6);
+}
--- /dev/null
+++ b/crates/daemon/src/control/hosts.rs
@@ -0,0 +1,141 @@
+//! Following the host list. It lags: a host that is missing is not proved gone,
+//! and one that is listed is not proved alive, so links decide about the living
+//! and the list only about who there may be.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use lynxcleat_platform::{HostEntry, HostPage, HostState};
+use lynxcleat_policy::Cost;
+
+use super::{REFUSED_PAUSE, jittered};
+use crate::core::Core;
+use crate::life::LeaveCause;
+use crate::metrics::KindLabels;
+use crate::sync::lock;
+
+/// Bytes charged for a page without entries: request, reply, and TCP's own.
+const PAGE_BYTES: usize = 1_000;
+/// Bytes charged for one entry.
+const ENTRY_BYTES: usize = 300;
+/// Entries of one page at most.
+const PAGE_LIMIT: usize = 64;
+/// Processor time charged for a page, in microseconds.
+const PAGE_CPU_US: u64 = 400;
+/// Interval before settings are in force, in milliseconds.
+const FIRST_INTERVAL_MS: u64 = 300;
+
+/// The host list as last seen.
+#[derive(Default)]
+pub struct HostTable {
+    version: AtomicU64,
+    hosts: Mutex<HashMap<String, HostEntry>>,
+}
+
+impl HostTable {
+    /// Hosts of a service that are not gone, sorted by name.
+    pub fn of_service(&self, service: &str) -> Vec<HostEntry> {
+        let hosts = lock(&self.hosts);
+        let mut found: Vec<HostEntry> = hosts
+            .values()
+            .filter(|entry| entry.service == service)
+            .cloned()
+            .collect();
+        found.sort_by(|a, b| a.host.cmp(&b.host));
+        found
+    }
+
+    /// One host.
+    pub fn get(&self, host: &str) -> Option<HostEntry> {
+        lock(&self.hosts).get(host).cloned()
+    }
+
+    /// Hosts that are not gone.
+    pub fn len(&self) -> usize {
+        lock(&self.hosts).len()
+    }
+
+    /// Takes a page. Returns the services of hosts that are gone.
+    fn take(&self, page: HostPage) -> Vec<String> {
+        let mut hosts = lock(&self.hosts);
+        let mut gone = Vec::new();
+        for entry in page.hosts {
+            if entry.state == HostState::Gone {
+                hosts.remove(&entry.host);
+                gone.push(entry.service);
+            } else {
+                hosts.insert(entry.host.clone(), entry);
+            }
+        }
+        self.version.store(page.version, Ordering::Relaxed);
+        gone
+    }
+}
+
+/// Follows the list until the daemon ends.
+pub(super) async fn follow(core: Arc<Core>) {
+    loop {
+        let limit = page_limit(&core);
+        let cost = Cost::message(PAGE_BYTES + limit * ENTRY_BYTES, PAGE_CPU_US);
+        if !core.budget.ask(cost) {
+            tokio::time::sleep(REFUSED_PAUSE).await;
+            continue;
+        }
+        if !poll(&core, limit).await {
+            tokio::time::sleep(jittered(interval_ms(&core))).await;
+        }
+    }
+}
+
+/// Entries asked for at once: a page must fit into half of the budget.
+fn page_limit(core: &Core) -> usize {
+    let half = (core.budget.bytes_allowed() / 2) as usize;
+    (half.saturating_sub(PAGE_BYTES) / ENTRY_BYTES).clamp(1, PAGE_LIMIT)
+}
+
+fn interval_ms(core: &Core) -> u64 {
+    let in_force = core.settings.current();
+    in_force.map_or(FIRST_INTERVAL_MS, |in_force| in_force.own.host_list_ms)
+}
+
+/// Reads a page; returns whether more follow.
+async fn poll(core: &Arc<Core>, limit: usize) -> bool {
+    let platform = core.platform.clone();
+    let after = core.hosts.version.load(Ordering::Relaxed);
+    let polled = tokio::task::spawn_blocking(move || platform.hosts(after, limit)).await;
+    let page = match polled {
+        Ok(Ok(page)) => page,
+        Ok(Err(error)) => {
+            let kind = "hosts";
+            core.metrics
+                .platform_failures
+                .get_or_create(&KindLabels { kind })
+                .inc();
+            log::warn!("host list: {error}");
+            return false;
+        }
+        Err(_) => return false,
+    };
+    let more = page.more;
+    if !page.hosts.is_empty() {
+        take(core, page);
+    }
+    more
+}
+
+fn take(core: &Arc<Core>, page: HostPage) {
+    for service in core.hosts.take(page) {
+        core.once.half_gone(&service);
+    }
+    leave_if_listed(core);
+    core.routers.refresh(core);
+}
+
+/// The list may know first that this host is to be taken away.
+fn leave_if_listed(core: &Core) {
+    let own = core.hosts.get(&core.config.host);
+    if let Some(entry) = own {
+        core.set_leaving(LeaveCause::List, entry.state == HostState::Leaving);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,36 @@
+//! What a daemon does besides calls: following the settings, the host list and
+//! its target's health, all within the budget of measuring.
+
+mod budget;
+mod health;
+mod hosts;
+mod settings;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::core::Core;
+
+pub use budget::MeasureBudget;
+pub use hosts::HostTable;
+pub use settings::fetch_from_peer;
+
+/// Part of an interval by which it varies, so that daemons do not poll in step.
+const JITTER: f64 = 0.2;
+/// Pause before asking again what the budget refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+
+/// Starts the control tasks of a daemon.
+pub fn start(core: &Arc<Core>) {
+    tokio::spawn(settings::follow(Arc::clone(core)));
+    tokio::spawn(hosts::follow(Arc::clone(core)));
+    tokio::spawn(health::follow(Arc::clone(core)));
+}
+
+/// An interval in milliseconds, with jitter.
+fn jittered(interval_ms: u64) -> Duration {
+    let factor = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
+    Duration::from_millis(interval_ms).mul_f64(factor)
+}
--- /dev/null
+++ b/crates/daemon/src/control/settings.rs
@@ -0,0 +1,162 @@
+//! Following the accepted generation: by polling the pointer, and from peers.
+//!
+//! The poll slows down as the fleet grows, so that all daemons together stay
+//! within a share of the platform's reads; generations that ride on messages
+//! between daemons keep the spread fast all the same.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxcleat_platform::{PlatformError, Pointer, keys};
+use lynxcleat_policy::Cost;
+use lynxcleat_settings::{Digest, Generation, OfferError};
+use lynxcleat_wire::{Frame, TreeCopy};
+use thiserror::Error;
+
+use super::{REFUSED_PAUSE, jittered};
+use crate::core::Core;
+use crate::mesh::{Link, Links};
+use crate::metrics::KindLabels;
+
+/// Bytes charged for a poll: request, reply, and TCP's own.
+const POLL_BYTES: usize = 1_200;
+/// Processor time charged for a poll, in microseconds.
+const POLL_CPU_US: u64 = 400;
+/// Interval of polls before settings are in force, in milliseconds.
+const FIRST_POLL_MS: u64 = 300;
+/// Reads a second that the polls of all daemons together may take.
+const FLEET_READS_PER_S: u64 = 400;
+/// Longest wait for a peer's copy of the tree.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a generation could not be taken up.
+#[derive(Debug, Error)]
+enum TakeError {
+    #[error("{0}")]
+    Platform(#[from] PlatformError),
+    #[error("{0}")]
+    Offer(#[from] OfferError),
+}
+
+/// Polls the pointer until the daemon ends.
+pub(super) async fn follow(core: Arc<Core>) {
+    loop {
+        if core.settings.current().is_none() {
+            ask_seeds(&core).await;
+        }
+        if core.budget.ask(Cost::message(POLL_BYTES, POLL_CPU_US)) {
+            poll(&core).await;
+            tokio::time::sleep(jittered(interval_ms(&core))).await;
+        } else {
+            tokio::time::sleep(REFUSED_PAUSE).await;
+        }
+    }
+}
+
+/// A peer's message carries a newer generation: asks it for the tree.
+pub fn fetch_from_peer(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
+    if !core.settings.begin_fetch(theirs) {
+        return;
+    }
+    let core = Arc::clone(core);
+    let link = Arc::clone(link);
+    tokio::spawn(async move {
+        if let Some(copy) = fetch(&link).await {
+            take_copy(&core, &link, copy);
+        }
+        core.settings.end_fetch();
+    });
+}
+
+fn interval_ms(core: &Core) -> u64 {
+    match core.settings.current() {
+        Some(in_force) => {
+            let shared = core.hosts.len() as u64 * 1_000 / FLEET_READS_PER_S;
+            in_force.own.poll_ms.max(shared)
+        }
+        None => FIRST_POLL_MS,
+    }
+}
+
+async fn poll(core: &Arc<Core>) {
+    let polling = Arc::clone(core);
+    let polled = tokio::task::spawn_blocking(move || take_from_platform(&polling)).await;
+    match polled {
+        Ok(Ok(true)) => core.apply_settings(),
+        Ok(Ok(false)) | Err(_) => {}
+        Ok(Err(error)) => {
+            let kind = "pointer";
+            core.metrics
+                .platform_failures
+                .get_or_create(&KindLabels { kind })
+                .inc();
+            log::warn!("settings: {error}");
+        }
+    }
+}
+
+/// Reads the pointer, and the tree where it is newer than ours. An old read of
+/// the pointer cannot lower what is in force.
+fn take_from_platform(core: &Core) -> Result<bool, TakeError> {
+    let Some(row) = core.platform.read_one(keys::POINTER)? else {
+        return Ok(false);
+    };
+    let pointer: Pointer =
+        serde_json::from_value(row.value).map_err(|error| PlatformError::Malformed {
+            path: keys::POINTER.to_owned(),
+            reason: error.to_string(),
+        })?;
+    if pointer.generation <= core.settings.number() {
+        return Ok(false);
+    }
+    let content = core.platform.get_object(&pointer.digest)?;
+    let text = String::from_utf8_lossy(&content).into_owned();
+    let generation = Generation::check(pointer.generation, pointer.digest, text)?;
+    Ok(core.settings.offer(generation)?)
+}
+
+/// Asks every seed at once and takes the newest tree that any of them has.
+async fn ask_seeds(core: &Arc<Core>) {
+    let asked: Vec<_> = core
+        .config
+        .seeds
+        .iter()
+        .filter(|seed| **seed != core.me.mesh.to_string())
+        .map(|seed| {
+            let core = Arc::clone(core);
+            let seed = seed.clone();
+            tokio::spawn(async move {
+                let link = Links::dial(&core, &seed).await.ok()?;
+                let copy = fetch(&link).await?;
+                Some((link, copy))
+            })
+        })
+        .collect();
+    let mut copies = Vec::new();
+    for seed in asked {
+        copies.extend(seed.await.ok().flatten());
+    }
+    copies.sort_by_key(|(_, copy)| std::cmp::Reverse(copy.generation));
+    for (link, copy) in copies {
+        take_copy(core, &link, copy);
+    }
+}
+
+async fn fetch(link: &Link) -> Option<TreeCopy> {
+    let asked = link.ask(|ask| Frame::FetchTree { ask });
+    match tokio::time::timeout(PEER_LIMIT, asked).await {
+        Ok(Ok(Frame::Tree { copy, .. })) => copy,
+        _ => None,
+    }
+}
+
+fn take_copy(core: &Arc<Core>, link: &Link, copy: TreeCopy) {
+    let digest = Digest::from_hex(copy.digest);
+    let taken = Generation::check(copy.generation, digest, copy.text)
+        .and_then(|generation| core.settings.offer(generation));
+    match taken {
+        Ok(true) => core.apply_settings(),
+        Ok(false) => {}
+        Err(error) => log::error!(peer = link.peer.host.as_str(); "settings refused: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,124 @@
+//! What all parts of one daemon share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lynxcleat_once::Incarnation;
+use lynxcleat_platform::Platform;
+use lynxcleat_policy::CallId;
+use lynxcleat_wire::{Frame, Hello, PROTOCOL_VERSION};
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::control::{HostTable, MeasureBudget};
+use crate::explain::Explain;
+use crate::half::Half;
+use crate::life::{LeaveCause, Life};
+use crate::mesh::Links;
+use crate::metrics::Metrics;
+use crate::once::Once;
+use crate::route::Routers;
+use crate::settings_state::SettingsState;
+
+/// Who this daemon is. Addresses are the bound ones, not the configured ones.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// This run of the daemon.
+    pub incarnation: Incarnation,
+    /// When it started, in milliseconds since 1970.
+    pub started_ms: u64,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other daemons.
+    pub mesh: SocketAddr,
+    /// Address for operators.
+    pub ops: SocketAddr,
+}
+
+/// The shared parts of a daemon.
+pub struct Core {
+    /// Its checked configuration.
+    pub config: Config,
+    /// Who it is.
+    pub me: Identity,
+    /// Its clock.
+    pub clock: Clock,
+    /// The generation of settings in force.
+    pub settings: SettingsState,
+    /// Its links to other daemons.
+    pub links: Links,
+    /// The host list as last seen.
+    pub hosts: HostTable,
+    /// Routers by service.
+    pub routers: Routers,
+    /// The target half.
+    pub half: Half,
+    /// Guard, tickets and claims.
+    pub once: Once,
+    /// The budget of measuring.
+    pub budget: MeasureBudget,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// Explanations of recent calls.
+    pub explain: Explain,
+    /// Client of the platform.
+    pub platform: Platform,
+    /// Its way from start to stop.
+    pub life: Life,
+    /// Calls numbered so far.
+    pub calls: AtomicU64,
+}
+
+impl Core {
+    /// The hello that this daemon sends on a new link.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            version: PROTOCOL_VERSION,
+            deployment: self.config.deployment.clone(),
+            host: self.config.host.clone(),
+            place: self.config.place.clone(),
+            zone: self.config.zone.clone(),
+            service: self.config.service.clone(),
+            mesh: self.me.mesh.to_string(),
+            incarnation: self.me.incarnation,
+            started_ms: self.me.started_ms,
+            leaving: self.half.is_leaving(),
+            nonce: rand::random(),
+        }
+    }
+
+    /// A number for a new call.
+    pub fn new_call_id(&self) -> CallId {
+        CallId(self.calls.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Name of a call, unique among all daemons and their incarnations.
+    pub fn call_name(&self, id: CallId) -> String {
+        format!("{}-{:x}", self.me.incarnation, id.0)
+    }
+
+    /// Adds or takes away a cause for this daemon's target to leave, and tells
+    /// every peer where that changes something.
+    pub fn set_leaving(&self, cause: LeaveCause, stands: bool) {
+        let leaving = self.life.set_cause(cause, stands);
+        if self.half.set_leaving(leaving) {
+            log::info!(leaving, cause:? = cause; "target leaving");
+            self.links.announce(&Frame::Leaving(leaving));
+        }
+    }
+
+    /// Puts the values of the generation in force into every machine.
+    pub fn apply_settings(self: &Arc<Self>) {
+        let Some(in_force) = self.settings.current() else {
+            return;
+        };
+        self.half.apply(&in_force.own);
+        self.once.apply(&in_force.own);
+        self.budget.apply(&in_force.own);
+        self.routers.apply(self, &in_force);
+        let generation = in_force.generation.number;
+        self.metrics.generation.set(generation as i64);
+        log::info!(generation, digest:% = in_force.generation.digest; "settings in force");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,244 @@
+//! Starting and stopping a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use lynxcleat_once::Incarnation;
+use lynxcleat_platform::{HostEntry, HostState, Platform};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::callers;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::control::{self, HostTable, MeasureBudget};
+use crate::core::{Core, Identity};
+use crate::explain::Explain;
+use crate::half::{Half, Pool};
+use crate::life::{LeaveCause, Life, Phase, StopReport};
+use crate::mesh::{self, Links};
+use crate::metrics::Metrics;
+use crate::once::{self, Once};
+use crate::ops::{Ops, OpsError, OpsHandle, Status, status};
+use crate::route::Routers;
+use crate::settings_state::SettingsState;
+
+/// Seconds that one request to the platform may take.
+const PLATFORM_LIMIT_S: u64 = 2;
+/// Requests sent for one read; the control tasks come back anyway.
+const PLATFORM_TRIES: usize = 1;
+/// Times for a stop before settings are in force, in milliseconds.
+const STOP_LINGER_MS: u64 = 100;
+const STOP_LIMIT_MS: u64 = 5_000;
+
+/// Why a daemon cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address} for {side}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Who it is for.
+        side: &'static str,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// The operators' endpoint cannot be served.
+    #[error("{0}")]
+    Ops(#[from] OpsError),
+}
+
+/// A running daemon.
+pub struct Daemon {
+    core: Arc<Core>,
+    ops: OpsHandle,
+    callers: JoinHandle<()>,
+}
+
+impl Daemon {
+    /// Listens on every address and starts. It serves calls as soon as it has a
+    /// generation of settings in force.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub async fn start(config: Config) -> Result<Daemon, StartError> {
+        let callers_listener = listen(config.callers, "callers").await?;
+        let mesh_listener = listen(config.mesh, "daemons").await?;
+        let ops = Ops::listen(config.ops)?;
+        let clock = Clock::start();
+        let me = Identity {
+            incarnation: Incarnation(rand::random()),
+            started_ms: clock.wall_ms(),
+            callers: bound(&callers_listener, config.callers),
+            mesh: bound(&mesh_listener, config.mesh),
+            ops: ops.address(),
+        };
+        let core = Arc::new(build(config, me, clock));
+        once::start_claims(&core);
+        control::start(&core);
+        tokio::spawn(mesh::listen(Arc::clone(&core), mesh_listener));
+        let callers = tokio::spawn(callers::listen(Arc::clone(&core), callers_listener));
+        let ops = ops.serve(Arc::clone(&core));
+        log::info!(
+            host = core.config.host.as_str(),
+            incarnation:% = core.me.incarnation,
+            callers:% = core.me.callers,
+            mesh:% = core.me.mesh,
+            ops:% = core.me.ops;
+            "daemon started"
+        );
+        Ok(Daemon { core, ops, callers })
+    }
+
+    /// Who it is, with the addresses that it listens on.
+    pub fn identity(&self) -> &Identity {
+        &self.core.me
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> Status {
+        status(&self.core)
+    }
+
+    /// Its metrics, as Prometheus text.
+    pub fn metrics(&self) -> String {
+        self.core.budget.show(&self.core.metrics);
+        self.core.metrics.text()
+    }
+
+    /// Its entry in the host list.
+    pub fn host_entry(&self, state: HostState) -> HostEntry {
+        let config = &self.core.config;
+        HostEntry {
+            host: config.host.clone(),
+            place: config.place.clone(),
+            zone: config.zone.clone(),
+            service: config.service.clone(),
+            mesh: self.core.me.mesh.to_string(),
+            ops: self.core.me.ops.to_string(),
+            state,
+        }
+    }
+
+    /// A view of what is in hand, which outlives a stop that is given up.
+    pub fn in_hand(&self) -> InHand {
+        InHand(Arc::clone(&self.core))
+    }
+
+    /// Waits until a generation of at least `number` is in force.
+    pub async fn in_force(&self, number: u64) {
+        let mut raised = self.core.settings.subscribe();
+        let _ = raised.wait_for(|current| *current >= number).await;
+    }
+
+    /// Stops as planned: nothing in hand is cut off before the limit in the
+    /// settings. Returns what was cut off.
+    pub async fn stop(self) -> StopReport {
+        let in_hand = self.in_hand();
+        let core = &self.core;
+        let (linger, limit) = stop_times(core);
+        log::info!("stopping");
+        core.set_leaving(LeaveCause::Stop, true);
+        core.life.enter(Phase::Lingering);
+        let finished = tokio::time::timeout(limit, finish(core, linger, self.callers)).await;
+        core.life.enter(Phase::Closing);
+        let report = match finished {
+            Ok(()) => StopReport::default(),
+            Err(_) => in_hand.report(),
+        };
+        self.ops.stop();
+        log::info!(
+            calls_cut = report.calls_cut,
+            target_calls_cut = report.target_calls_cut;
+            "stopped"
+        );
+        report
+    }
+}
+
+/// What a daemon has in hand.
+pub struct InHand(Arc<Core>);
+
+impl InHand {
+    /// What would be cut off if the daemon ended now.
+    pub fn report(&self) -> StopReport {
+        StopReport {
+            calls_cut: self.0.life.calls.count(),
+            target_calls_cut: self.0.life.target_calls.count(),
+        }
+    }
+}
+
+/// Lingers, then closes the listener and finishes what is in hand. Links close
+/// last, after all that they carry is written.
+async fn finish(core: &Arc<Core>, linger: Duration, callers: JoinHandle<()>) {
+    tokio::time::sleep(linger).await;
+    core.life.enter(Phase::Closing);
+    let _ = callers.await;
+    core.life.connections.idle().await;
+    core.life.calls.idle().await;
+    core.life.target_calls.idle().await;
+    for link in core.links.all() {
+        link.finish();
+    }
+    core.life.writers.idle().await;
+}
+
+fn stop_times(core: &Core) -> (Duration, Duration) {
+    let (linger_ms, limit_ms) = match core.settings.current() {
+        Some(in_force) => (in_force.own.stop_linger_ms, in_force.own.stop_limit_ms),
+        None => (STOP_LINGER_MS, STOP_LIMIT_MS),
+    };
+    (
+        Duration::from_millis(linger_ms),
+        Duration::from_millis(limit_ms),
+    )
+}
+
+fn build(config: Config, me: Identity, clock: Clock) -> Core {
+    let platform = Platform::builder(config.platform.clone())
+        .timeout_s(PLATFORM_LIMIT_S)
+        .tries(PLATFORM_TRIES)
+        .build();
+    Core {
+        settings: SettingsState::new(&config.place, &config.service),
+        links: Links::default(),
+        hosts: HostTable::default(),
+        routers: Routers::default(),
+        half: Half::new(clock, me.started_ms, Pool::new(config.target)),
+        once: Once::new(
+            clock,
+            me.incarnation,
+            me.started_ms,
+            me.mesh.to_string(),
+            &config.shared_key,
+        ),
+        budget: MeasureBudget::new(clock),
+        metrics: Metrics::default(),
+        explain: Explain::default(),
+        platform,
+        life: Life::default(),
+        calls: AtomicU64::new(1),
+        config,
+        me,
+        clock,
+    }
+}
+
+async fn listen(address: SocketAddr, side: &'static str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Listen {
+            address,
+            side,
+            error,
+        })
+}
+
+fn bound(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(configured)
+}
--- /dev/null
+++ b/crates/daemon/src/explain.rs
@@ -0,0 +1,78 @@
+//! Why recent calls went where they went: a bounded ring of traces.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use serde::{Deserialize, Serialize};
+
+use crate::sync::lock;
+
+/// Traces kept.
+const TRACES: usize = 1_024;
+
+/// A target that was scored, and its score.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ScoredHost {
+    /// The target's host.
+    pub host: String,
+    /// Its score under the policy; the lowest wins.
+    pub score: f64,
+}
+
+/// One attempt of a call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AttemptTrace {
+    /// The target's host.
+    pub host: String,
+    /// Targets scored for this attempt.
+    pub considered: Vec<ScoredHost>,
+    /// When it was sent, in microseconds since the call arrived.
+    pub sent_us: u64,
+    /// How it ended; absent while it is out.
+    pub result: Option<String>,
+}
+
+/// One call.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Trace {
+    /// Name of the call, as its answer carries it.
+    pub call: String,
+    /// The service asked for.
+    pub service: String,
+    /// Generation of settings the call was pinned to.
+    pub generation: u64,
+    /// Its attempts.
+    pub attempts: Vec<AttemptTrace>,
+    /// What its caller was told.
+    pub verdict: String,
+    /// Time from arrival to answer, in microseconds.
+    pub took_us: u64,
+}
+
+/// The ring.
+#[derive(Default)]
+pub struct Explain {
+    ring: Mutex<VecDeque<Trace>>,
+}
+
+impl Explain {
+    /// Keeps a trace, and drops the oldest where the ring is full.
+    pub fn keep(&self, trace: Trace) {
+        let mut ring = lock(&self.ring);
+        if ring.len() == TRACES {
+            ring.pop_front();
+        }
+        ring.push_back(trace);
+    }
+
+    /// The trace of a call, if it is still kept.
+    pub fn find(&self, call: &str) -> Option<Trace> {
+        let ring = lock(&self.ring);
+        ring.iter().rev().find(|trace| trace.call == call).cloned()
+    }
+
+    /// The newest traces, newest first.
+    pub fn newest(&self, count: usize) -> Vec<Trace> {
+        lock(&self.ring).iter().rev().take(count).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/half/mod.rs
@@ -0,0 +1,180 @@
+//! The target half: every call to the target passes it.
+//!
+//! Peer side of a call's way: fence → slots and hold → deliver → answer. The
+//! half knows the exact load, remembers once-only operations, and keeps the warm
+//! connections to the target.
+
+mod exchange;
+mod pool;
+mod serve;
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
+use lynxcleat_policy::{
+    Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, Cost, Figures, Refusal,
+};
+use lynxcleat_settings::Effective;
+use lynxcleat_wire::{Answer, Frame};
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::mesh::Link;
+use crate::sync::lock;
+
+pub use pool::Pool;
+pub use serve::{spawn_call, spawn_fence};
+
+/// Bytes that figures add to an answer.
+const FIGURES_BYTES: usize = 64;
+/// Processor time charged for figures on an answer, in microseconds.
+const FIGURES_CPU_US: u64 = 2;
+
+/// What a held call hears.
+pub(super) enum Go {
+    /// A slot is its own.
+    Deliver,
+    /// It will not run.
+    Refuse(Refusal),
+}
+
+/// State of the target half.
+pub struct Half {
+    clock: Clock,
+    admit: Mutex<Admit>,
+    waiting: Mutex<HashMap<CallId, flume::Sender<Go>>>,
+    fence: Mutex<Fence<Answer>>,
+    ended: watch::Sender<u64>,
+    cancels: Mutex<HashMap<(u64, AttemptId), flume::Sender<()>>>,
+    next_call: AtomicU64,
+    settings: Mutex<Option<Arc<Effective>>>,
+    /// Connections to the target.
+    pub pool: Pool,
+}
+
+impl Half {
+    /// A half in front of an idle target.
+    pub fn new(clock: Clock, started_ms: u64, pool: Pool) -> Self {
+        let nothing = AdmitLimits {
+            slots: 1,
+            hold_limit: 0,
+        };
+        let limits = FenceLimits {
+            retention_ms: 0,
+            skew_ms: 0,
+            entries: 0,
+            bytes: 0,
+        };
+        Half {
+            clock,
+            admit: Mutex::new(Admit::new(nothing)),
+            waiting: Mutex::default(),
+            fence: Mutex::new(Fence::new(started_ms, limits)),
+            ended: watch::Sender::new(0),
+            cancels: Mutex::default(),
+            next_call: AtomicU64::new(1),
+            settings: Mutex::default(),
+            pool,
+        }
+    }
+
+    /// Puts settings in force.
+    pub fn apply(&self, own: &Arc<Effective>) {
+        lock(&self.fence).set_limits(FenceLimits {
+            retention_ms: own.once_retention_ms,
+            skew_ms: own.clock_skew_ms,
+            entries: own.once_memory_entries,
+            bytes: own.once_memory_bytes,
+        });
+        self.pool.set_limit(own.connection_limit as usize);
+        *lock(&self.settings) = Some(Arc::clone(own));
+        self.admit(AdmitEvent::SetLimits(AdmitLimits {
+            slots: own.slots,
+            hold_limit: own.hold_limit,
+        }));
+    }
+
+    /// Takes no new calls from now on, or takes them again. Returns whether that
+    /// is a change.
+    pub fn set_leaving(&self, leaving: bool) -> bool {
+        let changed = self.is_leaving() != leaving;
+        let event = match leaving {
+            true => AdmitEvent::Leave,
+            false => AdmitEvent::Return,
+        };
+        self.admit(event);
+        changed
+    }
+
+    /// Whether the target takes no new calls.
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.admit).is_leaving()
+    }
+
+    /// The target's load.
+    pub fn figures(&self) -> Figures {
+        lock(&self.admit).figures()
+    }
+
+    /// The target's load for an answer, if the measuring budget lets it ride.
+    pub(super) fn figures_to_send(&self, core: &Core) -> Option<Figures> {
+        let cost = Cost {
+            messages: 0,
+            bytes: FIGURES_BYTES as u64,
+            cpu_us: FIGURES_CPU_US,
+        };
+        core.budget.ask(cost).then(|| self.figures())
+    }
+
+    /// The sender of a call no longer wants it.
+    pub fn cancel(&self, link: u64, attempt: AttemptId) {
+        if let Some(cancel) = lock(&self.cancels).remove(&(link, attempt)) {
+            let _ = cancel.send(());
+        }
+    }
+
+    fn settings(&self) -> Option<Arc<Effective>> {
+        lock(&self.settings).clone()
+    }
+
+    fn new_call(&self) -> CallId {
+        CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Feeds the admission and tells the calls that it decides on.
+    fn admit(&self, event: AdmitEvent) {
+        let mut admit = lock(&self.admit);
+        let actions = admit.on(self.clock.now(), event);
+        let mut waiting = lock(&self.waiting);
+        for action in actions {
+            let (call, go) = match action {
+                AdmitAction::Deliver { call } => (call, Go::Deliver),
+                AdmitAction::Refuse { call, refusal } => (call, Go::Refuse(refusal)),
+            };
+            if let Some(sender) = waiting.remove(&call) {
+                let _ = sender.send(go);
+            }
+        }
+    }
+
+    /// An operation ended here; whoever waits for its end looks again.
+    fn tell_ended(&self) {
+        self.ended.send_modify(|count| *count += 1);
+    }
+
+    fn fence_now(&self, operation: Operation) -> FenceReply<Answer> {
+        lock(&self.fence).fence(self.clock.wall_ms(), operation)
+    }
+
+    fn record_ran(&self, op: OpId, answer: &Answer) {
+        lock(&self.fence).ran(op, answer.clone(), answer.size());
+    }
+}
+
+/// Sends on a link whose loss the other side notices by itself.
+fn send(link: &Link, frame: Frame) {
+    let _ = link.send(frame);
+}
--- /dev/null
+++ b/crates/daemon/src/half/pool.rs
@@ -0,0 +1,165 @@
+//! Connections to the target: kept open, bounded, and never used again after an
+//! exchange that did not end cleanly.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::sync::lock;
+
+/// Longest time to open a connection to the target, which is on this host.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// An idle connection older than this is closed rather than used: the target may
+/// be about to close it, and a call written then could not be told from one run.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+pub(super) type Sender = SendRequest<Full<Bytes>>;
+
+/// Why there is no connection to the target. Nothing was written.
+#[derive(Debug, Error)]
+pub enum PoolError {
+    /// The connection cannot be opened.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The HTTP connection cannot be set up.
+    #[error("cannot set up: {0}")]
+    SetUp(#[from] hyper::Error),
+    /// It took too long.
+    #[error("no connection within {CONNECT_LIMIT:?}")]
+    TooSlow,
+}
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// The connections to one target.
+pub struct Pool {
+    target: SocketAddr,
+    limit: AtomicUsize,
+    open: Arc<AtomicUsize>,
+    closed: Arc<Notify>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(target: SocketAddr) -> Self {
+        Pool {
+            target,
+            limit: AtomicUsize::new(1),
+            open: Arc::default(),
+            closed: Arc::default(),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sets the most connections that may be open.
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.store(limit.max(1), Ordering::Relaxed);
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Opens connections until `count` are open, so that a burst finds them warm.
+    pub async fn warm(&self, count: usize) {
+        while self.open() < count.min(self.limit.load(Ordering::Relaxed)) {
+            match self.connect().await {
+                Ok(sender) => self.put_back(sender),
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Closes idle connections that have grown old.
+    pub fn drop_old(&self) {
+        lock(&self.idle).retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
+    }
+
+    /// A connection that is ready for a request.
+    pub(super) async fn take(&self) -> Result<Sender, PoolError> {
+        while let Some(mut idle) = self.pop() {
+            let fresh = idle.since.elapsed() < IDLE_LIMIT;
+            if fresh && idle.sender.ready().await.is_ok() {
+                return Ok(idle.sender);
+            }
+        }
+        tokio::time::timeout(CONNECT_LIMIT, self.connect())
+            .await
+            .unwrap_or(Err(PoolError::TooSlow))
+    }
+
+    /// Keeps a connection whose last exchange ended cleanly.
+    pub(super) fn put_back(&self, sender: Sender) {
+        if !sender.is_closed() {
+            let since = Instant::now();
+            lock(&self.idle).push(Idle { sender, since });
+        }
+    }
+
+    fn pop(&self) -> Option<Idle> {
+        lock(&self.idle).pop()
+    }
+
+    async fn connect(&self) -> Result<Sender, PoolError> {
+        let place = self.reserve().await;
+        let stream = TcpStream::connect(self.target).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to the target: {error}");
+            }
+            drop(place);
+        });
+        Ok(sender)
+    }
+
+    /// Waits until fewer than the limit are open, and counts one.
+    async fn reserve(&self) -> OpenPlace {
+        loop {
+            let closed = self.closed.notified();
+            tokio::pin!(closed);
+            closed.as_mut().enable();
+            let limit = self.limit.load(Ordering::Relaxed);
+            let counted = self
+                .open
+                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
+                    (open < limit).then_some(open + 1)
+                });
+            if counted.is_ok() {
+                return OpenPlace {
+                    open: Arc::clone(&self.open),
+                    closed: Arc::clone(&self.closed),
+                };
+            }
+            closed.await;
+        }
+    }
+}
+
+/// One open connection, counted until it is dropped.
+struct OpenPlace {
+    open: Arc<AtomicUsize>,
+    closed: Arc<Notify>,
+}
+
+impl Drop for OpenPlace {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::AcqRel);
+        self.closed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/half/serve.rs
@@ -0,0 +1,289 @@
+//! One call's way through the target half.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
+use lynxcleat_policy::{AdmitEvent, AttemptId, CallId, Micros, Refusal, RefusalReason};
+use lynxcleat_settings::Effective;
+use lynxcleat_wire::{Answer, CallFrame, Frame};
+
+use super::exchange::{Exchange, Request};
+use super::{Go, Half, send};
+use crate::core::Core;
+use crate::mesh::Link;
+use crate::metrics::KindLabels;
+use crate::sync::lock;
+
+/// Longest wait before an ask about a running operation is answered "running".
+const FENCE_WAIT: Duration = Duration::from_millis(250);
+/// Hint for callers whose operation cannot be admitted here.
+const ONCE_RETRY_AFTER_US: Micros = 500_000;
+/// Hint for callers while the target cannot be reached.
+const DOWN_RETRY_AFTER_US: Micros = 250_000;
+/// Hint for callers before settings are in force.
+const NOT_READY_RETRY_AFTER_US: Micros = 500_000;
+/// Time past the deadline for which the answer of an operation is awaited, so
+/// that its outcome can still be told later.
+const OUTCOME_WAIT_US: Micros = 30_000_000;
+
+/// How a call ended at the half.
+enum Ended {
+    Answer(Answer),
+    Refused(Refusal),
+    Lost,
+    /// The sender no longer wants to know.
+    Unwanted,
+}
+
+/// A call at the half.
+struct Incoming<'a> {
+    core: &'a Core,
+    half: &'a Half,
+    id: CallId,
+    deadline: Micros,
+    settings: Arc<Effective>,
+    cancelled: flume::Receiver<()>,
+    link: &'a Link,
+}
+
+/// Serves a call that arrived on a link, in a task of its own.
+pub fn spawn_call(core: &Arc<Core>, link: &Arc<Link>, call: CallFrame) {
+    let core = Arc::clone(core);
+    let link = Arc::clone(link);
+    let (cancel, cancelled) = flume::bounded(1);
+    let key = (link.id, call.attempt);
+    lock(&core.half.cancels).insert(key, cancel);
+    let busy = core.life.target_calls.enter();
+    tokio::spawn(async move {
+        let arrived = core.clock.now();
+        let attempt = call.attempt;
+        let ended = serve(&core, &link, call, cancelled).await;
+        lock(&core.half.cancels).remove(&key);
+        reply(&core, &link, attempt, arrived, ended);
+        drop(busy);
+    });
+}
+
+/// Answers an ask about an operation, and fences it.
+pub fn spawn_fence(core: &Arc<Core>, link: &Arc<Link>, ask: u64, operation: Operation) {
+    let core = Arc::clone(core);
+    let link = Arc::clone(link);
+    tokio::spawn(async move {
+        let reply = fence(&core.half, operation).await;
+        send(&link, Frame::Fenced { ask, reply });
+    });
+}
+
+/// Fences an operation; one that runs is waited for a little.
+async fn fence(half: &Half, operation: Operation) -> FenceReply<Answer> {
+    let mut ended = half.ended.subscribe();
+    let wait = tokio::time::sleep(FENCE_WAIT);
+    tokio::pin!(wait);
+    loop {
+        ended.mark_unchanged();
+        let reply = half.fence_now(operation);
+        if reply != FenceReply::Running {
+            return reply;
+        }
+        tokio::select! {
+            changed = ended.changed() => if changed.is_err() { return reply },
+            () = &mut wait => return reply,
+        }
+    }
+}
+
+fn reply(core: &Core, link: &Link, attempt: AttemptId, arrived: Micros, ended: Ended) {
+    let there_us = core.clock.now().saturating_sub(arrived);
+    let there_us = u32::try_from(there_us).unwrap_or(u32::MAX);
+    let frame = match ended {
+        Ended::Answer(answer) => Frame::Answer {
+            attempt,
+            answer,
+            figures: core.half.figures_to_send(core),
+            there_us,
+        },
+        Ended::Refused(refusal) => {
+            count_refusal(core, refusal.reason);
+            Frame::Refused {
+                attempt,
+                refusal,
+                figures: core.half.figures_to_send(core),
+            }
+        }
+        Ended::Lost => Frame::Lost(attempt),
+        Ended::Unwanted => return,
+    };
+    send(link, frame);
+}
+
+fn count_refusal(core: &Core, reason: RefusalReason) {
+    let kind = match reason {
+        RefusalReason::Full => "full",
+        RefusalReason::TooLate => "too-late",
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::TargetDown => "target-down",
+        RefusalReason::Shed => "shed",
+        RefusalReason::Once => "once",
+        RefusalReason::WrongService => "wrong-service",
+    };
+    let labels = KindLabels { kind };
+    core.metrics.target_refusals.get_or_create(&labels).inc();
+}
+
+async fn serve(core: &Core, link: &Link, call: CallFrame, cancelled: flume::Receiver<()>) -> Ended {
+    if call.service != core.config.service {
+        return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
+    }
+    let half = &core.half;
+    let Some(settings) = half.settings() else {
+        return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
+    };
+    let incoming = Incoming {
+        core,
+        half,
+        id: half.new_call(),
+        deadline: core.clock.now() + call.left_us,
+        settings,
+        cancelled,
+        link,
+    };
+    match call.operation {
+        None => incoming.take_slot_and_run(call).await,
+        Some(operation) => incoming.run_once(operation, call).await,
+    }
+}
+
+fn refused(reason: RefusalReason, retry_after_us: Micros) -> Ended {
+    Ended::Refused(Refusal {
+        reason,
+        retry_after_us,
+    })
+}
+
+impl Incoming<'_> {
+    /// Fence: remembers the operation before it can run, and forgets it only
+    /// when it definitely did not.
+    async fn run_once(&self, operation: Operation, call: CallFrame) -> Ended {
+        let wall_ms = self.core.clock.wall_ms();
+        let admission = lock(&self.half.fence).admit(wall_ms, operation);
+        if let Admission::Refused(why) = admission {
+            return self.refuse_once(why, &call);
+        }
+        let op = operation.op;
+        let ended = self.take_slot_and_run(call).await;
+        match &ended {
+            Ended::Answer(answer) => self.half.record_ran(op, answer),
+            Ended::Refused(_) | Ended::Unwanted => lock(&self.half.fence).not_run(op),
+            Ended::Lost => lock(&self.half.fence).lost(op),
+        }
+        self.half.tell_ended();
+        ended
+    }
+
+    fn refuse_once(&self, why: RefusedOnce, call: &CallFrame) -> Ended {
+        log::info!(call = call.call.as_str(), why:? = why; "operation refused");
+        // It may have run for an earlier offer, so this is no "not run".
+        if why == RefusedOnce::Duplicate {
+            return Ended::Lost;
+        }
+        refused(RefusalReason::Once, ONCE_RETRY_AFTER_US)
+    }
+
+    async fn take_slot_and_run(&self, call: CallFrame) -> Ended {
+        match self.take_slot().await {
+            Go::Refuse(refusal) => Ended::Refused(refusal),
+            Go::Deliver => self.deliver(call).await,
+        }
+    }
+
+    /// Slots and hold: waits for a slot until the deadline, a cancellation, or
+    /// the loss of the link that the call came on.
+    async fn take_slot(&self) -> Go {
+        let (sender, receiver) = flume::bounded(1);
+        lock(&self.half.waiting).insert(self.id, sender);
+        self.half.admit(AdmitEvent::Offer {
+            call: self.id,
+            deadline: self.deadline,
+        });
+        if let Ok(go) = receiver.try_recv() {
+            return go;
+        }
+        tokio::select! {
+            Ok(go) = receiver.recv_async() => return go,
+            _ = self.cancelled.recv_async() => {}
+            () = self.link.closed() => {}
+            () = tokio::time::sleep_until(self.core.clock.instant(self.deadline)) => {}
+        }
+        self.withdraw(&receiver)
+    }
+
+    /// Gives up the wait. A slot that was given meanwhile is given back.
+    fn withdraw(&self, receiver: &flume::Receiver<Go>) -> Go {
+        self.half.admit(AdmitEvent::Withdraw { call: self.id });
+        lock(&self.half.waiting).remove(&self.id);
+        if let Ok(Go::Deliver) = receiver.try_recv() {
+            self.done(None);
+        }
+        Go::Refuse(Refusal {
+            reason: RefusalReason::TooLate,
+            retry_after_us: Micros::from(self.half.figures().service_us),
+        })
+    }
+
+    async fn deliver(&self, call: CallFrame) -> Ended {
+        let op = call.operation.map(|operation| operation.op);
+        if let Some(op) = op
+            && !lock(&self.half.fence).deliver(op)
+        {
+            self.done(None);
+            return refused(RefusalReason::Once, ONCE_RETRY_AFTER_US);
+        }
+        let begun = self.core.clock.now();
+        let exchange = self.exchange(op, call).await;
+        let took = self.core.clock.now().saturating_sub(begun);
+        let served = matches!(&exchange, Exchange::Answer(answer) if answer.status < 500);
+        self.done(served.then(|| u32::try_from(took).unwrap_or(u32::MAX)));
+        match exchange {
+            Exchange::Answer(answer) => Ended::Answer(answer),
+            Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
+            Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
+            Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
+            Exchange::Lost => Ended::Lost,
+        }
+    }
+
+    /// Writes the call to the target. A lookup that is no longer wanted is cut
+    /// off; an operation is not, so that its outcome is known.
+    async fn exchange(&self, op: Option<OpId>, call: CallFrame) -> Exchange {
+        let request = Request {
+            head: call.head,
+            body: call.body.into_vec(),
+            left_us: self.deadline.saturating_sub(self.core.clock.now()),
+            body_limit: self.settings.body_limit_bytes,
+        };
+        let wait_us = match op {
+            Some(_) => self.deadline + OUTCOME_WAIT_US,
+            None => self.deadline,
+        };
+        let over = tokio::time::sleep_until(self.core.clock.instant(wait_us));
+        let exchange = self.half.pool.exchange(request);
+        if op.is_some() {
+            return tokio::select! {
+                exchange = exchange => exchange,
+                () = over => Exchange::Lost,
+            };
+        }
+        tokio::select! {
+            exchange = exchange => exchange,
+            _ = self.cancelled.recv_async() => Exchange::Lost,
+            () = self.link.closed() => Exchange::Lost,
+            () = over => Exchange::Lost,
+        }
+    }
+
+    fn done(&self, service_us: Option<u32>) {
+        let call = self.id;
+        self.half.admit(AdmitEvent::Done { call, service_us });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,32 @@
+//! The daemon beside each target: router half and target half.
+//!
+//! One process holds both halves. The router half takes calls from callers,
+//! picks a target and forwards to that target's daemon; the target half admits,
+//! holds or refuses, fences once-only operations and delivers to its target. All
+//! decisions are made by the pure crates; what is here feeds them from sockets.
+
+mod callers;
+mod clock;
+mod config;
+mod control;
+mod core;
+mod daemon;
+mod explain;
+mod half;
+mod headers;
+mod life;
+pub mod logging;
+mod mesh;
+mod metrics;
+mod once;
+mod ops;
+mod route;
+mod settings_state;
+mod sync;
+
+pub use config::{Config, ConfigError, ConfigFault, RawConfig};
+pub use core::Identity;
+pub use daemon::{Daemon, InHand, StartError};
+pub use explain::{AttemptTrace, ScoredHost, Trace};
+pub use life::StopReport;
+pub use ops::Status;
--- /dev/null
+++ b/crates/daemon/src/life.rs
@@ -0,0 +1,110 @@
+//! A daemon's way from start to stop.
+//!
+//! A planned stop first leaves the target and lingers: callers' connections are
+//! still answered, each with `Connection: close`, so that no caller finds its
+//! connection closed under a request. Then the listener is drained and closed,
+//! and what is in hand is finished.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::watch;
+
+use crate::sync::{Busy, lock};
+
+/// Where a daemon stands.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It takes no new calls for its target, and asks callers to reconnect
+    /// elsewhere.
+    Lingering,
+    /// It takes nothing new.
+    Closing,
+}
+
+/// Why a target takes no new calls. It takes them again when no cause stands.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum LeaveCause {
+    /// The target's health endpoint says that it drains.
+    Target,
+    /// The host list says that the host will be taken away.
+    List,
+    /// An operator's tool said so at the operators' endpoint.
+    Operator,
+    /// The daemon stops.
+    Stop,
+}
+
+/// What a stop left behind.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StopReport {
+    /// Callers' calls that were cut off.
+    pub calls_cut: usize,
+    /// Calls at the target that were cut off.
+    pub target_calls_cut: usize,
+}
+
+/// Phase and work in hand.
+pub struct Life {
+    phase: watch::Sender<Phase>,
+    causes: Mutex<HashSet<LeaveCause>>,
+    /// Callers' calls in hand, those passed on by other daemons included.
+    pub calls: Arc<Busy>,
+    /// Callers' connections.
+    pub connections: Arc<Busy>,
+    /// Calls at the target half.
+    pub target_calls: Arc<Busy>,
+    /// Writers of links, which end when all is written.
+    pub writers: Arc<Busy>,
+}
+
+impl Default for Life {
+    fn default() -> Self {
+        Life {
+            phase: watch::Sender::new(Phase::Serving),
+            causes: Mutex::default(),
+            calls: Arc::default(),
+            connections: Arc::default(),
+            target_calls: Arc::default(),
+            writers: Arc::default(),
+        }
+    }
+}
+
+impl Life {
+    /// Where the daemon stands.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Moves on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let later = phase > *current;
+            if later {
+                *current = phase;
+            }
+            later
+        });
+    }
+
+    /// Adds or takes away a cause for the target to leave. Returns whether any
+    /// cause stands.
+    pub fn set_cause(&self, cause: LeaveCause, stands: bool) -> bool {
+        let mut causes = lock(&self.causes);
+        if stands {
+            causes.insert(cause);
+        } else {
+            causes.remove(&cause);
+        }
+        !causes.is_empty()
+    }
+
+    /// Waits until the daemon stands at `phase` or later.
+    pub async fn reached(&self, phase: Phase) {
+        let mut watch = self.phase.subscribe();
+        let _ = watch.wait_for(|current| *current >= phase).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -0,0 +1,93 @@
+//! Hands each message that arrives on a link to the part it is for.
+
+use std::sync::Arc;
+
+use lynxcleat_wire::{Frame, TreeCopy};
+
+use super::link::{Link, SignalKind};
+use crate::control;
+use crate::core::Core;
+use crate::half;
+use crate::metrics::KindLabels;
+use crate::once;
+
+/// A message carried a generation; a newer one is fetched from its sender.
+pub(super) fn generation(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
+    if theirs > core.settings.number() {
+        control::fetch_from_peer(core, link, theirs);
+    }
+}
+
+/// A message arrived.
+pub(super) fn frame(core: &Arc<Core>, link: &Arc<Link>, frame: Frame) {
+    match frame {
+        Frame::Beat => beat(link),
+        Frame::Leaving(leaving) => core.routers.leaving(core, &link.peer.host, leaving),
+        Frame::Call(call) => half::spawn_call(core, link, *call),
+        Frame::Cancel(attempt) => core.half.cancel(link.id, attempt),
+        Frame::Answer {
+            attempt,
+            answer,
+            figures,
+            there_us,
+        } => {
+            let kind = SignalKind::Answer {
+                answer,
+                figures,
+                there_us,
+            };
+            let taken = link.signal(attempt, kind);
+            count_late(core, taken, "answer");
+        }
+        Frame::Refused {
+            attempt,
+            refusal,
+            figures,
+        } => {
+            let taken = link.signal(attempt, SignalKind::Refused { refusal, figures });
+            count_late(core, taken, "refusal");
+        }
+        Frame::Lost(attempt) => {
+            let taken = link.signal(attempt, SignalKind::TargetLost);
+            count_late(core, taken, "lost");
+        }
+        Frame::Fence { ask, operation } => half::spawn_fence(core, link, ask, operation),
+        Frame::Guarded { ask, ticket, call } => {
+            once::spawn_guarded(core, link, ask, ticket, *call);
+        }
+        Frame::FetchTree { ask } => send_tree(core, link, ask),
+        Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
+            let taken = link.reply(ask, frame);
+            count_late(core, taken, "reply");
+        }
+        Frame::Hello(_) | Frame::Proof(_) => {
+            log::warn!(peer = link.peer.host.as_str(); "hello on a proved link");
+            core.links.remove(core, link);
+        }
+    }
+}
+
+/// The dialer sends heartbeats, the acceptor replies in kind.
+fn beat(link: &Arc<Link>) {
+    if !link.is_dialer() {
+        let _ = link.send(Frame::Beat);
+    }
+}
+
+fn count_late(core: &Core, taken: bool, kind: &'static str) {
+    if !taken {
+        core.metrics
+            .dropped_answers
+            .get_or_create(&KindLabels { kind })
+            .inc();
+    }
+}
+
+fn send_tree(core: &Core, link: &Link, ask: u64) {
+    let copy = core.settings.current().map(|in_force| TreeCopy {
+        generation: in_force.generation.number,
+        digest: in_force.generation.digest.to_string(),
+        text: in_force.generation.text.clone(),
+    });
+    let _ = link.send(Frame::Tree { ask, copy });
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -0,0 +1,145 @@
+//! The first messages of a link: hello and proof of either side.
+
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use lynxcleat_wire::{CodecError, Envelope, Frame, Hello, HelloError, Side, decode, encode};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use super::MESSAGE_LIMIT;
+use crate::core::Core;
+
+/// Longest time from a connection to its proof.
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+
+pub(super) type Socket = WebSocketStream<TcpStream>;
+
+/// Why a link was not made.
+#[derive(Debug, Error)]
+pub enum HandshakeError {
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// The web socket failed.
+    #[error("web socket: {0}")]
+    Socket(#[from] Box<tokio_tungstenite::tungstenite::Error>),
+    /// A message cannot be read.
+    #[error("{0}")]
+    Codec(#[from] CodecError),
+    /// The other side may not speak to us.
+    #[error("{0}")]
+    Hello(#[from] HelloError),
+    /// The other side closed the connection.
+    #[error("closed by the other side")]
+    Closed,
+    /// It took too long.
+    #[error("took longer than {HANDSHAKE_LIMIT:?}")]
+    TooSlow,
+}
+
+pub(super) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_LIMIT))
+        .max_frame_size(Some(MESSAGE_LIMIT))
+}
+
+/// Opens a link's connection and proves both sides.
+pub(super) async fn dial(core: &Core, mesh: &str) -> Result<(Socket, Hello), HandshakeError> {
+    within_limit(async {
+        let stream = TcpStream::connect(mesh).await?;
+        stream.set_nodelay(true)?;
+        let url = format!("ws://{mesh}/mesh");
+        let config = Some(socket_config());
+        let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, config)
+            .await
+            .map_err(Box::new)?;
+        let theirs = prove_as_dialer(core, &mut socket).await?;
+        Ok((socket, theirs))
+    })
+    .await
+}
+
+/// Takes a link's connection and proves both sides.
+pub(super) async fn accept(
+    core: &Core,
+    stream: TcpStream,
+) -> Result<(Socket, Hello), HandshakeError> {
+    within_limit(async {
+        stream.set_nodelay(true)?;
+        let config = Some(socket_config());
+        let mut socket = tokio_tungstenite::accept_async_with_config(stream, config)
+            .await
+            .map_err(Box::new)?;
+        let theirs = prove_as_acceptor(core, &mut socket).await?;
+        Ok((socket, theirs))
+    })
+    .await
+}
+
+async fn within_limit<T>(
+    work: impl Future<Output = Result<T, HandshakeError>>,
+) -> Result<T, HandshakeError> {
+    tokio::time::timeout(HANDSHAKE_LIMIT, work)
+        .await
+        .unwrap_or(Err(HandshakeError::TooSlow))
+}
+
+async fn prove_as_dialer(core: &Core, socket: &mut Socket) -> Result<Hello, HandshakeError> {
+    let ours = core.hello();
+    let key = &core.config.shared_key;
+    send(core, socket, Frame::Hello(ours.clone())).await?;
+    let theirs = receive_hello(socket).await?;
+    ours.check(&theirs)?;
+    let Frame::Proof(proof) = receive(socket).await? else {
+        return Err(HelloError::OutOfOrder.into());
+    };
+    key.check(Side::Acceptor, &ours, &theirs, &proof)?;
+    let proof = key.prove(Side::Dialer, &ours, &theirs);
+    send(core, socket, Frame::Proof(proof)).await?;
+    Ok(theirs)
+}
+
+async fn prove_as_acceptor(core: &Core, socket: &mut Socket) -> Result<Hello, HandshakeError> {
+    let ours = core.hello();
+    let key = &core.config.shared_key;
+    let theirs = receive_hello(socket).await?;
+    ours.check(&theirs)?;
+    send(core, socket, Frame::Hello(ours.clone())).await?;
+    let proof = key.prove(Side::Acceptor, &theirs, &ours);
+    send(core, socket, Frame::Proof(proof)).await?;
+    let Frame::Proof(proof) = receive(socket).await? else {
+        return Err(HelloError::OutOfOrder.into());
+    };
+    key.check(Side::Dialer, &theirs, &ours, &proof)?;
+    Ok(theirs)
+}
+
+async fn receive_hello(socket: &mut Socket) -> Result<Hello, HandshakeError> {
+    match receive(socket).await? {
+        Frame::Hello(hello) => Ok(hello),
+        _ => Err(HelloError::OutOfOrder.into()),
+    }
+}
+
+async fn send(core: &Core, socket: &mut Socket, frame: Frame) -> Result<(), HandshakeError> {
+    let generation = core.settings.number();
+    let bytes = encode(&Envelope { generation, frame })?;
+    socket
+        .send(Message::Binary(bytes.into()))
+        .await
+        .map_err(Box::new)?;
+    Ok(())
+}
+
+async fn receive(socket: &mut Socket) -> Result<Frame, HandshakeError> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => Ok(decode(&bytes)?.frame),
+        Some(Ok(Message::Close(_))) | None => Err(HandshakeError::Closed),
+        Some(Ok(_)) => Err(HelloError::OutOfOrder.into()),
+        Some(Err(error)) => Err(Box::new(error).into()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/link.rs
@@ -0,0 +1,225 @@
+//! One end of a link: its queue of outgoing messages, and what waits on it.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lynxcleat_policy::{AttemptId, Figures, Micros, Refusal, Settlement};
+use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, Side};
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::sync::lock;
+
+/// Messages queued on a link before it counts as lost.
+const QUEUE_LIMIT: usize = 8_192;
+
+/// The link is lost, or was never made.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the link is closed")]
+pub struct LinkClosed;
+
+/// What a call hears of one of its attempts.
+#[derive(Debug)]
+pub struct Signal {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What it is.
+    pub kind: SignalKind,
+}
+
+/// What can happen to an attempt.
+#[derive(Debug)]
+pub enum SignalKind {
+    /// The target answered.
+    Answer {
+        /// The answer.
+        answer: Answer,
+        /// Load of the target.
+        figures: Option<Figures>,
+        /// Time held and served, in microseconds.
+        there_us: u32,
+    },
+    /// The call was not run.
+    Refused {
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// Load of the target.
+        figures: Option<Figures>,
+    },
+    /// The target's answer was lost.
+    TargetLost,
+    /// The link was lost.
+    LinkLost,
+    /// Settling ended, with the answer where there is one.
+    Settled(Settlement, Option<Answer>),
+}
+
+/// What the writer of a link is told.
+pub(super) enum Out {
+    /// Send this.
+    Frame(Frame),
+    /// Send all that came before, then close.
+    Close,
+}
+
+#[derive(Default)]
+struct Pending {
+    closed: bool,
+    calls: HashMap<AttemptId, flume::Sender<Signal>>,
+    asks: HashMap<u64, flume::Sender<Frame>>,
+    next_ask: u64,
+}
+
+/// One end of a link.
+pub struct Link {
+    /// Number of the link in this daemon.
+    pub id: u64,
+    /// The other side.
+    pub peer: Hello,
+    side: Side,
+    out: flume::Sender<Out>,
+    pending: Mutex<Pending>,
+    heard_at: AtomicU64,
+    closed: watch::Sender<bool>,
+}
+
+impl Link {
+    pub(super) fn new(
+        id: u64,
+        peer: Hello,
+        side: Side,
+        now: Micros,
+    ) -> (Self, flume::Receiver<Out>) {
+        let (out, queue) = flume::bounded(QUEUE_LIMIT);
+        let link = Link {
+            id,
+            peer,
+            side,
+            out,
+            pending: Mutex::default(),
+            heard_at: AtomicU64::new(now),
+            closed: watch::Sender::new(false),
+        };
+        (link, queue)
+    }
+
+    /// Sends a message that nothing waits for.
+    ///
+    /// # Errors
+    /// A link that is closed, or so far behind that it counts as lost.
+    pub fn send(&self, frame: Frame) -> Result<(), LinkClosed> {
+        if lock(&self.pending).closed {
+            return Err(LinkClosed);
+        }
+        self.push(frame)
+    }
+
+    /// Sends a call; what becomes of it is told to `signals`.
+    ///
+    /// # Errors
+    /// As [`Link::send`]; then nothing was sent.
+    pub fn call(&self, call: CallFrame, signals: flume::Sender<Signal>) -> Result<(), LinkClosed> {
+        let attempt = call.attempt;
+        let mut pending = lock(&self.pending);
+        if pending.closed {
+            return Err(LinkClosed);
+        }
+        pending.calls.insert(attempt, signals);
+        let pushed = self.push(Frame::Call(Box::new(call)));
+        if pushed.is_err() {
+            pending.calls.remove(&attempt);
+        }
+        pushed
+    }
+
+    /// Stops waiting for a call, and says so to the other side.
+    pub fn cancel(&self, attempt: AttemptId) {
+        if lock(&self.pending).calls.remove(&attempt).is_some() {
+            let _ = self.push(Frame::Cancel(attempt));
+        }
+    }
+
+    /// Sends an ask and waits for its reply. `make` gets the ask's number.
+    ///
+    /// # Errors
+    /// A link that is or becomes closed.
+    pub async fn ask(&self, make: impl FnOnce(u64) -> Frame) -> Result<Frame, LinkClosed> {
+        let (reply, replied) = flume::bounded(1);
+        {
+            let mut pending = lock(&self.pending);
+            if pending.closed {
+                return Err(LinkClosed);
+            }
+            pending.next_ask += 1;
+            let ask = pending.next_ask;
+            pending.asks.insert(ask, reply);
+            if let Err(closed) = self.push(make(ask)) {
+                pending.asks.remove(&ask);
+                return Err(closed);
+            }
+        }
+        replied.recv_async().await.map_err(|_| LinkClosed)
+    }
+
+    /// Whether this end dialed.
+    pub(super) fn is_dialer(&self) -> bool {
+        self.side == Side::Dialer
+    }
+
+    /// Whether the link is lost.
+    pub fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    /// Waits until the link is lost.
+    pub async fn closed(&self) {
+        let mut closed = self.closed.subscribe();
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+
+    /// Sends what is queued, then closes.
+    pub fn finish(&self) {
+        let _ = self.out.send(Out::Close);
+    }
+
+    pub(super) fn heard(&self, now: Micros) {
+        self.heard_at.store(now, Ordering::Relaxed);
+    }
+
+    pub(super) fn heard_at(&self) -> Micros {
+        self.heard_at.load(Ordering::Relaxed)
+    }
+
+    /// Gives a signal to the call that waits for it. False where none does.
+    pub(super) fn signal(&self, attempt: AttemptId, kind: SignalKind) -> bool {
+        let waiting = lock(&self.pending).calls.remove(&attempt);
+        waiting.is_some_and(|signals| signals.send(Signal { attempt, kind }).is_ok())
+    }
+
+    /// Gives a reply to the ask that waits for it. False where none does.
+    pub(super) fn reply(&self, ask: u64, frame: Frame) -> bool {
+        let waiting = lock(&self.pending).asks.remove(&ask);
+        waiting.is_some_and(|reply| reply.send(frame).is_ok())
+    }
+
+    /// Marks the link lost and tells everything that waits on it.
+    pub(super) fn close(&self) {
+        let (calls, asks) = {
+            let mut pending = lock(&self.pending);
+            pending.closed = true;
+            let calls = std::mem::take(&mut pending.calls);
+            (calls, std::mem::take(&mut pending.asks))
+        };
+        drop(asks);
+        for (attempt, signals) in calls {
+            let kind = SignalKind::LinkLost;
+            let _ = signals.send(Signal { attempt, kind });
+        }
+        self.closed.send_replace(true);
+    }
+
+    fn push(&self, frame: Frame) -> Result<(), LinkClosed> {
+        self.out.try_send(Out::Frame(frame)).map_err(|_| LinkClosed)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/links.rs
@@ -0,0 +1,131 @@
+//! All links of a daemon, and the making of new ones.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use lynxcleat_wire::{Frame, Hello, Side};
+use thiserror::Error;
+
+use super::handshake::{self, HandshakeError};
+use super::link::{Link, Out};
+use super::{beat, pump};
+use crate::core::Core;
+use crate::sync::lock;
+
+/// Why there is no link to an address.
+#[derive(Debug, Error)]
+#[error("no link to {mesh}: {error}")]
+pub struct LinkError {
+    /// The address.
+    pub mesh: String,
+    /// What failed.
+    pub error: HandshakeError,
+}
+
+/// The links of one daemon.
+#[derive(Default)]
+pub struct Links {
+    next_id: AtomicU64,
+    all: Mutex<HashMap<u64, Arc<Link>>>,
+    dialed: Mutex<HashMap<String, Arc<Link>>>,
+    dialing: Mutex<HashMap<String, Arc<tokio::sync::Mutex<()>>>>,
+}
+
+impl Links {
+    /// The link that was dialed to an address, if it stands.
+    pub fn live(&self, mesh: &str) -> Option<Arc<Link>> {
+        let found = lock(&self.dialed).get(mesh).cloned();
+        found.filter(|link| !link.is_closed())
+    }
+
+    /// Every link that stands.
+    pub fn all(&self) -> Vec<Arc<Link>> {
+        lock(&self.all).values().cloned().collect()
+    }
+
+    /// Sends a message on every link that stands.
+    pub fn announce(&self, frame: &Frame) {
+        for link in self.all() {
+            let _ = link.send(frame.clone());
+        }
+    }
+
+    /// The link to an address, dialed if there is none. Several callers at once
+    /// make one link. An address of this daemon itself leads to its own half
+    /// without a connection.
+    ///
+    /// # Errors
+    /// A connection or a proof that failed.
+    pub async fn dial(core: &Arc<Core>, mesh: &str) -> Result<Arc<Link>, LinkError> {
+        let links = &core.links;
+        if let Some(link) = links.live(mesh) {
+            return Ok(link);
+        }
+        let turn = Arc::clone(lock(&links.dialing).entry(mesh.to_owned()).or_default());
+        let _turn = turn.lock().await;
+        if let Some(link) = links.live(mesh) {
+            return Ok(link);
+        }
+        let link = if mesh == core.me.mesh.to_string() {
+            links.connect_to_self(core)
+        } else {
+            let dialed = handshake::dial(core, mesh).await;
+            let (socket, hello) = dialed.map_err(|error| LinkError {
+                mesh: mesh.to_owned(),
+                error,
+            })?;
+            let link = links.start(core, socket, hello, Side::Dialer);
+            beat::start(core, &link);
+            link
+        };
+        lock(&links.dialed).insert(mesh.to_owned(), Arc::clone(&link));
+        Ok(link)
+    }
+
+    /// Starts the tasks of a proved connection.
+    pub(super) fn start(
+        &self,
+        core: &Arc<Core>,
+        socket: handshake::Socket,
+        peer: Hello,
+        side: Side,
+    ) -> Arc<Link> {
+        let (link, queue) = self.add(core, peer, side);
+        pump::start(core, &link, socket, queue);
+        link
+    }
+
+    /// Forgets a link that is lost.
+    pub(super) fn remove(&self, core: &Core, link: &Arc<Link>) {
+        link.close();
+        lock(&self.all).remove(&link.id);
+        let mut dialed = lock(&self.dialed);
+        let is_current = dialed
+            .get(&link.peer.mesh)
+            .is_some_and(|current| current.id == link.id);
+        if is_current {
+            dialed.remove(&link.peer.mesh);
+        }
+        drop(dialed);
+        core.metrics.links.set(lock(&self.all).len() as i64);
+    }
+
+    fn add(&self, core: &Core, peer: Hello, side: Side) -> (Arc<Link>, flume::Receiver<Out>) {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let (link, queue) = Link::new(id, peer, side, core.clock.now());
+        let link = Arc::new(link);
+        let mut all = lock(&self.all);
+        all.insert(id, Arc::clone(&link));
+        core.metrics.links.set(all.len() as i64);
+        (link, queue)
+    }
+
+    fn connect_to_self(&self, core: &Arc<Core>) -> Arc<Link> {
+        let (near, near_queue) = self.add(core, core.hello(), Side::Dialer);
+        let (far, far_queue) = self.add(core, core.hello(), Side::Acceptor);
+        pump::start_to_self(core, &far, near_queue);
+        pump::start_to_self(core, &near, far_queue);
+        near
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/mod.rs
@@ -0,0 +1,21 @@
+//! Links between daemons.
+//!
+//! A link carries messages both ways and is made by the daemon that routes to
+//! the other. It is a pair of tasks around one web socket, with a bounded queue
+//! of outgoing messages. What waits for a reply on a link hears at once when the
+//! link is lost.
+
+mod beat;
+mod dispatch;
+mod handshake;
+mod link;
+mod links;
+mod listener;
+mod pump;
+
+pub use link::{Link, Signal, SignalKind};
+pub use links::Links;
+pub use listener::listen;
+
+/// Largest message, in bytes: the largest body that settings allow, and a head.
+pub(crate) const MESSAGE_LIMIT: usize = (64 << 20) + (1 << 20);
--- /dev/null
+++ b/crates/daemon/src/mesh/pump.rs
@@ -0,0 +1,146 @@
+//! The two tasks of a link: one writes what is queued, one reads what comes.
+
+use std::sync::Arc;
+
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use lynxcleat_wire::{CodecError, Envelope, Frame, decode, encode};
+use thiserror::Error;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+use super::dispatch;
+use super::handshake::Socket;
+use super::link::{Link, Out};
+use crate::core::Core;
+use crate::metrics::KindLabels;
+
+/// Why a link ended, where it was not closed in order.
+#[derive(Debug, Error)]
+enum PumpError {
+    #[error("{0}")]
+    Codec(#[from] CodecError),
+    #[error("web socket: {0}")]
+    Socket(#[from] Box<tungstenite::Error>),
+    #[error("a message that is not binary")]
+    NotBinary,
+}
+
+/// Starts the tasks of a link over a web socket.
+pub(super) fn start(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    socket: Socket,
+    queue: flume::Receiver<Out>,
+) {
+    let (sink, stream) = socket.split();
+    let writing = (Arc::clone(core), Arc::clone(link));
+    let busy = core.life.writers.enter();
+    tokio::spawn(async move {
+        let (core, link) = writing;
+        if let Err(error) = write(&core, &link, sink, queue).await {
+            log::debug!(peer = link.peer.host.as_str(); "link write: {error}");
+        }
+        core.links.remove(&core, &link);
+        drop(busy);
+    });
+    let reading = (Arc::clone(core), Arc::clone(link));
+    tokio::spawn(async move {
+        let (core, link) = reading;
+        if let Err(error) = read(&core, &link, stream).await {
+            log::info!(peer = link.peer.host.as_str(); "link lost: {error}");
+        }
+        core.links.remove(&core, &link);
+    });
+}
+
+/// Starts the one task of a link's end within this process: what `queue` holds
+/// arrives at `far`.
+pub(super) fn start_to_self(core: &Arc<Core>, far: &Arc<Link>, queue: flume::Receiver<Out>) {
+    let core = Arc::clone(core);
+    let far = Arc::clone(far);
+    tokio::spawn(async move {
+        while let Ok(Out::Frame(frame)) = queue.recv_async().await {
+            dispatch::frame(&core, &far, frame);
+        }
+        core.links.remove(&core, &far);
+    });
+}
+
+async fn write(
+    core: &Core,
+    link: &Link,
+    mut sink: SplitSink<Socket, Message>,
+    queue: flume::Receiver<Out>,
+) -> Result<(), PumpError> {
+    loop {
+        let out = tokio::select! {
+            out = queue.recv_async() => out,
+            () = link.closed() => return Ok(()),
+        };
+        let Ok(Out::Frame(frame)) = out else {
+            sink.close().await.map_err(Box::new)?;
+            return Ok(());
+        };
+        let bytes = encode_counted(core, frame)?;
+        sink.feed(Message::Binary(bytes.into()))
+            .await
+            .map_err(Box::new)?;
+        if queue.is_empty() {
+            sink.flush().await.map_err(Box::new)?;
+        }
+    }
+}
+
+fn encode_counted(core: &Core, frame: Frame) -> Result<Vec<u8>, PumpError> {
+    let kind = KindLabels { kind: kind(&frame) };
+    let generation = core.settings.number();
+    let bytes = encode(&Envelope { generation, frame })?;
+    core.metrics.mesh_frames.get_or_create(&kind).inc();
+    core.metrics
+        .mesh_bytes
+        .get_or_create(&kind)
+        .inc_by(bytes.len() as u64);
+    Ok(bytes)
+}
+
+async fn read(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    mut stream: SplitStream<Socket>,
+) -> Result<(), PumpError> {
+    loop {
+        let message = tokio::select! {
+            message = stream.next() => message,
+            () = link.closed() => return Ok(()),
+        };
+        link.heard(core.clock.now());
+        match message {
+            Some(Ok(Message::Binary(bytes))) => {
+                let envelope = decode(&bytes)?;
+                dispatch::generation(core, link, envelope.generation);
+                dispatch::frame(core, link, envelope.frame);
+            }
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(Message::Close(_))) | None => return Ok(()),
+            Some(Ok(_)) => return Err(PumpError::NotBinary),
+            Some(Err(error)) => return Err(Box::new(error).into()),
+        }
+    }
+}
+
+/// Name of a message's kind, for the metrics.
+fn kind(frame: &Frame) -> &'static str {
+    match frame {
+        Frame::Hello(_) | Frame::Proof(_) => "hello",
+        Frame::Beat => "beat",
+        Frame::Leaving(_) => "leaving",
+        Frame::Call(_) => "call",
+        Frame::Cancel(_) => "cancel",
+        Frame::Answer { .. } => "answer",
+        Frame::Refused { .. } => "refused",
+        Frame::Lost(_) => "lost",
+        Frame::Fence { .. } | Frame::Fenced { .. } => "fence",
+        Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
+        Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Counters and gauges in Prometheus text.
+
+use std::sync::Mutex;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::sync::lock;
+
+/// Labels of a call's outcome.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct CallLabels {
+    /// The service asked for.
+    pub service: String,
+    /// `run`, `not-run` or `unknown`.
+    pub outcome: &'static str,
+}
+
+/// Labels of one kind of thing.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct KindLabels {
+    /// The kind.
+    pub kind: &'static str,
+}
+
+/// A counter for each kind of thing.
+pub type Kinds = Family<KindLabels, Counter>;
+
+/// All metrics of one daemon.
+#[allow(missing_docs)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    pub calls: Family<CallLabels, Counter>,
+    pub call_seconds: Histogram,
+    pub retries: Counter,
+    pub target_refusals: Kinds,
+    pub dropped_answers: Kinds,
+    pub links: Gauge,
+    pub links_refused: Kinds,
+    pub mesh_frames: Kinds,
+    pub mesh_bytes: Kinds,
+    pub in_flight: Gauge,
+    pub held: Gauge,
+    pub generation: Gauge,
+    pub measure_messages: Counter,
+    pub measure_bytes: Counter,
+    pub measure_cpu_us: Counter,
+    pub measure_refused: Counter,
+    pub measure_bytes_allowed: Gauge,
+    pub once_records: Gauge,
+    pub settled: Kinds,
+    pub platform_failures: Kinds,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Metrics {
+            registry: Mutex::default(),
+            calls: Family::default(),
+            call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            retries: Counter::default(),
+            target_refusals: Family::default(),
+            dropped_answers: Family::default(),
+            links: Gauge::default(),
+            links_refused: Family::default(),
+            mesh_frames: Family::default(),
+            mesh_bytes: Family::default(),
+            in_flight: Gauge::default(),
+            held: Gauge::default(),
+            generation: Gauge::default(),
+            measure_messages: Counter::default(),
+            measure_bytes: Counter::default(),
+            measure_cpu_us: Counter::default(),
+            measure_refused: Counter::default(),
+            measure_bytes_allowed: Gauge::default(),
+            once_records: Gauge::default(),
+            settled: Family::default(),
+            platform_failures: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    #[rustfmt::skip]
+    fn register(&self) {
+        let mut root = lock(&self.registry);
+        let registry = root.sub_registry_with_prefix("lynxcleat");
+        registry.register("calls", "Callers' calls by service and outcome", self.calls.clone());
+        registry.register_with_unit("call", "Time from a call's arrival to its answer", Unit::Seconds, self.call_seconds.clone());
+        registry.register("retries", "Further attempts sent", self.retries.clone());
+        registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
+        registry.register("links", "Links to other daemons", self.links.clone());
+        registry.register("links_refused", "Links refused", self.links_refused.clone());
+        registry.register("mesh_frames", "Messages sent to other daemons", self.mesh_frames.clone());
+        registry.register("mesh_bytes", "Bytes sent to other daemons", self.mesh_bytes.clone());
+        registry.register("in_flight", "Calls at the target", self.in_flight.clone());
+        registry.register("held", "Calls held for the target", self.held.clone());
+        registry.register("generation", "Generation of settings in force", self.generation.clone());
+        registry.register("measure_messages", "Measuring: messages spent", self.measure_messages.clone());
+        registry.register("measure_bytes", "Measuring: bytes spent", self.measure_bytes.clone());
+        registry.register("measure_cpu_us", "Measuring: processor time charged, in microseconds", self.measure_cpu_us.clone());
+        registry.register("measure_refused", "Measuring: pieces of work refused by the budget", self.measure_refused.clone());
+        registry.register("measure_bytes_allowed", "Measuring: bytes allowed in a second", self.measure_bytes_allowed.clone());
+        registry.register("once_records", "Once-only operations remembered as guard", self.once_records.clone());
+        registry.register("settled", "Outcomes settled after a loss", self.settled.clone());
+        registry.register("platform_failures", "Failed calls to the platform", self.platform_failures.clone());
+    }
+
+    /// The Prometheus text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &lock(&self.registry)).expect("a string takes any text");
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/once/mod.rs
@@ -0,0 +1,129 @@
+//! Once-only operations: tickets, the guard, claims of plain keys, and recovery.
+
+mod claims;
+mod recover;
+mod run;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use lynxcleat_once::{
+    Guard, GuardLimits, Incarnation, OpId, Operation, Roster, Ticket, TicketError, TicketKey,
+};
+use lynxcleat_settings::Effective;
+use lynxcleat_wire::{Answer, SharedKey};
+
+use crate::clock::Clock;
+use crate::sync::lock;
+
+pub use claims::start as start_claims;
+pub use run::{OnceCall, OnceVerdict, run, run_keyed, spawn_guarded};
+
+/// Time past a call's deadline for which an operation without a ticket is
+/// remembered, in milliseconds.
+const PLAIN_KEEP_MS: u64 = 5_000;
+
+/// State of the once-only part.
+pub struct Once {
+    clock: Clock,
+    key: TicketKey,
+    guard: Mutex<Guard<Answer>>,
+    waiting: Mutex<HashMap<OpId, Vec<flume::Sender<OnceVerdict>>>>,
+    roster: Mutex<Roster>,
+    claims: claims::Claims,
+    settings: Mutex<Option<Arc<Effective>>>,
+}
+
+impl Once {
+    /// Nothing minted, nothing remembered.
+    pub fn new(
+        clock: Clock,
+        me: Incarnation,
+        started_ms: u64,
+        mesh: String,
+        shared_key: &SharedKey,
+    ) -> Self {
+        let limits = GuardLimits {
+            retention_ms: 0,
+            entries: 0,
+            bytes: 0,
+        };
+        Once {
+            clock,
+            key: TicketKey::new(shared_key.bytes()),
+            guard: Mutex::new(Guard::new(me, mesh, limits)),
+            waiting: Mutex::default(),
+            roster: Mutex::new(Roster::new(started_ms)),
+            claims: claims::Claims::default(),
+            settings: Mutex::default(),
+        }
+    }
+
+    /// Puts settings in force.
+    pub fn apply(&self, own: &Arc<Effective>) {
+        lock(&self.guard).set_limits(GuardLimits {
+            retention_ms: own.once_retention_ms,
+            entries: own.once_memory_entries,
+            bytes: own.once_memory_bytes,
+        });
+        *lock(&self.settings) = Some(Arc::clone(own));
+    }
+
+    /// Mints a ticket, as text.
+    pub fn mint_text(&self) -> String {
+        self.key.seal(&self.mint())
+    }
+
+    /// Reads a ticket's text.
+    ///
+    /// # Errors
+    /// A text that is no ticket of this deployment.
+    pub fn open(&self, text: &str) -> Result<Ticket, TicketError> {
+        self.key.open(text)
+    }
+
+    /// Names a call with effects that carries neither ticket nor key, so that
+    /// targets can remember and fence it.
+    pub fn name_plain(&self, left_us: u64) -> Operation {
+        let ticket = self.mint();
+        Operation {
+            op: ticket.op,
+            minted_ms: ticket.minted_ms,
+            keep_ms: left_us / 1_000 + PLAIN_KEEP_MS,
+        }
+    }
+
+    /// A target half of a service is gone or was replaced.
+    pub fn half_gone(&self, service: &str) {
+        lock(&self.roster).gone(self.clock.wall_ms(), service);
+    }
+
+    /// Operations remembered as guard.
+    pub fn records(&self) -> usize {
+        lock(&self.guard).len()
+    }
+
+    fn mint(&self) -> Ticket {
+        lock(&self.guard).mint(self.clock.wall_ms())
+    }
+
+    fn operation(&self, ticket: &Ticket) -> Operation {
+        Operation {
+            op: ticket.op,
+            minted_ms: ticket.minted_ms,
+            keep_ms: self.retention_ms(),
+        }
+    }
+
+    fn retention_ms(&self) -> u64 {
+        let settings = lock(&self.settings);
+        settings.as_ref().map_or(0, |own| own.once_retention_ms)
+    }
+
+    fn list_lag_ms(&self) -> u64 {
+        let settings = lock(&self.settings);
+        settings
+            .as_ref()
+            .map_or(u64::MAX / 4, |own| own.list_lag_ms)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/once/run.rs
@@ -0,0 +1,324 @@
+//! The once-only guard filter: first use, repetition, passing on to the guard.
+
+use std::sync::Arc;
+
+use lynxcleat_once::{Begin, GuardRefusal, OpId, Outcome, Ticket};
+use lynxcleat_policy::{AttemptId, Micros, NotRunReason, RefusalReason};
+use lynxcleat_wire::{Answer, CallFrame, Frame, GuardedVerdict};
+
+use super::claims::{self, Claimed};
+use super::recover;
+use crate::core::Core;
+use crate::mesh::{Link, Links};
+use crate::route::{Outbound, RouteVerdict, ServiceRouter, run as route};
+use crate::sync::lock;
+
+/// Hint for callers whose operation still runs.
+const RUNNING_RETRY_AFTER_US: Micros = 500_000;
+/// Hint for callers while the memory of operations is full.
+const FULL_RETRY_AFTER_US: Micros = 5_000_000;
+
+/// A call that must run at most once.
+#[derive(Clone)]
+pub struct OnceCall {
+    /// The call.
+    pub call: Outbound,
+    /// Router of its service.
+    pub service: Arc<ServiceRouter>,
+}
+
+/// What the caller of a once-only call is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OnceVerdict {
+    /// It ran, now or earlier.
+    Ran {
+        /// Its answer.
+        answer: Answer,
+        /// Whether it ran for an earlier call.
+        replayed: bool,
+    },
+    /// It was not run.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+    /// Its guard is lost, every target says that it was not run, and it is fenced
+    /// for good: a new ticket is needed to run it.
+    Fenced {
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+    /// It may have run; asking again later may tell.
+    Unknown {
+        /// When to ask again.
+        retry_after_us: Micros,
+    },
+    /// The memory of operations is full; it was not run.
+    MemoryFull {
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+    /// The platform could not record the key; it was not run.
+    NoClaim {
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+}
+
+/// Runs a call under a ticket, here or at the guard that minted it.
+pub async fn run(core: &Arc<Core>, ticket: Ticket, call: OnceCall) -> OnceVerdict {
+    if ticket.op.incarnation == core.me.incarnation {
+        return run_here(core, ticket, call).await;
+    }
+    match pass_on(core, &ticket, &call).await {
+        Some(verdict) => verdict,
+        None => recover::recover(core, &ticket, &call).await,
+    }
+}
+
+/// Runs a call under a plain key: the ticket that the table has for the key
+/// decides which guard runs it.
+pub async fn run_keyed(core: &Arc<Core>, key: String, call: OnceCall) -> OnceVerdict {
+    let service = call.service.name.clone();
+    let claimed = match claims::claim(core, &service, &key).await {
+        Ok(claimed) => claimed,
+        Err(error) => {
+            log::warn!(call = call.call.name.as_str(); "claim: {error}");
+            let retry_after_us = error.retry_after_us();
+            return OnceVerdict::NoClaim { retry_after_us };
+        }
+    };
+    let Claimed { ticket, version } = claimed;
+    let verdict = run(core, ticket.clone(), call.clone()).await;
+    if !matches!(verdict, OnceVerdict::Fenced { .. }) {
+        return verdict;
+    }
+    // The key may run under a ticket of ours now.
+    match claims::replace(core, &service, &key, version).await {
+        Ok(own) => run(core, own, call).await,
+        Err(_) => verdict,
+    }
+}
+
+async fn run_here(core: &Arc<Core>, ticket: Ticket, call: OnceCall) -> OnceVerdict {
+    let (sender, ended) = flume::bounded(1);
+    let begin = {
+        let mut waiting = lock(&core.once.waiting);
+        let begin = lock(&core.once.guard).begin(core.clock.wall_ms(), &ticket);
+        if matches!(begin, Begin::Run | Begin::Running) {
+            waiting.entry(ticket.op).or_default().push(sender);
+        }
+        begin
+    };
+    match begin {
+        Begin::Run => {
+            start(core, &ticket, &call);
+            wait_for_end(core, &call, ended).await
+        }
+        Begin::Running => wait_for_end(core, &call, ended).await,
+        Begin::Ran(answer) => OnceVerdict::Ran {
+            answer,
+            replayed: true,
+        },
+        Begin::Unknown => recover::settle_own(core, &ticket, &call).await,
+        Begin::Refused(GuardRefusal::MemoryFull) => OnceVerdict::MemoryFull {
+            retry_after_us: FULL_RETRY_AFTER_US,
+        },
+        Begin::Refused(GuardRefusal::NotMine) => OnceVerdict::Unknown {
+            retry_after_us: RUNNING_RETRY_AFTER_US,
+        },
+    }
+}
+
+/// Runs the operation in a task of its own, so that it goes on when its caller
+/// goes away.
+fn start(core: &Arc<Core>, ticket: &Ticket, call: &OnceCall) {
+    let core = Arc::clone(core);
+    let op = ticket.op;
+    let service = Arc::clone(&call.service);
+    let mut outbound = call.call.clone();
+    outbound.operation = Some(core.once.operation(ticket));
+    let busy = core.life.calls.enter();
+    tokio::spawn(async move {
+        let verdict = route(&core, &service, outbound).await;
+        finish(&core, op, verdict);
+        drop(busy);
+    });
+}
+
+/// Records the outcome and tells everyone who waits for it. The first waiter is
+/// the one for whom it ran.
+fn finish(core: &Core, op: OpId, verdict: RouteVerdict) {
+    let (outcome, size, told) = match verdict {
+        RouteVerdict::Answer(answer) => {
+            let told = OnceVerdict::Ran {
+                answer: answer.clone(),
+                replayed: false,
+            };
+            let size = answer.size();
+            (Outcome::Ran(answer), size, told)
+        }
+        RouteVerdict::NotRun {
+            reason,
+            retry_after_us,
+        } => {
+            let told = OnceVerdict::NotRun {
+                reason,
+                retry_after_us,
+            };
+            (Outcome::NotRun, 0, told)
+        }
+        RouteVerdict::Unknown { .. } => {
+            let retry_after_us = RUNNING_RETRY_AFTER_US;
+            (Outcome::Unknown, 0, OnceVerdict::Unknown { retry_after_us })
+        }
+    };
+    let mut waiting = lock(&core.once.waiting);
+    lock(&core.once.guard).finished(op, outcome, size);
+    for (nth, waiter) in waiting.remove(&op).into_iter().flatten().enumerate() {
+        let _ = waiter.send(told.clone().for_waiter(nth));
+    }
+}
+
+impl OnceVerdict {
+    fn for_waiter(mut self, nth: usize) -> Self {
+        if let OnceVerdict::Ran { replayed, .. } = &mut self {
+            *replayed = nth > 0;
+        }
+        self
+    }
+}
+
+async fn wait_for_end(
+    core: &Core,
+    call: &OnceCall,
+    ended: flume::Receiver<OnceVerdict>,
+) -> OnceVerdict {
+    // The run itself ends shortly after its own deadline, which may be later
+    // than that of a caller who repeats it.
+    let until = core
+        .clock
+        .instant(call.call.deadline + 2 * RUNNING_RETRY_AFTER_US);
+    match tokio::time::timeout_at(until, ended.recv_async()).await {
+        Ok(Ok(verdict)) => verdict,
+        _ => OnceVerdict::Unknown {
+            retry_after_us: RUNNING_RETRY_AFTER_US,
+        },
+    }
+}
+
+/// Passes a call on to the guard. `None` where the guard is lost.
+async fn pass_on(core: &Arc<Core>, ticket: &Ticket, call: &OnceCall) -> Option<OnceVerdict> {
+    let link = Links::dial(core, &ticket.guard).await.ok()?;
+    if link.peer.incarnation != ticket.op.incarnation {
+        return None;
+    }
+    let frame = call_frame(core, call);
+    let ticket = ticket.clone();
+    let asked = link.ask(|ask| Frame::Guarded {
+        ask,
+        ticket,
+        call: Box::new(frame),
+    });
+    let until = core
+        .clock
+        .instant(call.call.deadline + RUNNING_RETRY_AFTER_US);
+    let reply = match tokio::time::timeout_at(until, asked).await {
+        Ok(Ok(Frame::GuardedReply { verdict, .. })) => verdict,
+        Ok(_) => return None,
+        Err(_) => GuardedVerdict::Unknown,
+    };
+    match reply {
+        GuardedVerdict::Ran { answer, replayed } => Some(OnceVerdict::Ran { answer, replayed }),
+        GuardedVerdict::NotRun {
+            reason,
+            retry_after_us,
+        } => Some(OnceVerdict::NotRun {
+            reason,
+            retry_after_us,
+        }),
+        GuardedVerdict::Unknown => Some(OnceVerdict::Unknown {
+            retry_after_us: RUNNING_RETRY_AFTER_US,
+        }),
+        GuardedVerdict::MemoryFull => Some(OnceVerdict::MemoryFull {
+            retry_after_us: FULL_RETRY_AFTER_US,
+        }),
+        GuardedVerdict::NotMine => None,
+    }
+}
+
+fn call_frame(core: &Core, call: &OnceCall) -> CallFrame {
+    let outbound = &call.call;
+    CallFrame {
+        attempt: AttemptId(0),
+        call: outbound.name.clone(),
+        service: call.service.name.clone(),
+        left_us: outbound.deadline.saturating_sub(core.clock.now()),
+        operation: None,
+        head: outbound.head.clone(),
+        body: outbound.body.clone(),
+    }
+}
+
+/// Runs a call that another daemon passed on to this guard.
+pub fn spawn_guarded(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    ask: u64,
+    ticket: Ticket,
+    frame: CallFrame,
+) {
+    let core = Arc::clone(core);
+    let link = Arc::clone(link);
+    let busy = core.life.calls.enter();
+    tokio::spawn(async move {
+        let verdict = guarded(&core, ticket, frame).await;
+        let _ = link.send(Frame::GuardedReply { ask, verdict });
+        drop(busy);
+    });
+}
+
+async fn guarded(core: &Arc<Core>, ticket: Ticket, frame: CallFrame) -> GuardedVerdict {
+    if ticket.op.incarnation != core.me.incarnation {
+        return GuardedVerdict::NotMine;
+    }
+    let in_force = core.settings.current();
+    let effective = in_force.as_ref().and_then(|f| f.service(&frame.service));
+    let (Some(in_force), Some(effective)) = (in_force, effective) else {
+        return GuardedVerdict::NotRun {
+            reason: NotRunReason::NoTarget,
+            retry_after_us: RUNNING_RETRY_AFTER_US,
+        };
+    };
+    let call = OnceCall {
+        service: core.routers.get(core, &frame.service, &effective),
+        call: Outbound {
+            id: core.new_call_id(),
+            name: frame.call,
+            deadline: core.clock.now() + frame.left_us,
+            operation: None,
+            may_retry: true,
+            generation: in_force.generation.number,
+            head: frame.head,
+            body: frame.body,
+        },
+    };
+    match run_here(core, ticket, call).await {
+        OnceVerdict::Ran { answer, replayed } => GuardedVerdict::Ran { answer, replayed },
+        OnceVerdict::NotRun {
+            reason,
+            retry_after_us,
+        } => GuardedVerdict::NotRun {
+            reason,
+            retry_after_us,
+        },
+        OnceVerdict::MemoryFull { .. } => GuardedVerdict::MemoryFull,
+        OnceVerdict::Fenced { retry_after_us } => GuardedVerdict::NotRun {
+            reason: NotRunReason::Refused(RefusalReason::Once),
+            retry_after_us,
+        },
+        OnceVerdict::Unknown { .. } | OnceVerdict::NoClaim { .. } => GuardedVerdict::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ops.rs
@@ -0,0 +1,201 @@
+//! The operators' endpoint: metrics, health, status, explanations, drain.
+//!
+//! Served by tiny_http on an address of its own that callers cannot reach. It is
+//! outside the path of calls, so its lack of time-outs costs a thread at worst.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use thiserror::Error;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::core::Core;
+use crate::life::{LeaveCause, Phase};
+
+/// Newest calls listed where none is named.
+const NEWEST: usize = 20;
+
+/// The operators' endpoint cannot be served.
+#[derive(Debug, Error)]
+#[error("cannot listen on {address} for operators: {reason}")]
+pub struct OpsError {
+    address: SocketAddr,
+    reason: String,
+}
+
+/// What a daemon says of itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// Its host.
+    pub host: String,
+    /// Its place.
+    pub place: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Service of its target.
+    pub service: String,
+    /// Its incarnation, in hexadecimal.
+    pub incarnation: String,
+    /// When it started, in milliseconds since 1970.
+    pub started_ms: u64,
+    /// Generation of settings in force; 0 before the first.
+    pub generation: u64,
+    /// Digest of that generation.
+    pub digest: Option<String>,
+    /// Whether its target takes no new calls.
+    pub leaving: bool,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// Calls at its target.
+    pub in_flight: u32,
+    /// Calls held for its target.
+    pub held: u32,
+    /// Links to other daemons.
+    pub links: usize,
+    /// Hosts it knows of.
+    pub hosts: usize,
+}
+
+/// A listening endpoint that is not served yet.
+pub struct Ops {
+    server: Arc<Server>,
+    address: SocketAddr,
+}
+
+impl Ops {
+    /// Listens.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub fn listen(address: SocketAddr) -> Result<Self, OpsError> {
+        let failed = |reason| OpsError { address, reason };
+        let server = Server::http(address).map_err(|error| failed(error.to_string()))?;
+        let bound = server
+            .server_addr()
+            .to_ip()
+            .ok_or_else(|| failed("not an IP address".to_owned()))?;
+        Ok(Ops {
+            server: Arc::new(server),
+            address: bound,
+        })
+    }
+
+    /// The address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves in a thread of its own until [`OpsHandle::stop`].
+    pub fn serve(self, core: Arc<Core>) -> OpsHandle {
+        let server = Arc::clone(&self.server);
+        let thread = thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                answer(&core, request);
+            }
+        });
+        OpsHandle {
+            server: self.server,
+            thread,
+        }
+    }
+}
+
+/// A served endpoint.
+pub struct OpsHandle {
+    server: Arc<Server>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl OpsHandle {
+    /// Ends serving.
+    pub fn stop(self) {
+        self.server.unblock();
+        let _ = self.thread.join();
+    }
+}
+
+/// What the daemon says of itself.
+pub fn status(core: &Core) -> Status {
+    let in_force = core.settings.current();
+    let figures = core.half.figures();
+    Status {
+        host: core.config.host.clone(),
+        place: core.config.place.clone(),
+        zone: core.config.zone.clone(),
+        service: core.config.service.clone(),
+        incarnation: core.me.incarnation.to_string(),
+        started_ms: core.me.started_ms,
+        generation: core.settings.number(),
+        digest: in_force.map(|in_force| in_force.generation.digest.to_string()),
+        leaving: core.half.is_leaving(),
+        stopping: core.life.phase() > Phase::Serving,
+        in_flight: figures.in_flight,
+        held: figures.held,
+        links: core.links.all().len(),
+        hosts: core.hosts.len(),
+    }
+}
+
+fn answer(core: &Core, request: Request) {
+    let url = request.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    match (request.method(), path) {
+        (Method::Get, "/metrics") => metrics(core, request),
+        (Method::Get, "/health") => health(core, request),
+        (Method::Get, "/status") => respond(request, 200, &json!(status(core))),
+        (Method::Get, "/explain") => explain(core, request, query),
+        (Method::Post, "/drain") => drain(core, request, true),
+        (Method::Post, "/undrain") => drain(core, request, false),
+        _ => respond(request, 404, &json!({"error": "no such path"})),
+    }
+}
+
+/// Whether the daemon can serve calls at all.
+fn health(core: &Core, request: Request) {
+    let ready = core.settings.current().is_some();
+    let status = if ready { 200 } else { 503 };
+    let generation = core.settings.number();
+    respond(
+        request,
+        status,
+        &json!({"ready": ready, "generation": generation}),
+    );
+}
+
+fn drain(core: &Core, request: Request, stands: bool) {
+    core.set_leaving(LeaveCause::Operator, stands);
+    respond(request, 200, &json!({"leaving": core.half.is_leaving()}));
+}
+
+fn explain(core: &Core, request: Request, query: &str) {
+    let Some(call) = query.strip_prefix("call=") else {
+        return respond(request, 200, &json!(core.explain.newest(NEWEST)));
+    };
+    match core.explain.find(call) {
+        Some(trace) => respond(request, 200, &json!(trace)),
+        None => respond(request, 404, &json!({"error": "no trace of that call"})),
+    }
+}
+
+fn metrics(core: &Core, request: Request) {
+    let figures = core.half.figures();
+    core.metrics.in_flight.set(i64::from(figures.in_flight));
+    core.metrics.held.set(i64::from(figures.held));
+    core.metrics.once_records.set(core.once.records() as i64);
+    core.budget.show(&core.metrics);
+    let text = core.metrics.text();
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    let header = Header::from_bytes("content-type", kind).expect("a plain header");
+    let _ = request.respond(Response::from_string(text).with_header(header));
+}
+
+fn respond(request: Request, status: u16, value: &serde_json::Value) {
+    let header = Header::from_bytes("content-type", "application/json").expect("a plain header");
+    let response = Response::from_string(value.to_string())
+        .with_status_code(status)
+        .with_header(header);
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/crates/daemon/src/route/mod.rs
@@ -0,0 +1,9 @@
+//! The router half: from a pinned call to a verdict.
+
+mod run;
+mod service;
+mod settle;
+
+pub use run::{Outbound, RouteVerdict, run};
+pub use service::{Routers, ServiceRouter};
+pub use settle::fence_at;
--- /dev/null
+++ b/crates/daemon/src/route/run.rs
@@ -0,0 +1,357 @@
+//! One call's way through the router: choose → forward → answer, repeated as the
+//! router's decisions say.
+//!
+//! The call's own task feeds the decisions with what it hears of its attempts
+//! and carries out what they say. If the task is dropped because the caller went
+//! away, what is out is cancelled.
+
+use std::sync::Arc;
+
+use lynxcleat_once::Operation;
+use lynxcleat_policy::{
+    Action, AttemptId, CallId, Event, Micros, NotRunReason, Source, TargetId, UnknownReason,
+    Verdict,
+};
+use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
+use serde_bytes::ByteBuf;
+
+use super::service::ServiceRouter;
+use super::settle;
+use crate::core::Core;
+use crate::explain::{AttemptTrace, ScoredHost, Trace};
+use crate::headers::RETRY;
+use crate::mesh::{Signal, SignalKind};
+
+/// Time past the deadline for a target's daemon to say that a call was not run.
+const DEADLINE_GRACE_US: Micros = 5_000;
+
+/// A call that is ready to be sent to a target.
+#[derive(Clone, Debug)]
+pub struct Outbound {
+    /// Number of the call at this daemon.
+    pub id: CallId,
+    /// Name of the call, for logs and explanations.
+    pub name: String,
+    /// When its answer is no longer useful.
+    pub deadline: Micros,
+    /// Present for a call with effects.
+    pub operation: Option<Operation>,
+    /// Whether a further attempt is allowed.
+    pub may_retry: bool,
+    /// Generation of settings it is pinned to.
+    pub generation: u64,
+    /// Head of the request.
+    pub head: RequestHead,
+    /// Body of the request.
+    pub body: ByteBuf,
+}
+
+/// What the caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouteVerdict {
+    /// The target's answer.
+    Answer(Answer),
+    /// It was not run.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        reason: UnknownReason,
+    },
+}
+
+/// Routes a call and returns what its caller is told.
+pub async fn run(core: &Arc<Core>, service: &Arc<ServiceRouter>, call: Outbound) -> RouteVerdict {
+    let deadline = core.clock.instant(call.deadline);
+    let _ = tokio::time::timeout_at(deadline, service.ready()).await;
+    let (sender, signals) = flume::unbounded();
+    let mut in_hand = InHand {
+        core,
+        service,
+        trace: Trace {
+            call: call.name.clone(),
+            service: service.name.clone(),
+            generation: call.generation,
+            ..Trace::default()
+        },
+        began: core.clock.now(),
+        call,
+        sender,
+        attempts: Vec::new(),
+        answer: None,
+        finished: false,
+    };
+    let verdict = in_hand.drive(signals).await;
+    in_hand.finished = true;
+    in_hand.keep_trace(&verdict);
+    verdict
+}
+
+/// An attempt that was made.
+struct OutAttempt {
+    attempt: AttemptId,
+    link: Option<Arc<crate::mesh::Link>>,
+}
+
+/// A call in hand.
+struct InHand<'a> {
+    core: &'a Arc<Core>,
+    service: &'a Arc<ServiceRouter>,
+    call: Outbound,
+    began: Micros,
+    sender: flume::Sender<Signal>,
+    attempts: Vec<OutAttempt>,
+    answer: Option<(AttemptId, Answer)>,
+    trace: Trace,
+    finished: bool,
+}
+
+impl InHand<'_> {
+    async fn drive(&mut self, signals: flume::Receiver<Signal>) -> RouteVerdict {
+        let arrived = Event::Arrived {
+            call: self.call.id,
+            deadline: self.call.deadline,
+            effect: self.call.operation.is_some(),
+            may_retry: self.call.may_retry,
+        };
+        if let Some(verdict) = self.feed(arrived) {
+            return verdict;
+        }
+        let over = self.call.deadline + DEADLINE_GRACE_US;
+        let over = tokio::time::sleep_until(self.core.clock.instant(over));
+        tokio::pin!(over);
+        loop {
+            let event = tokio::select! {
+                biased;
+                Ok(signal) = signals.recv_async() => self.event(signal),
+                () = &mut over => Event::DeadlineOver { call: self.call.id },
+            };
+            if let Some(verdict) = self.feed(event) {
+                return verdict;
+            }
+        }
+    }
+
+    /// Feeds the decisions until they ask for nothing more at once.
+    fn feed(&mut self, event: Event) -> Option<RouteVerdict> {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.decide(event) {
+                match action {
+                    Action::Send {
+                        attempt, target, ..
+                    } => events.extend(self.send(attempt, target)),
+                    Action::Settle {
+                        attempt, target, ..
+                    } => self.settle(attempt, target),
+                    Action::Cancel { attempt, .. } => self.cancel(attempt),
+                    Action::Finish { verdict, .. } => return Some(self.verdict(verdict)),
+                }
+            }
+        }
+        None
+    }
+
+    /// Asks the decisions, and notes what a choice was based on.
+    fn decide(&mut self, event: Event) -> Vec<Action> {
+        let now = self.core.clock.now();
+        let (actions, considered, retried) = self.service.with(|router| {
+            let retries = router.retries();
+            let actions = router.on(now, event);
+            let sends = matches!(actions.first(), Some(Action::Send { .. }));
+            let considered = if sends {
+                router.considered().to_vec()
+            } else {
+                Vec::new()
+            };
+            (actions, considered, router.retries() - retries)
+        });
+        self.core.metrics.retries.inc_by(retried);
+        if let Some(Action::Send { target, .. }) = actions.first() {
+            let considered = considered
+                .into_iter()
+                .map(|one| ScoredHost {
+                    host: self.service.host(one.target),
+                    score: one.score,
+                })
+                .collect();
+            self.trace.attempts.push(AttemptTrace {
+                host: self.service.host(*target),
+                considered,
+                sent_us: now.saturating_sub(self.began),
+                result: None,
+            });
+        }
+        actions
+    }
+
+    /// Forwards the call to a target's daemon. Returns an event where it cannot.
+    fn send(&mut self, attempt: AttemptId, target: TargetId) -> Option<Event> {
+        let link = self.service.link(target);
+        self.attempts.push(OutAttempt {
+            attempt,
+            link: link.clone(),
+        });
+        let sent = link.is_some_and(|link| {
+            let frame = self.frame(attempt);
+            link.call(frame, self.sender.clone()).is_ok()
+        });
+        if sent {
+            return None;
+        }
+        self.note("not-sent");
+        Some(Event::NotSent { attempt })
+    }
+
+    fn frame(&self, attempt: AttemptId) -> CallFrame {
+        let mut head = self.call.head.clone();
+        if self.attempts.len() > 1 || !self.call.may_retry {
+            let mark = Header(RETRY.to_owned(), ByteBuf::from(b"1".to_vec()));
+            head.headers.push(mark);
+        }
+        CallFrame {
+            attempt,
+            call: self.call.name.clone(),
+            service: self.service.name.clone(),
+            left_us: self.call.deadline.saturating_sub(self.core.clock.now()),
+            operation: self.call.operation,
+            head,
+            body: self.call.body.clone(),
+        }
+    }
+
+    /// Asks the target's daemon what became of an attempt whose link was lost.
+    fn settle(&mut self, attempt: AttemptId, target: TargetId) {
+        let Some(operation) = self.call.operation else {
+            return;
+        };
+        let lost = self.out(attempt).and_then(|out| out.link.clone());
+        let sender = self.sender.clone();
+        let core = Arc::clone(self.core);
+        let deadline = self.call.deadline;
+        let mesh = self.service.mesh(target);
+        tokio::spawn(async move {
+            let (settlement, answer) = settle::settle(&core, mesh, lost, operation, deadline).await;
+            let kind = SignalKind::Settled(settlement, answer);
+            let _ = sender.send(Signal { attempt, kind });
+        });
+    }
+
+    fn cancel(&self, attempt: AttemptId) {
+        if let Some(link) = self.out(attempt).and_then(|out| out.link.as_ref()) {
+            link.cancel(attempt);
+        }
+    }
+
+    fn out(&self, attempt: AttemptId) -> Option<&OutAttempt> {
+        self.attempts.iter().find(|out| out.attempt == attempt)
+    }
+
+    /// What a signal means to the decisions.
+    fn event(&mut self, signal: Signal) -> Event {
+        let attempt = signal.attempt;
+        match signal.kind {
+            SignalKind::Answer {
+                answer,
+                figures,
+                there_us,
+            } => {
+                let source = if answer.status >= 500 {
+                    self.note("failed");
+                    Source::Failed
+                } else {
+                    self.note("served");
+                    Source::Served
+                };
+                self.answer = Some((attempt, answer));
+                Event::Answered {
+                    attempt,
+                    source,
+                    figures,
+                    there_us,
+                }
+            }
+            SignalKind::Refused { refusal, figures } => {
+                self.note(&format!("refused: {:?}", refusal.reason));
+                Event::Refused {
+                    attempt,
+                    refusal,
+                    figures,
+                }
+            }
+            SignalKind::TargetLost => {
+                self.note("answer lost");
+                Event::TargetLost { attempt }
+            }
+            SignalKind::LinkLost => {
+                self.note("link lost");
+                Event::LinkLost { attempt }
+            }
+            SignalKind::Settled(settlement, answer) => {
+                self.note(&format!("link lost, settled: {settlement:?}"));
+                if let Some(answer) = answer {
+                    self.answer = Some((attempt, answer));
+                }
+                Event::Settled {
+                    attempt,
+                    settlement,
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, result: &str) {
+        if let Some(last) = self.trace.attempts.last_mut() {
+            last.result = Some(result.to_owned());
+        }
+    }
+
+    fn verdict(&mut self, verdict: Verdict) -> RouteVerdict {
+        match verdict {
+            Verdict::Answer { attempt } => match self.answer.take() {
+                Some((of, answer)) if of == attempt => RouteVerdict::Answer(answer),
+                _ => RouteVerdict::Unknown {
+                    reason: UnknownReason::TargetLost,
+                },
+            },
+            Verdict::NotRun {
+                reason,
+                retry_after_us,
+            } => RouteVerdict::NotRun {
+                reason,
+                retry_after_us,
+            },
+            Verdict::Unknown { reason } => RouteVerdict::Unknown { reason },
+        }
+    }
+
+    fn keep_trace(&mut self, verdict: &RouteVerdict) {
+        let mut trace = std::mem::take(&mut self.trace);
+        trace.verdict = match verdict {
+            RouteVerdict::Answer(answer) => format!("run: status {}", answer.status),
+            RouteVerdict::NotRun { reason, .. } => format!("not-run: {reason:?}"),
+            RouteVerdict::Unknown { reason } => format!("unknown: {reason:?}"),
+        };
+        trace.took_us = self.core.clock.now().saturating_sub(self.began);
+        self.core.explain.keep(trace);
+    }
+}
+
+impl Drop for InHand<'_> {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let call = self.call.id;
+        for action in self.decide(Event::CallerGone { call }) {
+            if let Action::Cancel { attempt, .. } = action {
+                self.cancel(attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/route/service.rs
@@ -0,0 +1,344 @@
+//! Routers by service, their targets, and the links kept to them.
+//!
+//! A service's router is made at its first call. For each target of its subset a
+//! keeper task holds a link and makes it again after a loss, so that no call
+//! waits for a connection.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use backon::{BackoffBuilder, ExponentialBuilder};
+use lynxcleat_once::Incarnation;
+use lynxcleat_platform::{HostEntry, HostState};
+use lynxcleat_policy::{
+    Candidate, ChooseParams, Event, Here, Policy, Router, RouterParams, TargetId, subset,
+};
+use lynxcleat_settings::Effective;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::core::Core;
+use crate::mesh::{Link, Links};
+use crate::settings_state::InForce;
+use crate::sync::lock;
+
+/// First and longest pause between two tries to make a link.
+const REDIAL_FIRST: Duration = Duration::from_millis(50);
+const REDIAL_LONGEST: Duration = Duration::from_secs(2);
+/// Path times assumed before any was seen, by distance, in microseconds.
+const PATH_SAME_PLACE_US: f64 = 300.0;
+const PATH_OTHER_PLACE_US: f64 = 2_500.0;
+/// Attempt numbers are apart by service, so that they are unique in the daemon.
+const ATTEMPTS_BITS: u32 = 40;
+
+struct Peer {
+    entry: HostEntry,
+    link: Option<Arc<Link>>,
+    last_incarnation: Option<Incarnation>,
+    keeper: JoinHandle<()>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.keeper.abort();
+    }
+}
+
+/// The router of one service with its links.
+pub struct ServiceRouter {
+    /// The service.
+    pub name: String,
+    router: Mutex<Router>,
+    peers: Mutex<HashMap<TargetId, Peer>>,
+    linked: Notify,
+}
+
+/// The routers of one daemon.
+#[derive(Default)]
+pub struct Routers {
+    services: Mutex<HashMap<String, Arc<ServiceRouter>>>,
+    ids: Mutex<HashMap<String, TargetId>>,
+}
+
+impl Routers {
+    /// The router of a service, made where there is none.
+    pub fn get(&self, core: &Arc<Core>, name: &str, effective: &Effective) -> Arc<ServiceRouter> {
+        let mut services = lock(&self.services);
+        if let Some(known) = services.get(name) {
+            return Arc::clone(known);
+        }
+        let first_attempt = ((services.len() as u64) + 1) << ATTEMPTS_BITS;
+        let router = Router::new(params(effective), rand::random(), first_attempt);
+        let service = Arc::new(ServiceRouter {
+            name: name.to_owned(),
+            router: Mutex::new(router),
+            peers: Mutex::default(),
+            linked: Notify::new(),
+        });
+        services.insert(name.to_owned(), Arc::clone(&service));
+        drop(services);
+        service.refresh(core, effective);
+        service
+    }
+
+    /// Takes up a change of the host list.
+    pub fn refresh(&self, core: &Arc<Core>) {
+        let Some(in_force) = core.settings.current() else {
+            return;
+        };
+        for service in self.all() {
+            if let Some(effective) = in_force.service(&service.name) {
+                service.refresh(core, &effective);
+            }
+        }
+    }
+
+    /// Puts settings in force.
+    pub fn apply(&self, core: &Arc<Core>, in_force: &InForce) {
+        for service in self.all() {
+            if let Some(effective) = in_force.service(&service.name) {
+                lock(&service.router).set_params(params(&effective));
+                service.refresh(core, &effective);
+            }
+        }
+    }
+
+    /// A daemon says that its target takes no new calls, or takes them again.
+    pub fn leaving(&self, core: &Core, host: &str, leaving: bool) {
+        let Some(target) = lock(&self.ids).get(host).copied() else {
+            return;
+        };
+        let event = match leaving {
+            true => Event::TargetLeaving { target },
+            false => Event::TargetBack { target },
+        };
+        for service in self.all() {
+            service.feed(core, event.clone());
+        }
+    }
+
+    /// Every router.
+    pub fn all(&self) -> Vec<Arc<ServiceRouter>> {
+        lock(&self.services).values().cloned().collect()
+    }
+
+    fn id(&self, host: &str) -> TargetId {
+        let mut ids = lock(&self.ids);
+        let next = TargetId(ids.len() as u32);
+        *ids.entry(host.to_owned()).or_insert(next)
+    }
+}
+
+impl ServiceRouter {
+    /// Runs `work` on the router's machine.
+    pub fn with<T>(&self, work: impl FnOnce(&mut Router) -> T) -> T {
+        work(&mut lock(&self.router))
+    }
+
+    /// The link to a target, if it stands.
+    pub fn link(&self, target: TargetId) -> Option<Arc<Link>> {
+        lock(&self.peers).get(&target)?.link.clone()
+    }
+
+    /// Mesh address of a target.
+    pub fn mesh(&self, target: TargetId) -> Option<String> {
+        Some(lock(&self.peers).get(&target)?.entry.mesh.clone())
+    }
+
+    /// Host of a target, for explanations.
+    pub fn host(&self, target: TargetId) -> String {
+        let peers = lock(&self.peers);
+        let known = peers.get(&target).map(|peer| peer.entry.host.clone());
+        known.unwrap_or_else(|| format!("target {}", target.0))
+    }
+
+    /// Waits until some target is linked. Returns at once where one is, or where
+    /// the service has none.
+    pub async fn ready(&self) {
+        loop {
+            let linked = self.linked.notified();
+            tokio::pin!(linked);
+            linked.as_mut().enable();
+            {
+                let peers = lock(&self.peers);
+                let any = peers.values().any(|peer| peer.link.is_some());
+                if any || peers.is_empty() {
+                    return;
+                }
+            }
+            linked.await;
+        }
+    }
+
+    fn feed(&self, core: &Core, event: Event) {
+        let actions = lock(&self.router).on(core.clock.now(), event);
+        debug_assert!(actions.is_empty(), "events of targets decide on no call");
+    }
+
+    /// Makes the subset of the listed targets the router's targets.
+    fn refresh(self: &Arc<Self>, core: &Arc<Core>, effective: &Effective) {
+        let listed = core.hosts.of_service(&self.name);
+        let candidates: Vec<Candidate> = listed
+            .iter()
+            .map(|entry| Candidate {
+                target: core.routers.id(&entry.host),
+                host: entry.host.clone(),
+                place: entry.place.clone(),
+                zone: entry.zone.clone(),
+            })
+            .collect();
+        let here = Here {
+            host: &core.config.host,
+            place: &core.config.place,
+            zone: &core.config.zone,
+        };
+        let wanted = subset(here, &candidates, effective.subset_size);
+        let mut entries: HashMap<TargetId, HostEntry> = candidates
+            .iter()
+            .map(|candidate| candidate.target)
+            .zip(listed)
+            .filter(|(target, _)| wanted.contains(target))
+            .collect();
+        let targets: Vec<(TargetId, f64)> = wanted
+            .iter()
+            .map(|target| (*target, path_us(core, &entries[target])))
+            .collect();
+        let mut peers = lock(&self.peers);
+        lock(&self.router).set_targets(core.clock.now(), &targets);
+        peers.retain(|target, peer| {
+            entries
+                .get(target)
+                .is_some_and(|entry| entry.mesh == peer.entry.mesh)
+        });
+        for (target, entry) in entries.drain() {
+            let leaving = entry.state == HostState::Leaving;
+            match peers.get_mut(&target) {
+                Some(peer) => {
+                    if peer.entry.state == HostState::Leaving && !leaving {
+                        self.feed(core, Event::TargetBack { target });
+                    }
+                    peer.entry = entry;
+                }
+                None => {
+                    lock(&self.router).on(
+                        core.clock.now(),
+                        Event::TargetLinked {
+                            target,
+                            linked: false,
+                        },
+                    );
+                    peers.insert(target, self.keep(core, target, entry));
+                }
+            }
+            if leaving {
+                self.feed(core, Event::TargetLeaving { target });
+            }
+        }
+        self.linked.notify_waiters();
+    }
+
+    /// Starts the keeper of one target's link.
+    fn keep(self: &Arc<Self>, core: &Arc<Core>, target: TargetId, entry: HostEntry) -> Peer {
+        let service = Arc::downgrade(self);
+        let core = Arc::clone(core);
+        let mesh = entry.mesh.clone();
+        let keeper = tokio::spawn(async move {
+            let mut pauses = redial_pauses();
+            loop {
+                let dialed = Links::dial(&core, &mesh).await;
+                let Some(service) = service.upgrade() else {
+                    return;
+                };
+                match dialed {
+                    Ok(link) => {
+                        pauses = redial_pauses();
+                        service.link_made(&core, target, &link);
+                        link.closed().await;
+                        service.link_lost(&core, target);
+                    }
+                    Err(error) => log::debug!("{error}"),
+                }
+                drop(service);
+                tokio::time::sleep(pauses.next().unwrap_or(REDIAL_LONGEST)).await;
+            }
+        });
+        Peer {
+            entry,
+            link: None,
+            last_incarnation: None,
+            keeper,
+        }
+    }
+
+    fn link_made(&self, core: &Core, target: TargetId, link: &Arc<Link>) {
+        let replaced = {
+            let mut peers = lock(&self.peers);
+            let Some(peer) = peers.get_mut(&target) else {
+                return;
+            };
+            peer.link = Some(Arc::clone(link));
+            let incarnation = link.peer.incarnation;
+            let last = peer.last_incarnation.replace(incarnation);
+            last.is_some_and(|last| last != incarnation)
+        };
+        if replaced {
+            core.once.half_gone(&self.name);
+            self.feed(core, Event::TargetReplaced { target });
+        }
+        if link.peer.leaving {
+            self.feed(core, Event::TargetLeaving { target });
+        }
+        self.feed(
+            core,
+            Event::TargetLinked {
+                target,
+                linked: true,
+            },
+        );
+        self.linked.notify_waiters();
+    }
+
+    fn link_lost(&self, core: &Core, target: TargetId) {
+        if let Some(peer) = lock(&self.peers).get_mut(&target) {
+            peer.link = None;
+        }
+        self.feed(
+            core,
+            Event::TargetLinked {
+                target,
+                linked: false,
+            },
+        );
+    }
+}
+
+fn redial_pauses() -> impl Iterator<Item = Duration> + Send {
+    ExponentialBuilder::default()
+        .with_min_delay(REDIAL_FIRST)
+        .with_max_delay(REDIAL_LONGEST)
+        .with_jitter()
+        .without_max_times()
+        .build()
+}
+
+fn path_us(core: &Core, entry: &HostEntry) -> f64 {
+    if entry.place == core.config.place {
+        PATH_SAME_PLACE_US
+    } else {
+        PATH_OTHER_PLACE_US
+    }
+}
+
+fn params(effective: &Effective) -> RouterParams {
+    RouterParams {
+        choose: ChooseParams {
+            policy: effective.policy.parse().unwrap_or(Policy::ExpectedFinish),
+            ramp_us: effective.ramp_ms * 1_000,
+            eject_failures: effective.eject_failures,
+            eject_us: effective.eject_ms * 1_000,
+        },
+        attempt_limit: effective.attempt_limit,
+        retry_percent: effective.retry_percent,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings_state.rs
@@ -0,0 +1,115 @@
+//! The generation of settings in force at this daemon.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use lynxcleat_settings::{Effective, Generation, OfferError, Tree};
+use tokio::sync::watch;
+
+use crate::sync::lock;
+
+/// One generation with the values it puts in force here.
+pub struct InForce {
+    /// The generation.
+    pub generation: Generation,
+    /// Values for this daemon's own place and service.
+    pub own: Arc<Effective>,
+    place: String,
+    services: Mutex<HashMap<String, Arc<Effective>>>,
+}
+
+impl InForce {
+    fn new(generation: Generation, place: &str, service: &str) -> Self {
+        InForce {
+            own: Arc::new(Effective::of(&generation.tree, place, service)),
+            place: place.to_owned(),
+            services: Mutex::default(),
+            generation,
+        }
+    }
+
+    /// Values in force here for a service; `None` where no place has it.
+    pub fn service(&self, name: &str) -> Option<Arc<Effective>> {
+        let mut services = lock(&self.services);
+        if let Some(known) = services.get(name) {
+            return Some(Arc::clone(known));
+        }
+        let tree: &Tree = &self.generation.tree;
+        if !tree.knows_service(name) {
+            return None;
+        }
+        let effective = Arc::new(Effective::of(tree, &self.place, name));
+        services.insert(name.to_owned(), Arc::clone(&effective));
+        Some(effective)
+    }
+}
+
+/// Holds the generation in force and tells who waits for a new one.
+pub struct SettingsState {
+    place: String,
+    service: String,
+    current: RwLock<Option<Arc<InForce>>>,
+    raised: watch::Sender<u64>,
+    fetching: AtomicBool,
+}
+
+impl SettingsState {
+    /// Nothing is in force.
+    pub fn new(place: &str, service: &str) -> Self {
+        SettingsState {
+            place: place.to_owned(),
+            service: service.to_owned(),
+            current: RwLock::default(),
+            raised: watch::Sender::new(0),
+            fetching: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether a fetch of generation `theirs` from a peer should begin: it is
+    /// newer, and no other fetch goes on.
+    pub fn begin_fetch(&self, theirs: u64) -> bool {
+        theirs > self.number() && !self.fetching.swap(true, Ordering::AcqRel)
+    }
+
+    /// A fetch ended.
+    pub fn end_fetch(&self) {
+        self.fetching.store(false, Ordering::Release);
+    }
+
+    /// What is in force.
+    pub fn current(&self) -> Option<Arc<InForce>> {
+        self.current
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Number of the generation in force; 0 before the first.
+    pub fn number(&self) -> u64 {
+        *self.raised.borrow()
+    }
+
+    /// Tells when the number rises.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.raised.subscribe()
+    }
+
+    /// Puts a generation in force if it is newer. Returns whether it was.
+    ///
+    /// # Errors
+    /// The number in force with other content.
+    pub fn offer(&self, generation: Generation) -> Result<bool, OfferError> {
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        let before = current.as_ref().map(|in_force| &in_force.generation);
+        if !generation.succeeds(before)? {
+            return Ok(false);
+        }
+        let number = generation.number;
+        let in_force = InForce::new(generation, &self.place, &self.service);
+        *current = Some(Arc::new(in_force));
+        drop(current);
+        self.raised.send_replace(number);
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,452 @@
+//! A small fleet for the tests: stand-ins in this process, daemons in this
+//! process or as processes of their own.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use lynxcleat_daemon::{Config, Daemon, RawConfig, Status};
+use lynxcleat_platform::{AcceptRequest, Accepted, HostEntry, HostState, Platform, accept};
+use lynxcleat_settings::Tree;
+use lynxcleat_standin::{PlatformStandin, TargetOptions, TargetStandin, wait_until};
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+pub const KEY: &str = "a key for the tests only";
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A tree with one service `stock` at place `east`, with `overrides` at the root.
+pub fn tree(overrides: Value) -> Tree {
+    let mut settings = json!({
+        "clock_skew_ms": 0, "list_lag_ms": 0, "poll_ms": 200, "host_list_ms": 100,
+        "health_ms": 100, "heartbeat_ms": 100, "link_silence_ms": 400,
+        "stop_linger_ms": 200, "measure_bytes_per_s": 1_000_000, "measure_messages_per_s": 10_000,
+        "measure_cpu_us_per_s": 1_000_000
+    });
+    for (name, value) in overrides.as_object().expect("an object") {
+        settings[name] = value.clone();
+    }
+    let tree = json!({
+        "settings": settings,
+        "places": {"east": {"services": {"stock": {}, "other": {}}}, "west": {"services": {"stock": {}}}}
+    });
+    Tree::from_json(&tree).expect("a good tree")
+}
+
+/// The daemon of one worker.
+pub enum Running {
+    Here(Daemon),
+    Process(Child),
+}
+
+pub struct Worker {
+    pub host: String,
+    pub target: TargetStandin,
+    pub daemon: Option<Running>,
+    pub entry: HostEntry,
+    pub callers: String,
+    raw: RawConfig,
+}
+
+pub struct Fleet {
+    pub runtime: Runtime,
+    pub platform: PlatformStandin,
+    pub workers: Vec<Worker>,
+    folder: PathBuf,
+}
+
+/// How a fleet is made.
+pub struct Plan {
+    pub name: &'static str,
+    pub tree: Tree,
+    pub workers: usize,
+    pub slots: usize,
+    pub service: Duration,
+    pub processes: bool,
+    pub seeds: bool,
+}
+
+impl Plan {
+    pub fn new(name: &'static str) -> Self {
+        Plan {
+            name,
+            tree: tree(json!({})),
+            workers: 2,
+            slots: 12,
+            service: Duration::from_millis(2),
+            processes: false,
+            seeds: false,
+        }
+    }
+
+    pub fn start(self) -> Fleet {
+        let mut fleet = self.start_empty();
+        for number in 0..self.workers {
+            fleet.add(number, &self, None);
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// One daemon in front of a target that is not a stand-in.
+    pub fn start_with_target(self, address: &str) -> Fleet {
+        let mut fleet = self.start_empty();
+        fleet.add(0, &self, Some(address));
+        fleet.wait_ready();
+        fleet
+    }
+
+    fn start_empty(&self) -> Fleet {
+        let platform = PlatformStandin::start("127.0.0.1:0").expect("platform");
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(self.name);
+        std::fs::create_dir_all(&folder).expect("folder");
+        let fleet = Fleet {
+            runtime: Runtime::new().expect("runtime"),
+            platform,
+            workers: Vec::new(),
+            folder,
+        };
+        fleet.accept(0, self.tree.clone(), "first");
+        fleet
+    }
+}
+
+impl Fleet {
+    fn add(&mut self, number: usize, plan: &Plan, other_target: Option<&str>) {
+        let host = format!("stock-{number}");
+        let target = TargetStandin::start(&TargetOptions {
+            name: host.clone(),
+            address: "127.0.0.1:0".to_owned(),
+            control: "127.0.0.1:0".to_owned(),
+            slots: plan.slots,
+            service: plan.service,
+        })
+        .expect("target");
+        let place = if number % 2 == 0 { "east" } else { "west" };
+        let seeds = match plan.seeds {
+            true => self.workers.iter().map(|w| w.entry.mesh.clone()).collect(),
+            false => Vec::new(),
+        };
+        let raw = RawConfig {
+            deployment: "test".to_owned(),
+            host: host.clone(),
+            place: place.to_owned(),
+            zone: format!("{place}-1"),
+            service: "stock".to_owned(),
+            callers: free_address(),
+            mesh: free_address(),
+            ops: free_address(),
+            target: other_target.map_or_else(|| target.address(), str::to_owned),
+            target_health: Some(target.control()),
+            platform: self.platform.url(),
+            shared_key_file: None,
+            shared_key: Some(KEY.to_owned()),
+            seeds,
+            threads: None,
+            caller_connections: None,
+            log_level: Some("info".to_owned()),
+        };
+        let entry = HostEntry {
+            host: host.clone(),
+            place: place.to_owned(),
+            zone: raw.zone.clone(),
+            service: raw.service.clone(),
+            mesh: raw.mesh.clone(),
+            ops: raw.ops.clone(),
+            state: HostState::Live,
+        };
+        let mut worker = Worker {
+            host,
+            target,
+            daemon: None,
+            callers: raw.callers.clone(),
+            entry,
+            raw,
+        };
+        let daemon = match plan.processes {
+            true => Running::Process(self.spawn(&worker)),
+            false => Running::Here(self.start_here(&worker)),
+        };
+        worker.daemon = Some(daemon);
+        self.platform.put_host(worker.entry.clone());
+        self.workers.push(worker);
+    }
+
+    pub fn start_here(&self, worker: &Worker) -> Daemon {
+        let config = Config::resolve(worker.raw.clone(), Path::new(".")).expect("config");
+        let started = self.runtime.block_on(Daemon::start(config));
+        started.expect("daemon")
+    }
+
+    pub fn spawn(&self, worker: &Worker) -> Child {
+        let raw = &worker.raw;
+        let file = self.folder.join(format!("{}.json", worker.host));
+        let text = json!({
+            "deployment": raw.deployment, "host": raw.host, "place": raw.place,
+            "zone": raw.zone, "service": raw.service, "callers": raw.callers,
+            "mesh": raw.mesh, "ops": raw.ops, "target": raw.target,
+            "target_health": raw.target_health, "platform": raw.platform,
+            "shared_key": raw.shared_key, "seeds": raw.seeds, "log_level": "warn"
+        });
+        std::fs::write(&file, text.to_string()).expect("settings file");
+        let log = std::fs::File::create(file.with_extension("log")).expect("log file");
+        Command::new(env!("CARGO_BIN_EXE_lynxcleatd"))
+            .arg("--config")
+            .arg(&file)
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("lynxcleatd")
+    }
+
+    /// Waits until every daemon has settings, knows every host, and answers.
+    pub fn wait_ready(&self) {
+        for worker in self.workers.iter().filter(|w| w.daemon.is_some()) {
+            let ready = wait_until(PATIENCE, || {
+                worker
+                    .status()
+                    .is_some_and(|s| s.generation > 0 && s.hosts == self.workers.len())
+            });
+            assert!(ready, "{} is not ready", worker.host);
+        }
+    }
+
+    pub fn client(&self) -> Platform {
+        Platform::builder(self.platform.url()).timeout_s(2).build()
+    }
+
+    pub fn accept(&self, base: u64, tree: Tree, change_id: &str) -> Accepted {
+        let request = AcceptRequest {
+            tree,
+            base,
+            who: "tester".to_owned(),
+            note: String::new(),
+            change_id: change_id.to_owned(),
+            when_ms: 1,
+            settle: Duration::from_secs(5),
+        };
+        accept(&self.client(), &request).expect("accepted")
+    }
+
+    /// Runs of each operation over all targets.
+    pub fn ledger(&self) -> HashMap<String, u32> {
+        let mut runs = HashMap::new();
+        for worker in &self.workers {
+            for (op, count) in worker.target.ledger() {
+                *runs.entry(op).or_insert(0) += count;
+            }
+        }
+        runs
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        if let Some(Running::Process(mut child)) = self.workers[number].daemon.take() {
+            child.kill().expect("kill");
+            child.wait().expect("wait");
+        }
+    }
+
+    pub fn signal(&self, number: usize, name: &str) {
+        if let Some(Running::Process(child)) = &self.workers[number].daemon {
+            let pid = child.id().to_string();
+            let sent = Command::new("kill").args([name, &pid]).status();
+            assert!(sent.expect("kill").success());
+        }
+    }
+
+    pub fn restart(&mut self, number: usize) {
+        let child = self.spawn(&self.workers[number]);
+        self.workers[number].daemon = Some(Running::Process(child));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for worker in &mut self.workers {
+            if let Some(Running::Process(child)) = &mut worker.daemon {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Worker {
+    pub fn status(&self) -> Option<Status> {
+        let reply = try_call(&self.entry.ops, "GET", "/status", &[], b"").ok()?;
+        serde_json::from_slice(&reply.body).ok()
+    }
+
+    /// Value of a metric's line that starts with `name`.
+    pub fn metric(&self, name: &str) -> f64 {
+        let reply = call(&self.entry.ops, "GET", "/metrics", &[], b"");
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        text.lines()
+            .filter(|line| line.starts_with(name))
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
+    pub fn get(&self, path: &str, headers: &[(&str, &str)]) -> Reply {
+        let mut all = vec![("Host", "stock")];
+        all.extend_from_slice(headers);
+        call(&self.callers, "GET", path, &all, b"")
+    }
+
+    pub fn post(&self, headers: &[(&str, &str)], body: &[u8]) -> Reply {
+        let mut all = vec![("Host", "stock")];
+        all.extend_from_slice(headers);
+        call(&self.callers, "POST", "/take", &all, body)
+    }
+
+    pub fn ticket(&self) -> String {
+        let reply = call(
+            &self.callers,
+            "GET",
+            "/.lynxcleat/tickets?count=1",
+            &[("Host", "stock")],
+            b"",
+        );
+        let value: Value = serde_json::from_slice(&reply.body).expect("tickets");
+        value["tickets"][0].as_str().expect("a ticket").to_owned()
+    }
+}
+
+/// An HTTP answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name)
+                .then(|| value.trim().to_owned())
+        })
+    }
+
+    pub fn outcome(&self) -> String {
+        self.header("lynxcleat-outcome").unwrap_or_default()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("JSON")
+    }
+}
+
+pub fn call(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Reply {
+    try_call(address, method, path, headers, body).expect("an answer")
+}
+
+pub fn try_call(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<Reply> {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    let has_host = headers.iter().any(|(name, _)| *name == "Host");
+    if !has_host {
+        text.push_str("Host: x\r\n");
+    }
+    if !body.is_empty() {
+        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    raw(address, &bytes)
+}
+
+/// Sends bytes and reads until the other side closes.
+pub fn raw(address: &str, bytes: &[u8]) -> std::io::Result<Reply> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(40)))?;
+    stream.write_all(bytes)?;
+    let mut got = Vec::new();
+    stream.read_to_end(&mut got)?;
+    parse(&got).ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Splits an answer; a body shorter than promised is an error.
+pub fn parse(bytes: &[u8]) -> Option<Reply> {
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let reply = Reply {
+        status,
+        head,
+        body: bytes[end + 4..].to_vec(),
+    };
+    let promised = reply
+        .header("content-length")
+        .and_then(|n| n.parse::<usize>().ok());
+    match promised {
+        Some(length) if reply.body.len() < length && !reply.body.is_empty() => None,
+        _ => Some(reply),
+    }
+}
+
+/// An address that is free now.
+pub fn free_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address").to_string()
+}
+
+/// A target that keeps the head of the last request and answers with nothing.
+pub struct HeaderSink {
+    pub address: String,
+    heads: flume::Receiver<String>,
+}
+
+impl HeaderSink {
+    pub fn start() -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+        let address = listener.local_addr().expect("address").to_string();
+        let (sender, heads) = flume::unbounded();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let sender = sender.clone();
+                std::thread::spawn(move || answer_heads(stream, &sender));
+            }
+        });
+        HeaderSink { address, heads }
+    }
+
+    pub fn head(&self) -> String {
+        self.heads.recv_timeout(PATIENCE).expect("a request")
+    }
+}
+
+fn answer_heads(mut stream: TcpStream, heads: &flume::Sender<String>) {
+    let mut got = Vec::new();
+    let mut part = [0; 4096];
+    while let Ok(count) = stream.read(&mut part) {
+        if count == 0 {
+            return;
+        }
+        got.extend_from_slice(&part[..count]);
+        if got.ends_with(b"\r\n\r\n") {
+            let _ = heads.send(String::from_utf8_lossy(&got).into_owned());
+            got.clear();
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/admit.rs
@@ -0,0 +1,241 @@
+//! Admission at the target: exact slots, a short hold queue ordered by
+//! deadline, and refusal at once of what cannot finish in time.
+//!
+//! Every call to a target passes its own daemon, so the number in flight here
+//! is exact and needs no report. A call is refused when it arrives rather than
+//! when its deadline nears: the router can still offer it elsewhere, and a
+//! caller that is told early can come back at the right time.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::figures::Figures;
+use crate::ids::{CallId, Micros};
+use crate::router::{Refusal, RefusalReason};
+
+/// Weight of one service time in the running mean, as a divisor.
+const SERVICE_MEAN_DIVISOR: i64 = 8;
+/// Hint for callers while no service time is known.
+const FIRST_RETRY_AFTER_US: Micros = 50_000;
+/// Hint for callers refused because the target leaves.
+const LEAVING_RETRY_AFTER_US: Micros = 1_000_000;
+
+/// Limits of one target, from the settings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmitLimits {
+    /// Calls served at once.
+    pub slots: u32,
+    /// Calls held for a slot.
+    pub hold_limit: u32,
+}
+
+/// What happens at a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmitEvent {
+    /// A call is offered, to be answered before `deadline`.
+    Offer {
+        /// The call.
+        call: CallId,
+        /// Latest useful time of its answer.
+        deadline: Micros,
+    },
+    /// A delivered call ended.
+    Done {
+        /// The call.
+        call: CallId,
+        /// Service time where the target served it; absent where it failed.
+        service_us: Option<u32>,
+    },
+    /// The router no longer wants the call.
+    Withdraw {
+        /// The call.
+        call: CallId,
+    },
+    /// The target takes no new calls from now on.
+    Leave,
+    /// The target takes calls again.
+    Return,
+    /// The settings changed.
+    SetLimits(AdmitLimits),
+}
+
+/// What the shell has to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmitAction {
+    /// Deliver the call to the target now.
+    Deliver {
+        /// The call.
+        call: CallId,
+    },
+    /// Answer that the call was not run.
+    Refuse {
+        /// The call.
+        call: CallId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+}
+
+/// Admission of one target.
+#[derive(Debug)]
+pub struct Admit {
+    limits: AdmitLimits,
+    leaving: bool,
+    in_flight: HashSet<CallId>,
+    held: BTreeMap<(Micros, u64), CallId>,
+    held_keys: HashMap<CallId, (Micros, u64)>,
+    next_seq: u64,
+    service_us: u32,
+}
+
+impl Admit {
+    /// An idle target.
+    pub fn new(limits: AdmitLimits) -> Self {
+        Admit {
+            limits,
+            leaving: false,
+            in_flight: HashSet::new(),
+            held: BTreeMap::new(),
+            held_keys: HashMap::new(),
+            next_seq: 0,
+            service_us: 0,
+        }
+    }
+
+    /// Takes one event and says what to do.
+    pub fn on(&mut self, now: Micros, event: AdmitEvent) -> Vec<AdmitAction> {
+        let mut actions = Vec::new();
+        match event {
+            AdmitEvent::Offer { call, deadline } => {
+                actions.extend(self.offer(now, call, deadline));
+            }
+            AdmitEvent::Done { call, service_us } => {
+                self.in_flight.remove(&call);
+                self.learn(service_us);
+            }
+            AdmitEvent::Withdraw { call } => {
+                self.unhold(call);
+            }
+            AdmitEvent::Leave => self.leaving = true,
+            AdmitEvent::Return => self.leaving = false,
+            AdmitEvent::SetLimits(limits) => self.limits = limits,
+        }
+        self.fill(now, &mut actions);
+        actions
+    }
+
+    /// The load at this moment.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            in_flight: self.in_flight.len() as u32,
+            held: self.held.len() as u32,
+            slots: self.limits.slots,
+            service_us: self.service_us,
+        }
+    }
+
+    /// Whether the call is held, so that withdrawing it means it never ran.
+    pub fn is_held(&self, call: CallId) -> bool {
+        self.held_keys.contains_key(&call)
+    }
+
+    /// Whether the target takes no new calls.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Calls served and held.
+    pub fn load(&self) -> usize {
+        self.in_flight.len() + self.held.len()
+    }
+
+    /// Delivers, refuses, or holds the call; holding it takes no action.
+    fn offer(&mut self, now: Micros, call: CallId, deadline: Micros) -> Option<AdmitAction> {
+        if self.leaving {
+            return Some(refuse(call, RefusalReason::Leaving, LEAVING_RETRY_AFTER_US));
+        }
+        if self.has_free_slot() && self.held.is_empty() {
+            self.in_flight.insert(call);
+            return Some(AdmitAction::Deliver { call });
+        }
+        let wait = self.expected_wait(deadline);
+        if self.held.len() >= self.limits.hold_limit as usize {
+            return Some(refuse(call, RefusalReason::Full, self.retry_after(wait)));
+        }
+        if now + wait + Micros::from(self.service_us) > deadline {
+            return Some(refuse(call, RefusalReason::TooLate, self.retry_after(wait)));
+        }
+        self.hold(call, deadline);
+        None
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.in_flight.len() < self.limits.slots as usize
+    }
+
+    /// Time until a slot is free for a call with this deadline: those held with
+    /// an earlier deadline go first.
+    fn expected_wait(&self, deadline: Micros) -> Micros {
+        let ahead = self.held.range(..(deadline, u64::MAX)).count() as u64 + 1;
+        ahead * Micros::from(self.service_us) / Micros::from(self.limits.slots)
+    }
+
+    fn retry_after(&self, wait: Micros) -> Micros {
+        match self.service_us {
+            0 => FIRST_RETRY_AFTER_US,
+            _ => wait + Micros::from(self.service_us),
+        }
+    }
+
+    fn hold(&mut self, call: CallId, deadline: Micros) {
+        let key = (deadline, self.next_seq);
+        self.next_seq += 1;
+        self.held.insert(key, call);
+        self.held_keys.insert(call, key);
+    }
+
+    fn unhold(&mut self, call: CallId) {
+        if let Some(key) = self.held_keys.remove(&call) {
+            self.held.remove(&key);
+        }
+    }
+
+    /// Gives free slots to held calls that can still finish in time.
+    fn fill(&mut self, now: Micros, actions: &mut Vec<AdmitAction>) {
+        while self.has_free_slot() {
+            let Some(((deadline, _), call)) = self.held.pop_first() else {
+                return;
+            };
+            self.held_keys.remove(&call);
+            if now + Micros::from(self.service_us) > deadline {
+                let after = self.retry_after(0);
+                actions.push(refuse(call, RefusalReason::TooLate, after));
+                continue;
+            }
+            self.in_flight.insert(call);
+            actions.push(AdmitAction::Deliver { call });
+        }
+    }
+
+    /// A failure says nothing about the time that serving takes, so a target
+    /// that fails fast never looks fast.
+    fn learn(&mut self, service_us: Option<u32>) {
+        let Some(sample) = service_us else { return };
+        if self.service_us == 0 {
+            self.service_us = sample.max(1);
+            return;
+        }
+        let mean = i64::from(self.service_us);
+        let next = mean + (i64::from(sample) - mean) / SERVICE_MEAN_DIVISOR;
+        self.service_us = next.max(1) as u32;
+    }
+}
+
+fn refuse(call: CallId, reason: RefusalReason, retry_after_us: Micros) -> AdmitAction {
+    AdmitAction::Refuse {
+        call,
+        refusal: Refusal {
+            reason,
+            retry_after_us,
+        },
+    }
+}
--- /dev/null
+++ b/crates/policy/src/chooser.rs
@@ -0,0 +1,279 @@
+//! The choice of a target among those of one service.
+//!
+//! The expected finish time decides; the other policies are the baselines it is
+//! measured against, and stay selectable. The cost of a choice is bounded: of
+//! many targets only a random sample is scored (Mitzenmacher's power of choices,
+//! 2001, with a larger sample since scores here are exact for our own calls).
+
+use std::collections::HashMap;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::ids::{Micros, TargetId};
+use crate::target::TargetState;
+
+/// Targets scored for one choice at most.
+const SAMPLE: usize = 8;
+/// Draws made to find the sample among targets that may be unavailable.
+const DRAWS: usize = 4 * SAMPLE;
+/// Service time assumed before any was seen.
+const FIRST_SERVICE_US: f64 = 1_000.0;
+/// Weight of one sample in the service's usual time.
+const USUAL_WEIGHT: f64 = 0.02;
+
+/// How a target is chosen.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// The least expected finish time.
+    ExpectedFinish,
+    /// The fewer outstanding of two drawn at random.
+    PowerOfTwo,
+    /// The fewest outstanding of all.
+    LeastInFlight,
+    /// One after the other.
+    RoundRobin,
+    /// Any.
+    Random,
+}
+
+/// A policy name that is not known.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is not a policy")]
+pub struct UnknownPolicy(pub String);
+
+impl std::str::FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPolicy> {
+        match text {
+            "expected-finish" => Ok(Policy::ExpectedFinish),
+            "power-of-two" => Ok(Policy::PowerOfTwo),
+            "least-in-flight" => Ok(Policy::LeastInFlight),
+            "round-robin" => Ok(Policy::RoundRobin),
+            "random" => Ok(Policy::Random),
+            other => Err(UnknownPolicy(other.to_owned())),
+        }
+    }
+}
+
+/// Settings of a choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChooseParams {
+    /// How a target is chosen.
+    pub policy: Policy,
+    /// Time over which a cold target takes its full share.
+    pub ramp_us: Micros,
+    /// Failures in a row that eject a target.
+    pub eject_failures: u32,
+    /// Time of a first ejection.
+    pub eject_us: Micros,
+}
+
+/// One target that was scored, for explanations.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Considered {
+    /// The target.
+    pub target: TargetId,
+    /// Its score under the policy; the lowest wins.
+    pub score: f64,
+}
+
+/// The targets of one service as one router sees them.
+#[derive(Debug)]
+pub struct Chooser {
+    params: ChooseParams,
+    order: Vec<TargetId>,
+    states: HashMap<TargetId, TargetState>,
+    usual_us: f64,
+    next: usize,
+    rng: SmallRng,
+}
+
+impl Chooser {
+    /// A chooser that knows no target.
+    pub fn new(params: ChooseParams, seed: u64) -> Self {
+        Chooser {
+            params,
+            order: Vec::new(),
+            states: HashMap::new(),
+            usual_us: FIRST_SERVICE_US,
+            next: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Changes the settings; what is known of targets stays.
+    pub fn set_params(&mut self, params: ChooseParams) {
+        self.params = params;
+    }
+
+    /// The settings in force.
+    pub fn params(&self) -> &ChooseParams {
+        &self.params
+    }
+
+    /// Makes these the targets; known ones keep their state, new ones start cold.
+    pub fn set_targets(&mut self, now: Micros, targets: &[(TargetId, f64)]) {
+        let first = self.order.is_empty();
+        self.states
+            .retain(|id, _| targets.iter().any(|(target, _)| target == id));
+        for (target, path_us) in targets {
+            let warm = if first { 0 } else { now };
+            self.states
+                .entry(*target)
+                .or_insert_with(|| TargetState::new(warm, *path_us));
+        }
+        self.order = targets.iter().map(|(target, _)| *target).collect();
+    }
+
+    /// The targets, in the order given.
+    pub fn targets(&self) -> &[TargetId] {
+        &self.order
+    }
+
+    /// What is known of one target.
+    pub fn target(&self, target: TargetId) -> Option<&TargetState> {
+        self.states.get(&target)
+    }
+
+    /// What is known of one target, to be changed by what was seen of it.
+    pub fn target_mut(&mut self, target: TargetId) -> Option<&mut TargetState> {
+        self.states.get_mut(&target)
+    }
+
+    /// Takes a service time into the service's usual one.
+    pub fn learn_usual(&mut self, service_us: u32) {
+        if service_us > 0 {
+            self.usual_us += USUAL_WEIGHT * (f64::from(service_us) - self.usual_us);
+        }
+    }
+
+    /// Picks a target that is not in `tried`, and counts a call as sent to it.
+    pub fn choose(
+        &mut self,
+        now: Micros,
+        tried: &[TargetId],
+        considered: &mut Vec<Considered>,
+    ) -> Option<TargetId> {
+        considered.clear();
+        if let Some(trial) = self.due_trial(now, tried) {
+            self.states.get_mut(&trial)?.sent();
+            return Some(trial);
+        }
+        let chosen = match self.params.policy {
+            Policy::RoundRobin => self.next_in_turn(now, tried),
+            Policy::Random => self.draw(now, tried, 1).first().copied(),
+            Policy::PowerOfTwo => {
+                let drawn = self.draw(now, tried, 2);
+                self.least(now, drawn, considered)
+            }
+            Policy::LeastInFlight => {
+                let all = self.open(now, tried);
+                self.least(now, all, considered)
+            }
+            Policy::ExpectedFinish => {
+                let drawn = self.draw(now, tried, SAMPLE);
+                self.least(now, drawn, considered)
+            }
+        }?;
+        self.states.get_mut(&chosen)?.sent();
+        Some(chosen)
+    }
+
+    /// An ejected target whose time is over gets one call, whatever its score:
+    /// a score learnt from failures would keep it out for ever.
+    fn due_trial(&self, now: Micros, tried: &[TargetId]) -> Option<TargetId> {
+        self.order.iter().copied().find(|target| {
+            let ejected = matches!(
+                self.states[target].health(),
+                crate::target::Health::Ejected { .. }
+            );
+            ejected && self.is_open(now, *target, tried)
+        })
+    }
+
+    fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
+        !tried.contains(&target) && self.states[&target].available(now)
+    }
+
+    fn open(&self, now: Micros, tried: &[TargetId]) -> Vec<TargetId> {
+        let all = self.order.iter().copied();
+        all.filter(|target| self.is_open(now, *target, tried))
+            .collect()
+    }
+
+    /// Up to `count` different open targets, at random.
+    fn draw(&mut self, now: Micros, tried: &[TargetId], count: usize) -> Vec<TargetId> {
+        if self.order.len() <= DRAWS {
+            return self.draw_from_all(now, tried, count);
+        }
+        let mut drawn = Vec::with_capacity(count);
+        for _ in 0..DRAWS {
+            let target = self.order[self.rng.random_range(0..self.order.len())];
+            if !drawn.contains(&target) && self.is_open(now, target, tried) {
+                drawn.push(target);
+            }
+            if drawn.len() == count {
+                return drawn;
+            }
+        }
+        if drawn.is_empty() {
+            return self.draw_from_all(now, tried, count);
+        }
+        drawn
+    }
+
+    fn draw_from_all(&mut self, now: Micros, tried: &[TargetId], count: usize) -> Vec<TargetId> {
+        let mut open = self.open(now, tried);
+        let count = count.min(open.len());
+        for at in 0..count {
+            let other = self.rng.random_range(at..open.len());
+            open.swap(at, other);
+        }
+        open.truncate(count);
+        open
+    }
+
+    fn next_in_turn(&mut self, now: Micros, tried: &[TargetId]) -> Option<TargetId> {
+        let len = self.order.len();
+        for step in 0..len {
+            let target = self.order[(self.next + step) % len];
+            if self.is_open(now, target, tried) {
+                self.next = (self.next + step + 1) % len;
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    /// The least score. The drawn order is random, so ties break at random.
+    fn least(
+        &mut self,
+        now: Micros,
+        drawn: Vec<TargetId>,
+        considered: &mut Vec<Considered>,
+    ) -> Option<TargetId> {
+        considered.extend(drawn.into_iter().map(|target| Considered {
+            target,
+            score: self.score(now, target),
+        }));
+        considered
+            .iter()
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+            .map(|best| best.target)
+    }
+
+    fn score(&self, now: Micros, target: TargetId) -> f64 {
+        let state = &self.states[&target];
+        match self.params.policy {
+            Policy::ExpectedFinish => {
+                state.expected_finish_us(now, self.usual_us, self.params.ramp_us)
+            }
+            _ => f64::from(state.outstanding()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/figures.rs
@@ -0,0 +1,24 @@
+//! What a target's daemon knows exactly about its target at one moment. The
+//! figures ride on answers, so they are as fresh as the last answer.
+
+use serde::{Deserialize, Serialize};
+
+/// A target's load as its own daemon counts it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Figures {
+    /// Calls being served.
+    pub in_flight: u32,
+    /// Calls held for a slot.
+    pub held: u32,
+    /// Calls the target serves at once.
+    pub slots: u32,
+    /// Recent service time in microseconds; 0 while none is known.
+    pub service_us: u32,
+}
+
+impl Figures {
+    /// Calls at the target, served and held.
+    pub fn load(&self) -> u32 {
+        self.in_flight + self.held
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,30 @@
+//! Pure decisions for routing, admission, retries and measuring budgets.
+//!
+//! Everything here is a plain state machine: an event and the present time go
+//! in, actions come out. There is no I/O, no clock, no thread, and randomness
+//! comes from a generator seeded by whoever builds the machine. The daemons
+//! feed these machines from sockets; a bench or a fuzzer can feed the very same
+//! code from virtual time.
+
+mod admit;
+mod budget;
+mod chooser;
+mod figures;
+mod ids;
+mod retry;
+mod router;
+mod subset;
+mod target;
+
+pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
+pub use budget::{Budget, Cost, Limits};
+pub use chooser::{ChooseParams, Chooser, Considered, Policy, UnknownPolicy};
+pub use figures::Figures;
+pub use ids::{AttemptId, CallId, Micros, TargetId};
+pub use retry::RetryBudget;
+pub use router::{
+    Action, Event, NotRunReason, Refusal, RefusalReason, Router, RouterParams, Settlement, Source,
+    UnknownReason, Verdict,
+};
+pub use subset::{Candidate, Here, subset};
+pub use target::{Health, TargetState};
