--- /dev/null
+++ b/crates/policy/src/router.rs
@@ -0,0 +1,700 @@
+//! The router half's decisions for the calls of one service: where to send a
+//! call, whether to send it again, and what its caller is told.
+//!
+//! `not-run` is said only when every attempt ended in a definite refusal or was
+//! never sent. A call with effects whose link was lost is settled with the
+//! target's daemon before anything is said; a lookup may be sent again instead.
+//! A call that is given up is answered at once.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::chooser::{ChooseParams, Chooser, Considered};
+use crate::figures::Figures;
+use crate::ids::{AttemptId, CallId, Micros, TargetId};
+use crate::retry::RetryBudget;
+
+/// Hint for callers when no target is known or open.
+const NO_TARGET_RETRY_AFTER_US: Micros = 500_000;
+
+/// Why a target's daemon did not run a call.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalReason {
+    /// No slot is free and the hold queue is full.
+    Full,
+    /// It could not finish before its deadline.
+    TooLate,
+    /// The target takes no new calls.
+    Leaving,
+    /// The target could not be reached by its own daemon.
+    TargetDown,
+    /// The target itself said that it did not run the call.
+    Shed,
+    /// The operation was fenced, expired, or cannot be remembered.
+    Once,
+    /// The target belongs to another service.
+    WrongService,
+}
+
+/// A definite statement that a call was not run, with when to come back.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Refusal {
+    /// Why it was not run.
+    pub reason: RefusalReason,
+    /// Time after which a new try makes sense.
+    pub retry_after_us: Micros,
+}
+
+/// Why a caller is told that its call was not run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotRunReason {
+    /// No target of the service is known, open or left to try.
+    NoTarget,
+    /// Targets refused and no further attempt is allowed.
+    Refused(RefusalReason),
+    /// The call was never sent before its deadline.
+    Deadline,
+    /// A target's link could not be had.
+    NoLink,
+}
+
+/// Why a caller is told that the outcome is not known.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UnknownReason {
+    /// A target has the call and did not answer before the deadline.
+    Deadline,
+    /// The link to a target's daemon was lost and could not be settled.
+    LinkLost,
+    /// The target's daemon delivered the call and lost the target's answer.
+    TargetLost,
+}
+
+/// What the caller of a call is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The answer of this attempt.
+    Answer {
+        /// The attempt whose answer is passed on.
+        attempt: AttemptId,
+    },
+    /// It was not run and never will be.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after_us: Micros,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        reason: UnknownReason,
+    },
+}
+
+/// What settling an attempt with a target's daemon brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Settlement {
+    /// It never ran there and never will.
+    NeverRan,
+    /// It ran; the shell holds its answer under the attempt.
+    Ran,
+    /// It cannot be known.
+    Unknown,
+}
+
+/// How an answer came about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The target served the call.
+    Served,
+    /// The target answered with a server error.
+    Failed,
+}
+
+/// What happens to a router.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A caller's call arrived.
+    Arrived {
+        /// The call.
+        call: CallId,
+        /// When its answer is no longer useful.
+        deadline: Micros,
+        /// Whether running it twice would do harm.
+        effect: bool,
+        /// Whether a further attempt is allowed at all: a retry of a call
+        /// higher up the chain takes that right away.
+        may_retry: bool,
+    },
+    /// A target answered.
+    Answered {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How the answer came about.
+        source: Source,
+        /// Load of the target, where the measuring budget let it ride along.
+        figures: Option<Figures>,
+        /// Time at the target's daemon, held and served.
+        there_us: u32,
+    },
+    /// A target's daemon says that it did not run the call.
+    Refused {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// Load of the target, where the measuring budget let it ride along.
+        figures: Option<Figures>,
+    },
+    /// The target's daemon delivered the call and lost the target's answer.
+    TargetLost {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// No link could be had; nothing was sent.
+    NotSent {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The link was lost after sending.
+    LinkLost {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Settling ended.
+    Settled {
+        /// The attempt.
+        attempt: AttemptId,
+        /// What it brought.
+        settlement: Settlement,
+    },
+    /// A call's deadline is over.
+    DeadlineOver {
+        /// The call.
+        call: CallId,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// The call.
+        call: CallId,
+    },
+    /// A target takes no new calls.
+    TargetLeaving {
+        /// The target.
+        target: TargetId,
+    },
+    /// A target takes calls again.
+    TargetBack {
+        /// The target.
+        target: TargetId,
+    },
+    /// The link to a target's daemon was made or lost.
+    TargetLinked {
+        /// The target.
+        target: TargetId,
+        /// Whether it stands.
+        linked: bool,
+    },
+    /// A target's daemon is another incarnation than before.
+    TargetReplaced {
+        /// The target.
+        target: TargetId,
+    },
+    /// A target's load came apart from an answer.
+    FiguresSeen {
+        /// The target.
+        target: TargetId,
+        /// Its load.
+        figures: Figures,
+    },
+}
+
+/// What the shell has to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send the call to a target's daemon.
+    Send {
+        /// The call.
+        call: CallId,
+        /// Name of this attempt.
+        attempt: AttemptId,
+        /// Where to.
+        target: TargetId,
+    },
+    /// Ask the target's daemon what became of an attempt, and fence it there.
+    Settle {
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it was sent.
+        target: TargetId,
+    },
+    /// Tell the target's daemon that the attempt is no longer wanted.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it was sent.
+        target: TargetId,
+    },
+    /// Answer the caller.
+    Finish {
+        /// The call.
+        call: CallId,
+        /// What it is told.
+        verdict: Verdict,
+    },
+}
+
+/// Settings of one service's router.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterParams {
+    /// Settings of the choice.
+    pub choose: ChooseParams,
+    /// Targets one call may be offered to.
+    pub attempt_limit: u32,
+    /// Further attempts as a share of first ones.
+    pub retry_percent: u32,
+}
+
+#[derive(Debug)]
+struct Call {
+    deadline: Micros,
+    effect: bool,
+    may_retry: bool,
+    tried: Vec<TargetId>,
+    current: Option<AttemptId>,
+    /// An earlier attempt of a lookup may have run.
+    may_have_run: Option<UnknownReason>,
+    soonest_retry_us: Option<Micros>,
+    last_refusal: NotRunReason,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    call: CallId,
+    target: TargetId,
+    sent_at: Micros,
+}
+
+/// The router of one service.
+#[derive(Debug)]
+pub struct Router {
+    chooser: Chooser,
+    attempt_limit: u32,
+    budget: RetryBudget,
+    calls: HashMap<CallId, Call>,
+    attempts: HashMap<AttemptId, Attempt>,
+    next_attempt: u64,
+    considered: Vec<Considered>,
+    retries: u64,
+}
+
+impl Router {
+    /// A router that knows no target. Attempts are numbered from `first_attempt`
+    /// in steps of one, so the shell can keep several routers apart.
+    pub fn new(params: RouterParams, seed: u64, first_attempt: u64) -> Self {
+        Router {
+            chooser: Chooser::new(params.choose, seed),
+            attempt_limit: params.attempt_limit,
+            budget: RetryBudget::new(params.retry_percent),
+            calls: HashMap::new(),
+            attempts: HashMap::new(),
+            next_attempt: first_attempt,
+            considered: Vec::new(),
+            retries: 0,
+        }
+    }
+
+    /// Changes the settings; calls in hand go on.
+    pub fn set_params(&mut self, params: RouterParams) {
+        self.chooser.set_params(params.choose);
+        self.attempt_limit = params.attempt_limit;
+        self.budget.set_percent(params.retry_percent);
+    }
+
+    /// The targets and what is known of them.
+    pub fn chooser(&self) -> &Chooser {
+        &self.chooser
+    }
+
+    /// Makes these the targets, each with its path time in microseconds.
+    pub fn set_targets(&mut self, now: Micros, targets: &[(TargetId, f64)]) {
+        self.chooser.set_targets(now, targets);
+    }
+
+    /// Targets scored for the last choice, for explanations.
+    pub fn considered(&self) -> &[Considered] {
+        &self.considered
+    }
+
+    /// Further attempts sent since the router was made.
+    pub fn retries(&self) -> u64 {
+        self.retries
+    }
+
+    /// Calls in hand.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Takes one event and says what to do.
+    pub fn on(&mut self, now: Micros, event: Event) -> Vec<Action> {
+        match event {
+            Event::Arrived {
+                call,
+                deadline,
+                effect,
+                may_retry,
+            } => self.arrived(now, call, deadline, effect, may_retry),
+            Event::Answered {
+                attempt,
+                source,
+                figures,
+                there_us,
+            } => self.answered(now, attempt, source, figures, there_us),
+            Event::Refused {
+                attempt,
+                refusal,
+                figures,
+            } => self.refused(now, attempt, refusal, figures),
+            Event::TargetLost { attempt } => self.target_lost(now, attempt),
+            Event::NotSent { attempt } => self.not_sent(now, attempt),
+            Event::LinkLost { attempt } => self.link_lost(now, attempt),
+            Event::Settled {
+                attempt,
+                settlement,
+            } => self.settled(now, attempt, settlement),
+            Event::DeadlineOver { call } => self.deadline_over(now, call),
+            Event::CallerGone { call } => self.caller_gone(call),
+            Event::TargetLeaving { target } => self.with_target(target, |state| state.leave()),
+            Event::TargetBack { target } => self.with_target(target, |state| state.rejoin(now)),
+            Event::TargetLinked { target, linked } => {
+                self.with_target(target, |state| state.set_linked(linked))
+            }
+            Event::TargetReplaced { target } => {
+                self.with_target(target, |state| state.replaced(now))
+            }
+            Event::FiguresSeen { target, figures } => {
+                self.learn(now, target, Some(figures));
+                Vec::new()
+            }
+        }
+    }
+
+    fn arrived(
+        &mut self,
+        now: Micros,
+        id: CallId,
+        deadline: Micros,
+        effect: bool,
+        may_retry: bool,
+    ) -> Vec<Action> {
+        self.budget.first_attempt();
+        let call = Call {
+            deadline,
+            effect,
+            may_retry,
+            tried: Vec::new(),
+            current: None,
+            may_have_run: None,
+            soonest_retry_us: None,
+            last_refusal: NotRunReason::NoTarget,
+        };
+        self.calls.insert(id, call);
+        self.attempt(now, id)
+    }
+
+    /// Sends the call to the best target not yet tried, or gives it up.
+    fn attempt(&mut self, now: Micros, id: CallId) -> Vec<Action> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        if now >= call.deadline {
+            call.last_refusal = NotRunReason::Deadline;
+            return self.give_up(id);
+        }
+        let chosen = self.chooser.choose(now, &call.tried, &mut self.considered);
+        let Some(target) = chosen else {
+            return self.give_up(id);
+        };
+        let attempt = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        call.tried.push(target);
+        call.current = Some(attempt);
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                call: id,
+                target,
+                sent_at: now,
+            },
+        );
+        vec![Action::Send {
+            call: id,
+            attempt,
+            target,
+        }]
+    }
+
+    /// Tries elsewhere within the attempt limit and the retry budget.
+    fn attempt_elsewhere(&mut self, now: Micros, id: CallId) -> Vec<Action> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        call.current = None;
+        let allowed = call.may_retry && call.tried.len() < self.attempt_limit as usize;
+        if !allowed || !self.budget.take() {
+            return self.give_up(id);
+        }
+        let actions = self.attempt(now, id);
+        if matches!(actions.first(), Some(Action::Send { .. })) {
+            self.retries += 1;
+        }
+        actions
+    }
+
+    /// Answers a call that no attempt is out for.
+    fn give_up(&mut self, id: CallId) -> Vec<Action> {
+        let Some(call) = self.calls.remove(&id) else {
+            return Vec::new();
+        };
+        let verdict = match call.may_have_run {
+            Some(reason) => Verdict::Unknown { reason },
+            None => Verdict::NotRun {
+                reason: call.last_refusal,
+                retry_after_us: call.soonest_retry_us.unwrap_or(NO_TARGET_RETRY_AFTER_US),
+            },
+        };
+        vec![Action::Finish { call: id, verdict }]
+    }
+
+    fn finish(&mut self, call: CallId, verdict: Verdict) -> Vec<Action> {
+        match self.calls.remove(&call) {
+            Some(_) => vec![Action::Finish { call, verdict }],
+            None => Vec::new(),
+        }
+    }
+
+    /// Ends an attempt; a late word about one that is over counts for nothing.
+    fn end(&mut self, attempt: AttemptId) -> Option<Attempt> {
+        let ended = self.attempts.remove(&attempt)?;
+        if let Some(state) = self.chooser.target_mut(ended.target) {
+            state.ended();
+        }
+        Some(ended)
+    }
+
+    fn answered(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        source: Source,
+        figures: Option<Figures>,
+        there_us: u32,
+    ) -> Vec<Action> {
+        let Some(ended) = self.end(attempt) else {
+            return Vec::new();
+        };
+        self.learn(now, ended.target, figures);
+        if source == Source::Failed {
+            self.count_failure(now, ended.target);
+            if self.failed_lookup_goes_elsewhere(now, ended.call) {
+                return self.attempt_elsewhere_or(now, ended.call, attempt);
+            }
+            return self.finish(ended.call, Verdict::Answer { attempt });
+        }
+        let path_us = (now - ended.sent_at.min(now)).saturating_sub(Micros::from(there_us));
+        if let Some(state) = self.chooser.target_mut(ended.target) {
+            state.served(now, Some(path_us as f64));
+        }
+        self.finish(ended.call, Verdict::Answer { attempt })
+    }
+
+    fn failed_lookup_goes_elsewhere(&self, now: Micros, id: CallId) -> bool {
+        self.calls
+            .get(&id)
+            .is_some_and(|call| !call.effect && call.may_retry && now < call.deadline)
+    }
+
+    /// Tries elsewhere; where that is not possible, passes on the answer at hand.
+    fn attempt_elsewhere_or(&mut self, now: Micros, id: CallId, at_hand: AttemptId) -> Vec<Action> {
+        let mut actions = self.attempt_elsewhere(now, id);
+        for action in &mut actions {
+            if let Action::Finish { verdict, .. } = action {
+                *verdict = Verdict::Answer { attempt: at_hand };
+            }
+        }
+        actions
+    }
+
+    fn refused(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        refusal: Refusal,
+        figures: Option<Figures>,
+    ) -> Vec<Action> {
+        let Some(ended) = self.end(attempt) else {
+            return Vec::new();
+        };
+        self.learn(now, ended.target, figures);
+        self.learn_refusal(now, ended.target, refusal);
+        if let Some(call) = self.calls.get_mut(&ended.call) {
+            call.last_refusal = NotRunReason::Refused(refusal.reason);
+            let soonest = call.soonest_retry_us.unwrap_or(Micros::MAX);
+            call.soonest_retry_us = Some(soonest.min(refusal.retry_after_us));
+        }
+        self.attempt_elsewhere(now, ended.call)
+    }
+
+    fn learn_refusal(&mut self, now: Micros, target: TargetId, refusal: Refusal) {
+        match refusal.reason {
+            RefusalReason::TargetDown => self.count_failure(now, target),
+            RefusalReason::Leaving => {
+                self.with_target(target, |state| state.leave());
+            }
+            RefusalReason::Full | RefusalReason::Shed => {
+                let until = now + refusal.retry_after_us;
+                self.with_target(target, |state| {
+                    state.refused(until);
+                    state.trial_told_nothing();
+                });
+            }
+            RefusalReason::TooLate | RefusalReason::Once | RefusalReason::WrongService => {
+                self.with_target(target, |state| state.trial_told_nothing());
+            }
+        }
+    }
+
+    /// The target's daemon lives but the target cut the call short.
+    fn target_lost(&mut self, now: Micros, attempt: AttemptId) -> Vec<Action> {
+        let Some(ended) = self.end(attempt) else {
+            return Vec::new();
+        };
+        self.count_failure(now, ended.target);
+        self.may_have_run(now, ended.call, UnknownReason::TargetLost)
+    }
+
+    fn not_sent(&mut self, now: Micros, attempt: AttemptId) -> Vec<Action> {
+        let Some(ended) = self.end(attempt) else {
+            return Vec::new();
+        };
+        self.count_failure(now, ended.target);
+        if let Some(call) = self.calls.get_mut(&ended.call) {
+            call.last_refusal = NotRunReason::NoLink;
+        }
+        self.attempt_elsewhere(now, ended.call)
+    }
+
+    fn link_lost(&mut self, now: Micros, attempt: AttemptId) -> Vec<Action> {
+        let Some(sent) = self.attempts.get(&attempt) else {
+            return Vec::new();
+        };
+        let (id, target) = (sent.call, sent.target);
+        let effect = self.calls.get(&id).is_some_and(|call| call.effect);
+        if effect {
+            return vec![Action::Settle {
+                call: id,
+                attempt,
+                target,
+            }];
+        }
+        self.end(attempt);
+        self.count_failure(now, target);
+        self.may_have_run(now, id, UnknownReason::LinkLost)
+    }
+
+    fn settled(&mut self, now: Micros, attempt: AttemptId, settlement: Settlement) -> Vec<Action> {
+        let Some(ended) = self.end(attempt) else {
+            return Vec::new();
+        };
+        match settlement {
+            Settlement::NeverRan => {
+                if let Some(call) = self.calls.get_mut(&ended.call) {
+                    call.last_refusal = NotRunReason::NoLink;
+                }
+                self.attempt_elsewhere(now, ended.call)
+            }
+            Settlement::Ran => self.finish(ended.call, Verdict::Answer { attempt }),
+            Settlement::Unknown => {
+                self.count_failure(now, ended.target);
+                let reason = UnknownReason::LinkLost;
+                self.finish(ended.call, Verdict::Unknown { reason })
+            }
+        }
+    }
+
+    /// A call that may have run: a lookup goes elsewhere, an effect must not.
+    fn may_have_run(&mut self, now: Micros, id: CallId, reason: UnknownReason) -> Vec<Action> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        if call.effect {
+            return self.finish(id, Verdict::Unknown { reason });
+        }
+        call.may_have_run = Some(reason);
+        self.attempt_elsewhere(now, id)
+    }
+
+    /// A daemon refuses what cannot finish in time, so a call that is still out
+    /// at its deadline speaks against its target.
+    fn deadline_over(&mut self, now: Micros, id: CallId) -> Vec<Action> {
+        let Some((attempt, target)) = self.cancel_current(id) else {
+            return self.give_up(id);
+        };
+        self.count_failure(now, target);
+        let reason = UnknownReason::Deadline;
+        let mut actions = vec![Action::Cancel { attempt, target }];
+        actions.extend(self.finish(id, Verdict::Unknown { reason }));
+        actions
+    }
+
+    fn caller_gone(&mut self, id: CallId) -> Vec<Action> {
+        let effect = self.calls.get(&id).is_some_and(|call| call.effect);
+        if effect {
+            return Vec::new();
+        }
+        let cancelled = self.cancel_current(id);
+        self.calls.remove(&id);
+        let Some((attempt, target)) = cancelled else {
+            return Vec::new();
+        };
+        self.with_target(target, |state| state.trial_told_nothing());
+        vec![Action::Cancel { attempt, target }]
+    }
+
+    fn cancel_current(&mut self, id: CallId) -> Option<(AttemptId, TargetId)> {
+        let attempt = self.calls.get(&id)?.current?;
+        let ended = self.end(attempt)?;
+        Some((attempt, ended.target))
+    }
+
+    fn learn(&mut self, now: Micros, target: TargetId, figures: Option<Figures>) {
+        let Some(figures) = figures else { return };
+        self.chooser.learn_usual(figures.service_us);
+        self.with_target(target, |state| state.learn(now, figures));
+    }
+
+    fn count_failure(&mut self, now: Micros, target: TargetId) {
+        let params = *self.chooser.params();
+        self.with_target(target, |state| {
+            state.failed(now, params.eject_failures, params.eject_us);
+        });
+    }
+
+    fn with_target(
+        &mut self,
+        target: TargetId,
+        change: impl FnOnce(&mut crate::target::TargetState),
+    ) -> Vec<Action> {
+        if let Some(state) = self.chooser.target_mut(target) {
+            change(state);
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/target.rs
@@ -0,0 +1,244 @@
+//! What one router knows of one target: its load, its speed, its health.
+//!
+//! A figure is exact when it is taken and wrong a moment later, so trust in it
+//! halves with its age. Errors and refusals never make a target look better.
+
+use crate::figures::Figures;
+use crate::ids::Micros;
+
+/// Age at which half of a load figure is still believed.
+const LOAD_HALF_LIFE_US: f64 = 20_000.0;
+/// Age at which half of a service time is still believed.
+const SERVICE_HALF_LIFE_US: f64 = 1_000_000.0;
+/// Weight of one sample in a running mean.
+const MEAN_WEIGHT: f64 = 0.2;
+/// Longest ejection, as a multiple of the first.
+const EJECT_GROWTH_LIMIT: u32 = 8;
+/// A cold target looks this many times slower at the start of its ramp.
+const COLD_FACTOR: f64 = 4.0;
+
+/// Whether a target may be chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Health {
+    /// Chosen by its score.
+    Healthy,
+    /// Not chosen before this time; then by one trial call at a time.
+    Ejected {
+        /// When a trial call may be sent.
+        until: Micros,
+        /// How often in a row it was ejected.
+        times: u32,
+    },
+    /// Takes no new calls.
+    Leaving,
+}
+
+/// One router's view of one target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    health: Health,
+    linked: bool,
+    trial: bool,
+    outstanding: u32,
+    figures: Option<Known>,
+    service_us: Option<f64>,
+    service_at: Micros,
+    path_us: f64,
+    failures_in_row: u32,
+    warm_from: Micros,
+    refused_until: Micros,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    others: f64,
+    slots: u32,
+    at: Micros,
+}
+
+impl TargetState {
+    /// A target never heard of, `path_us` away there and back.
+    pub fn new(now: Micros, path_us: f64) -> Self {
+        TargetState {
+            health: Health::Healthy,
+            linked: true,
+            trial: false,
+            outstanding: 0,
+            figures: None,
+            service_us: None,
+            service_at: now,
+            path_us,
+            failures_in_row: 0,
+            warm_from: now,
+            refused_until: 0,
+        }
+    }
+
+    /// Whether it may be chosen now.
+    pub fn available(&self, now: Micros) -> bool {
+        if !self.linked {
+            return false;
+        }
+        match self.health {
+            Health::Healthy => true,
+            Health::Ejected { until, .. } => now >= until && !self.trial,
+            Health::Leaving => false,
+        }
+    }
+
+    /// Whether a link to its daemon stands.
+    pub fn is_linked(&self) -> bool {
+        self.linked
+    }
+
+    /// The link to its daemon was made or lost. A target without one is not
+    /// chosen, so no call waits for a connection to be made.
+    pub fn set_linked(&mut self, linked: bool) {
+        self.linked = linked;
+    }
+
+    /// Its daemon is another incarnation: what was known of the old is void.
+    pub fn replaced(&mut self, now: Micros) {
+        *self = TargetState {
+            outstanding: self.outstanding,
+            linked: self.linked,
+            ..TargetState::new(now, self.path_us)
+        };
+    }
+
+    /// Health as last judged.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Calls this router sent that are not answered.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// A call was sent.
+    pub fn sent(&mut self) {
+        self.outstanding += 1;
+        self.trial = matches!(self.health, Health::Ejected { .. });
+    }
+
+    /// A sent call ended, however it ended.
+    pub fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// The target served a call; `path_us` is the time spent outside of it.
+    pub fn served(&mut self, now: Micros, path_us: Option<f64>) {
+        self.failures_in_row = 0;
+        if matches!(self.health, Health::Ejected { .. }) {
+            self.health = Health::Healthy;
+            self.warm_from = now;
+        }
+        self.trial = false;
+        if let Some(sample) = path_us {
+            self.path_us += MEAN_WEIGHT * (sample - self.path_us);
+        }
+    }
+
+    /// The target failed a call. Returns whether that ejected it.
+    pub fn failed(&mut self, now: Micros, eject_failures: u32, eject_us: Micros) -> bool {
+        self.failures_in_row += 1;
+        let times = match self.health {
+            Health::Leaving => return false,
+            Health::Ejected { times, .. } => times,
+            Health::Healthy if self.failures_in_row < eject_failures => return false,
+            Health::Healthy => 0,
+        };
+        let growth = (1_u64 << times.min(31)).min(u64::from(EJECT_GROWTH_LIMIT));
+        self.health = Health::Ejected {
+            until: now + eject_us * growth,
+            times: times + 1,
+        };
+        self.trial = false;
+        true
+    }
+
+    /// A trial call ended without telling anything about health.
+    pub fn trial_told_nothing(&mut self) {
+        self.trial = false;
+    }
+
+    /// The target refused a call for want of room until about `until`.
+    pub fn refused(&mut self, until: Micros) {
+        self.refused_until = until;
+    }
+
+    /// The target takes no new calls from now on.
+    pub fn leave(&mut self) {
+        self.health = Health::Leaving;
+    }
+
+    /// The target's daemon says that it takes calls again.
+    pub fn rejoin(&mut self, now: Micros) {
+        if self.health == Health::Leaving {
+            self.health = Health::Healthy;
+            self.warm_from = now;
+        }
+    }
+
+    /// Takes figures from the target's daemon.
+    pub fn learn(&mut self, now: Micros, figures: Figures) {
+        let ours = self.outstanding.min(figures.load());
+        self.figures = Some(Known {
+            others: f64::from(figures.load() - ours),
+            slots: figures.slots.max(1),
+            at: now,
+        });
+        if figures.service_us > 0 {
+            self.service_us = Some(f64::from(figures.service_us));
+            self.service_at = now;
+        }
+    }
+
+    /// The service time to expect, which returns to `usual_us` as it grows old.
+    pub fn service_us(&self, now: Micros, usual_us: f64) -> f64 {
+        let Some(known) = self.service_us else {
+            return usual_us;
+        };
+        let trust = trust(now - self.service_at.min(now), SERVICE_HALF_LIFE_US);
+        usual_us + (known - usual_us) * trust
+    }
+
+    /// Calls to expect at the target: ours exactly, others' as last told.
+    pub fn load(&self, now: Micros) -> f64 {
+        let others = self.figures.map_or(0.0, |known| {
+            known.others * trust(now - known.at.min(now), LOAD_HALF_LIFE_US)
+        });
+        f64::from(self.outstanding) + others
+    }
+
+    /// Time in microseconds after which a call sent now should be back.
+    pub fn expected_finish_us(&self, now: Micros, usual_us: f64, ramp_us: Micros) -> f64 {
+        let service = self.service_us(now, usual_us);
+        let slots = f64::from(self.figures.map_or(1, |known| known.slots));
+        let load = self.load(now);
+        let queued = (load + 1.0 - slots).max(0.0);
+        let wait = queued * service / slots;
+        let spread = service * (load / slots).min(1.0) * SPREAD;
+        let refused = self.refused_until.saturating_sub(now) as f64;
+        (self.path_us + service + spread + wait.max(refused)) * self.cold(now, ramp_us)
+    }
+
+    fn cold(&self, now: Micros, ramp_us: Micros) -> f64 {
+        let age = now.saturating_sub(self.warm_from);
+        if age >= ramp_us {
+            return 1.0;
+        }
+        let left = 1.0 - age as f64 / ramp_us as f64;
+        1.0 + (COLD_FACTOR - 1.0) * left
+    }
+}
+
+/// Part of a service time by which a target with all slots taken looks slower
+/// than an idle one. It spreads calls over equals, so that routers that see the
+/// same old figures do not all pick the same target.
+const SPREAD: f64 = 0.5;
+
+fn trust(age_us: Micros, half_life_us: f64) -> f64 {
+    (-(age_us as f64) / half_life_us).exp2()
+}
--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,77 @@
+//! Typed faults of a tree, each with the path at which it stands.
+
+use thiserror::Error;
+
+/// What is wrong at one path of a tree.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum Fault {
+    /// The field is not one of [`crate::FIELDS`].
+    #[error("unknown field; `lynxcleat settings fields` lists the known ones")]
+    UnknownField,
+    /// A key of the tree's own structure is not known.
+    #[error("unknown key; expected `settings`, `places` or `services` for this level")]
+    UnknownKey,
+    /// The JSON type is not the one the field takes.
+    #[error("expected {expected}, found {found}")]
+    WrongType {
+        /// The kind of value the field takes.
+        expected: String,
+        /// The kind of value that was found.
+        found: &'static str,
+    },
+    /// A number is outside the field's range.
+    #[error("{found} {unit} is outside {min}..={max} {unit}")]
+    OutOfRange {
+        /// The number found.
+        found: u64,
+        /// Lowest value allowed.
+        min: u64,
+        /// Highest value allowed.
+        max: u64,
+        /// Unit of the field.
+        unit: &'static str,
+    },
+    /// A word is not among those the field takes.
+    #[error("{found:?} is not one of {allowed}")]
+    NotAChoice {
+        /// The word found.
+        found: String,
+        /// The words allowed, joined by commas.
+        allowed: String,
+    },
+    /// A place or service has a name that could not stand in a host name.
+    #[error("a name has 1 to 63 of a-z, 0-9 and '-', and starts with a letter")]
+    BadName,
+    /// A path given by an operator does not lead to a field.
+    #[error("not a path to a field; write root.FIELD, places.P.FIELD or places.P.services.S.FIELD")]
+    BadPath,
+    /// Two fields that depend on each other contradict.
+    #[error("{0}")]
+    Inconsistent(&'static str),
+}
+
+/// A tree that was refused, with the first fault found.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum SettingsError {
+    /// The text is not JSON at all.
+    #[error("not JSON: {0}")]
+    NotJson(String),
+    /// A fault at a path of the tree.
+    #[error("{path}: {fault}")]
+    At {
+        /// Path of the fault, such as `places.howrah.slots`.
+        path: String,
+        /// What is wrong there.
+        fault: Fault,
+    },
+}
+
+impl SettingsError {
+    /// A fault at `path`.
+    pub fn at(path: impl Into<String>, fault: Fault) -> Self {
+        SettingsError::At {
+            path: path.into(),
+            fault,
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/field.rs
@@ -0,0 +1,170 @@
+//! The table of fields. One row gives a field's name, unit, range, default and
+//! help, and serves the checks, the help texts and the effective values alike.
+
+use serde_json::Value;
+
+use crate::error::Fault;
+
+/// The values that a field takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A whole number in a closed range.
+    Whole {
+        /// Lowest value allowed.
+        min: u64,
+        /// Highest value allowed.
+        max: u64,
+        /// Value where no level sets the field.
+        default: u64,
+    },
+    /// One of a few words; the first is the default.
+    Choice(&'static [&'static str]),
+}
+
+/// One row of the table of fields.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FieldSpec {
+    /// Name in the tree; it ends in the unit where there is one.
+    pub name: &'static str,
+    /// Unit of the value, for messages.
+    pub unit: &'static str,
+    /// Values the field takes.
+    pub kind: Kind,
+    /// One line of help.
+    pub help: &'static str,
+}
+
+const DAY_MS: u64 = 86_400_000;
+
+const fn whole(
+    name: &'static str,
+    unit: &'static str,
+    (min, max): (u64, u64),
+    default: u64,
+    help: &'static str,
+) -> FieldSpec {
+    FieldSpec {
+        name,
+        unit,
+        kind: Kind::Whole { min, max, default },
+        help,
+    }
+}
+
+const fn choice(
+    name: &'static str,
+    words: &'static [&'static str],
+    help: &'static str,
+) -> FieldSpec {
+    FieldSpec {
+        name,
+        unit: "",
+        kind: Kind::Choice(words),
+        help,
+    }
+}
+
+/// Every field, in the order in which help lists them.
+#[rustfmt::skip]
+pub const FIELDS: &[FieldSpec] = &[
+    whole("slots", "calls", (1, 4096), 12, "calls a target serves at once"),
+    whole("connection_limit", "connections", (1, 65_536), 200, "connections a target takes"),
+    whole("hold_limit", "calls", (0, 65_536), 48, "calls held for a slot before one is refused"),
+    whole("deadline_ms", "ms", (1, DAY_MS), 2_000, "deadline of a call that names none"),
+    whole("deadline_max_ms", "ms", (1, DAY_MS), 30_000, "longest deadline a caller may name"),
+    whole("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "largest request or answer body"),
+    whole("attempt_limit", "attempts", (1, 8), 3, "targets one call may be offered to"),
+    whole("retry_percent", "%", (0, 100), 10, "further attempts, as a share of first attempts"),
+    choice("policy", &["expected-finish", "power-of-two", "least-in-flight", "round-robin", "random"], "how a target is chosen"),
+    whole("subset_size", "targets", (1, 1024), 16, "targets of a service one daemon keeps links to"),
+    whole("eject_failures", "failures", (1, 1000), 5, "failures in a row that eject a target"),
+    whole("eject_ms", "ms", (1, 600_000), 1_000, "time a target stays ejected before one trial call"),
+    whole("ramp_ms", "ms", (0, 600_000), 2_000, "time over which a cold target takes its full share"),
+    choice("once", &["allowed", "required"], "whether a call with side effects must carry a ticket or a key"),
+    whole("once_retention_ms", "ms", (1_000, 7 * DAY_MS), 600_000, "time for which a once-only operation is remembered"),
+    whole("once_memory_entries", "operations", (16, 10_000_000), 100_000, "once-only operations remembered before new ones are refused"),
+    whole("once_memory_bytes", "bytes", (4_096, 8 << 30), 64 << 20, "stored answers kept before new operations are refused"),
+    whole("settle_ms", "ms", (0, 60_000), 500, "time to settle an attempt whose link was lost"),
+    whole("clock_skew_ms", "ms", (0, 60_000), 500, "largest difference assumed between two hosts' clocks"),
+    whole("list_lag_ms", "ms", (0, 600_000), 10_000, "longest time by which the host list is assumed to lag"),
+    whole("measure_messages_per_s", "messages/s", (1, 100_000), 200, "budget of measuring: messages"),
+    whole("measure_bytes_per_s", "bytes/s", (64, 100_000_000), 11_000, "budget of measuring: bytes"),
+    whole("measure_cpu_us_per_s", "us/s", (100, 1_000_000), 13_000, "budget of measuring: processor time"),
+    whole("poll_ms", "ms", (50, 60_000), 1_000, "interval between reads of the accepted generation"),
+    whole("host_list_ms", "ms", (50, 60_000), 1_000, "interval between reads of the host list"),
+    whole("health_ms", "ms", (50, 60_000), 500, "interval between reads of the target's health endpoint"),
+    whole("heartbeat_ms", "ms", (50, 60_000), 1_000, "interval between heartbeats on a link"),
+    whole("link_silence_ms", "ms", (100, 600_000), 3_000, "silence after which a link counts as lost"),
+    whole("stop_linger_ms", "ms", (0, 60_000), 1_000, "time a stopping daemon still answers callers' open connections"),
+    whole("stop_limit_ms", "ms", (1, 600_000), 30_000, "longest time a planned stop may take"),
+];
+
+/// Looks a field up by name.
+pub fn field(name: &str) -> Option<&'static FieldSpec> {
+    FIELDS.iter().find(|spec| spec.name == name)
+}
+
+impl FieldSpec {
+    /// Checks one value against the field's kind and range.
+    pub fn check(&self, value: &Value) -> Result<(), Fault> {
+        match self.kind {
+            Kind::Whole { min, max, .. } => self.check_whole(value, min, max),
+            Kind::Choice(words) => check_choice(value, words),
+        }
+    }
+
+    /// The value in force where no level sets the field.
+    pub fn default_value(&self) -> Value {
+        match self.kind {
+            Kind::Whole { default, .. } => Value::from(default),
+            Kind::Choice(words) => Value::from(words[0]),
+        }
+    }
+
+    fn check_whole(&self, value: &Value, min: u64, max: u64) -> Result<(), Fault> {
+        let Some(found) = value.as_u64() else {
+            return Err(wrong_type(
+                format!("a whole number of {}", self.unit),
+                value,
+            ));
+        };
+        if (min..=max).contains(&found) {
+            return Ok(());
+        }
+        Err(Fault::OutOfRange {
+            found,
+            min,
+            max,
+            unit: self.unit,
+        })
+    }
+}
+
+fn check_choice(value: &Value, words: &[&str]) -> Result<(), Fault> {
+    let Some(found) = value.as_str() else {
+        return Err(wrong_type(format!("one of {}", words.join(", ")), value));
+    };
+    if words.contains(&found) {
+        return Ok(());
+    }
+    Err(Fault::NotAChoice {
+        found: found.to_owned(),
+        allowed: words.join(", "),
+    })
+}
+
+/// A type fault that names what was found.
+pub(crate) fn wrong_type(expected: impl Into<String>, value: &Value) -> Fault {
+    let found = match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number that is not whole, negative or too large",
+        Value::String(_) => "a string",
+        Value::Array(_) => "an array",
+        Value::Object(_) => "an object",
+    };
+    Fault::WrongType {
+        expected: expected.into(),
+        found,
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,22 @@
+//! The tree of settings: checks, inheritance, differences and merges.
+//!
+//! Operators edit one JSON tree with three levels: root, place, service. A
+//! level inherits every field of the level above and overrides only what
+//! differs. This crate holds everything that can be decided about such a tree
+//! without I/O, so that the operators' program and the daemons cannot disagree.
+
+mod change;
+mod digest;
+mod effective;
+mod error;
+mod field;
+mod generations;
+mod tree;
+
+pub use change::{Change, Conflict, diff, merge};
+pub use digest::{Digest, digest};
+pub use effective::{Effective, Once, Origin, Resolved};
+pub use error::{Fault, SettingsError};
+pub use field::{FIELDS, FieldSpec, Kind, field};
+pub use generations::{Generation, OfferError};
+pub use tree::{Tree, valid_name};
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,14 @@
+//! Small stand-ins for the platform and for targets, with faults on demand.
+//!
+//! They exist for tests, for the newcomer's embedded run and for load runs. They
+//! speak the same HTTP as the real things and keep everything in memory.
+
+mod error;
+mod http;
+mod platform;
+mod table;
+mod target;
+
+pub use error::StandinError;
+pub use platform::{PlatformCounts, PlatformFaults, PlatformStandin};
+pub use target::{Ledger, TargetFaults, TargetOptions, TargetStandin, wait_until};
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,258 @@
+//! A target's stand-in: slots, service time, a ledger of what it ran, and faults.
+//!
+//! The ledger is the oracle of the tests: it counts, by the value of the
+//! `x-op` header, how often each operation really ran. The control port, apart
+//! from the served one so that faults never reach it, has `GET /health`,
+//! `GET /standin/ledger` and `POST /standin/faults`.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tiny_http::{Header, Method, Request, Response};
+
+use crate::error::StandinError;
+use crate::http::{Listening, body, json_body, respond_json, respond_status};
+
+const CONTROL_WORKERS: usize = 2;
+/// Pause between two looks at whether a frozen target has been woken.
+const THAW_PAUSE: Duration = Duration::from_millis(5);
+
+/// Options of a target.
+#[derive(Clone, Debug)]
+pub struct TargetOptions {
+    /// Name in its answers.
+    pub name: String,
+    /// Address to serve on.
+    pub address: String,
+    /// Address of its control port.
+    pub control: String,
+    /// Calls served at once.
+    pub slots: usize,
+    /// Time that serving a call takes.
+    pub service: Duration,
+}
+
+/// Faults of a target. All are off by default.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetFaults {
+    /// Service times are multiplied by this; 0 counts as 1.
+    pub slow_factor: u32,
+    /// Answers 500 at once to everything.
+    pub fail_fast: bool,
+    /// Answers 503 and says that nothing was run.
+    pub shed: bool,
+    /// Serves calls but answers none until switched off.
+    pub frozen: bool,
+    /// Runs calls and cuts the answers in the middle of their bodies.
+    pub cut_answers: bool,
+    /// Runs calls and closes the connection without an answer.
+    pub drop_answers: bool,
+    /// Says on its health endpoint that it drains.
+    pub draining: bool,
+    /// Load that its health endpoint claims, instead of the true one.
+    pub false_load: Option<u32>,
+}
+
+/// How often each operation ran.
+pub type Ledger = HashMap<String, u32>;
+
+struct State {
+    name: String,
+    slots: usize,
+    service: Duration,
+    faults: Mutex<TargetFaults>,
+    ledger: Mutex<Ledger>,
+    served: AtomicU64,
+    in_flight: AtomicU32,
+}
+
+/// A running stand-in for a target.
+pub struct TargetStandin {
+    state: Arc<State>,
+    serving: Listening,
+    control: Listening,
+}
+
+impl TargetStandin {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub fn start(options: &TargetOptions) -> Result<Self, StandinError> {
+        let state = Arc::new(State {
+            name: options.name.clone(),
+            slots: options.slots,
+            service: options.service,
+            faults: Mutex::default(),
+            ledger: Mutex::default(),
+            served: AtomicU64::new(0),
+            in_flight: AtomicU32::new(0),
+        });
+        let answering = Arc::clone(&state);
+        let serving = Listening::start(&options.address, options.slots, move |request| {
+            answering.serve(request);
+        })?;
+        let controlled = Arc::clone(&state);
+        let control = Listening::start(&options.control, CONTROL_WORKERS, move |request| {
+            controlled.control(request);
+        })?;
+        Ok(TargetStandin {
+            state,
+            serving,
+            control,
+        })
+    }
+
+    /// Address it serves on.
+    pub fn address(&self) -> String {
+        self.serving.address().to_string()
+    }
+
+    /// Address of its control port.
+    pub fn control(&self) -> String {
+        self.control.address().to_string()
+    }
+
+    /// Changes its faults.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        *lock(&self.state.faults) = faults;
+    }
+
+    /// How often each operation ran here.
+    pub fn ledger(&self) -> Ledger {
+        lock(&self.state.ledger).clone()
+    }
+
+    /// Calls that reached it, served or not.
+    pub fn served(&self) -> u64 {
+        self.state.served.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for TargetStandin {
+    fn drop(&mut self) {
+        lock(&self.state.faults).frozen = false;
+    }
+}
+
+impl State {
+    fn serve(&self, mut request: Request) {
+        self.served.fetch_add(1, Ordering::Relaxed);
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let faults = lock(&self.faults).clone();
+        let received = body(&mut request);
+        if faults.fail_fast {
+            respond_status(request, 500);
+        } else if faults.shed {
+            let header = Header::from_bytes("lynxcleat-outcome", "not-run").expect("plain");
+            let _ = request.respond(Response::empty(503).with_header(header));
+        } else {
+            self.run(request, &received, &faults);
+        }
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn run(&self, request: Request, received: &[u8], faults: &TargetFaults) {
+        thread::sleep(self.service * faults.slow_factor.max(1));
+        if let Some(op) = header(&request, "x-op") {
+            *lock(&self.ledger).entry(op).or_default() += 1;
+        }
+        while lock(&self.faults).frozen {
+            thread::sleep(THAW_PAUSE);
+        }
+        if faults.drop_answers {
+            drop(request.into_writer());
+            return;
+        }
+        let answer = self.answer(&request, received);
+        if faults.cut_answers {
+            return cut(request, &answer);
+        }
+        let _ = request.respond(Response::from_data(answer));
+    }
+
+    /// Echoes what identifies the request, so that a caller can tell its own
+    /// answer from any other.
+    fn answer(&self, request: &Request, received: &[u8]) -> Vec<u8> {
+        let echo = header(request, "x-echo").unwrap_or_default();
+        let answer = json!({
+            "target": self.name,
+            "method": request.method().as_str(),
+            "path": request.url(),
+            "echo": echo,
+            "body": String::from_utf8_lossy(received),
+        });
+        answer.to_string().into_bytes()
+    }
+
+    fn control(&self, mut request: Request) {
+        let path = request.url().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::Get, "/health") => {
+                let faults = lock(&self.faults).clone();
+                let load = self.in_flight.load(Ordering::Relaxed);
+                let status = if faults.draining { "draining" } else { "ok" };
+                let health = json!({
+                    "status": status,
+                    "load": faults.false_load.unwrap_or(load),
+                    "slots": self.slots,
+                });
+                respond_json(request, &health);
+            }
+            (Method::Get, "/standin/ledger") => {
+                let ledger = lock(&self.ledger).clone();
+                respond_json(request, &ledger);
+            }
+            (Method::Post, "/standin/faults") => {
+                let Some(faults) = json_body(&mut request) else {
+                    return respond_status(request, 400);
+                };
+                *lock(&self.faults) = faults;
+                respond_status(request, 204);
+            }
+            _ => respond_status(request, 404),
+        }
+    }
+}
+
+/// Promises the whole answer and sends half of it.
+fn cut(request: Request, answer: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+        answer.len()
+    );
+    let mut writer = request.into_writer();
+    let _ = writer.write_all(head.as_bytes());
+    let _ = writer.write_all(&answer[..answer.len() / 2]);
+    let _ = writer.flush();
+}
+
+fn header(request: &Request, name: &'static str) -> Option<String> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv(name))
+        .map(|header| header.value.to_string())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits until `done` holds, for as long as `limit`. For tests and scripts.
+pub fn wait_until(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while !done() {
+        if begun.elapsed() > limit {
+            return false;
+        }
+        thread::sleep(THAW_PAUSE);
+    }
+    true
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,213 @@
+//! The messages.
+
+use lynxcleat_once::{FenceReply, Operation, Ticket};
+use lynxcleat_policy::{AttemptId, Figures, NotRunReason, Refusal};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+
+use crate::hello::{Hello, Proof};
+
+/// One message with the sender's generation of settings.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Envelope {
+    /// Generation in force at the sender; 0 before it has one.
+    #[serde(rename = "g")]
+    pub generation: u64,
+    /// The message.
+    #[serde(rename = "f")]
+    pub frame: Frame,
+}
+
+/// A header's name, in lower case, and its value.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Header(pub String, pub ByteBuf);
+
+/// The head of a caller's request, without hop-by-hop headers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestHead {
+    /// HTTP method.
+    #[serde(rename = "m")]
+    pub method: String,
+    /// Path and query, as the caller sent them.
+    #[serde(rename = "p")]
+    pub path: String,
+    /// Headers in the caller's order.
+    #[serde(rename = "h")]
+    pub headers: Vec<Header>,
+}
+
+/// A call on its way to a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CallFrame {
+    /// Name of this attempt at the sender.
+    #[serde(rename = "a")]
+    pub attempt: AttemptId,
+    /// Name of the call, for logs and explanations.
+    #[serde(rename = "i")]
+    pub call: String,
+    /// The service asked for.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Time left until the deadline, in microseconds.
+    #[serde(rename = "t")]
+    pub left_us: u64,
+    /// Present for a call with effects.
+    #[serde(rename = "o")]
+    pub operation: Option<Operation>,
+    /// Head of the request.
+    #[serde(rename = "h")]
+    pub head: RequestHead,
+    /// Body of the request.
+    #[serde(rename = "b")]
+    pub body: ByteBuf,
+}
+
+/// A target's complete answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// HTTP status.
+    #[serde(rename = "s")]
+    pub status: u16,
+    /// Headers in the target's order.
+    #[serde(rename = "h")]
+    pub headers: Vec<Header>,
+    /// The whole body.
+    #[serde(rename = "b")]
+    pub body: ByteBuf,
+}
+
+impl Answer {
+    /// What storing the answer costs, in bytes.
+    pub fn size(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|Header(name, value)| name.len() + value.len())
+            .sum();
+        headers + self.body.len()
+    }
+}
+
+/// What a guard tells the daemon that passed a call on to it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum GuardedVerdict {
+    /// It ran, now or earlier.
+    Ran {
+        /// Its answer.
+        answer: Answer,
+        /// Whether it ran for an earlier call.
+        replayed: bool,
+    },
+    /// It was not run.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back, in microseconds.
+        retry_after_us: u64,
+    },
+    /// It may have run.
+    Unknown,
+    /// The memory of once-only operations is full.
+    MemoryFull,
+    /// The guard does not know the ticket as its own.
+    NotMine,
+}
+
+/// A tree of settings on its way to a peer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TreeCopy {
+    /// Its generation.
+    pub generation: u64,
+    /// Digest of the text.
+    pub digest: String,
+    /// The canonical JSON text.
+    pub text: String,
+}
+
+/// A message. Asks carry a number that their reply repeats.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Frame {
+    /// First message of either side.
+    Hello(Hello),
+    /// Proof of the shared key over both hellos.
+    Proof(Proof),
+    /// The link is alive.
+    Beat,
+    /// The acceptor's target takes no new calls, or takes them again.
+    Leaving(bool),
+    /// A call for the acceptor's target.
+    Call(Box<CallFrame>),
+    /// A call is no longer wanted.
+    Cancel(AttemptId),
+    /// The target's answer.
+    Answer {
+        /// The attempt.
+        #[serde(rename = "a")]
+        attempt: AttemptId,
+        /// The answer.
+        #[serde(rename = "r")]
+        answer: Answer,
+        /// Load of the target, where the measuring budget allowed it.
+        #[serde(rename = "l")]
+        figures: Option<Figures>,
+        /// Time held and served, in microseconds.
+        #[serde(rename = "t")]
+        there_us: u32,
+    },
+    /// The call was not run.
+    Refused {
+        /// The attempt.
+        #[serde(rename = "a")]
+        attempt: AttemptId,
+        /// Why, and when to come back.
+        #[serde(rename = "r")]
+        refusal: Refusal,
+        /// Load of the target, where the measuring budget allowed it.
+        #[serde(rename = "l")]
+        figures: Option<Figures>,
+    },
+    /// The call was delivered and its answer was lost.
+    Lost(AttemptId),
+    /// Fence an operation at the acceptor's target.
+    Fence {
+        /// Number of the ask.
+        ask: u64,
+        /// The operation.
+        operation: Operation,
+    },
+    /// What became of a fenced operation.
+    Fenced {
+        /// Number of the ask.
+        ask: u64,
+        /// What the half says.
+        reply: FenceReply<Answer>,
+    },
+    /// A call with a ticket that the acceptor minted.
+    Guarded {
+        /// Number of the ask.
+        ask: u64,
+        /// The ticket.
+        ticket: Ticket,
+        /// The call.
+        call: Box<CallFrame>,
+    },
+    /// What the guard tells.
+    GuardedReply {
+        /// Number of the ask.
+        ask: u64,
+        /// The verdict.
+        verdict: GuardedVerdict,
+    },
+    /// Asks for the tree in force.
+    FetchTree {
+        /// Number of the ask.
+        ask: u64,
+    },
+    /// The tree in force, if there is one.
+    Tree {
+        /// Number of the ask.
+        ask: u64,
+        /// The copy.
+        copy: Option<TreeCopy>,
+    },
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between daemons, their encoding and the proof of a shared key.
+//!
+//! A daemon dials the daemons of the targets it routes to. The dialer asks, the
+//! acceptor answers; both sides carry the generation of settings in force with
+//! every message, so that a newer one spreads with the traffic.
+
+mod codec;
+mod frame;
+mod hello;
+
+pub use codec::{CodecError, decode, encode};
+pub use frame::{
+    Answer, CallFrame, Envelope, Frame, GuardedVerdict, Header, RequestHead, TreeCopy,
+};
+pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
