--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -126,7 +126,11 @@
             service: plan.service,
         })
         .expect("target");
-        let place = if number % 2 == 0 { "east" } else { "west" };
+        let place = if number.is_multiple_of(2) {
+            "east"
+        } else {
+            "west"
+        };
         let seeds = match plan.seeds {
             true => self.workers.iter().map(|w| w.entry.mesh.clone()).collect(),
             false => Vec::new(),
--- /dev/null
+++ b/crates/policy/tests/admit.rs
@@ -0,0 +1,162 @@
+//! Admission: exact slots, holding by deadline, refusal at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lynxcleat_policy::{Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, RefusalReason};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const LIMITS: AdmitLimits = AdmitLimits {
+    slots: 2,
+    hold_limit: 3,
+};
+
+fn offer(call: u64, deadline: u64) -> AdmitEvent {
+    AdmitEvent::Offer {
+        call: CallId(call),
+        deadline,
+    }
+}
+
+fn done(call: u64, service_us: Option<u32>) -> AdmitEvent {
+    AdmitEvent::Done {
+        call: CallId(call),
+        service_us,
+    }
+}
+
+fn delivered(actions: &[AdmitAction]) -> Vec<u64> {
+    let calls = actions.iter().filter_map(|action| match action {
+        AdmitAction::Deliver { call } => Some(call.0),
+        AdmitAction::Refuse { .. } => None,
+    });
+    calls.collect()
+}
+
+fn refused(actions: &[AdmitAction]) -> Vec<(u64, RefusalReason)> {
+    let calls = actions.iter().filter_map(|action| match action {
+        AdmitAction::Refuse { call, refusal } => Some((call.0, refusal.reason)),
+        AdmitAction::Deliver { .. } => None,
+    });
+    calls.collect()
+}
+
+#[test]
+fn held_calls_go_by_deadline_and_those_past_it_are_refused() {
+    let mut admit = Admit::new(LIMITS);
+    for call in 1..=2 {
+        assert_eq!(delivered(&admit.on(0, offer(call, 9_000))), [call]);
+    }
+    assert!(admit.on(0, offer(3, 8_000)).is_empty());
+    assert!(admit.on(0, offer(4, 5_000)).is_empty());
+    assert!(admit.on(0, offer(5, 1_000)).is_empty());
+    let full = admit.on(0, offer(6, 9_000));
+    assert_eq!(refused(&full), [(6, RefusalReason::Full)]);
+    // Call 5 cannot finish any more; call 4 has the next deadline.
+    let actions = admit.on(2_000, done(1, Some(2_000)));
+    assert_eq!(refused(&actions), [(5, RefusalReason::TooLate)]);
+    assert_eq!(delivered(&actions), [4]);
+    assert_eq!(delivered(&admit.on(2_000, done(2, Some(2_000)))), [3]);
+}
+
+#[test]
+fn what_cannot_finish_in_time_is_refused_when_it_arrives_with_a_time_to_come_back() {
+    let mut admit = Admit::new(LIMITS);
+    admit.on(0, offer(1, 90_000));
+    admit.on(10_000, done(1, Some(10_000)));
+    admit.on(10_000, offer(2, 90_000));
+    admit.on(10_000, offer(3, 90_000));
+    let actions = admit.on(10_000, offer(4, 24_000));
+    let [AdmitAction::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::TooLate);
+    assert!(refusal.retry_after_us > 0);
+    assert!(admit.on(10_000, offer(5, 26_000)).is_empty(), "held");
+}
+
+#[test]
+fn a_leaving_target_finishes_what_it_has_and_takes_nothing_new() {
+    let mut admit = Admit::new(LIMITS);
+    for call in 1..=3 {
+        admit.on(0, offer(call, 90_000));
+    }
+    admit.on(0, AdmitEvent::Leave);
+    let actions = admit.on(0, offer(4, 90_000));
+    assert_eq!(refused(&actions), [(4, RefusalReason::Leaving)]);
+    assert_eq!(delivered(&admit.on(5, done(1, Some(5)))), [3]);
+    admit.on(9, AdmitEvent::Return);
+    admit.on(9, done(2, Some(5)));
+    assert_eq!(delivered(&admit.on(9, offer(5, 90_000))), [5]);
+}
+
+#[test]
+fn failures_never_make_the_service_look_fast() {
+    let mut admit = Admit::new(LIMITS);
+    admit.on(0, offer(1, 90_000));
+    admit.on(8_000, done(1, Some(8_000)));
+    for call in 2..50 {
+        admit.on(9_000, offer(call, 90_000));
+        admit.on(9_001, done(call, None));
+    }
+    assert_eq!(admit.figures().service_us, 8_000);
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(5), cases: 2_000, failure_persistence: None, ..Config::default() })]
+
+    /// Against a plain model: never more than the slots in flight, never more
+    /// than the limit held, each call decided exactly once, none lost.
+    #[test]
+    fn every_call_is_decided_once_within_the_limits(
+        steps in prop::collection::vec((0..4_u8, 0..40_u64, 0..2_000_u64), 1..200)
+    ) {
+        let mut admit = Admit::new(LIMITS);
+        let mut now = 0;
+        let mut next = 0;
+        let mut held: BTreeSet<u64> = BTreeSet::new();
+        let mut running: BTreeMap<u64, u64> = BTreeMap::new();
+        for (kind, pick, gap) in steps {
+            now += gap;
+            let nth = |set: Vec<u64>| set.get(pick as usize % set.len().max(1)).copied();
+            let event = match kind {
+                0 | 1 => {
+                    next += 1;
+                    held.insert(next);
+                    offer(next, now + pick * 200)
+                }
+                2 => match nth(running.keys().copied().collect()) {
+                    Some(call) => {
+                        let began = running.remove(&call).expect("it runs");
+                        done(call, Some((now - began) as u32))
+                    }
+                    None => continue,
+                },
+                _ => match nth(held.iter().copied().collect()) {
+                    Some(call) => {
+                        held.remove(&call);
+                        AdmitEvent::Withdraw { call: CallId(call) }
+                    }
+                    None => continue,
+                },
+            };
+            for action in admit.on(now, event) {
+                match action {
+                    AdmitAction::Deliver { call } => {
+                        prop_assert!(held.remove(&call.0), "decided twice");
+                        running.insert(call.0, now);
+                    }
+                    AdmitAction::Refuse { call, .. } => {
+                        prop_assert!(held.remove(&call.0), "decided twice");
+                    }
+                }
+            }
+            prop_assert!(running.len() <= LIMITS.slots as usize);
+            prop_assert!(held.len() <= LIMITS.hold_limit as usize);
+            let figures = admit.figures();
+            prop_assert_eq!(figures.in_flight as usize, running.len());
+            prop_assert_eq!(figures.held as usize, held.len());
+            prop_assert!(held.is_empty() || running.len() == LIMITS.slots as usize);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/budget.rs
@@ -0,0 +1,78 @@
+//! The budget of measuring and the budget of retries.
+
+use lynxcleat_policy::{Budget, Cost, Limits, RetryBudget};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const LIMITS: Limits = Limits {
+    messages: 20,
+    bytes: 1_000,
+    cpu_us: 500,
+};
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(3), cases: 2_000, failure_persistence: None, ..Config::default() })]
+
+    /// Whatever is asked, and whenever, no window of one second holds more than
+    /// the limits, by any of the three measures.
+    #[test]
+    fn no_second_holds_more_than_the_limits(
+        asks in prop::collection::vec((0..300_000_u64, 0..3_u64, 0..400_u64, 0..200_u64), 1..200)
+    ) {
+        let mut budget = Budget::new(LIMITS);
+        let mut now = 0;
+        let mut granted: Vec<(u64, Cost)> = Vec::new();
+        for (gap, messages, bytes, cpu_us) in asks {
+            now += gap;
+            let cost = Cost { messages, bytes, cpu_us };
+            if budget.ask(now, cost) {
+                granted.push((now, cost));
+            }
+            let window = granted.iter().filter(|(at, _)| now - at < 1_000_000);
+            let spent = window.fold(Cost::default(), |sum, (_, cost)| sum + *cost);
+            prop_assert!(spent.messages <= LIMITS.messages);
+            prop_assert!(spent.bytes <= LIMITS.bytes);
+            prop_assert!(spent.cpu_us <= LIMITS.cpu_us);
+        }
+        let total = granted.iter().fold(Cost::default(), |sum, (_, cost)| sum + *cost);
+        prop_assert_eq!(budget.spent(), total);
+    }
+
+    /// Retries never exceed their share by more than the fixed reserve.
+    #[test]
+    fn retries_stay_within_their_share(
+        percent in 0..100_u32,
+        wants in prop::collection::vec(0..4_u32, 1..500)
+    ) {
+        let mut budget = RetryBudget::new(percent);
+        let (mut calls, mut retries) = (0, 0);
+        for wanted in wants {
+            budget.first_attempt();
+            calls += 1;
+            retries += u64::from((0..wanted).filter(|_| budget.take()).count() as u32);
+            prop_assert!(retries * 100 <= calls * u64::from(percent) + 1_000);
+        }
+        if percent == 0 {
+            prop_assert_eq!(retries, 0);
+        }
+    }
+}
+
+#[test]
+fn a_budget_grants_again_when_the_second_is_over_and_spends_all_of_it() {
+    let mut budget = Budget::new(LIMITS);
+    let cost = Cost::message(100, 0);
+    assert!((0..10).all(|_| budget.ask(5, cost)));
+    assert!(!budget.ask(1_000_004, cost));
+    assert!(budget.ask(1_000_005, cost));
+    assert_eq!(budget.refused(), 1);
+}
+
+#[test]
+fn time_that_goes_back_frees_nothing() {
+    let mut budget = Budget::new(LIMITS);
+    assert!(budget.ask(2_000_000, Cost::message(1_000, 0)));
+    assert!(!budget.ask(0, Cost::message(1, 0)));
+    assert!(!budget.ask(2_999_999, Cost::message(1, 0)));
+    assert!(budget.ask(3_000_000, Cost::message(1, 0)));
+}
--- /dev/null
+++ b/crates/policy/tests/router.rs
@@ -0,0 +1,319 @@
+//! The router's decisions, as a table of what happens and what is done.
+
+use lynxcleat_policy::{
+    Action, AttemptId, CallId, Candidate, ChooseParams, Event, Figures, Here, NotRunReason, Policy,
+    Refusal, RefusalReason, Router, RouterParams, Settlement, Source, TargetId, UnknownReason,
+    Verdict, subset,
+};
+use rstest::rstest;
+
+const CALL: CallId = CallId(1);
+const DEADLINE: u64 = 1_000_000;
+
+fn router(targets: u32) -> Router {
+    router_of(Policy::ExpectedFinish, targets)
+}
+
+fn router_of(policy: Policy, targets: u32) -> Router {
+    let params = RouterParams {
+        choose: ChooseParams {
+            policy,
+            ramp_us: 0,
+            eject_failures: 3,
+            eject_us: 100_000,
+        },
+        attempt_limit: 3,
+        retry_percent: 10,
+    };
+    let mut router = Router::new(params, 1, 1);
+    let targets: Vec<_> = (0..targets).map(|id| (TargetId(id), 100.0)).collect();
+    router.set_targets(0, &targets);
+    router
+}
+
+fn arrive(router: &mut Router, call: CallId, effect: bool) -> Vec<Action> {
+    let event = Event::Arrived {
+        call,
+        deadline: DEADLINE,
+        effect,
+        may_retry: true,
+    };
+    router.on(0, event)
+}
+
+fn sent(actions: &[Action]) -> (AttemptId, TargetId) {
+    match actions {
+        [
+            Action::Send {
+                attempt, target, ..
+            },
+        ] => (*attempt, *target),
+        other => panic!("expected one send, got {other:?}"),
+    }
+}
+
+fn verdict(actions: &[Action]) -> Verdict {
+    match actions.last() {
+        Some(Action::Finish { verdict, .. }) => *verdict,
+        other => panic!("expected an end, got {other:?}"),
+    }
+}
+
+fn refused(attempt: AttemptId, reason: RefusalReason) -> Event {
+    Event::Refused {
+        attempt,
+        refusal: Refusal {
+            reason,
+            retry_after_us: 40_000,
+        },
+        figures: None,
+    }
+}
+
+fn answered(attempt: AttemptId, source: Source) -> Event {
+    Event::Answered {
+        attempt,
+        source,
+        figures: None,
+        there_us: 10,
+    }
+}
+
+#[test]
+fn a_refused_call_goes_to_another_target_and_is_given_up_at_once_after_the_last() {
+    let mut router = router(2);
+    let (first, at) = sent(&arrive(&mut router, CALL, true));
+    let (second, other) = sent(&router.on(10, refused(first, RefusalReason::Full)));
+    assert_ne!(at, other);
+    let end = router.on(20, refused(second, RefusalReason::Full));
+    let expected = Verdict::NotRun {
+        reason: NotRunReason::Refused(RefusalReason::Full),
+        retry_after_us: 40_000,
+    };
+    assert_eq!(verdict(&end), expected);
+    assert_eq!(router.calls(), 0);
+}
+
+#[rstest]
+#[case::lookup_answer_lost(false, |a| Event::TargetLost { attempt: a }, true)]
+#[case::effect_answer_lost(true, |a| Event::TargetLost { attempt: a }, false)]
+#[case::lookup_link_lost(false, |a| Event::LinkLost { attempt: a }, true)]
+#[case::lookup_failed(false, |a| answered(a, Source::Failed), true)]
+#[case::effect_failed(true, |a| answered(a, Source::Failed), false)]
+#[case::effect_not_sent(true, |a| Event::NotSent { attempt: a }, true)]
+#[case::effect_refused(true, |a| refused(a, RefusalReason::TooLate), true)]
+#[case::effect_settled_never(true, |a| Event::Settled { attempt: a, settlement: Settlement::NeverRan }, true)]
+#[case::effect_settled_unknown(true, |a| Event::Settled { attempt: a, settlement: Settlement::Unknown }, false)]
+fn only_what_cannot_run_twice_is_sent_again(
+    #[case] effect: bool,
+    #[case] event: fn(AttemptId) -> Event,
+    #[case] again: bool,
+) {
+    let mut router = router(2);
+    let (attempt, _) = sent(&arrive(&mut router, CALL, effect));
+    let actions = router.on(10, event(attempt));
+    assert_eq!(
+        matches!(actions[..], [Action::Send { .. }]),
+        again,
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn an_effect_whose_link_was_lost_is_settled_before_anything_is_said() {
+    let mut router = router(2);
+    let (attempt, target) = sent(&arrive(&mut router, CALL, true));
+    let settle = Action::Settle {
+        call: CALL,
+        attempt,
+        target,
+    };
+    assert_eq!(router.on(10, Event::LinkLost { attempt }), [settle]);
+    let ran = Event::Settled {
+        attempt,
+        settlement: Settlement::Ran,
+    };
+    assert_eq!(verdict(&router.on(20, ran)), Verdict::Answer { attempt });
+}
+
+#[test]
+fn a_lookup_that_may_have_run_is_never_called_not_run() {
+    let mut router = router(1);
+    let (attempt, _) = sent(&arrive(&mut router, CALL, false));
+    let end = router.on(10, Event::TargetLost { attempt });
+    let reason = UnknownReason::TargetLost;
+    assert_eq!(verdict(&end), Verdict::Unknown { reason });
+}
+
+#[test]
+fn a_call_that_is_out_at_its_deadline_is_cancelled_and_unknown() {
+    let mut router = router(2);
+    let (attempt, target) = sent(&arrive(&mut router, CALL, true));
+    let actions = router.on(DEADLINE, Event::DeadlineOver { call: CALL });
+    assert_eq!(actions[0], Action::Cancel { attempt, target });
+    let reason = UnknownReason::Deadline;
+    assert_eq!(verdict(&actions), Verdict::Unknown { reason });
+    assert!(
+        router
+            .on(DEADLINE, answered(attempt, Source::Served))
+            .is_empty(),
+        "late"
+    );
+}
+
+#[test]
+fn without_a_target_a_call_is_not_run() {
+    let end = arrive(&mut router(0), CALL, true);
+    assert!(matches!(
+        verdict(&end),
+        Verdict::NotRun {
+            reason: NotRunReason::NoTarget,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_retry_of_a_call_higher_up_is_not_tried_again() {
+    let mut router = router(3);
+    let event = Event::Arrived {
+        call: CALL,
+        deadline: DEADLINE,
+        effect: false,
+        may_retry: false,
+    };
+    let (attempt, _) = sent(&router.on(0, event));
+    let end = router.on(10, refused(attempt, RefusalReason::Full));
+    assert!(matches!(verdict(&end), Verdict::NotRun { .. }));
+}
+
+#[test]
+fn retries_of_many_refused_calls_stay_within_the_share() {
+    let mut router = router(3);
+    for nth in 0..1_000 {
+        let mut actions = arrive(&mut router, CallId(nth), false);
+        while let [Action::Send { attempt, .. }] = actions[..] {
+            actions = router.on(1, refused(attempt, RefusalReason::TooLate));
+        }
+    }
+    assert!(router.retries() >= 90, "{}", router.retries());
+    assert!(router.retries() <= 110, "{}", router.retries());
+}
+
+#[test]
+fn a_failing_target_is_ejected_and_let_back_by_one_trial() {
+    let mut router = router_of(Policy::RoundRobin, 2);
+    let bad = TargetId(0);
+    let mut id = 0;
+    let mut now = 1;
+    let mut picks = |router: &mut Router, now: u64, ok: bool| {
+        id += 1;
+        let event = Event::Arrived {
+            call: CallId(id),
+            deadline: now + DEADLINE,
+            effect: true,
+            may_retry: true,
+        };
+        let (attempt, target) = sent(&router.on(now, event));
+        let source = match target == bad && !ok {
+            true => Source::Failed,
+            false => Source::Served,
+        };
+        router.on(now, answered(attempt, source));
+        target
+    };
+    let first: Vec<_> = (0..40).map(|_| picks(&mut router, now, false)).collect();
+    assert_eq!(first.iter().filter(|t| **t == bad).count(), 3);
+    now += 100_001;
+    let second: Vec<_> = (0..40).map(|_| picks(&mut router, now, false)).collect();
+    assert_eq!(second.iter().filter(|t| **t == bad).count(), 1, "one trial");
+    now += 200_001;
+    let third: Vec<_> = (0..40).map(|_| picks(&mut router, now, true)).collect();
+    assert!(
+        third.iter().filter(|t| **t == bad).count() > 5,
+        "it is back"
+    );
+}
+
+#[test]
+fn a_leaving_or_unlinked_target_gets_no_call() {
+    let mut router = router(2);
+    router.on(
+        0,
+        Event::TargetLeaving {
+            target: TargetId(0),
+        },
+    );
+    for nth in 0..20 {
+        assert_eq!(
+            sent(&arrive(&mut router, CallId(nth), false)).1,
+            TargetId(1)
+        );
+    }
+    let unlink = |linked| Event::TargetLinked {
+        target: TargetId(1),
+        linked,
+    };
+    router.on(0, unlink(false));
+    let end = arrive(&mut router, CallId(50), false);
+    assert!(matches!(verdict(&end), Verdict::NotRun { .. }));
+    router.on(0, unlink(true));
+    router.on(
+        0,
+        Event::TargetBack {
+            target: TargetId(0),
+        },
+    );
+    sent(&arrive(&mut router, CallId(51), false));
+}
+
+#[test]
+fn the_choice_goes_by_the_expected_finish() {
+    let mut router = router(2);
+    let figures = |target, in_flight, service_us| Event::FiguresSeen {
+        target: TargetId(target),
+        figures: Figures {
+            in_flight,
+            held: 0,
+            slots: 4,
+            service_us,
+        },
+    };
+    router.on(0, figures(0, 0, 1_000));
+    router.on(0, figures(1, 0, 5_000));
+    for nth in 0..4 {
+        assert_eq!(
+            sent(&arrive(&mut router, CallId(nth), false)).1,
+            TargetId(0)
+        );
+    }
+    router.on(0, figures(0, 24, 1_000));
+    assert_eq!(sent(&arrive(&mut router, CallId(9), false)).1, TargetId(1));
+}
+
+#[test]
+fn a_subset_is_nearest_first_bounded_and_different_for_each_router() {
+    let candidates: Vec<Candidate> = (0..60)
+        .map(|n| Candidate {
+            target: TargetId(n),
+            host: format!("host-{n}"),
+            place: format!("place-{}", n % 3),
+            zone: format!("zone-{}", n % 6),
+        })
+        .collect();
+    let here = |host| Here {
+        host,
+        place: "place-0",
+        zone: "zone-0",
+    };
+    let first = subset(here("router-1"), &candidates, 15);
+    assert_eq!(first.len(), 15);
+    assert!(
+        first[..10].iter().all(|t| t.0 % 6 == 0),
+        "the zone's own ten first"
+    );
+    assert!(first[10..].iter().all(|t| t.0 % 3 == 0), "then the place's");
+    let second = subset(here("router-2"), &candidates, 15);
+    assert_ne!(first[10..], second[10..]);
+    assert_eq!(first, subset(here("router-1"), &candidates, 15));
+}
--- /dev/null
+++ b/crates/wire/tests/mesh.rs
@@ -0,0 +1,133 @@
+//! Messages read back, malformed ones are refused, and keys are proved.
+
+use lynxcleat_once::Incarnation;
+use lynxcleat_policy::{AttemptId, Figures};
+use lynxcleat_wire::{
+    Answer, CodecError, Envelope, Frame, Header, Hello, HelloError, PROTOCOL_VERSION, SharedKey,
+    Side, decode, encode,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rstest::rstest;
+
+fn hello(nonce: u128) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        deployment: "test".to_owned(),
+        host: "h".to_owned(),
+        place: "p".to_owned(),
+        zone: "z".to_owned(),
+        service: "s".to_owned(),
+        mesh: "127.0.0.1:1".to_owned(),
+        incarnation: Incarnation(u64::MAX),
+        started_ms: 5,
+        leaving: false,
+        nonce,
+    }
+}
+
+fn answer() -> Envelope {
+    Envelope {
+        generation: 4,
+        frame: Frame::Answer {
+            attempt: AttemptId(1 << 40),
+            answer: Answer {
+                status: 200,
+                headers: vec![Header("a".to_owned(), vec![0xff, 0].into())],
+                body: vec![1, 2, 3].into(),
+            },
+            figures: Some(Figures {
+                in_flight: 3,
+                held: 1,
+                slots: 12,
+                service_us: 900,
+            }),
+            there_us: 77,
+        },
+    }
+}
+
+#[test]
+fn messages_read_back() {
+    for envelope in [
+        answer(),
+        Envelope {
+            generation: 0,
+            frame: Frame::Hello(hello(u128::MAX)),
+        },
+        Envelope {
+            generation: u64::MAX,
+            frame: Frame::Beat,
+        },
+    ] {
+        let bytes = encode(&envelope).expect("encodes");
+        assert_eq!(decode(&bytes).expect("decodes"), envelope);
+    }
+}
+
+#[test]
+fn a_message_cut_anywhere_or_with_bytes_behind_it_is_refused() {
+    let bytes = encode(&answer()).expect("encodes");
+    for end in 0..bytes.len() {
+        assert!(decode(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    let mut longer = bytes;
+    longer.push(0);
+    assert!(matches!(decode(&longer), Err(CodecError::Trailing(1))));
+}
+
+#[rstest]
+#[case::own_key_and_side(b"0123456789abcdef", Side::Dialer, 1, Ok(()))]
+#[case::other_key(b"0123456789abcdeX", Side::Dialer, 1, Err(HelloError::BadProof))]
+#[case::reflected(b"0123456789abcdef", Side::Acceptor, 1, Err(HelloError::BadProof))]
+#[case::replayed(b"0123456789abcdef", Side::Dialer, 3, Err(HelloError::BadProof))]
+fn a_proof_holds_for_one_key_side_and_link(
+    #[case] key: &[u8],
+    #[case] side: Side,
+    #[case] nonce: u128,
+    #[case] expected: Result<(), HelloError>,
+) {
+    let ours = SharedKey::new(b"0123456789abcdef").expect("long enough");
+    let theirs = SharedKey::new(key).expect("long enough");
+    let proof = theirs.prove(side, &hello(nonce), &hello(2));
+    let checked = ours.check(Side::Dialer, &hello(1), &hello(2), &proof);
+    assert_eq!(checked, expected);
+}
+
+#[test]
+fn other_versions_deployments_and_short_keys_are_refused() {
+    let mut theirs = hello(1);
+    theirs.version += 1;
+    assert!(matches!(
+        hello(2).check(&theirs),
+        Err(HelloError::Version { .. })
+    ));
+    let mut theirs = hello(1);
+    theirs.deployment = "other".to_owned();
+    let refused = hello(2).check(&theirs);
+    assert!(matches!(refused, Err(HelloError::Deployment { .. })));
+    assert!(matches!(
+        SharedKey::new(b"short"),
+        Err(HelloError::ShortKey(5))
+    ));
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(9), cases: 4_000, failure_persistence: None, ..Config::default() })]
+
+    /// Any bytes, and any message with bytes changed, are read or refused, and
+    /// never cost more than their own size to refuse.
+    #[test]
+    fn no_bytes_break_the_reader(
+        noise in prop::collection::vec(any::<u8>(), 0..200),
+        changes in prop::collection::vec((any::<usize>(), any::<u8>()), 0..8),
+    ) {
+        let _ = decode(&noise);
+        let mut bytes = encode(&answer()).expect("encodes");
+        for (at, byte) in changes {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        let _ = decode(&bytes);
+    }
+}
