Answers: a target that answers twice no longer reaches the next caller

Cause: HTTP/1.1 does not say which request an answer belongs to, and a connection was used again (last in, first out) before the second answer could be noticed. Ruled out: the mesh and the routers; attempts are matched by unique numbers there, and the wrong body came from the target's socket. Change: connections rest 3 ms, longest rested first, and one that receives anything at rest is closed (hyper notices); a target that repeats our call header is checked against it. What stays open: a second answer later than the rest, from a target that does not repeat the call header, cannot be told in HTTP/1.1.

--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -20,8 +20,6 @@
 use crate::core::Core;
 use crate::headers::{DEADLINE, KEY, PREFIX, RETRY, TICKET, is_hop_by_hop, listed_in_connection};
 
-/// Longest time for the body of a request.
-const BODY_TIME: Duration = Duration::from_secs(15);
 /// Longest idempotency key, in bytes.
 const KEY_LIMIT: usize = 255;
 
@@ -82,9 +80,11 @@
 }
 
 /// Reads a request's body, within its limit and its time.
-pub(super) async fn read_body(body: Incoming, limit: usize) -> Result<ByteBuf, Problem> {
+pub(super) async fn read_body(body: Incoming, effective: &Effective) -> Result<ByteBuf, Problem> {
+    let limit = effective.body_limit_bytes;
+    let time = Duration::from_millis(effective.caller_limit_ms);
     let whole = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIME, whole).await {
+    match tokio::time::timeout(time, whole).await {
         Ok(Ok(whole)) => Ok(ByteBuf::from(whole.to_bytes().to_vec())),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::TooLarge { limit }),
         Ok(Err(_)) => Err(Problem::Bad("the body was not sent whole")),
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -22,8 +22,8 @@
 use crate::core::Core;
 use crate::life::Phase;
 
-/// Longest time for the head of a request, and longest idle time between two.
-const HEAD_LIMIT: Duration = Duration::from_secs(15);
+/// Longest time for the head of a request before settings are in force.
+const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(15);
 /// Largest head of a request, in bytes.
 const HEAD_BYTES: usize = 32 << 10;
 /// Headers of a request at most.
@@ -69,7 +69,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT)
+        .header_read_timeout(head_limit(core))
         .max_header_size(HEAD_BYTES)
         .max_headers(HEADERS_LIMIT)
         .serve_connection(TokioIo::new(stream), service);
@@ -85,3 +85,11 @@
         log::debug!("caller's connection: {error}");
     }
 }
+
+/// Longest time for the head of a request, and longest idle time between two.
+fn head_limit(core: &Core) -> Duration {
+    let in_force = core.settings.current();
+    in_force.map_or(FIRST_HEAD_LIMIT, |in_force| {
+        Duration::from_millis(in_force.own.caller_limit_ms)
+    })
+}
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -70,7 +70,7 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let body = classify::read_body(body, pinned.effective.body_limit_bytes).await?;
+    let body = classify::read_body(body, &pinned.effective).await?;
     let Pinned {
         call,
         effective,
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -16,6 +16,8 @@
 const POLL_BYTES: usize = 800;
 /// Processor time charged for a poll, in microseconds.
 const POLL_CPU_US: u64 = 300;
+/// Warm connections kept for each slot: one in use, one at rest.
+const WARM_PER_SLOT: usize = 2;
 /// Seconds that a poll may take.
 const POLL_LIMIT_S: u64 = 1;
 /// Interval before settings are in force, in milliseconds.
@@ -47,7 +49,8 @@
 async fn keep_warm(core: &Core) {
     core.half.pool.drop_old();
     if let Some(in_force) = core.settings.current() {
-        core.half.pool.warm(in_force.own.slots as usize).await;
+        let warm = WARM_PER_SLOT * in_force.own.slots as usize;
+        core.half.pool.warm(warm).await;
     }
 }
 
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -9,7 +9,9 @@
 use serde_bytes::ByteBuf;
 
 use super::pool::{Pool, Sender};
-use crate::headers::{DEADLINE, OUTCOME, RETRY_AFTER_MS, is_hop_by_hop, listed_in_connection};
+use crate::headers::{
+    CALL, DEADLINE, OUTCOME, RETRY_AFTER_MS, is_hop_by_hop, listed_in_connection,
+};
 
 /// What a target says that did not run a call.
 const NOT_RUN: &str = "not-run";
@@ -18,6 +20,7 @@
 
 /// What is written to the target.
 pub(super) struct Request {
+    pub call: String,
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub left_us: Micros,
@@ -44,6 +47,7 @@
     pub(super) async fn exchange(&self, request: Request) -> Exchange {
         let body_limit = request.body_limit;
         let is_head = request.head.method == "HEAD";
+        let call = request.call.clone();
         let Some(mut http) = build(request) else {
             return Exchange::NotWritten;
         };
@@ -56,7 +60,12 @@
                 }
             };
             match sender.try_send_request(http).await {
-                Ok(response) => return self.finish(sender, response, body_limit, is_head).await,
+                Ok(response) => {
+                    if answers_another(&response, &call) {
+                        return Exchange::Lost;
+                    }
+                    return self.finish(sender, response, body_limit, is_head).await;
+                }
                 // Given back unwritten: the target had closed an idle connection.
                 Err(mut error) => match error.take_message() {
                     Some(unwritten) => http = unwritten,
@@ -95,19 +104,36 @@
 }
 
 fn build(request: Request) -> Option<HttpRequest> {
-    let Request { head, body, .. } = request;
+    let Request {
+        call,
+        head,
+        body,
+        left_us,
+        ..
+    } = request;
     let method = Method::from_bytes(head.method.as_bytes()).ok()?;
     let uri: Uri = head.path.parse().ok()?;
     let mut http = hyper::Request::builder().method(method).uri(uri);
     for Header(name, value) in &head.headers {
         http = http.header(name.as_str(), value.as_slice());
     }
-    let left_ms = request.left_us / 1_000;
+    let left_ms = left_us / 1_000;
     http.header(DEADLINE, left_ms)
+        .header(CALL, call)
         .body(Full::new(Bytes::from(body)))
         .ok()
 }
 
+/// A target that repeats our call header shows which request it answers.
+fn answers_another(response: &Response<Incoming>, call: &str) -> bool {
+    let repeated = response.headers().get(CALL);
+    let other = repeated.is_some_and(|value| value.as_bytes() != call.as_bytes());
+    if other {
+        log::error!(call; "the target answered another call on this connection");
+    }
+    other
+}
+
 fn shed(parts: &hyper::http::response::Parts) -> Option<Exchange> {
     let outcome = parts.headers.get(OUTCOME)?;
     if outcome != NOT_RUN || !parts.status.is_server_error() {
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -1,6 +1,13 @@
 //! Connections to the target: kept open, bounded, and never used again after an
 //! exchange that did not end cleanly.
-
+//!
+//! HTTP/1.1 does not say to which request an answer belongs. A target that
+//! answers twice would give its second answer to the next caller, so a connection
+//! rests before it is used again, longest rested first, and one that receives
+//! anything while it rests is closed. A second answer that comes later than that
+//! can be told only if the target repeats our call header; see `exchange`.
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -21,6 +28,8 @@
 /// An idle connection older than this is closed rather than used: the target may
 /// be about to close it, and a call written then could not be told from one run.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Time that a connection rests after an answer before it is used again.
+const REST: Duration = Duration::from_millis(3);
 
 pub(super) type Sender = SendRequest<Full<Bytes>>;
 
@@ -49,7 +58,7 @@
     limit: AtomicUsize,
     open: Arc<AtomicUsize>,
     closed: Arc<Notify>,
-    idle: Mutex<Vec<Idle>>,
+    idle: Mutex<VecDeque<Idle>>,
 }
 
 impl Pool {
@@ -76,8 +85,9 @@
 
     /// Opens connections until `count` are open, so that a burst finds them warm.
     pub async fn warm(&self, count: usize) {
-        while self.open() < count.min(self.limit.load(Ordering::Relaxed)) {
-            match self.connect().await {
+        while self.open() < count {
+            let Some(place) = self.reserve() else { return };
+            match self.connect(place).await {
                 Ok(sender) => self.put_back(sender),
                 Err(_) => return,
             }
@@ -89,33 +99,45 @@
         lock(&self.idle).retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
     }
 
-    /// A connection that is ready for a request.
+    /// A connection that is ready for a request: the one that rested longest, or
+    /// a new one.
     pub(super) async fn take(&self) -> Result<Sender, PoolError> {
-        while let Some(mut idle) = self.pop() {
-            let fresh = idle.since.elapsed() < IDLE_LIMIT;
-            if fresh && idle.sender.ready().await.is_ok() {
-                return Ok(idle.sender);
-            }
-        }
-        tokio::time::timeout(CONNECT_LIMIT, self.connect())
+        tokio::time::timeout(CONNECT_LIMIT, self.take_any())
             .await
             .unwrap_or(Err(PoolError::TooSlow))
     }
 
+    async fn take_any(&self) -> Result<Sender, PoolError> {
+        loop {
+            while let Some(mut idle) = self.pop_rested() {
+                let fresh = idle.since.elapsed() < IDLE_LIMIT;
+                if fresh && idle.sender.ready().await.is_ok() {
+                    return Ok(idle.sender);
+                }
+            }
+            if let Some(place) = self.reserve() {
+                return self.connect(place).await;
+            }
+            let closed = self.closed.notified();
+            let _ = tokio::time::timeout(REST, closed).await;
+        }
+    }
+
     /// Keeps a connection whose last exchange ended cleanly.
     pub(super) fn put_back(&self, sender: Sender) {
         if !sender.is_closed() {
             let since = Instant::now();
-            lock(&self.idle).push(Idle { sender, since });
+            lock(&self.idle).push_back(Idle { sender, since });
         }
     }
 
-    fn pop(&self) -> Option<Idle> {
-        lock(&self.idle).pop()
+    fn pop_rested(&self) -> Option<Idle> {
+        let mut idle = lock(&self.idle);
+        let rested = idle.front()?.since.elapsed() >= REST;
+        if rested { idle.pop_front() } else { None }
     }
 
-    async fn connect(&self) -> Result<Sender, PoolError> {
-        let place = self.reserve().await;
+    async fn connect(&self, place: OpenPlace) -> Result<Sender, PoolError> {
         let stream = TcpStream::connect(self.target).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -128,26 +150,19 @@
         Ok(sender)
     }
 
-    /// Waits until fewer than the limit are open, and counts one.
-    async fn reserve(&self) -> OpenPlace {
-        loop {
-            let closed = self.closed.notified();
-            tokio::pin!(closed);
-            closed.as_mut().enable();
-            let limit = self.limit.load(Ordering::Relaxed);
-            let counted = self
-                .open
-                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
-                    (open < limit).then_some(open + 1)
-                });
-            if counted.is_ok() {
-                return OpenPlace {
-                    open: Arc::clone(&self.open),
-                    closed: Arc::clone(&self.closed),
-                };
-            }
-            closed.await;
-        }
+    /// Counts one more open connection, if the limit allows it.
+    fn reserve(&self) -> Option<OpenPlace> {
+        let limit = self.limit.load(Ordering::Relaxed);
+        let counted = self
+            .open
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
+                (open < limit).then_some(open + 1)
+            });
+        counted.ok()?;
+        Some(OpenPlace {
+            open: Arc::clone(&self.open),
+            closed: Arc::clone(&self.closed),
+        })
     }
 }
 
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -257,6 +257,7 @@
     /// off; an operation is not, so that its outcome is known.
     async fn exchange(&self, op: Option<OpId>, call: CallFrame) -> Exchange {
         let request = Request {
+            call: call.call,
             head: call.head,
             body: call.body.into_vec(),
             left_us: self.deadline.saturating_sub(self.core.clock.now()),
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -18,7 +18,8 @@
 pub const OUTCOME: &str = "lynxcleat-outcome";
 /// Whether the answer is a stored one. To callers.
 pub const REPLAYED: &str = "lynxcleat-replayed";
-/// Name of the call, for logs and explanations. To callers.
+/// Name of the call, for logs and explanations. To callers, and to targets, which
+/// may repeat it in their answers to show which call they answer.
 pub const CALL: &str = "lynxcleat-call";
 /// When to come back, in milliseconds. To callers and from targets that shed.
 pub const RETRY_AFTER_MS: &str = "lynxcleat-retry-after-ms";
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,149 @@
+//! Every caller receives the complete answer to its own request, or is told that
+//! there is none.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lynxcleat_standin::TargetFaults;
+use serde_json::json;
+use support::{Plan, answer, each_gets_its_own, odd_target, raw, read_path, tree};
+
+#[test]
+fn late_answers_after_a_time_out_reach_nobody_else() {
+    let target = odd_target(|mut stream, nth| {
+        while let Some(path) = read_path(&mut stream) {
+            thread::sleep(Duration::from_millis(if nth % 2 == 0 { 150 } else { 1 }));
+            answer(&mut stream, &path);
+        }
+    });
+    let fleet = Plan::new("answers-late").start_with_target(&target);
+    let own: usize = (0..5)
+        .map(|_| each_gets_its_own(&fleet.workers[0].callers, "100"))
+        .sum();
+    assert!(own > 0, "some are in time");
+}
+
+#[test]
+fn cut_oversized_and_garbled_answers_are_never_passed_on() {
+    let mut plan = Plan::new("answers-cut");
+    plan.tree = tree(json!({"body_limit_bytes": 1_000, "retry_percent": 0}));
+    let target = odd_target(|mut stream, _| {
+        while let Some(path) = read_path(&mut stream) {
+            let text = match path.as_str() {
+                "/cut" => "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_owned(),
+                "/chunk" => {
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n50\r\nhalf".to_owned()
+                }
+                "/garbled" => "nothing like HTTP\r\n\r\n".to_owned(),
+                "/large" => format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n{}",
+                    "x".repeat(2_000)
+                ),
+                _ => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
+            };
+            let _ = stream.write_all(text.as_bytes());
+            if path != "/good" {
+                return;
+            }
+        }
+    });
+    let fleet = plan.start_with_target(&target);
+    let worker = &fleet.workers[0];
+    for path in ["/cut", "/chunk", "/garbled", "/large", "/nothing-more"] {
+        let begun = Instant::now();
+        let reply = worker.get(path, &[]);
+        if path == "/nothing-more" {
+            assert_eq!(reply.body, b"ok");
+            continue;
+        }
+        assert_eq!(
+            (reply.status, &*reply.outcome()),
+            (504, "unknown"),
+            "{path}"
+        );
+        assert!(begun.elapsed() < Duration::from_secs(1), "told at once");
+    }
+    assert_eq!(worker.get("/good", &[]).body, b"ok");
+}
+
+#[test]
+fn a_lookup_whose_answer_was_cut_is_served_by_another_target() {
+    let fleet = Plan::new("answers-elsewhere").start();
+    let cut = TargetFaults {
+        cut_answers: true,
+        ..TargetFaults::default()
+    };
+    fleet.workers[0].target.set_faults(cut);
+    for _ in 0..8 {
+        let reply = fleet.workers[1].get("/items/1", &[("x-echo", "e")]);
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.json()["target"], "stock-1");
+    }
+}
+
+#[test]
+fn equal_requests_on_one_connection_and_on_many_get_an_answer_each() {
+    let fleet = Plan::new("answers-equal").start();
+    let mut stream = TcpStream::connect(&fleet.workers[0].callers).expect("connect");
+    let one = "GET /same HTTP/1.1\r\nHost: stock\r\nX-Echo: e\r\n\r\n";
+    let last = "GET /last HTTP/1.1\r\nHost: stock\r\nConnection: close\r\n\r\n";
+    let pipelined = format!("{one}{one}{one}{last}");
+    stream.write_all(pipelined.as_bytes()).expect("written");
+    let mut got = String::new();
+    stream.read_to_string(&mut got).expect("read");
+    assert_eq!(got.matches("\"path\":\"/same\"").count(), 3);
+    assert_eq!(got.matches("\"path\":\"/last\"").count(), 1);
+    assert!(got.rfind("/same") < got.rfind("/last"), "in order");
+}
+
+#[test]
+fn a_caller_that_goes_away_has_its_lookup_cancelled() {
+    let mut plan = Plan::new("answers-gone");
+    plan.workers = 1;
+    plan.slots = 1;
+    plan.tree = tree(json!({"slots": 1}));
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    worker.target.set_faults(TargetFaults {
+        frozen: true,
+        ..TargetFaults::default()
+    });
+    let mut stream = TcpStream::connect(&worker.callers).expect("connect");
+    let request = "GET /gone HTTP/1.1\r\nHost: stock\r\nLynxcleat-Deadline-Ms: 30000\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("written");
+    let in_flight = |wanted| {
+        lynxcleat_standin::wait_until(support::PATIENCE, || {
+            worker.status().is_some_and(|s| s.in_flight == wanted)
+        })
+    };
+    assert!(in_flight(1));
+    drop(stream);
+    assert!(in_flight(0), "its slot is free long before its deadline");
+    worker.target.set_faults(TargetFaults::default());
+}
+
+#[test]
+fn slow_senders_are_bounded_in_time() {
+    let mut plan = Plan::new("answers-slow");
+    plan.workers = 1;
+    plan.tree = tree(json!({"caller_limit_ms": 300}));
+    let fleet = plan.start();
+    let address = &fleet.workers[0].callers;
+    let begun = Instant::now();
+    let mut half_head = TcpStream::connect(address).expect("connect");
+    half_head
+        .write_all(b"GET / HTTP/1.1\r\nHo")
+        .expect("written");
+    let mut rest = Vec::new();
+    let _ = half_head.read_to_end(&mut rest);
+    let half_body =
+        b"POST / HTTP/1.1\r\nHost: stock\r\nConnection: close\r\nContent-Length: 9\r\n\r\nabc";
+    let reply = raw(address, half_body).expect("an answer");
+    assert_eq!((reply.status, &*reply.outcome()), (408, "not-run"));
+    assert!(begun.elapsed() < Duration::from_secs(10));
+    assert_eq!(fleet.workers[0].target.served(), 0);
+}
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -48,6 +48,7 @@
     pub hold_limit: u32,
     pub deadline_ms: u64,
     pub deadline_max_ms: u64,
+    pub caller_limit_ms: u64,
     pub body_limit_bytes: usize,
     pub attempt_limit: u32,
     pub retry_percent: u32,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -72,6 +72,7 @@
     whole("hold_limit", "calls", (0, 65_536), 48, "calls held for a slot before one is refused"),
     whole("deadline_ms", "ms", (1, DAY_MS), 2_000, "deadline of a call that names none"),
     whole("deadline_max_ms", "ms", (1, DAY_MS), 30_000, "longest deadline a caller may name"),
+    whole("caller_limit_ms", "ms", (100, 600_000), 15_000, "time for the head of a request, for its body, and between two on a connection"),
     whole("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "largest request or answer body"),
     whole("attempt_limit", "attempts", (1, 8), 3, "targets one call may be offered to"),
     whole("retry_percent", "%", (0, 100), 10, "further attempts, as a share of first attempts"),
