--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -68,7 +68,7 @@
 /// Routes a call and returns what its caller is told.
 pub async fn run(core: &Arc<Core>, service: &Arc<ServiceRouter>, call: Outbound) -> RouteVerdict {
     let deadline = core.clock.instant(call.deadline);
-    let _ = tokio::time::timeout_at(deadline, service.ready()).await;
+    let _ = tokio::time::timeout_at(deadline, service.ready(core)).await;
     let (sender, signals) = flume::unbounded();
     let mut in_hand = InHand {
         core,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -36,6 +36,8 @@
     entry: HostEntry,
     link: Option<Arc<Link>>,
     last_incarnation: Option<Incarnation>,
+    /// Whether a link was made or failed to be made since the peer is known.
+    tried: bool,
     keeper: JoinHandle<()>,
 }
 
@@ -153,19 +155,17 @@
         known.unwrap_or_else(|| format!("target {}", target.0))
     }
 
-    /// Waits until some target is linked. Returns at once where one is, or where
-    /// the service has none.
-    pub async fn ready(&self) {
+    /// Waits until some target is open for calls. Returns at once where one is, or
+    /// where there is nothing to wait for: every link was tried.
+    pub async fn ready(&self, core: &Core) {
         loop {
             let linked = self.linked.notified();
             tokio::pin!(linked);
             linked.as_mut().enable();
-            {
-                let peers = lock(&self.peers);
-                let any = peers.values().any(|peer| peer.link.is_some());
-                if any || peers.is_empty() {
-                    return;
-                }
+            let any_open = lock(&self.router).chooser().any_open(core.clock.now());
+            let all_tried = lock(&self.peers).values().all(|peer| peer.tried);
+            if any_open || all_tried {
+                return;
             }
             linked.await;
         }
@@ -257,7 +257,10 @@
                         link.closed().await;
                         service.link_lost(&core, target);
                     }
-                    Err(error) => log::debug!("{error}"),
+                    Err(error) => {
+                        log::debug!("{error}");
+                        service.link_failed(target);
+                    }
                 }
                 drop(service);
                 tokio::time::sleep(pauses.next().unwrap_or(REDIAL_LONGEST)).await;
@@ -267,6 +270,7 @@
             entry,
             link: None,
             last_incarnation: None,
+            tried: false,
             keeper,
         }
     }
@@ -278,6 +282,7 @@
                 return;
             };
             peer.link = Some(Arc::clone(link));
+            peer.tried = true;
             let incarnation = link.peer.incarnation;
             let last = peer.last_incarnation.replace(incarnation);
             last.is_some_and(|last| last != incarnation)
@@ -299,6 +304,13 @@
         self.linked.notify_waiters();
     }
 
+    fn link_failed(&self, target: TargetId) {
+        if let Some(peer) = lock(&self.peers).get_mut(&target) {
+            peer.tried = true;
+        }
+        self.linked.notify_waiters();
+    }
+
     fn link_lost(&self, core: &Core, target: TargetId) {
         if let Some(peer) = lock(&self.peers).get_mut(&target) {
             peer.link = None;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -116,8 +116,15 @@
 }
 
 impl Fleet {
-    fn add(&mut self, number: usize, plan: &Plan, other_target: Option<&str>) {
-        let host = format!("stock-{number}");
+    fn add_named(
+        &mut self,
+        host: &str,
+        service: &str,
+        number: usize,
+        plan: &Plan,
+        other_target: Option<&str>,
+    ) {
+        let host = host.to_owned();
         let target = TargetStandin::start(&TargetOptions {
             name: host.clone(),
             address: "127.0.0.1:0".to_owned(),
@@ -140,7 +147,7 @@
             host: host.clone(),
             place: place.to_owned(),
             zone: format!("{place}-1"),
-            service: "stock".to_owned(),
+            service: service.to_owned(),
             callers: free_address(),
             mesh: free_address(),
             ops: free_address(),
@@ -180,6 +187,21 @@
         self.workers.push(worker);
     }
 
+    /// Adds a daemon whose target belongs to another service. Returns its number.
+    pub fn add_outsider(&mut self, name: &str) -> usize {
+        let mut plan = Plan::new("outsider");
+        plan.processes = true;
+        let number = self.workers.len();
+        self.add_named(name, "other", number, &plan, None);
+        self.wait_ready();
+        number
+    }
+
+    fn add(&mut self, number: usize, plan: &Plan, other_target: Option<&str>) {
+        let host = format!("stock-{number}");
+        self.add_named(&host, "stock", number, plan, other_target);
+    }
+
     pub fn start_here(&self, worker: &Worker) -> Daemon {
         let config = Config::resolve(worker.raw.clone(), Path::new(".")).expect("config");
         let started = self.runtime.block_on(Daemon::start(config));
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -135,6 +135,13 @@
         &self.order
     }
 
+    /// Whether any target may be chosen now.
+    pub fn any_open(&self, now: Micros) -> bool {
+        self.order
+            .iter()
+            .any(|target| self.is_open(now, *target, &[]))
+    }
+
     /// What is known of one target.
     pub fn target(&self, target: TargetId) -> Option<&TargetState> {
         self.states.get(&target)
