Settings, measuring and links, proved against a failing platform

Found: an operator's accept right after another one failed with 'base not known' when the platform served an old pointer; a read older than the base is now made again. A dialer that meets a wrong key now counts and logs it (before, only a debug line).

--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -12,6 +12,7 @@
 
 use super::MESSAGE_LIMIT;
 use crate::core::Core;
+use crate::metrics::KindLabels;
 
 /// Longest time from a connection to its proof.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
@@ -41,6 +42,24 @@
     TooSlow,
 }
 
+/// Counts a link that was not made. A side that may not speak to us is worth a
+/// warning; a host that is down is not.
+pub(super) fn count_refused(core: &Core, other: &str, error: &HandshakeError) {
+    let kind = match error {
+        HandshakeError::Hello(_) => "hello",
+        HandshakeError::Codec(_) => "malformed",
+        HandshakeError::TooSlow => "slow",
+        HandshakeError::Io(_) | HandshakeError::Socket(_) | HandshakeError::Closed => "connection",
+    };
+    let labels = KindLabels { kind };
+    core.metrics.links_refused.get_or_create(&labels).inc();
+    let level = match error {
+        HandshakeError::Hello(_) | HandshakeError::Codec(_) => log::Level::Warn,
+        _ => log::Level::Debug,
+    };
+    log::log!(level, other, kind; "no link: {error}");
+}
+
 pub(super) fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(MESSAGE_LIMIT))
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -71,9 +71,10 @@
             links.connect_to_self(core)
         } else {
             let dialed = handshake::dial(core, mesh).await;
-            let (socket, hello) = dialed.map_err(|error| LinkError {
-                mesh: mesh.to_owned(),
-                error,
+            let (socket, hello) = dialed.map_err(|error| {
+                handshake::count_refused(core, mesh, &error);
+                let mesh = mesh.to_owned();
+                LinkError { mesh, error }
             })?;
             let link = links.start(core, socket, hello, Side::Dialer);
             beat::start(core, &link);
--- a/crates/daemon/src/mesh/listener.rs
+++ b/crates/daemon/src/mesh/listener.rs
@@ -7,10 +7,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::handshake::{self, HandshakeError};
+use super::handshake;
 use crate::core::Core;
 use crate::life::Phase;
-use crate::metrics::KindLabels;
 
 /// Connections that have not proved the key yet, at most.
 const UNPROVED_LIMIT: usize = 64;
@@ -42,27 +41,14 @@
 }
 
 async fn take(core: &Arc<Core>, stream: TcpStream) {
-    let from = stream.peer_addr().ok();
+    let from = stream.peer_addr();
     match handshake::accept(core, stream).await {
         Ok((socket, hello)) => {
             core.links.start(core, socket, hello, Side::Acceptor);
         }
         Err(error) => {
-            let kind = refused_kind(&error);
-            core.metrics
-                .links_refused
-                .get_or_create(&KindLabels { kind })
-                .inc();
-            log::warn!(from:? = from, kind; "link refused: {error}");
+            let from = from.map_or_else(|_| String::new(), |from| from.to_string());
+            handshake::count_refused(core, &from, &error);
         }
     }
 }
-
-fn refused_kind(error: &HandshakeError) -> &'static str {
-    match error {
-        HandshakeError::Hello(_) => "hello",
-        HandshakeError::Codec(_) => "malformed",
-        HandshakeError::TooSlow => "slow",
-        HandshakeError::Io(_) | HandshakeError::Socket(_) | HandshakeError::Closed => "connection",
-    }
-}
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -19,9 +19,9 @@
 /// What tells that worker 0's target leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Told {
-    ByTarget,
-    ByList,
-    ByOperator,
+    Target,
+    List,
+    Operator,
 }
 
 /// Calls every daemon in turn until told to end; returns the answers that were
@@ -48,16 +48,16 @@
 }
 
 #[rstest]
-#[case::by_the_target(Told::ByTarget)]
-#[case::by_the_list(Told::ByList)]
-#[case::by_an_operator(Told::ByOperator)]
+#[case::by_the_target(Told::Target)]
+#[case::by_the_list(Told::List)]
+#[case::by_an_operator(Told::Operator)]
 fn a_leaving_target_gets_no_new_calls_and_nobody_notices(#[case] told: Told) {
     let mut plan = Plan::new("leaving");
     plan.workers = 3;
     let fleet = plan.start();
     // The list lags, and the endpoint claims the load of an idle target.
     fleet.platform.set_faults(PlatformFaults {
-        list_lag_ms: if told == Told::ByList { 0 } else { 10_000 },
+        list_lag_ms: if told == Told::List { 0 } else { 10_000 },
         ..PlatformFaults::default()
     });
     let over = Arc::new(AtomicBool::new(false));
@@ -70,12 +70,12 @@
     );
     let begun = Instant::now();
     match told {
-        Told::ByTarget => leaving.target.set_faults(TargetFaults {
+        Told::Target => leaving.target.set_faults(TargetFaults {
             draining: true,
             false_load: Some(0),
             ..TargetFaults::default()
         }),
-        Told::ByList => {
+        Told::List => {
             let mut entry = leaving.entry.clone();
             entry.state = HostState::Leaving;
             fleet.platform.put_host(entry);
--- /dev/null
+++ b/crates/daemon/tests/measuring.rs
@@ -0,0 +1,112 @@
+//! The work of measuring never exceeds the budget, counted on the wire.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lynxcleat_platform::{HostEntry, HostState};
+use lynxcleat_standin::wait_until;
+use serde_json::json;
+use support::{Crossed, Plan, tree};
+
+/// Passes connections on to `to` and notes every byte in either direction.
+fn counting(to: &str) -> (String, Crossed) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let crossed = Crossed::default();
+    let (to, noted) = (to.to_owned(), Arc::clone(&crossed));
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(&to) else {
+                continue;
+            };
+            for (from, into) in [(&near, &far), (&far, &near)] {
+                let (Ok(from), Ok(into)) = (from.try_clone(), into.try_clone()) else {
+                    continue;
+                };
+                let noted = Arc::clone(&noted);
+                thread::spawn(move || pass(from, into, &noted));
+            }
+        }
+    });
+    (address, crossed)
+}
+
+fn pass(mut from: TcpStream, mut into: TcpStream, noted: &Crossed) {
+    let mut part = [0; 4096];
+    while let Ok(count) = from.read(&mut part) {
+        if count == 0 || into.write_all(&part[..count]).is_err() {
+            break;
+        }
+        noted
+            .lock()
+            .expect("not poisoned")
+            .push((Instant::now(), count));
+    }
+    let _ = into.shutdown(std::net::Shutdown::Both);
+}
+
+/// The most bytes that crossed in any second.
+fn busiest_second(crossed: &Crossed) -> usize {
+    let all = crossed.lock().expect("not poisoned").clone();
+    let starts = all.iter().map(|(at, _)| *at);
+    let sums = starts.map(|start| {
+        let until = start + Duration::from_secs(1);
+        let within = all.iter().filter(|(at, _)| (start..until).contains(at));
+        within.map(|(_, count)| count).sum()
+    });
+    sums.max().unwrap_or_default()
+}
+
+#[test]
+fn polls_heartbeats_and_redials_stay_within_the_bytes_allowed_in_any_second() {
+    const ALLOWED: usize = 6_000;
+    let mut plan = Plan::new("measuring");
+    plan.workers = 3;
+    // It wants to poll far more often than the budget allows.
+    plan.tree = tree(json!({
+        "poll_ms": 50, "host_list_ms": 50, "health_ms": 50, "heartbeat_ms": 50,
+        "link_silence_ms": 60_000, "measure_bytes_per_s": ALLOWED,
+        "measure_messages_per_s": 40, "measure_cpu_us_per_s": 13_000,
+    }));
+    let mut fleet = plan.start_counted(counting);
+    let (platform, health) = fleet.counted.take().expect("counted");
+    // Two hosts on the list are dead: their links are tried again and again.
+    for n in 0..2 {
+        fleet.platform.put_host(HostEntry {
+            host: format!("dead-{n}"),
+            mesh: format!("127.0.0.1:{}", 1 + n),
+            state: HostState::Live,
+            ..fleet.workers[1].entry.clone()
+        });
+    }
+    let worker = &fleet.workers[0];
+    let begun = Instant::now();
+    let mut calls = 0;
+    while begun.elapsed() < Duration::from_secs(4) {
+        calls += 1;
+        assert_eq!(worker.get("/", &[]).status, 200);
+    }
+    assert!(
+        calls > 100,
+        "{calls} calls: a burst of figures that want to ride"
+    );
+    let most = busiest_second(&platform) + busiest_second(&health);
+    let refused = worker.metric("lynxcleat_measure_refused_total");
+    let spent = worker.metric("lynxcleat_measure_bytes_total");
+    println!("busiest second {most} bytes of {ALLOWED}; refused {refused}; spent {spent}");
+    assert!(most <= ALLOWED, "{most}");
+    assert!(refused > 0.0, "it wanted more than it was allowed");
+    let seconds = begun.elapsed().as_secs_f64() + 5.0;
+    assert!(spent <= ALLOWED as f64 * seconds);
+    let on_wire: usize = platform.lock().expect("ok").iter().map(|(_, n)| n).sum();
+    assert!(
+        spent >= on_wire as f64,
+        "charged {spent}, on the wire {on_wire}"
+    );
+    assert!(wait_until(support::PATIENCE, || worker.status().is_some()));
+}
--- /dev/null
+++ b/crates/daemon/tests/mesh.rs
@@ -0,0 +1,92 @@
+//! Links: who may make one, and that a bad one harms no other.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use lynxcleat_standin::wait_until;
+use support::{PATIENCE, Plan, Running};
+
+#[test]
+fn a_daemon_with_another_key_gets_no_link_and_no_calls() {
+    let mut fleet = Plan::new("mesh-key").start();
+    let stranger = fleet.add_stranger("a key that is not the tests' own");
+    let knows = || fleet.workers[0].status().is_some_and(|s| s.hosts == 3);
+    assert!(wait_until(PATIENCE, knows));
+    for _ in 0..20 {
+        let reply = fleet.workers[0].get("/", &[]);
+        assert_eq!(reply.status, 200);
+        assert_ne!(reply.json()["target"], "stranger");
+    }
+    let refused = || fleet.workers[0].metric("lynxcleat_links_refused_total{kind=\"hello\"}") > 0.0;
+    assert!(
+        wait_until(PATIENCE, || {
+            stranger.get("/", &[]);
+            refused()
+        }),
+        "the refusal is counted"
+    );
+    let served = fleet.workers.iter().map(|w| w.target.served());
+    assert_eq!(
+        served.sum::<u64>(),
+        20,
+        "the stranger's calls went nowhere else"
+    );
+    if let Some(Running::Here(daemon)) = stranger.daemon {
+        fleet.runtime.block_on(daemon.stop());
+    }
+}
+
+#[test]
+fn malformed_and_unproved_connections_are_closed_and_harm_no_other() {
+    let fleet = Plan::new("mesh-malformed").start();
+    let worker = &fleet.workers[0];
+    assert_eq!(worker.get("/", &[]).status, 200);
+    let links = worker.status().expect("a status").links;
+    let upgrade = "GET /mesh HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\
+        Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    let garbage: [&[u8]; 4] = [
+        b"\x82\x85\x00\x00\x00\x00hello",
+        b"\x81\x85\x00\x00\x00\x00hello",
+        b"\x82\xff\xff\xff\xff\xff\xff\xff\xff\xff\x00\x00\x00\x00",
+        b"nothing of a web socket at all",
+    ];
+    for bytes in garbage {
+        let mut stream = TcpStream::connect(&worker.entry.mesh).expect("connect");
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .expect("set");
+        stream.write_all(upgrade.as_bytes()).expect("written");
+        let mut answer = [0; 512];
+        assert!(stream.read(&mut answer).expect("an answer") > 0);
+        let _ = stream.write_all(bytes);
+        let mut rest = Vec::new();
+        let closed = stream.read_to_end(&mut rest);
+        assert!(
+            closed.is_ok()
+                || closed.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+        );
+    }
+    assert_eq!(worker.status().expect("a status").links, links);
+    assert_eq!(worker.get("/", &[]).status, 200);
+}
+
+#[test]
+fn callers_reach_neither_the_mesh_nor_the_operators_endpoints() {
+    let fleet = Plan::new("mesh-outside").start();
+    let worker = &fleet.workers[0];
+    for path in ["/metrics", "/status", "/drain", "/mesh"] {
+        // They are paths of the service like any other, for its target to answer.
+        let reply = worker.get(path, &[]);
+        assert_eq!(reply.json()["path"], path);
+    }
+    let upgrade = [("Connection", "Upgrade"), ("Upgrade", "websocket")];
+    assert_eq!(
+        worker.get("/mesh", &upgrade).status,
+        200,
+        "no upgrade is made"
+    );
+    assert!(!worker.status().expect("a status").leaving);
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -8,7 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use lynxcleat_daemon::{Config, Daemon, RawConfig, Status};
 use lynxcleat_platform::{AcceptRequest, Accepted, HostEntry, HostState, Platform, accept};
@@ -59,8 +60,18 @@
     pub workers: Vec<Worker>,
     folder: PathBuf,
     ip: String,
+    /// Counters between worker 0 and the platform, and its target's health.
+    pub counted: Option<(Crossed, Crossed)>,
+    counter: Option<Counter>,
+    key: String,
 }
 
+/// Bytes that crossed a counter, with their times.
+pub type Crossed = Arc<Mutex<Vec<(Instant, usize)>>>;
+
+/// Makes a counter in front of an address.
+pub type Counter = fn(&str) -> (String, Crossed);
+
 /// How a fleet is made.
 pub struct Plan {
     pub name: &'static str,
@@ -94,6 +105,18 @@
         fleet
     }
 
+    /// A fleet whose first daemon reaches the platform and its target's health
+    /// endpoint through counters.
+    pub fn start_counted(self, counter: Counter) -> Fleet {
+        let mut fleet = self.start_empty();
+        fleet.counter = Some(counter);
+        for number in 0..self.workers {
+            fleet.add(number, &self, None);
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
     /// One daemon in front of a target that is not a stand-in.
     pub fn start_with_target(self, address: &str) -> Fleet {
         let mut fleet = self.start_empty();
@@ -112,6 +135,9 @@
             workers: Vec::new(),
             folder,
             ip: own_ip(),
+            counted: None,
+            counter: None,
+            key: KEY.to_owned(),
         };
         fleet.accept(0, self.tree.clone(), "first");
         fleet
@@ -145,7 +171,7 @@
             true => self.workers.iter().map(|w| w.entry.mesh.clone()).collect(),
             false => Vec::new(),
         };
-        let raw = RawConfig {
+        let mut raw = RawConfig {
             deployment: format!("test-{}", self.ip),
             host: host.clone(),
             place: place.to_owned(),
@@ -158,12 +184,19 @@
             target_health: Some(target.control()),
             platform: self.platform.url(),
             shared_key_file: None,
-            shared_key: Some(KEY.to_owned()),
+            shared_key: Some(self.key.clone()),
             seeds,
             threads: None,
             caller_connections: None,
             log_level: Some("info".to_owned()),
         };
+        if let Some(counter) = self.counter.take() {
+            let (platform, crossed) = counter(raw.platform.trim_start_matches("http://"));
+            let (health, health_crossed) = counter(&target.control());
+            raw.platform = format!("http://{platform}");
+            raw.target_health = Some(health);
+            self.counted = Some((crossed, health_crossed));
+        }
         let entry = HostEntry {
             host: host.clone(),
             place: place.to_owned(),
@@ -200,6 +233,17 @@
         number
     }
 
+    /// A daemon with another key, which is on the list. It is not of the fleet.
+    pub fn add_stranger(&mut self, key: &str) -> Worker {
+        let mut plan = Plan::new("stranger");
+        plan.processes = false;
+        self.key = key.to_owned();
+        let number = self.workers.len();
+        self.add_named("stranger", "stock", number, &plan, None);
+        self.key = KEY.to_owned();
+        self.workers.pop().expect("just added")
+    }
+
     fn add(&mut self, number: usize, plan: &Plan, other_target: Option<&str>) {
         let host = format!("stock-{number}");
         self.add_named(&host, "stock", number, plan, other_target);
--- a/crates/platform/src/release.rs
+++ b/crates/platform/src/release.rs
@@ -75,7 +75,7 @@
         if let Some(row) = accepted_change(platform, &request.change_id, request.base)? {
             return Ok(already(platform, request, row)?);
         }
-        let current = read_current(platform)?;
+        let current = read_recent(platform, request)?;
         let (tree, merged) = merged_tree(platform, request, &current)?;
         let changes = diff(&current.tree, &tree);
         check_changes(&changes, current.generation)?;
@@ -160,6 +160,19 @@
     })
 }
 
+/// Reads what is in force. A read that is older than the edit's base shows only
+/// that the platform serves old rows for now, so it is made again for a while.
+fn read_recent(platform: &Platform, request: &AcceptRequest) -> Result<Current, PlatformError> {
+    let begun = Instant::now();
+    loop {
+        let current = read_current(platform)?;
+        if current.generation >= request.base || begun.elapsed() >= request.settle {
+            return Ok(current);
+        }
+        thread::sleep(READ_BACK_PAUSE);
+    }
+}
+
 fn fetch(platform: &Platform, digest: &lynxcleat_settings::Digest) -> Result<Tree, PlatformError> {
     let content = platform.get_object(digest)?;
     Ok(Tree::parse(&String::from_utf8_lossy(&content))?)
