--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -227,7 +227,7 @@
     fleet.signal(0, "-CONT");
     // The woken daemon can learn only from its peers; nobody may go back.
     fleet.workers[0].get("/", &[]);
-    let mut highest = vec![1; 3];
+    let mut highest = [1; 3];
     assert!(wait_until(PATIENCE, || {
         for (highest, worker) in highest.iter_mut().zip(&fleet.workers) {
             let seen = worker.status().map_or(*highest, |s| s.generation);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,7 +7,11 @@
 mod caller;
 mod open_loop;
 mod report;
+mod rounds;
+mod service;
 
 pub use caller::{Connections, Destination};
 pub use open_loop::{LoadError, LoadOptions, Mix, run};
 pub use report::{Counts, Latency, LoadReport};
+pub use rounds::{Balancer, Case, CaseReport, Deployment, cases, run_case};
+pub use service::{FakeService, FakeTarget, Measured, ServiceOptions};
