--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -9,7 +9,7 @@
 use lynxcleat_platform::{HostEntry, HostPage, HostState};
 use lynxcleat_policy::Cost;
 
-use super::{REFUSED_PAUSE, jittered};
+use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::life::LeaveCause;
 use crate::metrics::KindLabels;
@@ -19,6 +19,8 @@
 const PAGE_BYTES: usize = 1_000;
 /// Bytes charged for one entry.
 const ENTRY_BYTES: usize = 300;
+/// Entries asked for while nothing is known to have changed.
+const FIRST_PAGE: usize = 2;
 /// Entries of one page at most.
 const PAGE_LIMIT: usize = 64;
 /// Processor time charged for a page, in microseconds.
@@ -73,16 +75,19 @@
     }
 }
 
-/// Follows the list until the daemon ends.
+/// Follows the list until the daemon ends. Most polls find nothing, so a small
+/// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
+    let mut more = false;
     loop {
-        let limit = page_limit(&core);
+        let limit = if more { page_limit(&core) } else { FIRST_PAGE };
         let cost = Cost::message(PAGE_BYTES + limit * ENTRY_BYTES, PAGE_CPU_US);
         if !core.budget.ask(cost) {
             tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         }
-        if !poll(&core, limit).await {
+        more = poll(&core, limit).await;
+        if !more {
             tokio::time::sleep(jittered(interval_ms(&core))).await;
         }
     }
@@ -96,7 +101,9 @@
 
 fn interval_ms(core: &Core) -> u64 {
     let in_force = core.settings.current();
-    in_force.map_or(FIRST_INTERVAL_MS, |in_force| in_force.own.host_list_ms)
+    in_force.map_or(FIRST_INTERVAL_MS, |in_force| {
+        fleet_interval_ms(core, in_force.own.host_list_ms)
+    })
 }
 
 /// Reads a page; returns whether more follow.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,6 +19,9 @@
 
 /// Part of an interval by which it varies, so that daemons do not poll in step.
 const JITTER: f64 = 0.2;
+/// Reads a second of one kind that all daemons together may make: a fifth of what
+/// the platform takes.
+const FLEET_READS_PER_S: u64 = 400;
 /// Pause before asking again what the budget refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -29,6 +32,13 @@
     tokio::spawn(health::follow(Arc::clone(core)));
 }
 
+/// An interval of polls in milliseconds: the configured one, or a longer one where
+/// the fleet is so large that all daemons together would read too often.
+fn fleet_interval_ms(core: &Core, configured_ms: u64) -> u64 {
+    let shared_ms = core.hosts.len() as u64 * 1_000 / FLEET_READS_PER_S;
+    configured_ms.max(shared_ms)
+}
+
 /// An interval in milliseconds, with jitter.
 fn jittered(interval_ms: u64) -> Duration {
     let factor = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -13,7 +13,7 @@
 use lynxcleat_wire::{Frame, TreeCopy};
 use thiserror::Error;
 
-use super::{REFUSED_PAUSE, jittered};
+use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::metrics::KindLabels;
@@ -24,8 +24,6 @@
 const POLL_CPU_US: u64 = 400;
 /// Interval of polls before settings are in force, in milliseconds.
 const FIRST_POLL_MS: u64 = 300;
-/// Reads a second that the polls of all daemons together may take.
-const FLEET_READS_PER_S: u64 = 400;
 /// Longest wait for a peer's copy of the tree.
 const PEER_LIMIT: Duration = Duration::from_secs(2);
 
@@ -70,10 +68,7 @@
 
 fn interval_ms(core: &Core) -> u64 {
     match core.settings.current() {
-        Some(in_force) => {
-            let shared = core.hosts.len() as u64 * 1_000 / FLEET_READS_PER_S;
-            in_force.own.poll_ms.max(shared)
-        }
+        Some(in_force) => fleet_interval_ms(core, in_force.own.poll_ms),
         None => FIRST_POLL_MS,
     }
 }
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -29,7 +29,7 @@
 pub use serve::{spawn_call, spawn_fence};
 
 /// Bytes that figures add to an answer.
-const FIGURES_BYTES: usize = 64;
+const FIGURES_BYTES: usize = 24;
 /// Processor time charged for figures on an answer, in microseconds.
 const FIGURES_CPU_US: u64 = 2;
 
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -17,6 +17,10 @@
 /// Longest time from a connection to its proof.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Bytes of a link's read and write buffers. They grow for larger messages; small
+/// ones keep a daemon with hundreds of links small.
+const BUFFER_BYTES: usize = 8 << 10;
+
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
 /// Why a link was not made.
@@ -62,6 +66,8 @@
 
 pub(super) fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(MESSAGE_LIMIT))
         .max_frame_size(Some(MESSAGE_LIMIT))
 }
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -39,6 +39,11 @@
         found.filter(|link| !link.is_closed())
     }
 
+    /// How many links this daemon dialed.
+    pub fn dialed(&self) -> usize {
+        lock(&self.dialed).len()
+    }
+
     /// Every link that stands.
     pub fn all(&self) -> Vec<Arc<Link>> {
         lock(&self.all).values().cloned().collect()
--- /dev/null
+++ b/crates/policy/benches/decide.rs
@@ -0,0 +1,107 @@
+//! Cost of the decisions: a call from arrival to answer at 4 to 800 known targets,
+//! an admission, and an ask of the measuring budget.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use lynxcleat_policy::{
+    Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, ChooseParams, Cost, Event, Figures,
+    Policy, Router, RouterParams, Source, TargetId,
+};
+
+const FIGURES: Figures = Figures {
+    in_flight: 5,
+    held: 0,
+    slots: 12,
+    service_us: 5_000,
+};
+
+fn router(policy: Policy, targets: u32) -> Router {
+    let params = RouterParams {
+        choose: ChooseParams {
+            policy,
+            ramp_us: 0,
+            eject_failures: 5,
+            eject_us: 1_000_000,
+        },
+        attempt_limit: 3,
+        retry_percent: 10,
+    };
+    let mut router = Router::new(params, 1, 1);
+    let targets: Vec<_> = (0..targets).map(|id| (TargetId(id), 300.0)).collect();
+    router.set_targets(0, &targets);
+    router
+}
+
+/// One call: arrival, choice, answer with figures.
+fn one_call(router: &mut Router, now: &mut u64) {
+    *now += 50;
+    let arrived = Event::Arrived {
+        call: CallId(*now),
+        deadline: *now + 1_000_000,
+        effect: false,
+        may_retry: true,
+    };
+    let actions = router.on(*now, arrived);
+    let Some(Action::Send { attempt, .. }) = actions.first() else {
+        return;
+    };
+    let answered = Event::Answered {
+        attempt: *attempt,
+        source: Source::Served,
+        figures: Some(FIGURES),
+        there_us: 5_000,
+    };
+    black_box(router.on(*now + 5_300, answered));
+}
+
+fn calls(criterion: &mut Criterion) {
+    for policy in [Policy::ExpectedFinish, Policy::PowerOfTwo] {
+        let mut group = criterion.benchmark_group(format!("call/{policy:?}"));
+        for targets in [4, 16, 64, 800] {
+            group.bench_function(BenchmarkId::from_parameter(targets), |bencher| {
+                let mut router = router(policy, targets);
+                let mut now = 0;
+                bencher.iter(|| one_call(&mut router, &mut now));
+            });
+        }
+        group.finish();
+    }
+}
+
+fn admission(criterion: &mut Criterion) {
+    criterion.bench_function("admit and done", |bencher| {
+        let limits = AdmitLimits {
+            slots: 12,
+            hold_limit: 48,
+        };
+        let mut admit = Admit::new(limits);
+        let mut now = 0;
+        bencher.iter(|| {
+            now += 50;
+            let call = CallId(now);
+            let deadline = now + 1_000_000;
+            black_box(admit.on(now, AdmitEvent::Offer { call, deadline }));
+            let service_us = Some(5_000);
+            black_box(admit.on(now, AdmitEvent::Done { call, service_us }));
+        });
+    });
+}
+
+fn budget(criterion: &mut Criterion) {
+    criterion.bench_function("budget ask", |bencher| {
+        let mut budget = Budget::new(Cost {
+            messages: 200,
+            bytes: 11_000,
+            cpu_us: 13_000,
+        });
+        let mut now = 0;
+        bencher.iter(|| {
+            now += 4_000;
+            black_box(budget.ask(now, Cost::message(24, 2)))
+        });
+    });
+}
+
+criterion_group!(benches, calls, admission, budget);
+criterion_main!(benches);
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -88,6 +88,8 @@
     params: ChooseParams,
     order: Vec<TargetId>,
     states: HashMap<TargetId, TargetState>,
+    /// Targets that are ejected, so that a choice need not look for them.
+    ejected: Vec<TargetId>,
     usual: Usual,
     next: usize,
     rng: SmallRng,
@@ -100,6 +102,7 @@
             params,
             order: Vec::new(),
             states: HashMap::new(),
+            ejected: Vec::new(),
             usual: Usual::default(),
             next: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -152,6 +155,26 @@
         self.states.get_mut(&target)
     }
 
+    /// A target served a call; `path_us` is the time spent outside of it.
+    pub fn served(&mut self, now: Micros, target: TargetId, path_us: f64) {
+        if let Some(state) = self.states.get_mut(&target) {
+            state.served(now, Some(path_us));
+            self.ejected.retain(|ejected| *ejected != target);
+        }
+    }
+
+    /// A target failed a call, which may eject it.
+    pub fn failed(&mut self, now: Micros, target: TargetId) {
+        let params = self.params;
+        let Some(state) = self.states.get_mut(&target) else {
+            return;
+        };
+        let ejects = state.failed(now, params.eject_failures, params.eject_us);
+        if ejects && !self.ejected.contains(&target) {
+            self.ejected.push(target);
+        }
+    }
+
     /// Takes figures of a target.
     pub fn learn(&mut self, now: Micros, target: TargetId, figures: Figures) {
         if let Some(state) = self.states.get_mut(&target) {
@@ -194,10 +217,15 @@
     /// An ejected target whose time is over gets one call, whatever its score:
     /// a score learnt from failures would keep it out for ever.
     fn due_trial(&self, now: Micros, tried: &[TargetId]) -> Option<TargetId> {
-        self.order.iter().copied().find(|target| {
-            let ejected = matches!(self.states[target].health(), Health::Ejected { .. });
-            ejected && self.is_open(now, *target, tried)
-        })
+        let ejected = self.ejected.iter().copied();
+        let mut due = ejected.filter(|target| self.is_ejected(*target));
+        due.find(|target| self.is_open(now, *target, tried))
+    }
+
+    /// Whether it still is: a target that was replaced or left is not.
+    fn is_ejected(&self, target: TargetId) -> bool {
+        let state = self.states.get(&target);
+        state.is_some_and(|state| matches!(state.health(), Health::Ejected { .. }))
     }
 
     fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
--- a/crates/policy/src/figures.rs
+++ b/crates/policy/src/figures.rs
@@ -7,12 +7,16 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Figures {
     /// Calls being served.
+    #[serde(rename = "i")]
     pub in_flight: u32,
     /// Calls held for a slot.
+    #[serde(rename = "h")]
     pub held: u32,
     /// Calls the target serves at once.
+    #[serde(rename = "s")]
     pub slots: u32,
     /// Recent service time in microseconds; 0 while none is known.
+    #[serde(rename = "u")]
     pub service_us: u32,
 }
 
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -502,16 +502,14 @@
         };
         self.learn(now, ended.target, figures);
         if source == Source::Failed {
-            self.count_failure(now, ended.target);
+            self.chooser.failed(now, ended.target);
             if self.failed_lookup_goes_elsewhere(now, ended.call) {
                 return self.attempt_elsewhere_or(now, ended.call, attempt);
             }
             return self.finish(ended.call, Verdict::Answer { attempt });
         }
         let path_us = (now - ended.sent_at.min(now)).saturating_sub(Micros::from(there_us));
-        if let Some(state) = self.chooser.target_mut(ended.target) {
-            state.served(now, Some(path_us as f64));
-        }
+        self.chooser.served(now, ended.target, path_us as f64);
         self.finish(ended.call, Verdict::Answer { attempt })
     }
 
@@ -554,7 +552,7 @@
 
     fn learn_refusal(&mut self, now: Micros, target: TargetId, refusal: Refusal) {
         match refusal.reason {
-            RefusalReason::TargetDown => self.count_failure(now, target),
+            RefusalReason::TargetDown => self.chooser.failed(now, target),
             RefusalReason::Leaving => {
                 self.with_target(target, |state| state.leave());
             }
@@ -576,7 +574,7 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
-        self.count_failure(now, ended.target);
+        self.chooser.failed(now, ended.target);
         self.may_have_run(now, ended.call, UnknownReason::TargetLost)
     }
 
@@ -584,7 +582,7 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
-        self.count_failure(now, ended.target);
+        self.chooser.failed(now, ended.target);
         if let Some(call) = self.calls.get_mut(&ended.call) {
             call.last_refusal = NotRunReason::NoLink;
         }
@@ -605,7 +603,7 @@
             }];
         }
         self.end(attempt);
-        self.count_failure(now, target);
+        self.chooser.failed(now, target);
         self.may_have_run(now, id, UnknownReason::LinkLost)
     }
 
@@ -622,7 +620,7 @@
             }
             Settlement::Ran => self.finish(ended.call, Verdict::Answer { attempt }),
             Settlement::Unknown => {
-                self.count_failure(now, ended.target);
+                self.chooser.failed(now, ended.target);
                 let reason = UnknownReason::LinkLost;
                 self.finish(ended.call, Verdict::Unknown { reason })
             }
@@ -647,7 +645,7 @@
         let Some((attempt, target)) = self.cancel_current(id) else {
             return self.give_up(id);
         };
-        self.count_failure(now, target);
+        self.chooser.failed(now, target);
         let reason = UnknownReason::Deadline;
         let mut actions = vec![Action::Cancel { attempt, target }];
         actions.extend(self.finish(id, Verdict::Unknown { reason }));
@@ -680,13 +678,6 @@
         }
     }
 
-    fn count_failure(&mut self, now: Micros, target: TargetId) {
-        let params = *self.chooser.params();
-        self.with_target(target, |state| {
-            state.failed(now, params.eject_failures, params.eject_us);
-        });
-    }
-
     fn with_target(
         &mut self,
         target: TargetId,
