--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -313,3 +313,43 @@
     let reply = fleet.workers[0].post(&[], b"one");
     assert_eq!((reply.status, &*reply.outcome()), (428, "not-run"));
 }
+
+#[test]
+fn two_faults_together_guard_killed_while_the_platform_is_down() {
+    let mut fleet = processes("outcomes-two-faults");
+    let ticket = fleet.workers[0].ticket();
+    support::call(&fleet.workers[0].entry.ops, "POST", "/drain", &[], b"");
+    let taken = take(&fleet.workers[0].callers, "d", TICKET, &ticket, 3_000);
+    let at = serving(&fleet);
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    fleet.kill(0);
+    assert!(taken.join().expect("a caller").is_err());
+    let other = if at == 1 { 2 } else { 1 };
+    let reply = settle(&fleet, other, "d", TICKET, &ticket);
+    assert_eq!(reply.outcome(), "run", "the half that ran it answers");
+    assert_eq!(fleet.ledger()["d"], 1);
+}
+
+#[test]
+fn two_faults_together_target_cut_while_its_daemon_is_frozen() {
+    let fleet = processes("outcomes-cut-frozen");
+    let ticket = fleet.workers[0].ticket();
+    support::call(&fleet.workers[0].entry.ops, "POST", "/drain", &[], b"");
+    let taken = take(&fleet.workers[0].callers, "c", TICKET, &ticket, 2_000);
+    let at = serving(&fleet);
+    fleet.workers[at].target.set_faults(TargetFaults {
+        drop_answers: true,
+        ..TargetFaults::default()
+    });
+    fleet.signal(at, "-STOP");
+    let reply = taken.join().expect("a caller").expect("an answer");
+    assert_eq!(reply.outcome(), "unknown");
+    fleet.signal(at, "-CONT");
+    let again = take(&fleet.workers[0].callers, "c", TICKET, &ticket, 2_000);
+    let again = again.join().expect("a caller").expect("an answer");
+    assert_ne!(again.outcome(), "not-run");
+    assert_eq!(fleet.ledger()["c"], 1);
+}
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -158,3 +158,15 @@
     assert!(!head.contains("transfer-encoding"));
     assert!(!head.contains("content-length: 4"));
 }
+
+#[test]
+fn a_further_attempt_is_marked_so_that_it_is_not_tried_again_down_the_chain() {
+    let seen = support::HeaderSink::start();
+    let fleet = Plan::new("path-marked").start_with_target(&seen.address);
+    let worker = &fleet.workers[0];
+    worker.get("/first", &[]);
+    assert!(!seen.head().contains("lynxcleat-retry"));
+    // A target that calls on passes on what it received.
+    worker.get("/nested", &[("Lynxcleat-Retry", "1")]);
+    assert!(seen.head().contains("lynxcleat-retry: 1"));
+}
