Bounds: untaken answers, bodies in hand, and once-only waits within the caller's deadline

A caller that does not read its answer is cut off after caller_limit_ms (it held its answer in memory for ever); bodies of all calls in hand are bounded together by body_memory_bytes, refused at once with a time to come back (4,096 connections could each send a body of the limit). A repeated once-only call, one passed to its guard, and a claim at a slow platform were answered up to 1 s, 0.5 s and some seconds after the caller's deadline; now within 0.1 s of it.

--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -53,6 +53,8 @@
     KeyRequired,
     /// No settings are in force yet.
     NotReady,
+    /// Bodies of other calls take all the memory for bodies.
+    NoRoom,
     /// It was not run.
     NotRun {
         reason: NotRunReason,
@@ -69,6 +71,7 @@
 }
 
 const NOT_READY_RETRY_AFTER_US: Micros = 1_000_000;
+const NO_ROOM_RETRY_AFTER_US: Micros = 200_000;
 
 struct Told {
     status: StatusCode,
@@ -162,6 +165,12 @@
                 "no settings are in force at this daemon yet".to_owned(),
                 Some(NOT_READY_RETRY_AFTER_US),
             ),
+            Problem::NoRoom => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-room",
+                "bodies of other calls take all the memory for bodies".to_owned(),
+                Some(NO_ROOM_RETRY_AFTER_US),
+            ),
             Problem::NotRun {
                 reason,
                 retry_after_us,
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -7,12 +7,16 @@
 
 mod answer;
 mod classify;
+mod room;
 mod serve;
+mod stall;
 
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use room::BodyRoom;
+
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,7 +27,7 @@
 use crate::life::Phase;
 
 /// Longest time for the head of a request before settings are in force.
-const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(15);
+const FIRST_CALLER_LIMIT: Duration = Duration::from_secs(15);
 /// Time for the first request of a connection that was made as the daemon closes.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Largest head of a request, in bytes.
@@ -90,6 +94,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let limit = caller_limit(core);
     let first = Notify::new();
     let service = service_fn(|request| {
         first.notify_one();
@@ -98,10 +103,10 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(head_limit(core))
+        .header_read_timeout(limit)
         .max_header_size(HEAD_BYTES)
         .max_headers(HEADERS_LIMIT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stall::Stall::new(stream, limit)), service);
     tokio::pin!(connection);
     let closing = async {
         core.life.reached(Phase::Closing).await;
@@ -119,10 +124,11 @@
     }
 }
 
-/// Longest time for the head of a request, and longest idle time between two.
-fn head_limit(core: &Core) -> Duration {
+/// Longest time for the head of a request, between two, and for a caller to take
+/// some of its answer.
+fn caller_limit(core: &Core) -> Duration {
     let in_force = core.settings.current();
-    in_force.map_or(FIRST_HEAD_LIMIT, |in_force| {
+    in_force.map_or(FIRST_CALLER_LIMIT, |in_force| {
         Duration::from_millis(in_force.own.caller_limit_ms)
     })
 }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -10,6 +10,7 @@
 
 use super::answer::{self, HttpAnswer, Outcome, Problem};
 use super::classify::{self, Classified, Effects};
+use super::room::Taken;
 use crate::core::Core;
 use crate::life::Phase;
 use crate::metrics::CallLabels;
@@ -70,6 +71,7 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
+    let room = take_room(core, &pinned)?;
     let body = classify::read_body(body, &pinned.effective).await?;
     let Pinned {
         call,
@@ -91,7 +93,23 @@
         head: call.head,
         body,
     };
-    run(core, call.effects, service, outbound).await
+    let answered = run(core, call.effects, service, outbound).await;
+    drop(room);
+    answered
+}
+
+/// Takes room for the call's body: of its stated length, or else of its limit.
+fn take_room<'a>(core: &'a Core, pinned: &Pinned) -> Result<Taken<'a>, Problem> {
+    let Pinned {
+        call, effective, ..
+    } = pinned;
+    let bytes = match (call.length, &call.effects) {
+        (Some(length), _) => length as usize,
+        (None, Effects::None) => 0,
+        (None, _) => effective.body_limit_bytes,
+    };
+    let room = core.bodies.take(bytes, effective.body_memory_bytes);
+    room.ok_or(Problem::NoRoom)
 }
 
 /// Pins the call to the generation of settings in force now.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,6 +9,7 @@
 use lynxcleat_policy::CallId;
 use lynxcleat_wire::{Frame, Hello, PROTOCOL_VERSION};
 
+use crate::callers::BodyRoom;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::control::{HostTable, MeasureBudget};
@@ -66,6 +67,8 @@
     pub platform: Platform,
     /// Its way from start to stop.
     pub life: Life,
+    /// Memory for callers' bodies.
+    pub bodies: BodyRoom,
     /// Calls numbered so far.
     pub calls: AtomicU64,
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use crate::callers;
+use crate::callers::{self, BodyRoom};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::control::{self, HostTable, MeasureBudget};
@@ -222,6 +222,7 @@
         explain: Explain::default(),
         platform,
         life: Life::default(),
+        bodies: BodyRoom::default(),
         calls: AtomicU64::new(1),
         config,
         me,
--- a/crates/daemon/src/once/claims.rs
+++ b/crates/daemon/src/once/claims.rs
@@ -51,6 +51,9 @@
     /// Too many claims wait.
     #[error("{QUEUE_LIMIT} claims wait already")]
     Busy,
+    /// The platform took longer than the caller waits.
+    #[error("the platform took longer than the call's deadline")]
+    TooSlow,
     /// The row of the key does not hold a ticket of this deployment.
     #[error("the claim's row: {0}")]
     BadRow(#[from] TicketError),
@@ -63,7 +66,9 @@
     /// When to come back.
     pub fn retry_after_us(&self) -> Micros {
         match self {
-            ClaimError::Platform(_) | ClaimError::BadRow(_) => DOWN_RETRY_AFTER_US,
+            ClaimError::Platform(_) | ClaimError::BadRow(_) | ClaimError::TooSlow => {
+                DOWN_RETRY_AFTER_US
+            }
             ClaimError::Busy | ClaimError::Replaced => BUSY_RETRY_AFTER_US,
         }
     }
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -6,7 +6,7 @@
 use lynxcleat_policy::{AttemptId, Micros, NotRunReason, RefusalReason};
 use lynxcleat_wire::{Answer, CallFrame, Frame, GuardedVerdict};
 
-use super::claims::{self, Claimed};
+use super::claims::{self, ClaimError, Claimed};
 use super::recover;
 use crate::core::Core;
 use crate::mesh::{Link, Links};
@@ -15,6 +15,8 @@
 
 /// Hint for callers whose operation still runs.
 const RUNNING_RETRY_AFTER_US: Micros = 500_000;
+/// Time past a caller's deadline for the run's own end to be told.
+const END_GRACE_US: Micros = 50_000;
 /// Hint for callers while the memory of operations is full.
 const FULL_RETRY_AFTER_US: Micros = 5_000_000;
 
@@ -82,7 +84,11 @@
 /// decides which guard runs it.
 pub async fn run_keyed(core: &Arc<Core>, key: String, call: OnceCall) -> OnceVerdict {
     let service = call.service.name.clone();
-    let claimed = match claims::claim(core, &service, &key).await {
+    // A claim that is written too late binds the key to a ticket that was never
+    // used; the caller's next try runs under it.
+    let until = core.clock.instant(call.call.deadline);
+    let claiming = tokio::time::timeout_at(until, claims::claim(core, &service, &key));
+    let claimed = match claiming.await.unwrap_or(Err(ClaimError::TooSlow)) {
         Ok(claimed) => claimed,
         Err(error) => {
             log::warn!(call = call.call.name.as_str(); "claim: {error}");
@@ -198,9 +204,7 @@
 ) -> OnceVerdict {
     // The run itself ends shortly after its own deadline, which may be later
     // than that of a caller who repeats it.
-    let until = core
-        .clock
-        .instant(call.call.deadline + 2 * RUNNING_RETRY_AFTER_US);
+    let until = core.clock.instant(call.call.deadline + END_GRACE_US);
     match tokio::time::timeout_at(until, ended.recv_async()).await {
         Ok(Ok(verdict)) => verdict,
         _ => OnceVerdict::Unknown {
@@ -222,9 +226,7 @@
         ticket,
         call: Box::new(frame),
     });
-    let until = core
-        .clock
-        .instant(call.call.deadline + RUNNING_RETRY_AFTER_US);
+    let until = core.clock.instant(call.call.deadline + 2 * END_GRACE_US);
     let reply = match tokio::time::timeout_at(until, asked).await {
         Ok(Ok(Frame::GuardedReply { verdict, .. })) => verdict,
         Ok(_) => return None,
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -147,3 +147,57 @@
     assert!(begun.elapsed() < Duration::from_secs(10));
     assert_eq!(fleet.workers[0].target.served(), 0);
 }
+
+#[test]
+fn a_caller_that_does_not_take_its_answer_is_cut_off() {
+    let mut plan = Plan::new("answers-untaken");
+    plan.workers = 1;
+    plan.tree = tree(json!({"caller_limit_ms": 300, "body_limit_bytes": 50_000_000}));
+    let fleet = plan.start();
+    let body = vec![b'x'; 40_000_000];
+    let head = format!(
+        "POST / HTTP/1.1\r\nHost: stock\r\nLynxcleat-Deadline-Ms: 20000\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(&fleet.workers[0].callers).expect("connect");
+    stream.write_all(head.as_bytes()).expect("written");
+    stream.write_all(&body).expect("written");
+    // It waits far longer than it may, then takes what the buffers hold.
+    let answered = || fleet.workers[0].metric("lynxcleat_calls_total") > 0.0;
+    assert!(lynxcleat_standin::wait_until(support::PATIENCE, answered));
+    thread::sleep(Duration::from_millis(1_500));
+    let mut got = Vec::new();
+    let _ = stream.read_to_end(&mut got);
+    assert!(got.len() < body.len(), "it got all {} bytes", got.len());
+}
+
+#[test]
+fn bodies_in_hand_are_bounded_all_together() {
+    let mut plan = Plan::new("answers-room");
+    plan.workers = 1;
+    plan.tree = tree(json!({"body_limit_bytes": 60_000, "body_memory_bytes": 100_000}));
+    plan.service = Duration::from_millis(300);
+    let fleet = plan.start();
+    let outcomes: Vec<(u16, String)> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| fleet.workers[0].post(&[], &[b'x'; 45_000])))
+            .collect();
+        let replies = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("joined"));
+        replies
+            .map(|reply| (reply.status, reply.outcome()))
+            .collect()
+    });
+    let ran = outcomes.iter().filter(|(status, _)| *status == 200).count();
+    let refused = outcomes
+        .iter()
+        .filter(|(status, told)| (*status, &**told) == (503, "not-run"));
+    assert_eq!((ran, refused.count()), (2, 2), "{outcomes:?}");
+    assert_eq!(fleet.workers[0].target.served(), 2);
+    assert_eq!(
+        fleet.workers[0].post(&[], &[b'x'; 45_000]).status,
+        200,
+        "room again"
+    );
+}
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -50,6 +50,7 @@
     pub deadline_max_ms: u64,
     pub caller_limit_ms: u64,
     pub body_limit_bytes: usize,
+    pub body_memory_bytes: usize,
     pub attempt_limit: u32,
     pub retry_percent: u32,
     pub policy: String,
@@ -127,6 +128,12 @@
         if self.slots > self.connection_limit {
             return fault("slots", "is above connection_limit in force here");
         }
+        if self.body_limit_bytes > self.body_memory_bytes {
+            return fault(
+                "body_limit_bytes",
+                "is above body_memory_bytes in force here",
+            );
+        }
         if self.link_silence_ms <= self.heartbeat_ms {
             return fault(
                 "link_silence_ms",
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -74,6 +74,7 @@
     whole("deadline_max_ms", "ms", (1, DAY_MS), 30_000, "longest deadline a caller may name"),
     whole("caller_limit_ms", "ms", (100, 600_000), 15_000, "time for the head of a request, for its body, and between two on a connection"),
     whole("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "largest request or answer body"),
+    whole("body_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for bodies of callers' calls in hand, before new ones are refused"),
     whole("attempt_limit", "attempts", (1, 8), 3, "targets one call may be offered to"),
     whole("retry_percent", "%", (0, 100), 10, "further attempts, as a share of first attempts"),
     choice("policy", &["expected-finish", "power-of-two", "least-in-flight", "round-robin", "random"], "how a target is chosen"),
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,6 +23,10 @@
 
 # start_platform TREE: the platform's stand-in, with a first tree accepted.
 start_platform() {
+  if curl -sf "$platform/standin/counts" >/dev/null; then
+    echo "another platform runs at $platform; wait until it has ended" >&2
+    exit 1
+  fi
   "$bin/lynxcleat-standin" platform --listen 127.0.0.1:6000 >"$work/platform.log" 2>&1 &
   standin_pids+=($!)
   until curl -sf "$platform/standin/counts" >/dev/null; do sleep 0.05; done
