--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -145,26 +145,29 @@
 
 /// A caller on one keep-alive connection, that reconnects where it is told to.
 /// Returns good answers and what else it met.
-fn keep_alive_caller(address: &str, over: &AtomicBool) -> (usize, Vec<String>) {
+fn keep_alive_caller(address: &str, pause: Duration, over: &AtomicBool) -> (usize, Vec<String>) {
     let mut good = 0;
     let mut bad = Vec::new();
-    while !over.load(Ordering::Relaxed) {
-        // After its stop the daemon's address refuses connections; a caller then
-        // goes to another daemon, which is its business and not a cut call.
-        let Ok(mut stream) = TcpStream::connect(address) else {
-            break;
-        };
-        while !over.load(Ordering::Relaxed) {
+    // After its stop the daemon's address refuses connections; a caller then goes
+    // to another daemon, which is its business and not a cut call.
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        loop {
+            // One more call is made after the end is told, on the open connection.
+            let last = over.load(Ordering::Relaxed);
             match one_call(&mut stream) {
                 Ok(closes) => {
                     good += 1;
+                    if last {
+                        return (good, bad);
+                    }
                     if closes {
                         break;
                     }
+                    thread::sleep(pause);
                 }
                 Err(error) => {
                     bad.push(error);
-                    break;
+                    return (good, bad);
                 }
             }
         }
@@ -210,11 +213,13 @@
     plan.service = Duration::from_millis(20);
     let mut fleet = plan.start();
     let over = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..12)
+    let callers: Vec<_> = (0..24)
         .map(|n| {
             let address = fleet.workers[n % 3].callers.clone();
             let over = Arc::clone(&over);
-            thread::spawn(move || keep_alive_caller(&address, &over))
+            // Every other caller pauses between its calls, with its connection idle.
+            let pause = Duration::from_millis(100 * (n as u64 % 2));
+            thread::spawn(move || keep_alive_caller(&address, pause, &over))
         })
         .collect();
     assert!(wait_until(PATIENCE, || fleet.workers[0].target.served() > 20));
--- a/scripts/take-out.sh
+++ b/scripts/take-out.sh
@@ -14,8 +14,8 @@
 cd "$copy"
 failed=0
 
-# name | file | perl substitution | package | test file | test (may be empty)
-while IFS='|' read -r name file change package test only; do
+# name ~ file ~ perl substitution ~ package ~ test file ~ test (may be empty)
+while IFS='~' read -r name file change package test only; do
   [ -n "$name" ] || continue
   case "$name" in \#*) continue ;; esac
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
