Read as a newcomer: router's words apart from its decisions, test support in three files

The test support is split into fleet, HTTP and odd targets. Counting by kind, and the stand-ins' lock, stood several times and stand once. 'Which tree?' has an error of its own.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -40,6 +40,9 @@
         /// What is wrong.
         reason: String,
     },
+    /// Nothing says which tree is meant.
+    #[error("give --file or --platform: which tree is to be shown?")]
+    NoSource,
     /// The place or service is not in the tree.
     #[error("the tree has no {kind} {name:?}")]
     NoSuch {
@@ -113,6 +116,7 @@
             Failure::Settings { .. }
             | Failure::Edit(_)
             | Failure::NotWorking { .. }
+            | Failure::NoSource
             | Failure::NoSuch { .. }
             | Failure::Config(_) => 2,
             Failure::Accept(AcceptError::Conflict(_)) => 4,
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -84,12 +84,7 @@
     let tree = match (&args.file, &args.platform) {
         (Some(file), _) => read_tree(file)?,
         (None, Some(url)) => read_in_force(&client(url))?.1,
-        (None, None) => {
-            return Err(Failure::NoSuch {
-                kind: "source: give --file or --platform; no",
-                name: "tree".to_owned(),
-            });
-        }
+        (None, None) => return Err(Failure::NoSource),
     };
     if args.place.is_none() && args.service.is_none() {
         println!("{:#}", tree.to_json());
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::Method;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 use hyper::http::request::Parts;
-use hyper::{Method, Request};
 use lynxcleat_once::Ticket;
 use lynxcleat_settings::{Effective, Once, valid_name};
 use lynxcleat_wire::{Header, RequestHead};
@@ -92,11 +92,6 @@
     }
 }
 
-/// Splits off the body.
-pub(super) fn split(request: Request<Incoming>) -> (Parts, Incoming) {
-    request.into_parts()
-}
-
 /// Refuses what could be read in two ways by us and a target. A request with both
 /// Content-Length and Transfer-Encoding never shows both here: hyper goes by the
 /// chunks, drops the length and closes the connection after the answer (RFC 9112,
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -42,7 +42,7 @@
     let began = core.clock.now();
     let id = core.new_call_id();
     let name = core.call_name(id);
-    let (parts, body) = classify::split(request);
+    let (parts, body) = request.into_parts();
     if parts.uri.path().starts_with(OWN_PREFIX) {
         return own(core, &parts, &name);
     }
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -12,7 +12,7 @@
 use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::life::LeaveCause;
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 use crate::sync::lock;
 
 /// Bytes charged for a page without entries: request, reply, and TCP's own.
@@ -115,10 +115,7 @@
         Ok(Ok(page)) => page,
         Ok(Err(error)) => {
             let kind = "hosts";
-            core.metrics
-                .platform_failures
-                .get_or_create(&KindLabels { kind })
-                .inc();
+            count(&core.metrics.platform_failures, kind);
             log::warn!("host list: {error}");
             return false;
         }
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -16,7 +16,7 @@
 use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 
 /// Bytes charged for a poll: request, reply, and TCP's own.
 const POLL_BYTES: usize = 1_200;
@@ -81,10 +81,7 @@
         Ok(Ok(false)) | Err(_) => {}
         Ok(Err(error)) => {
             let kind = "pointer";
-            core.metrics
-                .platform_failures
-                .get_or_create(&KindLabels { kind })
-                .inc();
+            count(&core.metrics.platform_failures, kind);
             log::warn!("settings: {error}");
         }
     }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -12,7 +12,7 @@
 use super::{Go, Half, send};
 use crate::core::Core;
 use crate::mesh::Link;
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 use crate::sync::lock;
 
 /// Longest wait before an ask about a running operation is answered "running".
@@ -127,8 +127,7 @@
         RefusalReason::Once => "once",
         RefusalReason::WrongService => "wrong-service",
     };
-    let labels = KindLabels { kind };
-    core.metrics.target_refusals.get_or_create(&labels).inc();
+    count(&core.metrics.target_refusals, kind);
 }
 
 async fn serve(core: &Core, link: &Link, call: CallFrame, cancelled: flume::Receiver<()>) -> Ended {
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::control;
 use crate::core::Core;
 use crate::half;
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 use crate::once;
 
 /// A message carried a generation; a newer one is fetched from its sender.
@@ -76,10 +76,7 @@
 
 fn count_late(core: &Core, taken: bool, kind: &'static str) {
     if !taken {
-        core.metrics
-            .dropped_answers
-            .get_or_create(&KindLabels { kind })
-            .inc();
+        count(&core.metrics.dropped_answers, kind);
     }
 }
 
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -12,7 +12,7 @@
 
 use super::MESSAGE_LIMIT;
 use crate::core::Core;
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 
 /// Longest time from a connection to its proof.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
@@ -55,8 +55,7 @@
         HandshakeError::TooSlow => "slow",
         HandshakeError::Io(_) | HandshakeError::Socket(_) | HandshakeError::Closed => "connection",
     };
-    let labels = KindLabels { kind };
-    core.metrics.links_refused.get_or_create(&labels).inc();
+    count(&core.metrics.links_refused, kind);
     let level = match error {
         HandshakeError::Hello(_) | HandshakeError::Codec(_) => log::Level::Warn,
         _ => log::Level::Debug,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,11 @@
 /// A counter for each kind of thing.
 pub type Kinds = Family<KindLabels, Counter>;
 
+/// Counts one thing of a kind.
+pub fn count(kinds: &Kinds, kind: &'static str) {
+    kinds.get_or_create(&KindLabels { kind }).inc();
+}
+
 /// All metrics of one daemon.
 #[allow(missing_docs)]
 pub struct Metrics {
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -11,7 +11,7 @@
 
 use super::run::{OnceCall, OnceVerdict};
 use crate::core::Core;
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 use crate::route::fence_at;
 use crate::sync::lock;
 
@@ -29,10 +29,7 @@
         Outcome::NotRun => "recovered-not-run",
         Outcome::Unknown => "recovered-unknown",
     };
-    core.metrics
-        .settled
-        .get_or_create(&KindLabels { kind })
-        .inc();
+    count(&core.metrics.settled, kind);
     log::info!(call = call.call.name.as_str(), kind; "guard lost");
     match outcome {
         Outcome::Ran(answer) => OnceVerdict::Ran {
--- a/crates/daemon/src/route/settle.rs
+++ b/crates/daemon/src/route/settle.rs
@@ -9,7 +9,7 @@
 
 use crate::core::Core;
 use crate::mesh::{Link, Links};
-use crate::metrics::KindLabels;
+use crate::metrics::count;
 
 /// Pause between two asks about an operation that runs, and between two tries
 /// to reach its daemon.
@@ -50,7 +50,7 @@
             (Settlement::Unknown, None)
         }
     };
-    count(core, settled.0);
+    count_settled(core, settled.0);
     settled
 }
 
@@ -79,14 +79,11 @@
     in_force.map_or(0, |in_force| in_force.own.settle_ms * 1_000)
 }
 
-fn count(core: &Core, settlement: Settlement) {
+fn count_settled(core: &Core, settlement: Settlement) {
     let kind = match settlement {
         Settlement::NeverRan => "never-ran",
         Settlement::Ran => "ran",
         Settlement::Unknown => "unknown",
     };
-    core.metrics
-        .settled
-        .get_or_create(&KindLabels { kind })
-        .inc();
+    count(&core.metrics.settled, kind);
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,10 +1,11 @@
 //! A small fleet for the tests: stand-ins in this process, daemons in this
 //! process or as processes of their own.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+
+mod http;
+mod odd;
 
 use std::collections::HashMap;
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -18,6 +19,9 @@
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
+pub use http::{Reply, call, parse, raw, try_call};
+pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_path};
+
 pub const KEY: &str = "a key for the tests only";
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
@@ -406,95 +410,6 @@
     }
 }
 
-/// An HTTP answer.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: Vec<u8>,
-}
-
-impl Reply {
-    pub fn header(&self, name: &str) -> Option<String> {
-        self.head.lines().find_map(|line| {
-            let (key, value) = line.split_once(':')?;
-            key.eq_ignore_ascii_case(name)
-                .then(|| value.trim().to_owned())
-        })
-    }
-
-    pub fn outcome(&self) -> String {
-        self.header("lynxcleat-outcome").unwrap_or_default()
-    }
-
-    pub fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).expect("JSON")
-    }
-}
-
-pub fn call(
-    address: &str,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> Reply {
-    try_call(address, method, path, headers, body).expect("an answer")
-}
-
-pub fn try_call(
-    address: &str,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> std::io::Result<Reply> {
-    let mut text = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    let has_host = headers.iter().any(|(name, _)| *name == "Host");
-    if !has_host {
-        text.push_str("Host: x\r\n");
-    }
-    if !body.is_empty() {
-        text.push_str(&format!("Content-Length: {}\r\n", body.len()));
-    }
-    text.push_str("\r\n");
-    let mut bytes = text.into_bytes();
-    bytes.extend_from_slice(body);
-    raw(address, &bytes)
-}
-
-/// Sends bytes and reads until the other side closes.
-pub fn raw(address: &str, bytes: &[u8]) -> std::io::Result<Reply> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(Duration::from_secs(40)))?;
-    stream.write_all(bytes)?;
-    let mut got = Vec::new();
-    stream.read_to_end(&mut got)?;
-    parse(&got).ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
-}
-
-/// Splits an answer; a body shorter than promised is an error.
-pub fn parse(bytes: &[u8]) -> Option<Reply> {
-    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let reply = Reply {
-        status,
-        head,
-        body: bytes[end + 4..].to_vec(),
-    };
-    let promised = reply
-        .header("content-length")
-        .and_then(|n| n.parse::<usize>().ok());
-    match promised {
-        Some(length) if reply.body.len() < length && !reply.body.is_empty() => None,
-        _ => Some(reply),
-    }
-}
-
 /// Fleets made so far by this process.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -516,102 +431,3 @@
     let listener = std::net::TcpListener::bind(format!("{ip}:0")).expect("bind");
     listener.local_addr().expect("address").to_string()
 }
-
-/// A target that keeps the head of the last request and answers with nothing.
-pub struct HeaderSink {
-    pub address: String,
-    heads: flume::Receiver<String>,
-}
-
-impl HeaderSink {
-    pub fn start() -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-        let address = listener.local_addr().expect("address").to_string();
-        let (sender, heads) = flume::unbounded();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                std::thread::spawn(move || answer_heads(stream, &sender));
-            }
-        });
-        HeaderSink { address, heads }
-    }
-
-    pub fn head(&self) -> String {
-        self.heads.recv_timeout(PATIENCE).expect("a request")
-    }
-}
-
-fn answer_heads(mut stream: TcpStream, heads: &flume::Sender<String>) {
-    let mut got = Vec::new();
-    let mut part = [0; 4096];
-    while let Ok(count) = stream.read(&mut part) {
-        if count == 0 {
-            return;
-        }
-        got.extend_from_slice(&part[..count]);
-        if got.ends_with(b"\r\n\r\n") {
-            let _ = heads.send(String::from_utf8_lossy(&got).into_owned());
-            got.clear();
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        }
-    }
-}
-
-/// A target that does with each connection what `behave` says; it is given the
-/// connection and the number of the connection.
-pub fn odd_target(behave: fn(TcpStream, usize)) -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-    let address = listener.local_addr().expect("address").to_string();
-    std::thread::spawn(move || {
-        for (nth, stream) in listener.incoming().flatten().enumerate() {
-            std::thread::spawn(move || behave(stream, nth));
-        }
-    });
-    address
-}
-
-/// Reads one request's head and returns its path.
-pub fn read_path(stream: &mut TcpStream) -> Option<String> {
-    let mut got = Vec::new();
-    let mut byte = [0];
-    while !got.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).ok()? == 0 {
-            return None;
-        }
-        got.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&got).into_owned();
-    head.split(' ').nth(1).map(str::to_owned)
-}
-
-pub fn answer(stream: &mut TcpStream, body: &str) {
-    let length = body.len();
-    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
-    let _ = stream.write_all(text.as_bytes());
-}
-
-/// Asks for many paths at once and checks that each gets its own or an error.
-pub fn each_gets_its_own(address: &str, deadline_ms: &str) -> usize {
-    let callers: Vec<_> = (0..40)
-        .map(|nth| {
-            let (address, deadline) = (address.to_owned(), deadline_ms.to_owned());
-            std::thread::spawn(move || {
-                let path = format!("/of/{nth}");
-                let headers = [("Host", "stock"), ("Lynxcleat-Deadline-Ms", &*deadline)];
-                let reply = try_call(&address, "GET", &path, &headers, b"").expect("an answer");
-                let own = reply.status == 200;
-                if own {
-                    assert_eq!(String::from_utf8_lossy(&reply.body), path);
-                } else {
-                    assert_ne!(reply.outcome(), "run", "{}", reply.head);
-                }
-                own
-            })
-        })
-        .collect();
-    let own = callers
-        .into_iter()
-        .map(|caller| caller.join().expect("checked"));
-    own.filter(|own| *own).count()
-}
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -8,9 +8,9 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
 use crate::ids::{CallId, Micros};
-use crate::router::{Refusal, RefusalReason};
 
 /// Least weight of one service time in the running mean.
 const SERVICE_WEIGHT: f64 = 0.125;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod budget;
 mod chooser;
+mod event;
 mod figures;
 mod ids;
 mod retry;
@@ -19,12 +20,12 @@
 pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
 pub use budget::{Budget, Cost, Limits};
 pub use chooser::{ChooseParams, Chooser, Considered, Policy, UnknownPolicy};
+pub use event::{
+    Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
+};
 pub use figures::Figures;
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use retry::RetryBudget;
-pub use router::{
-    Action, Event, NotRunReason, Refusal, RefusalReason, Router, RouterParams, Settlement, Source,
-    UnknownReason, Verdict,
-};
+pub use router::{Router, RouterParams};
 pub use subset::{Candidate, Here, subset};
 pub use target::{Health, TargetState, Usual};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod http;
 mod platform;
 mod serving;
+mod sync;
 mod table;
 mod target;
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! `POST /standin/faults` changes its faults while it runs.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 
 use crate::error::StandinError;
 use crate::http::{Listening, body, json_body, respond_json, respond_status};
+use crate::sync::lock;
 use crate::table::{Hosts, Objects, Table};
 
 const WORKERS: usize = 16;
@@ -215,7 +216,3 @@
     let (after, limit) = path.strip_prefix("/hosts?after=")?.split_once("&limit=")?;
     Some((after.parse().ok()?, limit.parse().ok()?))
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,7 @@
 use crate::error::StandinError;
 use crate::http::{Listening, json_body, respond_json, respond_status};
 use crate::serving::{Call, Done, Serving};
+use crate::sync::lock;
 
 const CONTROL_WORKERS: usize = 2;
 /// Pause between two looks at whether a frozen target has been woken.
@@ -218,10 +219,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Waits until `done` holds, for as long as `limit`. For tests and scripts.
 pub fn wait_until(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
     let begun = Instant::now();
