Once-only: keys can be used anew after their retention; one audit entry an unsettled operation

Each repetition of an unsettled call also wrote the audit trail again, at worst a write a second and caller out of the platform's hundred; now one an operation and daemon.

--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -36,9 +36,8 @@
 pub(super) async fn follow(core: Arc<Core>) {
     loop {
         keep_warm(&core).await;
-        let granted = core.budget.ask(Cost::message(POLL_BYTES, POLL_CPU_US));
         if let Some(address) = core.config.target_health
-            && granted
+            && core.budget.ask(Cost::message(POLL_BYTES, POLL_CPU_US))
         {
             poll(&core, address).await;
         }
--- a/crates/daemon/src/once/claims.rs
+++ b/crates/daemon/src/once/claims.rs
@@ -167,8 +167,20 @@
     }
 }
 
+/// A claim of ours that is remembered. One whose ticket has expired is forgotten:
+/// its row expires too, and the key may then be claimed anew.
 fn known(core: &Core, row_key: &str) -> Option<Claimed> {
-    lock(&core.once.claims.known).get(row_key).cloned()
+    let mut known = lock(&core.once.claims.known);
+    let claimed = known.get(row_key)?.clone();
+    let age_ms = core
+        .clock
+        .wall_ms()
+        .saturating_sub(claimed.ticket.minted_ms);
+    if age_ms > core.once.retention_ms() {
+        known.remove(row_key);
+        return None;
+    }
+    Some(claimed)
 }
 
 /// Remembers our own claims only: another guard's ticket may be replaced.
--- a/crates/daemon/src/once/mod.rs
+++ b/crates/daemon/src/once/mod.rs
@@ -4,7 +4,7 @@
 mod recover;
 mod run;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_once::{
@@ -23,6 +23,9 @@
 /// remembered, in milliseconds.
 const PLAIN_KEEP_MS: u64 = 5_000;
 
+/// Reported operations that are remembered, so as not to report them again.
+const REPORTED_LIMIT: usize = 10_000;
+
 /// State of the once-only part.
 pub struct Once {
     clock: Clock,
@@ -31,6 +34,7 @@
     waiting: Mutex<HashMap<OpId, Vec<flume::Sender<OnceVerdict>>>>,
     roster: Mutex<Roster>,
     claims: claims::Claims,
+    reported: Mutex<HashSet<OpId>>,
     settings: Mutex<Option<Arc<Effective>>>,
 }
 
@@ -55,6 +59,7 @@
             waiting: Mutex::default(),
             roster: Mutex::new(Roster::new(started_ms)),
             claims: claims::Claims::default(),
+            reported: Mutex::default(),
             settings: Mutex::default(),
         }
     }
@@ -103,6 +108,15 @@
         lock(&self.guard).len()
     }
 
+    /// Whether an unsettled operation has not been reported by this daemon yet.
+    fn is_first_report(&self, op: OpId) -> bool {
+        let mut reported = lock(&self.reported);
+        if reported.len() >= REPORTED_LIMIT {
+            reported.clear();
+        }
+        reported.insert(op)
+    }
+
     fn mint(&self) -> Ticket {
         lock(&self.guard).mint(self.clock.wall_ms())
     }
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -113,8 +113,12 @@
     }
 }
 
-/// Writes an unsettled operation into the audit trail, for people to settle.
+/// Writes an unsettled operation into the audit trail, for people to settle. Once
+/// for each operation: its caller may ask again every second.
 fn report(core: &Arc<Core>, ticket: &Ticket, call: &OnceCall) {
+    if !core.once.is_first_report(ticket.op) {
+        return;
+    }
     let when_ms = core.clock.wall_ms();
     let text = core.once.key.seal(ticket);
     let operation = format!("{}-{:x}", ticket.op.incarnation, ticket.op.seq);
