--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -112,7 +112,8 @@
         if lock(&self.pending).closed {
             return Err(LinkClosed);
         }
-        self.push(frame)
+        let pushed = self.push(frame);
+        self.lost_if_failed(pushed)
     }
 
     /// Sends a call; what becomes of it is told to `signals`.
@@ -130,7 +131,8 @@
         if pushed.is_err() {
             pending.calls.remove(&attempt);
         }
-        pushed
+        drop(pending);
+        self.lost_if_failed(pushed)
     }
 
     /// Stops waiting for a call, and says so to the other side.
@@ -180,7 +182,8 @@
 
     /// Sends what is queued, then closes.
     pub fn finish(&self) {
-        let _ = self.out.send(Out::Close);
+        let pushed = self.out.try_send(Out::Close);
+        let _ = self.lost_if_failed(pushed.map_err(|_| LinkClosed));
     }
 
     pub(super) fn heard(&self, now: Micros) {
@@ -219,6 +222,15 @@
         self.closed.send_replace(true);
     }
 
+    /// A link whose queue is full counts as lost: a message that was dropped
+    /// without a word would leave the other side waiting.
+    fn lost_if_failed(&self, pushed: Result<(), LinkClosed>) -> Result<(), LinkClosed> {
+        if pushed.is_err() {
+            self.close();
+        }
+        pushed
+    }
+
     fn push(&self, frame: Frame) -> Result<(), LinkClosed> {
         self.out.try_send(Out::Frame(frame)).map_err(|_| LinkClosed)
     }
