Tests: fleets take ports that outgoing connections cannot

Cause: a fresh clone's run failed once with 'address already in use': the test picked a free port, let go of it, and an outgoing connection of another daemon of the fleet took it before its own daemon listened. Ruled out: two fleets on one IP number (each has its own). Change: ports from 10,000 to 29,999 on the fleet's own IP number, below the system's range for outgoing connections (32,768 and up).

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -426,8 +426,15 @@
     )
 }
 
-/// An address that is free now.
+/// Ports handed out so far by this process.
+static PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// An address that nobody else uses: the IP number is the fleet's own, and the port
+/// lies below those that the system gives to outgoing connections, one of which could
+/// otherwise take it between now and its use.
 pub fn free_address(ip: &str) -> String {
-    let listener = std::net::TcpListener::bind(format!("{ip}:0")).expect("bind");
-    listener.local_addr().expect("address").to_string()
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    let port = FIRST + PORTS.fetch_add(1, Ordering::Relaxed) % COUNT;
+    format!("{ip}:{port}")
 }
