Measuring: figures on answers leave room for the polls

Cause: figures ride on every answer and share one budget with the polls; from some hundred answers a second on they took every byte that came free, and no poll of the pointer was granted: an accepted change waited for the end of the burst. Ruled out: the poll's own interval.

--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use lynxcleat_policy::CallId;
 use lynxcleat_settings::Effective;
 use serde::Serialize;
@@ -71,7 +71,7 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let room = take_room(core, &pinned)?;
+    let room = take_room(core, &pinned.effective, &body)?;
     let body = classify::read_body(body, &pinned.effective).await?;
     let Pinned {
         call,
@@ -98,16 +98,15 @@
     answered
 }
 
-/// Takes room for the call's body: of its stated length, or else of its limit.
-fn take_room<'a>(core: &'a Core, pinned: &Pinned) -> Result<Taken<'a>, Problem> {
-    let Pinned {
-        call, effective, ..
-    } = pinned;
-    let bytes = match (call.length, &call.effects) {
-        (Some(length), _) => length as usize,
-        (None, Effects::None) => 0,
-        (None, _) => effective.body_limit_bytes,
-    };
+/// Takes room for the call's body: of its stated length, or of its limit where the
+/// length is not known beforehand.
+fn take_room<'a>(
+    core: &'a Core,
+    effective: &Effective,
+    body: &Incoming,
+) -> Result<Taken<'a>, Problem> {
+    let stated = body.size_hint().exact().map(|length| length as usize);
+    let bytes = stated.unwrap_or(effective.body_limit_bytes);
     let room = core.bodies.take(bytes, effective.body_memory_bytes);
     room.ok_or(Problem::NoRoom)
 }
--- a/crates/daemon/src/control/budget.rs
+++ b/crates/daemon/src/control/budget.rs
@@ -16,10 +16,16 @@
     cpu_us: 13_000,
 };
 
-/// The budget of one daemon.
+/// Part of the budget, in percent, that figures on answers may take. There can be
+/// thousands of them a second; without a bound of their own they would leave no room
+/// for a poll, and a new configuration would wait for the end of a burst.
+const FIGURES_PERCENT: u64 = 40;
+
+/// The budget of one daemon, and the part of it for figures.
 pub struct MeasureBudget {
     clock: Clock,
     budget: Mutex<Budget>,
+    figures: Mutex<Budget>,
 }
 
 impl MeasureBudget {
@@ -28,16 +34,19 @@
         MeasureBudget {
             clock,
             budget: Mutex::new(Budget::new(BEFORE_SETTINGS)),
+            figures: Mutex::new(Budget::new(figures_part(BEFORE_SETTINGS))),
         }
     }
 
     /// Puts settings in force.
     pub fn apply(&self, own: &Arc<Effective>) {
-        lock(&self.budget).set_limits(Limits {
+        let limits = Limits {
             messages: own.measure_messages_per_s,
             bytes: own.measure_bytes_per_s,
             cpu_us: own.measure_cpu_us_per_s,
-        });
+        };
+        lock(&self.budget).set_limits(limits);
+        lock(&self.figures).set_limits(figures_part(limits));
     }
 
     /// Grants a piece of measuring work whole, or refuses it.
@@ -45,6 +54,11 @@
         lock(&self.budget).ask(self.clock.now(), cost)
     }
 
+    /// Grants figures on an answer, or refuses them.
+    pub fn ask_figures(&self, cost: Cost) -> bool {
+        lock(&self.figures).ask(self.clock.now(), cost) && self.ask(cost)
+    }
+
     /// Bytes allowed in a second.
     pub fn bytes_allowed(&self) -> u64 {
         lock(&self.budget).limits().bytes
@@ -66,3 +80,11 @@
             .set(budget.limits().bytes as i64);
     }
 }
+
+fn figures_part(limits: Limits) -> Limits {
+    Limits {
+        messages: limits.messages * FIGURES_PERCENT / 100,
+        bytes: limits.bytes * FIGURES_PERCENT / 100,
+        cpu_us: limits.cpu_us * FIGURES_PERCENT / 100,
+    }
+}
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -126,7 +126,7 @@
             bytes: FIGURES_BYTES as u64,
             cpu_us: FIGURES_CPU_US,
         };
-        core.budget.ask(cost).then(|| self.figures())
+        core.budget.ask_figures(cost).then(|| self.figures())
     }
 
     /// The sender of a call no longer wants it.
--- a/crates/daemon/tests/measuring.rs
+++ b/crates/daemon/tests/measuring.rs
@@ -110,3 +110,37 @@
     );
     assert!(wait_until(support::PATIENCE, || worker.status().is_some()));
 }
+
+/// Figures want to ride on every answer of a burst; a change of the settings must get
+/// through all the same.
+#[test]
+fn a_burst_of_answers_leaves_room_for_the_polls() {
+    let busy = |hold_limit| {
+        tree(json!({
+            "measure_bytes_per_s": 4_000, "measure_messages_per_s": 40, "hold_limit": hold_limit
+        }))
+    };
+    let mut plan = Plan::new("measuring-burst");
+    plan.workers = 1;
+    plan.service = Duration::from_millis(1);
+    plan.tree = busy(20);
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    let over = std::sync::atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !over.load(std::sync::atomic::Ordering::Relaxed) {
+                    worker.get("/", &[]);
+                }
+            });
+        }
+        let busy_now = || worker.target.served() > 500;
+        assert!(wait_until(support::PATIENCE, busy_now));
+        fleet.accept(1, busy(21), "in a burst");
+        let in_force = || worker.status().is_some_and(|s| s.generation == 2);
+        let taken = wait_until(support::PATIENCE, in_force);
+        over.store(true, std::sync::atomic::Ordering::Relaxed);
+        assert!(taken, "the change waits for the end of the burst");
+    });
+}
