--- a/crates/cli/src/accept.rs
+++ b/crates/cli/src/accept.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use lynxcleat_platform::{AcceptRequest, Platform, accept};
+use lynxcleat_store::{AcceptRequest, Platform, accept};
 
 use crate::Done;
 use crate::args::AcceptArgs;
--- a/crates/cli/src/audit.rs
+++ b/crates/cli/src/audit.rs
@@ -1,6 +1,6 @@
 //! `audit`: the trail of changes, and operations left unsettled.
 
-use lynxcleat_platform::{AuditEntry, Platform, PlatformError, Row, UnsettledRow, audit_key, keys};
+use lynxcleat_store::{AuditEntry, Platform, PlatformError, Row, UnsettledRow, audit_key, keys};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -6,9 +6,9 @@
 
 use lynxcleat_daemon::{Config, Daemon, RawConfig, logging};
 use lynxcleat_load::{Connections, Destination, LoadOptions, LoadReport, Mix, run as load};
-use lynxcleat_platform::{AcceptRequest, HostState, Platform, accept};
 use lynxcleat_settings::{Effective, Tree};
 use lynxcleat_standin::{PlatformStandin, TargetOptions, TargetStandin};
+use lynxcleat_store::{AcceptRequest, HostState, Platform, accept};
 use serde::Serialize;
 use serde_json::json;
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,9 +5,9 @@
 
 use lynxcleat_daemon::StartError;
 use lynxcleat_load::LoadError;
-use lynxcleat_platform::{AcceptError, PlatformError};
 use lynxcleat_settings::SettingsError;
 use lynxcleat_standin::StandinError;
+use lynxcleat_store::{AcceptError, PlatformError};
 use thiserror::Error;
 
 /// Why a command failed.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::thread;
 
 use lynxcleat_daemon::Status;
-use lynxcleat_platform::{HostEntry, HostState, Platform, PlatformError};
+use lynxcleat_store::{HostEntry, HostState, Platform, PlatformError};
 use serde::Serialize;
 
 /// Seconds that one daemon's answer may take.
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use lynxcleat_platform::{Platform, accepted_change, history, read_tree as read_in_force};
 use lynxcleat_settings::{FIELDS, Kind, Origin, Resolved, Tree, diff};
+use lynxcleat_store::{Platform, accepted_change, history, read_tree as read_in_force};
 use serde_json::{Value, json};
 
 use crate::Done;
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::headers::{CALL, OUTCOME, REPLAYED, RETRY_AFTER_MS, TICKET};
+use crate::dialect::Dialect;
+use crate::headers::{OUTCOME, REPLAYED, RETRY_AFTER_MS, TICKET};
 
 pub(super) type HttpAnswer = Response<Full<Bytes>>;
 
@@ -45,6 +46,8 @@
     BadTicket,
     /// No place has the service.
     NoService(String),
+    /// No route is for the request's host and path.
+    NoRoute,
     /// The body is larger than the settings allow.
     TooLarge { limit: usize },
     /// The body took too long.
@@ -91,7 +94,7 @@
     }
 
     /// The HTTP answer.
-    pub(super) fn answer(&self, call: &str) -> HttpAnswer {
+    pub(super) fn answer(&self, dialect: &Dialect, call: &str) -> HttpAnswer {
         let told = self.told();
         let body = json!({
             "type": format!("urn:lynxcleat:problem:{}", told.kind),
@@ -104,10 +107,14 @@
         });
         let mut answer = build(told.status, PROBLEM_JSON, body.to_string());
         let headers = answer.headers_mut();
+        if let Some(after_us) = told.retry_after_us {
+            headers.insert(RETRY_AFTER, dialect.retry_after(after_us));
+        }
+        if !dialect.own_interface {
+            return answer;
+        }
         headers.insert(OUTCOME, HeaderValue::from_static(told.outcome.label()));
         if let Some(after_us) = told.retry_after_us {
-            let seconds = after_us.div_ceil(1_000_000);
-            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
             headers.insert(RETRY_AFTER_MS, HeaderValue::from(ms(after_us)));
         }
         answer
@@ -140,6 +147,12 @@
                 format!("no place has a service {name:?}"),
                 None,
             ),
+            Problem::NoRoute => not_run(
+                StatusCode::NOT_FOUND,
+                "no-route",
+                "no route is for this host and path".to_owned(),
+                None,
+            ),
             Problem::TooLarge { limit } => not_run(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "too-large",
@@ -221,7 +234,7 @@
 }
 
 /// A target's answer, passed on unchanged but for our own headers.
-pub(super) fn pass_on(answer: Answer, replayed: bool) -> HttpAnswer {
+pub(super) fn pass_on(dialect: &Dialect, answer: Answer, replayed: bool) -> HttpAnswer {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut http = Response::new(Full::new(Bytes::from(answer.body.into_vec())));
     *http.status_mut() = status;
@@ -232,7 +245,9 @@
             headers.append(name, value);
         }
     }
-    headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Run.label()));
+    if dialect.own_interface {
+        headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Run.label()));
+    }
     if replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("1"));
     }
@@ -246,10 +261,16 @@
 }
 
 /// Adds what every answer carries.
-pub(super) fn stamp(answer: &mut HttpAnswer, call: &str, ticket: Option<&str>, closing: bool) {
+pub(super) fn stamp(
+    dialect: &Dialect,
+    answer: &mut HttpAnswer,
+    call: &str,
+    ticket: Option<&str>,
+    closing: bool,
+) {
     let headers = answer.headers_mut();
     if let Ok(value) = HeaderValue::from_str(call) {
-        headers.insert(CALL, value);
+        headers.insert(&dialect.call, value);
     }
     if let Some(value) = ticket.and_then(|text| HeaderValue::from_str(text).ok()) {
         headers.insert(TICKET, value);
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -1,8 +1,8 @@
 //! Accept and classify: from an HTTP request to a checked call.
 //!
-//! The service is the first label of `Host`. A path prefix would have to be
-//! taken off the path again, and paths pass unchanged here; a host name also
-//! lets callers use their own resolver later without a change.
+//! The service is that of the route in force for the request's host and path. In a
+//! tree without routes it is the first label of the host: a path prefix would have
+//! to be taken off the path again, and paths pass unchanged here.
 
 use std::time::Duration;
 
@@ -18,7 +18,8 @@
 
 use super::answer::Problem;
 use crate::core::Core;
-use crate::headers::{DEADLINE, KEY, PREFIX, RETRY, TICKET, is_hop_by_hop, listed_in_connection};
+use crate::dialect::Dialect;
+use crate::headers::{KEY, TICKET, is_hop_by_hop, listed_in_connection};
 
 /// Longest idempotency key, in bytes.
 const KEY_LIMIT: usize = 255;
@@ -38,7 +39,8 @@
 
 /// A request's head, checked.
 pub(super) struct Classified {
-    pub service: String,
+    /// Host that the request names, in lower case and without a port.
+    pub host: String,
     pub deadline_ms: Option<u64>,
     pub effects: Effects,
     pub may_retry: bool,
@@ -50,11 +52,13 @@
 pub(super) fn classify(core: &Core, parts: &Parts) -> Result<Classified, Problem> {
     check_form(parts)?;
     let headers = &parts.headers;
+    let dialect = &core.dialect;
+    let retries = dialect.retry.as_ref();
     Ok(Classified {
-        service: service(headers)?,
-        deadline_ms: deadline_ms(headers)?,
+        host: host(parts)?,
+        deadline_ms: deadline_ms(headers, dialect)?,
         effects: effects(core, parts)?,
-        may_retry: !headers.contains_key(RETRY),
+        may_retry: !retries.is_some_and(|retry| headers.contains_key(retry)),
         length: length(headers)?,
         head: RequestHead {
             method: parts.method.as_str().to_owned(),
@@ -62,7 +66,7 @@
                 .uri
                 .path_and_query()
                 .map_or_else(|| "/".to_owned(), ToString::to_string),
-            headers: end_to_end(headers),
+            headers: end_to_end(parts, dialect),
         },
     })
 }
@@ -97,8 +101,7 @@
 /// chunks, drops the length and closes the connection after the answer (RFC 9112,
 /// section 6.3), and we frame what we send on anew.
 fn check_form(parts: &Parts) -> Result<(), Problem> {
-    let uri = &parts.uri;
-    if uri.scheme().is_some() || uri.authority().is_some() || !uri.path().starts_with('/') {
+    if !parts.uri.path().starts_with('/') {
         return Err(Problem::Bad("the target of the request must be a path"));
     }
     if parts.method == Method::CONNECT || parts.method == Method::TRACE {
@@ -111,33 +114,48 @@
     Ok(())
 }
 
-fn service(headers: &HeaderMap) -> Result<String, Problem> {
-    let bad = Problem::Bad("the first label of Host must name a service");
-    let Some(host) = headers.get(HOST).and_then(|value| value.to_str().ok()) else {
-        return Err(bad);
+/// The host that the request names. In absolute form the request's target names it,
+/// whatever `Host` says (RFC 9112, section 3.2.2).
+fn host(parts: &Parts) -> Result<String, Problem> {
+    let named = match parts.uri.host() {
+        Some(host) => host,
+        None => single(&parts.headers, HOST.as_str())?.unwrap_or_default(),
     };
-    let name = host.split([':', '.']).next().unwrap_or_default();
-    let name = name.to_ascii_lowercase();
-    if valid_name(&name) {
-        Ok(name)
-    } else {
-        Err(bad)
+    let host = named.split(':').next().unwrap_or_default();
+    if host.is_empty() {
+        return Err(Problem::Bad("Host is empty"));
     }
+    Ok(host.to_ascii_lowercase())
 }
 
-fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
-    let Some(text) = single(headers, DEADLINE)? else {
+/// The service that the first label of a host names.
+pub(super) fn service_of(host: &str) -> Result<&str, Problem> {
+    let name = host.split('.').next().unwrap_or_default();
+    if valid_name(name) {
+        return Ok(name);
+    }
+    Err(Problem::Bad("the first label of Host must name a service"))
+}
+
+fn deadline_ms(headers: &HeaderMap, dialect: &Dialect) -> Result<Option<u64>, Problem> {
+    let Some(text) = single(headers, dialect.deadline.as_str())? else {
         return Ok(None);
     };
-    match text.parse() {
+    match text.trim().parse() {
         Ok(ms) if ms > 0 => Ok(Some(ms)),
         _ => Err(Problem::Bad(
-            "lynxcleat-deadline-ms must be a whole number above 0",
+            "the deadline must be a whole number of milliseconds above 0",
         )),
     }
 }
 
 fn effects(core: &Core, parts: &Parts) -> Result<Effects, Problem> {
+    if !core.dialect.own_interface {
+        return Ok(match is_safe(&parts.method) {
+            true => Effects::None,
+            false => Effects::Plain,
+        });
+    }
     let ticket = single(&parts.headers, TICKET)?;
     let key = single(&parts.headers, KEY)?;
     match (ticket, key) {
@@ -184,11 +202,14 @@
     Ok(Some(text))
 }
 
-/// Headers for the target: end-to-end ones, without any of ours.
-fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+/// Headers for the target: end-to-end ones, without any of ours. A host in the
+/// request's target takes the place of `Host` (RFC 9112, section 3.2.2).
+fn end_to_end(parts: &Parts, dialect: &Dialect) -> Vec<Header> {
+    let headers = &parts.headers;
+    let authority = parts.uri.authority();
     let listed = listed_in_connection(headers);
     let passes = |name: &HeaderName| {
-        let ours = name.as_str().starts_with(PREFIX);
+        let ours = (dialect.is_ours)(name);
         let framing = name == CONTENT_LENGTH || name == EXPECT;
         !ours && !framing && !is_hop_by_hop(name) && !listed.contains(name)
     };
@@ -196,10 +217,11 @@
         .iter()
         .filter(|(name, _)| passes(name))
         .map(|(name, value)| {
-            Header(
-                name.as_str().to_owned(),
-                ByteBuf::from(value.as_bytes().to_vec()),
-            )
+            let value = match authority.filter(|_| name == HOST) {
+                Some(authority) => authority.as_str().as_bytes(),
+                None => value.as_bytes(),
+            };
+            Header(name.as_str().to_owned(), ByteBuf::from(value.to_vec()))
         })
         .collect()
 }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -5,7 +5,8 @@
 use hyper::Request;
 use hyper::body::{Body, Incoming};
 use lynxcleat_policy::CallId;
-use lynxcleat_settings::Effective;
+use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
+use rand::RngExt;
 use serde::Serialize;
 
 use super::answer::{self, HttpAnswer, Outcome, Problem};
@@ -16,6 +17,7 @@
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
 use crate::route::{self, Outbound, RouteVerdict, ServiceRouter};
+use crate::settings_state::InForce;
 
 /// Path under which the daemon itself answers callers.
 const OWN_PREFIX: &str = "/.lynxcleat/";
@@ -29,6 +31,14 @@
     effective: Arc<Effective>,
     generation: u64,
     service: Arc<ServiceRouter>,
+    terms: Terms,
+}
+
+/// The terms on which a call is served: those of its route, or of its service.
+struct Terms {
+    timeout_ms: u64,
+    attempts: Option<u32>,
+    effects: Effects,
 }
 
 #[derive(Serialize)]
@@ -41,20 +51,21 @@
     let busy = core.life.calls.enter();
     let began = core.clock.now();
     let id = core.new_call_id();
-    let name = core.call_name(id);
     let (parts, body) = request.into_parts();
-    if parts.uri.path().starts_with(OWN_PREFIX) {
+    let named = core.dialect.caller_call(&parts.headers);
+    let name = named.unwrap_or_else(|| core.call_name(id));
+    if core.dialect.own_interface && parts.uri.path().starts_with(OWN_PREFIX) {
         return own(core, &parts, &name);
     }
     let mut service = String::new();
     let outcome = pipeline(core, (id, &name), &parts, body, &mut service).await;
     let (mut http, label) = match outcome {
         Ok(http) => (http, Outcome::Run),
-        Err(problem) => (problem.answer(&name), problem.outcome()),
+        Err(problem) => (problem.answer(&core.dialect, &name), problem.outcome()),
     };
-    let ticket = core.once.mint_text();
+    let ticket = core.dialect.own_interface.then(|| core.once.mint_text());
     let closing = core.life.phase() > Phase::Serving;
-    answer::stamp(&mut http, &name, Some(&ticket), closing);
+    answer::stamp(&core.dialect, &mut http, &name, ticket.as_deref(), closing);
     count(core, service, label, core.clock.now() - began);
     drop(busy);
     http
@@ -78,22 +89,25 @@
         effective,
         generation,
         service,
+        terms,
     } = pinned;
     let deadline_ms = call
         .deadline_ms
         .unwrap_or(effective.deadline_ms)
-        .min(effective.deadline_max_ms);
+        .min(terms.timeout_ms);
     let outbound = Outbound {
         id,
         name: name.to_owned(),
         deadline: core.clock.now() + deadline_ms * 1_000,
         operation: None,
         may_retry: call.may_retry,
+        attempt_limit: terms.attempts,
+        caller_service: caller_service(core),
         generation,
         head: call.head,
         body,
     };
-    let answered = run(core, call.effects, service, outbound).await;
+    let answered = run(core, terms.effects, service, outbound).await;
     drop(room);
     answered
 }
@@ -114,17 +128,75 @@
 /// Pins the call to the generation of settings in force now.
 fn pin(core: &Arc<Core>, call: Classified) -> Result<Pinned, Problem> {
     let in_force = core.settings.current().ok_or(Problem::NotReady)?;
-    let Some(effective) = in_force.service(&call.service) else {
-        return Err(Problem::NoService(call.service));
+    let route = route_of(&in_force, &call)?;
+    let name = match &route {
+        Some(named) => pick_part(&named.route),
+        None => classify::service_of(&call.host)?,
+    };
+    let Some(effective) = in_force.service(name) else {
+        return Err(Problem::NoService(name.to_owned()));
+    };
+    let terms = match &route {
+        Some(named) => Terms {
+            timeout_ms: named.route.timeout_ms,
+            attempts: Some(named.route.attempts),
+            effects: route_effects(named.route.effects, &call.effects),
+        },
+        None => Terms {
+            timeout_ms: effective.deadline_max_ms,
+            attempts: None,
+            effects: call.effects.clone(),
+        },
     };
     Ok(Pinned {
-        service: core.routers.get(core, &call.service, &effective),
+        service: core.routers.get(core, name, &effective),
         generation: in_force.generation.number,
         effective,
         call,
+        terms,
     })
 }
 
+/// The route in force for a call; `None` in a tree without routes.
+fn route_of(in_force: &InForce, call: &Classified) -> Result<Option<Arc<NamedRoute>>, Problem> {
+    if in_force.routes.is_empty() {
+        return Ok(None);
+    }
+    let path = call.head.path.split('?').next().unwrap_or_default();
+    let route = in_force.routes.find(&call.host, path);
+    route.cloned().map(Some).ok_or(Problem::NoRoute)
+}
+
+/// The service that one call on a route goes to: each part gets its share.
+fn pick_part(route: &Route) -> &str {
+    let total: u64 = route.parts.iter().map(|part| u64::from(part.weight)).sum();
+    let mut drawn = rand::rng().random_range(0..total.max(1));
+    for part in &route.parts {
+        let weight = u64::from(part.weight);
+        if drawn < weight {
+            return &part.service;
+        }
+        drawn -= weight;
+    }
+    &route.parts[0].service
+}
+
+/// What the route says of effects goes before what the method says; a ticket or key
+/// stays.
+fn route_effects(route: RouteEffects, call: &Effects) -> Effects {
+    match (route, call) {
+        (_, Effects::Ticket(_) | Effects::Key(_)) => call.clone(),
+        (RouteEffects::None, _) => Effects::None,
+        (RouteEffects::Once, _) => Effects::Plain,
+    }
+}
+
+/// The service that targets are told a call began at.
+fn caller_service(core: &Core) -> Option<String> {
+    let told = core.dialect.caller_service.is_some();
+    told.then(|| core.config.service.clone())
+}
+
 async fn run(
     core: &Arc<Core>,
     effects: Effects,
@@ -132,15 +204,15 @@
     call: Outbound,
 ) -> Result<HttpAnswer, Problem> {
     match effects {
-        Effects::None => routed(route::run(core, &service, call).await),
-        Effects::Plain => routed(run_plain(core, service, call).await),
+        Effects::None => routed(core, route::run(core, &service, call).await),
+        Effects::Plain => routed(core, run_plain(core, service, call).await),
         Effects::Ticket(ticket) => {
             let call = OnceCall { call, service };
-            once_answer(once::run(core, ticket, call).await)
+            once_answer(core, once::run(core, ticket, call).await)
         }
         Effects::Key(key) => {
             let call = OnceCall { call, service };
-            once_answer(once::run_keyed(core, key, call).await)
+            once_answer(core, once::run_keyed(core, key, call).await)
         }
     }
 }
@@ -165,9 +237,9 @@
     })
 }
 
-fn routed(verdict: RouteVerdict) -> Result<HttpAnswer, Problem> {
+fn routed(core: &Core, verdict: RouteVerdict) -> Result<HttpAnswer, Problem> {
     match verdict {
-        RouteVerdict::Answer(answer) => Ok(answer::pass_on(answer, false)),
+        RouteVerdict::Answer(answer) => Ok(answer::pass_on(&core.dialect, answer, false)),
         RouteVerdict::NotRun {
             reason,
             retry_after_us,
@@ -181,9 +253,11 @@
     }
 }
 
-fn once_answer(verdict: OnceVerdict) -> Result<HttpAnswer, Problem> {
+fn once_answer(core: &Core, verdict: OnceVerdict) -> Result<HttpAnswer, Problem> {
     match verdict {
-        OnceVerdict::Ran { answer, replayed } => Ok(answer::pass_on(answer, replayed)),
+        OnceVerdict::Ran { answer, replayed } => {
+            Ok(answer::pass_on(&core.dialect, answer, replayed))
+        }
         OnceVerdict::NotRun {
             reason,
             retry_after_us,
@@ -203,14 +277,15 @@
 /// Requests to the daemon itself: a batch of tickets.
 fn own(core: &Core, parts: &hyper::http::request::Parts, name: &str) -> HttpAnswer {
     if parts.uri.path() != TICKETS_PATH {
-        return Problem::Bad("no such path of the daemon").answer(name);
+        return Problem::Bad("no such path of the daemon").answer(&core.dialect, name);
     }
     let query = parts.uri.query().unwrap_or("count=1");
     let count = query
         .strip_prefix("count=")
         .and_then(|text| text.parse::<usize>().ok());
     let Some(count) = count.filter(|count| (1..=TICKETS_LIMIT).contains(count)) else {
-        return Problem::Bad("count must be a whole number from 1 to 100").answer(name);
+        return Problem::Bad("count must be a whole number from 1 to 100")
+            .answer(&core.dialect, name);
     };
     let tickets = (0..count).map(|_| core.once.mint_text()).collect();
     answer::json_answer(&Tickets { tickets })
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -72,7 +72,7 @@
     pub target: SocketAddr,
     pub target_health: Option<SocketAddr>,
     pub platform: String,
-    pub shared_key: SharedKey,
+    pub shared_key: Option<SharedKey>,
     pub seeds: Vec<String>,
     pub threads: usize,
     pub caller_connections: usize,
@@ -135,6 +135,18 @@
     /// The first fault.
     pub fn resolve(raw: RawConfig, folder: &Path) -> Result<Config, ConfigFault> {
         let shared_key = shared_key(&raw, folder)?;
+        Config::resolve_with(raw, Some(shared_key))
+    }
+
+    /// Checks a raw configuration of a daemon that gets its key from a directory.
+    ///
+    /// # Errors
+    /// The first fault.
+    pub fn resolve_without_key(raw: RawConfig) -> Result<Config, ConfigFault> {
+        Config::resolve_with(raw, None)
+    }
+
+    fn resolve_with(raw: RawConfig, shared_key: Option<SharedKey>) -> Result<Config, ConfigFault> {
         for (key, value) in [("place", &raw.place), ("service", &raw.service)] {
             check_name(key, value)?;
         }
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_platform::{HostEntry, HostPage, HostState};
 use lynxcleat_policy::Cost;
+use lynxcleat_store::{HostEntry, HostPage, HostState};
 
 use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
@@ -60,9 +60,15 @@
 
     /// Takes a page. Returns the services of hosts that are gone.
     fn take(&self, page: HostPage) -> Vec<String> {
+        self.version.store(page.version, Ordering::Relaxed);
+        self.take_entries(page.hosts)
+    }
+
+    /// Takes changed entries. Returns the services of hosts that are gone.
+    pub fn take_entries(&self, entries: Vec<HostEntry>) -> Vec<String> {
         let mut hosts = lock(&self.hosts);
         let mut gone = Vec::new();
-        for entry in page.hosts {
+        for entry in entries {
             if entry.state == HostState::Gone {
                 hosts.remove(&entry.host);
                 gone.push(entry.service);
@@ -70,7 +76,6 @@
                 hosts.insert(entry.host.clone(), entry);
             }
         }
-        self.version.store(page.version, Ordering::Relaxed);
         gone
     }
 }
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_platform::{PlatformError, Pointer, keys};
 use lynxcleat_policy::Cost;
 use lynxcleat_settings::{Digest, Generation, OfferError};
+use lynxcleat_store::{PlatformError, Pointer, keys};
 use lynxcleat_wire::{Frame, TreeCopy};
 use thiserror::Error;
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -5,14 +5,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use lynxcleat_once::Incarnation;
-use lynxcleat_platform::Platform;
 use lynxcleat_policy::CallId;
-use lynxcleat_wire::{Frame, Hello, PROTOCOL_VERSION};
+use lynxcleat_store::Platform;
+use lynxcleat_wire::{Frame, Hello, PROTOCOL_VERSION, SharedKey};
 
 use crate::callers::BodyRoom;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::control::{HostTable, MeasureBudget};
+use crate::dialect::Dialect;
+use crate::directory::DirectoryState;
 use crate::explain::Explain;
 use crate::half::Half;
 use crate::life::{LeaveCause, Life};
@@ -41,6 +43,10 @@
 pub struct Core {
     /// Its checked configuration.
     pub config: Config,
+    /// Names that callers and targets use.
+    pub dialect: Dialect,
+    /// What it follows in the directory and keeps there, where there is one.
+    pub directory: Option<DirectoryState>,
     /// Who it is.
     pub me: Identity,
     /// Its clock.
@@ -82,7 +88,7 @@
             host: self.config.host.clone(),
             place: self.config.place.clone(),
             zone: self.config.zone.clone(),
-            service: self.config.service.clone(),
+            service: self.half.service(self),
             mesh: self.me.mesh.to_string(),
             incarnation: self.me.incarnation,
             started_ms: self.me.started_ms,
@@ -91,6 +97,15 @@
         }
     }
 
+    /// The key that proves links; nothing before it is known.
+    pub fn shared_key(&self) -> Option<SharedKey> {
+        match (&self.config.shared_key, &self.directory) {
+            (Some(key), _) => Some(key.clone()),
+            (None, Some(directory)) => directory.key.get().cloned(),
+            (None, None) => None,
+        }
+    }
+
     /// A number for a new call.
     pub fn new_call_id(&self) -> CallId {
         CallId(self.calls.fetch_add(1, Ordering::Relaxed))
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use lynxcleat_once::Incarnation;
-use lynxcleat_platform::{HostEntry, HostState, Platform};
+use lynxcleat_policy::TargetReport;
+use lynxcleat_store::{HostEntry, HostState, Platform};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -16,6 +17,8 @@
 use crate::config::Config;
 use crate::control::{self, HostTable, MeasureBudget};
 use crate::core::{Core, Identity};
+use crate::dialect::Dialect;
+use crate::directory::{self, Directory, DirectoryState};
 use crate::explain::Explain;
 use crate::half::{Half, Pool};
 use crate::life::{LeaveCause, Life, Phase, StopReport};
@@ -52,6 +55,24 @@
     Ops(#[from] OpsError),
 }
 
+/// What a daemon runs among: the interface of its callers and targets, and where
+/// it finds settings, key and members.
+pub struct Environment {
+    /// Names that callers and targets use.
+    pub dialect: Dialect,
+    /// The directory; without one, the product's own platform is polled.
+    pub directory: Option<Directory>,
+}
+
+impl Default for Environment {
+    fn default() -> Self {
+        Environment {
+            dialect: Dialect::own(),
+            directory: None,
+        }
+    }
+}
+
 /// A running daemon.
 pub struct Daemon {
     core: Arc<Core>,
@@ -66,6 +87,14 @@
     /// # Errors
     /// An address that cannot be listened on.
     pub async fn start(config: Config) -> Result<Daemon, StartError> {
+        Daemon::start_in(config, Environment::default()).await
+    }
+
+    /// Starts in another environment than the product's own.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub async fn start_in(config: Config, environment: Environment) -> Result<Daemon, StartError> {
         let callers_listener = listen(config.callers, "callers").await?;
         let mesh_listener = listen(config.mesh, "daemons").await?;
         let ops = Ops::listen(config.ops)?;
@@ -77,9 +106,14 @@
             mesh: bound(&mesh_listener, config.mesh),
             ops: ops.address(),
         };
-        let core = Arc::new(build(config, me, clock));
-        once::start_claims(&core);
-        control::start(&core);
+        let core = Arc::new(build(config, environment, me, clock));
+        match core.directory {
+            Some(_) => directory::start(&core),
+            None => {
+                once::start_claims(&core);
+                control::start(&core);
+            }
+        }
         tokio::spawn(mesh::listen(Arc::clone(&core), mesh_listener));
         let callers = tokio::spawn(callers::listen(Arc::clone(&core), callers_listener));
         let ops = ops.serve(Arc::clone(&core));
@@ -99,6 +133,11 @@
         &self.core.me
     }
 
+    /// A handle for reports and readiness that outlives a move of the daemon.
+    pub fn side(&self) -> Side {
+        Side(Arc::clone(&self.core))
+    }
+
     /// What it says of itself.
     pub fn status(&self) -> Status {
         status(&self.core)
@@ -160,6 +199,24 @@
     }
 }
 
+/// The side of a daemon towards its own target and whoever asks whether it is
+/// ready.
+#[derive(Clone)]
+pub struct Side(Arc<Core>);
+
+impl Side {
+    /// Takes a report of the target; it returns when what must last of it is
+    /// in the directory, or after the time that a target waits for its answer.
+    pub async fn report(&self, report: TargetReport) {
+        directory::report(&self.0, report).await;
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.0.is_ready()
+    }
+}
+
 /// What a daemon has in hand.
 pub struct InHand(Arc<Core>);
 
@@ -199,7 +256,8 @@
     )
 }
 
-fn build(config: Config, me: Identity, clock: Clock) -> Core {
+fn build(config: Config, environment: Environment, me: Identity, clock: Clock) -> Core {
+    let target_reports = environment.directory.is_some();
     let platform = Platform::builder(config.platform.clone())
         .timeout_s(PLATFORM_LIMIT_S)
         .tries(PLATFORM_TRIES)
@@ -209,13 +267,18 @@
         links: Links::default(),
         hosts: HostTable::default(),
         routers: Routers::default(),
-        half: Half::new(clock, me.started_ms, Pool::new(config.target)),
+        half: Half::new(
+            clock,
+            me.started_ms,
+            Pool::new(config.target),
+            target_reports,
+        ),
         once: Once::new(
             clock,
             me.incarnation,
             me.started_ms,
             me.mesh.to_string(),
-            &config.shared_key,
+            config.shared_key.as_ref(),
         ),
         budget: MeasureBudget::new(clock),
         metrics: Metrics::default(),
@@ -224,6 +287,8 @@
         life: Life::default(),
         bodies: BodyRoom::default(),
         calls: AtomicU64::new(1),
+        dialect: environment.dialect,
+        directory: environment.directory.map(DirectoryState::new),
         config,
         me,
         clock,
--- /dev/null
+++ b/crates/daemon/src/dialect.rs
@@ -0,0 +1,134 @@
+//! The names that callers and targets use: which headers carry a deadline, the
+//! name of a call, the target meant, and how a target says that it did not run a
+//! call. [`Dialect::own`] is the product's own interface.
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use lynxcleat_policy::Micros;
+
+use crate::headers::{CALL, DEADLINE, OUTCOME, PREFIX, RETRY, RETRY_AFTER_MS};
+
+/// What a target says that did not run a call, in our own interface.
+const NOT_RUN: &str = "not-run";
+
+/// What a target tells of its load on an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Calls it runs.
+    pub running: u32,
+    /// Calls that wait in it.
+    pub waiting: u32,
+    /// How long work takes there now, in percent of what is usual.
+    pub slowness_percent: u32,
+}
+
+/// How a target's answer is to be taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerKind {
+    /// The target ran the call.
+    Ran,
+    /// It did not run the call, and says when to come back where it can.
+    NotRun {
+        /// When to come back, in microseconds.
+        retry_after_us: Option<Micros>,
+    },
+    /// Another incarnation than the one meant stands at the address; it did not
+    /// run the call.
+    OtherInstance,
+}
+
+/// A header with a target's load, and how to read it.
+#[derive(Clone, Debug)]
+pub struct LoadHeader {
+    /// Its name.
+    pub name: HeaderName,
+    /// Reads its value; nothing where it makes no sense.
+    pub read: fn(&str) -> Option<TargetLoad>,
+}
+
+/// Names and rules of one interface towards callers and targets.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Time left in milliseconds, from callers and to targets.
+    pub deadline: HeaderName,
+    /// Name of a call, to targets and from those that repeat it.
+    pub call: HeaderName,
+    /// Whether callers name their calls in that header.
+    pub callers_name_calls: bool,
+    /// Incarnation of the target that is meant, to targets.
+    pub instance: Option<HeaderName>,
+    /// Service of the host where the call began, to targets.
+    pub caller_service: Option<HeaderName>,
+    /// Marks a further attempt, from and to targets.
+    pub retry: Option<HeaderName>,
+    /// The target's load, from targets.
+    pub load: Option<LoadHeader>,
+    /// How a target's answer is to be taken.
+    pub answer_kind: fn(&Parts) -> AnswerKind,
+    /// Headers of ours that are neither taken from callers nor from targets.
+    pub is_ours: fn(&HeaderName) -> bool,
+    /// Whether answers carry our own headers, and tickets and keys are served.
+    pub own_interface: bool,
+    /// Whether the time to come back is told in fractions of a second.
+    pub fractional_retry_after: bool,
+}
+
+impl Dialect {
+    /// The product's own interface.
+    pub fn own() -> Self {
+        Dialect {
+            deadline: HeaderName::from_static(DEADLINE),
+            call: HeaderName::from_static(CALL),
+            callers_name_calls: false,
+            instance: None,
+            caller_service: None,
+            retry: Some(HeaderName::from_static(RETRY)),
+            load: None,
+            answer_kind: own_answer_kind,
+            is_ours: |name| name.as_str().starts_with(PREFIX),
+            own_interface: true,
+            fractional_retry_after: false,
+        }
+    }
+
+    /// The name that a caller gave its call.
+    pub fn caller_call(&self, headers: &HeaderMap) -> Option<String> {
+        if !self.callers_name_calls {
+            return None;
+        }
+        let text = headers.get(&self.call)?.to_str().ok()?;
+        Some(text.to_owned())
+    }
+
+    /// The load that an answer tells.
+    pub fn load(&self, headers: &HeaderMap) -> Option<TargetLoad> {
+        let load = self.load.as_ref()?;
+        (load.read)(headers.get(&load.name)?.to_str().ok()?)
+    }
+
+    /// The value of `Retry-After`: whole seconds, or fractions where allowed.
+    pub fn retry_after(&self, after_us: Micros) -> HeaderValue {
+        if !self.fractional_retry_after {
+            return HeaderValue::from(after_us.div_ceil(1_000_000));
+        }
+        let text = format!("{:.3}", after_us as f64 / 1e6);
+        HeaderValue::from_str(&text).expect("digits and a point")
+    }
+}
+
+fn own_answer_kind(parts: &Parts) -> AnswerKind {
+    let says_not_run = parts
+        .headers
+        .get(OUTCOME)
+        .is_some_and(|told| told == NOT_RUN);
+    if !says_not_run || !parts.status.is_server_error() {
+        return AnswerKind::Ran;
+    }
+    let told_ms = parts
+        .headers
+        .get(RETRY_AFTER_MS)
+        .and_then(|value| value.to_str().ok()?.parse::<Micros>().ok());
+    AnswerKind::NotRun {
+        retry_after_us: told_ms.map(|ms| ms.saturating_mul(1_000)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/directory/member.rs
@@ -0,0 +1,137 @@
+//! The row of one member, and what news of members change here.
+
+use std::sync::Arc;
+
+use lynxcleat_policy::{ReportEffect, ReportedState};
+use lynxcleat_store::{HostEntry, HostState, OwnRow, StoredRow};
+use serde::{Deserialize, Serialize};
+
+use super::{DirectoryState, TABLE};
+use crate::core::Core;
+use crate::sync::lock;
+
+/// Keys of member rows, before the host's name.
+const MEMBER: &str = "member/";
+
+/// A member as its row tells it.
+#[derive(Debug, Deserialize, Serialize)]
+struct Member {
+    #[serde(flatten)]
+    entry: HostEntry,
+    /// Incarnation of its target.
+    instance: String,
+}
+
+/// The row of this daemon, of which nothing is known yet.
+pub(super) fn own_row(core: &Core) -> OwnRow {
+    OwnRow::new(TABLE, &format!("{MEMBER}{}", core.config.host))
+}
+
+/// Asks for what the target reported last to stand in this daemon's row.
+pub(super) fn want_own(core: &Core) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    let Some(member) = own_member(core) else {
+        return;
+    };
+    let value = serde_json::to_vec(&member).expect("a member encodes");
+    let mut own = lock(&directory.own);
+    own.get_or_insert_with(|| own_row(core)).want(value);
+    drop(own);
+    directory.wanted.notify_one();
+}
+
+fn own_member(core: &Core) -> Option<Member> {
+    let (instance, state) = core.half.with_reports(|reports| {
+        let target = reports.in_place()?;
+        Some((target.instance.clone(), target.state))
+    })??;
+    let entry = HostEntry {
+        host: core.config.host.clone(),
+        place: core.config.place.clone(),
+        zone: core.config.zone.clone(),
+        service: core.half.service(core),
+        mesh: core.me.mesh.to_string(),
+        ops: core.me.ops.to_string(),
+        state: host_state(state),
+    };
+    Some(Member { entry, instance })
+}
+
+fn host_state(state: ReportedState) -> HostState {
+    match state {
+        ReportedState::Ready => HostState::Live,
+        ReportedState::Draining => HostState::Leaving,
+        ReportedState::Gone => HostState::Gone,
+    }
+}
+
+/// Takes news of members.
+pub(super) fn take(core: &Arc<Core>, directory: &DirectoryState, news: Vec<StoredRow>) {
+    let mut entries = Vec::new();
+    for row in news {
+        let Some(host) = row.key.strip_prefix(MEMBER) else {
+            continue;
+        };
+        if host == core.config.host {
+            take_own(core, directory, &row);
+        }
+        entries.extend(entry(core, host, &row));
+    }
+    if entries.is_empty() {
+        return;
+    }
+    for service in core.hosts.take_entries(entries) {
+        core.once.half_gone(&service);
+    }
+    core.routers.refresh(core);
+}
+
+/// The entry that a row stands for; a row that is gone or cannot be read stands
+/// for a host that is gone.
+fn entry(core: &Core, host: &str, row: &StoredRow) -> Option<HostEntry> {
+    let member = match &row.value {
+        None => None,
+        Some(value) => match serde_json::from_slice::<Member>(value) {
+            Ok(member) => Some(member.entry),
+            Err(error) => {
+                log::error!(host, version = row.version; "member row: {error}");
+                return None;
+            }
+        },
+    };
+    member.or_else(|| {
+        let known = core.hosts.get(host)?;
+        Some(HostEntry {
+            state: HostState::Gone,
+            ..known
+        })
+    })
+}
+
+/// An earlier run of this daemon may have left word that its target ended.
+fn take_own(core: &Core, directory: &DirectoryState, row: &StoredRow) {
+    let mut own = lock(&directory.own);
+    own.get_or_insert_with(|| own_row(core)).seen(row);
+    drop(own);
+    directory.settled.notify_waiters();
+    let Some(member) = row
+        .value
+        .as_ref()
+        .and_then(|value| serde_json::from_slice::<Member>(value).ok())
+    else {
+        return;
+    };
+    let ended = match member.entry.state {
+        HostState::Live => return,
+        HostState::Leaving => ReportedState::Draining,
+        HostState::Gone => ReportedState::Gone,
+    };
+    let effect = core
+        .half
+        .with_reports(|reports| reports.mark_ended(&member.instance, ended));
+    if effect == Some(ReportEffect::Changed) {
+        core.apply_target();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/directory/mod.rs
@@ -0,0 +1,165 @@
+//! What a daemon follows and keeps in a store of rows: the accepted settings, the
+//! members of the deployment, the key that proves links, and its own member row.
+//!
+//! Nothing in the store runs out by itself, so rows say who there may be and links
+//! say who lives. A row is written on a change only.
+
+mod follow;
+mod member;
+mod publish;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use lynxcleat_policy::{ReportEffect, TargetReport};
+use lynxcleat_settings::Tree;
+use lynxcleat_store::{OwnRow, RowStore};
+use lynxcleat_wire::SharedKey;
+use thiserror::Error;
+use tokio::sync::Notify;
+
+use crate::core::Core;
+use crate::life::{LeaveCause, Phase};
+use crate::sync::lock;
+
+/// Table of the members and the key.
+const TABLE: &str = "lynxcleat";
+/// Longest wait for the member row before a report is answered: targets wait a
+/// second at most.
+const REPORT_WAIT: Duration = Duration::from_millis(400);
+
+/// A tree that was read from a row, with its number.
+#[derive(Clone, Debug)]
+pub struct TranslatedTree {
+    /// Number of its generation.
+    pub number: u64,
+    /// The tree.
+    pub tree: Tree,
+}
+
+/// Why a row's value is no tree of settings.
+#[derive(Debug, Error)]
+#[error("the settings cannot be read: {0}")]
+pub struct TranslateError(#[source] pub Box<dyn std::error::Error + Send + Sync>);
+
+/// Reads the value of a settings row.
+pub type ReadSettings = Arc<dyn Fn(&[u8]) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
+
+/// The row that holds the accepted settings.
+#[derive(Clone)]
+pub struct SettingsRow {
+    /// Its table.
+    pub table: String,
+    /// Its key.
+    pub key: String,
+    /// Reads its value.
+    pub read: ReadSettings,
+}
+
+/// Where a daemon finds settings, key and members.
+#[derive(Clone)]
+pub struct Directory {
+    /// The store.
+    pub store: Arc<dyn RowStore>,
+    /// The row of the accepted settings.
+    pub settings: SettingsRow,
+}
+
+/// A daemon's dealings with its directory.
+pub struct DirectoryState {
+    directory: Directory,
+    /// The key that proves links, once it is known.
+    pub key: OnceLock<SharedKey>,
+    members_read: AtomicBool,
+    own: Mutex<Option<OwnRow>>,
+    wanted: Notify,
+    settled: Notify,
+}
+
+impl DirectoryState {
+    /// Nothing is known yet.
+    pub fn new(directory: Directory) -> Self {
+        DirectoryState {
+            directory,
+            key: OnceLock::new(),
+            members_read: AtomicBool::new(false),
+            own: Mutex::default(),
+            wanted: Notify::new(),
+            settled: Notify::new(),
+        }
+    }
+}
+
+impl Core {
+    /// Whether callers should be sent here: settings, key and members are known,
+    /// and no stop goes on.
+    pub fn is_ready(&self) -> bool {
+        let knows_members = self
+            .directory
+            .as_ref()
+            .is_none_or(|directory| directory.members_read.load(Ordering::Relaxed));
+        self.settings.current().is_some()
+            && knows_members
+            && self.shared_key().is_some()
+            && self.life.phase() == Phase::Serving
+    }
+
+    /// Another incarnation answered at the target's address than the one that a
+    /// call was meant for.
+    pub fn target_replaced(&self, meant: Option<&str>) {
+        let Some(meant) = meant else { return };
+        let effect = self
+            .half
+            .with_reports(|reports| reports.mark_replaced(meant));
+        log::warn!(instance = meant; "the target was replaced");
+        if effect == Some(ReportEffect::Changed) {
+            self.apply_target();
+        }
+    }
+
+    /// Puts what the target reports in force.
+    fn apply_target(&self) {
+        let open = self.half.with_reports(|reports| reports.open().is_some());
+        self.half.apply_limits();
+        self.set_leaving(LeaveCause::Report, open == Some(false));
+        member::want_own(self);
+    }
+}
+
+/// Starts following the directory.
+pub fn start(core: &Arc<Core>) {
+    core.set_leaving(LeaveCause::Report, true);
+    tokio::spawn(follow::settings(Arc::clone(core)));
+    tokio::spawn(follow::members(Arc::clone(core)));
+    tokio::spawn(publish::keep_own_row(Arc::clone(core)));
+}
+
+/// Takes a report of the target. Returns when what must last of it is in the
+/// store, but no later than a target waits for its acknowledgement.
+pub async fn report(core: &Core, report: TargetReport) {
+    let instance = report.instance.clone();
+    let state = report.state;
+    let taken = core.half.with_reports(|reports| reports.take(report));
+    if taken != Some(ReportEffect::Changed) {
+        return;
+    }
+    log::info!(instance = instance.as_str(), state:? = state; "target reported");
+    core.apply_target();
+    let _ = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
+}
+
+async fn own_row_settled(core: &Core) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    loop {
+        let settled = directory.settled.notified();
+        tokio::pin!(settled);
+        settled.as_mut().enable();
+        if lock(&directory.own).as_ref().is_none_or(OwnRow::is_settled) {
+            return;
+        }
+        settled.await;
+    }
+}
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -9,12 +9,9 @@
 use serde_bytes::ByteBuf;
 
 use super::pool::{Pool, Sender};
-use crate::headers::{
-    CALL, DEADLINE, OUTCOME, RETRY_AFTER_MS, is_hop_by_hop, listed_in_connection,
-};
+use crate::dialect::{AnswerKind, Dialect};
+use crate::headers::{is_hop_by_hop, listed_in_connection};
 
-/// What a target says that did not run a call.
-const NOT_RUN: &str = "not-run";
 /// Hint for callers where a target that sheds gives none.
 const SHED_RETRY_AFTER_US: Micros = 100_000;
 
@@ -25,6 +22,8 @@
     pub body: Vec<u8>,
     pub left_us: Micros,
     pub body_limit: usize,
+    pub instance: Option<String>,
+    pub caller_service: Option<String>,
 }
 
 /// How an exchange with the target ended.
@@ -33,6 +32,8 @@
     Answer(Answer),
     /// The target says that it did not run the call.
     Shed { retry_after_us: Micros },
+    /// Another incarnation of the target answered; the call was not run.
+    OtherInstance,
     /// Nothing was written.
     NotWritten,
     /// The request was written, in whole or in part, and no whole answer came.
@@ -44,11 +45,11 @@
 impl Pool {
     /// Writes a request and reads the whole answer. If the future is dropped,
     /// the connection is closed.
-    pub(super) async fn exchange(&self, request: Request) -> Exchange {
+    pub(super) async fn exchange(&self, dialect: &Dialect, request: Request) -> Exchange {
         let body_limit = request.body_limit;
         let is_head = request.head.method == "HEAD";
         let call = request.call.clone();
-        let Some(mut http) = build(request) else {
+        let Some(mut http) = build(dialect, request) else {
             return Exchange::NotWritten;
         };
         loop {
@@ -61,10 +62,12 @@
             };
             match sender.try_send_request(http).await {
                 Ok(response) => {
-                    if answers_another(&response, &call) {
+                    if answers_another(dialect, &response, &call) {
                         return Exchange::Lost;
                     }
-                    return self.finish(sender, response, body_limit, is_head).await;
+                    return self
+                        .finish(dialect, sender, response, (body_limit, is_head))
+                        .await;
                 }
                 // Given back unwritten: the target had closed an idle connection.
                 Err(mut error) => match error.take_message() {
@@ -77,10 +80,10 @@
 
     async fn finish(
         &self,
+        dialect: &Dialect,
         sender: Sender,
         response: Response<Incoming>,
-        body_limit: usize,
-        is_head: bool,
+        (body_limit, is_head): (usize, bool),
     ) -> Exchange {
         let (parts, body) = response.into_parts();
         let body = match Limited::new(body, body_limit).collect().await {
@@ -92,23 +95,30 @@
             }
         };
         self.put_back(sender);
-        if let Some(shed) = shed(&parts) {
-            return shed;
+        match (dialect.answer_kind)(&parts) {
+            AnswerKind::Ran => {}
+            AnswerKind::NotRun { retry_after_us } => {
+                let retry_after_us = retry_after_us.unwrap_or(SHED_RETRY_AFTER_US);
+                return Exchange::Shed { retry_after_us };
+            }
+            AnswerKind::OtherInstance => return Exchange::OtherInstance,
         }
         Exchange::Answer(Answer {
             status: parts.status.as_u16(),
-            headers: end_to_end(&parts.headers, is_head),
+            headers: end_to_end(dialect, &parts.headers, is_head),
             body: ByteBuf::from(body.to_vec()),
         })
     }
 }
 
-fn build(request: Request) -> Option<HttpRequest> {
+fn build(dialect: &Dialect, request: Request) -> Option<HttpRequest> {
     let Request {
         call,
         head,
         body,
         left_us,
+        instance,
+        caller_service,
         ..
     } = request;
     let method = Method::from_bytes(head.method.as_bytes()).ok()?;
@@ -118,15 +128,21 @@
         http = http.header(name.as_str(), value.as_slice());
     }
     let left_ms = left_us / 1_000;
-    http.header(DEADLINE, left_ms)
-        .header(CALL, call)
+    if let (Some(name), Some(value)) = (&dialect.instance, instance) {
+        http = http.header(name, value);
+    }
+    if let (Some(name), Some(value)) = (&dialect.caller_service, caller_service) {
+        http = http.header(name, value);
+    }
+    http.header(&dialect.deadline, left_ms)
+        .header(&dialect.call, call)
         .body(Full::new(Bytes::from(body)))
         .ok()
 }
 
 /// A target that repeats our call header shows which request it answers.
-fn answers_another(response: &Response<Incoming>, call: &str) -> bool {
-    let repeated = response.headers().get(CALL);
+fn answers_another(dialect: &Dialect, response: &Response<Incoming>, call: &str) -> bool {
+    let repeated = response.headers().get(&dialect.call);
     let other = repeated.is_some_and(|value| value.as_bytes() != call.as_bytes());
     if other {
         log::error!(call; "the target answered another call on this connection");
@@ -134,26 +150,13 @@
     other
 }
 
-fn shed(parts: &hyper::http::response::Parts) -> Option<Exchange> {
-    let outcome = parts.headers.get(OUTCOME)?;
-    if outcome != NOT_RUN || !parts.status.is_server_error() {
-        return None;
-    }
-    let told_ms = parts
-        .headers
-        .get(RETRY_AFTER_MS)
-        .and_then(|value| value.to_str().ok()?.parse::<Micros>().ok());
-    let retry_after_us = told_ms.map_or(SHED_RETRY_AFTER_US, |ms| ms.saturating_mul(1_000));
-    Some(Exchange::Shed { retry_after_us })
-}
-
 /// Headers for the caller. The length is that of the body we send, except for
 /// HEAD, whose answer has a length and no body.
-fn end_to_end(headers: &hyper::HeaderMap, is_head: bool) -> Vec<Header> {
+fn end_to_end(dialect: &Dialect, headers: &hyper::HeaderMap, is_head: bool) -> Vec<Header> {
     let listed = listed_in_connection(headers);
     let passes = |name: &HeaderName| {
         let length = name == CONTENT_LENGTH && !is_head;
-        let ours = name.as_str().starts_with("lynxcleat-");
+        let ours = (dialect.is_ours)(name);
         !length && !ours && !is_hop_by_hop(name) && !listed.contains(name)
     };
     let pass = |(name, value): (&HeaderName, &HeaderValue)| {
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -15,6 +15,7 @@
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, Cost, Figures, Refusal,
+    TargetReports,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, Frame};
@@ -51,13 +52,15 @@
     cancels: Mutex<HashMap<(u64, AttemptId), flume::Sender<()>>>,
     next_call: AtomicU64,
     settings: Mutex<Option<Arc<Effective>>>,
+    reports: Option<Mutex<TargetReports>>,
     /// Connections to the target.
     pub pool: Pool,
 }
 
 impl Half {
-    /// A half in front of an idle target.
-    pub fn new(clock: Clock, started_ms: u64, pool: Pool) -> Self {
+    /// A half in front of an idle target. Where the target reports its own state,
+    /// it is given no calls before it did.
+    pub fn new(clock: Clock, started_ms: u64, pool: Pool, target_reports: bool) -> Self {
         let nothing = AdmitLimits {
             slots: 1,
             hold_limit: 0,
@@ -77,6 +80,7 @@
             cancels: Mutex::default(),
             next_call: AtomicU64::new(1),
             settings: Mutex::default(),
+            reports: target_reports.then(Mutex::default),
             pool,
         }
     }
@@ -91,12 +95,46 @@
         });
         self.pool.set_limit(own.connection_limit as usize);
         *lock(&self.settings) = Some(Arc::clone(own));
+        self.apply_limits();
+    }
+
+    /// Puts the target's limits in force: the slots that it reports, or those of
+    /// the settings.
+    pub fn apply_limits(&self) {
+        let Some(own) = self.settings() else { return };
+        let reported = self.with_reports(|reports| reports.open()?.slots).flatten();
         self.admit(AdmitEvent::SetLimits(AdmitLimits {
-            slots: own.slots,
+            slots: reported.unwrap_or(own.slots).max(1),
             hold_limit: own.hold_limit,
         }));
     }
 
+    /// Works on the target's reports; nothing where the target sends none.
+    pub fn with_reports<T>(&self, work: impl FnOnce(&mut TargetReports) -> T) -> Option<T> {
+        let reports = self.reports.as_ref()?;
+        Some(work(&mut lock(reports)))
+    }
+
+    /// Service of the target: the one it reports, or the configured one.
+    pub fn service(&self, core: &Core) -> String {
+        let reported = self.with_reports(|reports| reports.in_place()?.service.clone());
+        let configured = || core.config.service.clone();
+        reported.flatten().unwrap_or_else(configured)
+    }
+
+    /// The incarnation of the target that a call is to be delivered to: `None`
+    /// where no call may be delivered, and an inner `None` where the target has no
+    /// name.
+    #[allow(clippy::option_option)]
+    fn instance_for_call(&self) -> Option<Option<String>> {
+        let open = self.with_reports(|reports| reports.open().map(|open| open.instance.clone()));
+        match open {
+            None => Some(None),
+            Some(None) => None,
+            Some(instance) => Some(instance),
+        }
+    }
+
     /// Takes no new calls from now on, or takes them again. Returns whether that
     /// is a change.
     pub fn set_leaving(&self, leaving: bool) -> bool {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -131,7 +131,7 @@
 }
 
 async fn serve(core: &Core, link: &Link, call: CallFrame, cancelled: flume::Receiver<()>) -> Ended {
-    if call.service != core.config.service {
+    if call.service != core.half.service(core) {
         return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
     }
     let half = &core.half;
@@ -238,14 +238,22 @@
             self.done(None);
             return refused(RefusalReason::Once, ONCE_RETRY_AFTER_US);
         }
+        let Some(instance) = self.half.instance_for_call() else {
+            self.done(None);
+            return refused(RefusalReason::Leaving, NOT_READY_RETRY_AFTER_US);
+        };
         let begun = self.core.clock.now();
-        let exchange = self.exchange(op, call).await;
+        let exchange = self.exchange(op, call, instance.clone()).await;
         let took = self.core.clock.now().saturating_sub(begun);
         let served = matches!(&exchange, Exchange::Answer(answer) if answer.status < 500);
         self.done(served.then(|| u32::try_from(took).unwrap_or(u32::MAX)));
         match exchange {
             Exchange::Answer(answer) => Ended::Answer(answer),
             Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
+            Exchange::OtherInstance => {
+                self.core.target_replaced(instance.as_deref());
+                refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US)
+            }
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
             Exchange::Lost => Ended::Lost,
@@ -254,20 +262,27 @@
 
     /// Writes the call to the target. A lookup that is no longer wanted is cut
     /// off; an operation is not, so that its outcome is known.
-    async fn exchange(&self, op: Option<OpId>, call: CallFrame) -> Exchange {
+    async fn exchange(
+        &self,
+        op: Option<OpId>,
+        call: CallFrame,
+        instance: Option<String>,
+    ) -> Exchange {
         let request = Request {
             call: call.call,
             head: call.head,
             body: call.body.into_vec(),
             left_us: self.deadline.saturating_sub(self.core.clock.now()),
             body_limit: self.settings.body_limit_bytes,
+            instance,
+            caller_service: call.caller_service,
         };
         let wait_us = match op {
             Some(_) => self.deadline + OUTCOME_WAIT_US,
             None => self.deadline,
         };
         let over = tokio::time::sleep_until(self.core.clock.instant(wait_us));
-        let exchange = self.half.pool.exchange(request);
+        let exchange = self.half.pool.exchange(&self.core.dialect, request);
         if op.is_some() {
             return tokio::select! {
                 exchange = exchange => exchange,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use lynxcleat_daemon::{Config, Daemon, StartError, StopReport, logging};
-use tokio::signal::unix::{SignalKind, signal};
+use lynxcleat_daemon::{Config, Environment, StopReport, logging};
 
 /// Exit code for a settings file or a command line that is refused.
 const EXIT_USAGE: u8 = 2;
@@ -64,37 +63,6 @@
 
 fn run(config: Config) -> anyhow::Result<StopReport> {
     logging::install(config.log_level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(config.threads)
-        .enable_all()
-        .build()?;
-    let report = runtime.block_on(serve(config))?;
-    runtime.shutdown_background();
+    let report = lynxcleat_daemon::run(config, Environment::default(), |_| {}, || {})?;
     Ok(report)
 }
-
-async fn serve(config: Config) -> Result<StopReport, ServeError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let daemon = Daemon::start(config).await?;
-    let mut told = async || {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    };
-    told().await;
-    let in_hand = daemon.in_hand();
-    tokio::select! {
-        report = daemon.stop() => Ok(report),
-        () = told() => Ok(in_hand.report()),
-    }
-}
-
-#[derive(Debug, thiserror::Error)]
-enum ServeError {
-    #[error("signals: {0}")]
-    Signals(#[from] std::io::Error),
-    #[error("{0}")]
-    Start(#[from] StartError),
-}
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -41,6 +41,9 @@
     /// The other side closed the connection.
     #[error("closed by the other side")]
     Closed,
+    /// The shared key is not known yet.
+    #[error("the shared key is not known yet")]
+    NoKey,
     /// It took too long.
     #[error("took longer than {HANDSHAKE_LIMIT:?}")]
     TooSlow,
@@ -53,6 +56,7 @@
         HandshakeError::Hello(_) => "hello",
         HandshakeError::Codec(_) => "malformed",
         HandshakeError::TooSlow => "slow",
+        HandshakeError::NoKey => "no-key",
         HandshakeError::Io(_) | HandshakeError::Socket(_) | HandshakeError::Closed => "connection",
     };
     count(&core.metrics.links_refused, kind);
@@ -114,7 +118,7 @@
 
 async fn prove_as_dialer(core: &Core, socket: &mut Socket) -> Result<Hello, HandshakeError> {
     let ours = core.hello();
-    let key = &core.config.shared_key;
+    let key = core.shared_key().ok_or(HandshakeError::NoKey)?;
     send(core, socket, Frame::Hello(ours.clone())).await?;
     let theirs = receive_hello(socket).await?;
     ours.check(&theirs)?;
@@ -129,7 +133,7 @@
 
 async fn prove_as_acceptor(core: &Core, socket: &mut Socket) -> Result<Hello, HandshakeError> {
     let ours = core.hello();
-    let key = &core.config.shared_key;
+    let key = core.shared_key().ok_or(HandshakeError::NoKey)?;
     let theirs = receive_hello(socket).await?;
     ours.check(&theirs)?;
     send(core, socket, Frame::Hello(ours.clone())).await?;
--- a/crates/daemon/src/once/claims.rs
+++ b/crates/daemon/src/once/claims.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use lynxcleat_once::{Ticket, TicketError};
-use lynxcleat_platform::{
+use lynxcleat_policy::Micros;
+use lynxcleat_store::{
     ClaimRow, NO_ROW, Platform, PlatformError, Put, Row, Txn, VersionCheck, claim_key,
 };
-use lynxcleat_policy::Micros;
 use serde_json::json;
 use thiserror::Error;
 
--- a/crates/daemon/src/once/mod.rs
+++ b/crates/daemon/src/once/mod.rs
@@ -26,6 +26,15 @@
 /// Reported operations that are remembered, so as not to report them again.
 const REPORTED_LIMIT: usize = 10_000;
 
+/// The key that seals tickets. Without a shared key no ticket is handed out, and a
+/// random one serves.
+fn ticket_key(shared_key: Option<&SharedKey>) -> TicketKey {
+    match shared_key {
+        Some(key) => TicketKey::new(key.bytes()),
+        None => TicketKey::new(&rand::random::<[u8; 32]>()),
+    }
+}
+
 /// State of the once-only part.
 pub struct Once {
     clock: Clock,
@@ -45,7 +54,7 @@
         me: Incarnation,
         started_ms: u64,
         mesh: String,
-        shared_key: &SharedKey,
+        shared_key: Option<&SharedKey>,
     ) -> Self {
         let limits = GuardLimits {
             retention_ms: 0,
@@ -54,7 +63,7 @@
         };
         Once {
             clock,
-            key: TicketKey::new(shared_key.bytes()),
+            key: ticket_key(shared_key),
             guard: Mutex::new(Guard::new(me, mesh, limits)),
             waiting: Mutex::default(),
             roster: Mutex::new(Roster::new(started_ms)),
@@ -93,7 +102,7 @@
         let ticket = self.mint();
         Operation {
             op: ticket.op,
-            minted_ms: ticket.minted_ms,
+            minted_ms: None,
             keep_ms: left_us / 1_000 + PLAIN_KEEP_MS,
         }
     }
@@ -124,7 +133,7 @@
     fn operation(&self, ticket: &Ticket) -> Operation {
         Operation {
             op: ticket.op,
-            minted_ms: ticket.minted_ms,
+            minted_ms: Some(ticket.minted_ms),
             keep_ms: self.retention_ms(),
         }
     }
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use lynxcleat_once::{FenceReply, Outcome, Recovery, RecoveryStep, Ticket};
-use lynxcleat_platform::{Put, Txn, UnsettledRow, unsettled_key};
 use lynxcleat_policy::Micros;
+use lynxcleat_store::{Put, Txn, UnsettledRow, unsettled_key};
 use lynxcleat_wire::Answer;
 use serde_json::json;
 
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -259,6 +259,7 @@
         service: call.service.name.clone(),
         left_us: outbound.deadline.saturating_sub(core.clock.now()),
         operation: None,
+        caller_service: None,
         head: outbound.head.clone(),
         body: outbound.body.clone(),
     }
@@ -302,6 +303,8 @@
             deadline: core.clock.now() + frame.left_us,
             operation: None,
             may_retry: true,
+            attempt_limit: None,
+            caller_service: None,
             generation: in_force.generation.number,
             head: frame.head,
             body: frame.body,
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -19,7 +19,6 @@
 use super::settle;
 use crate::core::Core;
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
-use crate::headers::RETRY;
 use crate::mesh::{Signal, SignalKind};
 
 /// Time past the deadline for a target's daemon to say that a call was not run.
@@ -38,6 +37,10 @@
     pub operation: Option<Operation>,
     /// Whether a further attempt is allowed.
     pub may_retry: bool,
+    /// Targets it may be delivered to, where its route limits them.
+    pub attempt_limit: Option<u32>,
+    /// Service of the host where it began, where targets want to know it.
+    pub caller_service: Option<String>,
     /// Generation of settings it is pinned to.
     pub generation: u64,
     /// Head of the request.
@@ -118,6 +121,7 @@
             deadline: self.call.deadline,
             effect: self.call.operation.is_some(),
             may_retry: self.call.may_retry,
+            attempt_limit: self.call.attempt_limit,
         };
         if let Some(verdict) = self.feed(arrived) {
             return verdict;
@@ -210,8 +214,9 @@
 
     fn frame(&self, attempt: AttemptId) -> CallFrame {
         let mut head = self.call.head.clone();
-        if self.attempts.len() > 1 || !self.call.may_retry {
-            let mark = Header(RETRY.to_owned(), ByteBuf::from(b"1".to_vec()));
+        let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
+        if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
+            let mark = Header(retry.as_str().to_owned(), ByteBuf::from(b"1".to_vec()));
             head.headers.push(mark);
         }
         CallFrame {
@@ -220,6 +225,7 @@
             service: self.service.name.clone(),
             left_us: self.call.deadline.saturating_sub(self.core.clock.now()),
             operation: self.call.operation,
+            caller_service: self.call.caller_service.clone(),
             head,
             body: self.call.body.clone(),
         }
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -10,11 +10,11 @@
 
 use backon::{BackoffBuilder, ExponentialBuilder};
 use lynxcleat_once::Incarnation;
-use lynxcleat_platform::{HostEntry, HostState};
 use lynxcleat_policy::{
     Candidate, ChooseParams, Cost, Event, Here, Policy, Router, RouterParams, TargetId, subset,
 };
 use lynxcleat_settings::Effective;
+use lynxcleat_store::{HostEntry, HostState};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
--- a/crates/daemon/src/settings_state.rs
+++ b/crates/daemon/src/settings_state.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use lynxcleat_settings::{Effective, Generation, OfferError, Tree};
+use lynxcleat_settings::{Effective, Generation, OfferError, RouteTable, Tree};
 use tokio::sync::watch;
 
 use crate::sync::lock;
@@ -15,6 +15,8 @@
     pub generation: Generation,
     /// Values for this daemon's own place and service.
     pub own: Arc<Effective>,
+    /// Its routes.
+    pub routes: RouteTable,
     place: String,
     services: Mutex<HashMap<String, Arc<Effective>>>,
 }
@@ -23,6 +25,7 @@
     fn new(generation: Generation, place: &str, service: &str) -> Self {
         InForce {
             own: Arc::new(Effective::of(&generation.tree, place, service)),
+            routes: RouteTable::of(&generation.tree),
             place: place.to_owned(),
             services: Mutex::default(),
             generation,
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -10,8 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lynxcleat_platform::HostState;
 use lynxcleat_standin::{PlatformFaults, TargetFaults, wait_until};
+use lynxcleat_store::HostState;
 use rstest::rstest;
 use serde_json::json;
 use support::{Fleet, PATIENCE, Plan, Running, call, tree};
--- a/crates/daemon/tests/measuring.rs
+++ b/crates/daemon/tests/measuring.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lynxcleat_platform::{HostEntry, HostState};
 use lynxcleat_standin::wait_until;
+use lynxcleat_store::{HostEntry, HostState};
 use serde_json::json;
 use support::{Crossed, Plan, tree};
 
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/rollout.rs
@@ -5,9 +5,9 @@
 
 use std::time::{Duration, Instant};
 
-use lynxcleat_platform::{AcceptError, AcceptRequest, AuditEntry, accept, history};
 use lynxcleat_settings::{Conflict, Effective, Tree};
 use lynxcleat_standin::{PlatformFaults, wait_until};
+use lynxcleat_store::{AcceptError, AcceptRequest, AuditEntry, accept, history};
 use serde_json::json;
 use support::{Fleet, PATIENCE, Plan, tree};
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,9 +13,9 @@
 use std::time::{Duration, Instant};
 
 use lynxcleat_daemon::{Config, Daemon, RawConfig, Status};
-use lynxcleat_platform::{AcceptRequest, Accepted, HostEntry, HostState, Platform, accept};
 use lynxcleat_settings::Tree;
 use lynxcleat_standin::{PlatformStandin, TargetOptions, TargetStandin, wait_until};
+use lynxcleat_store::{AcceptRequest, Accepted, HostEntry, HostState, Platform, accept};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -315,6 +315,7 @@
             deadline,
             effect: false,
             may_retry: true,
+            attempt_limit: None,
         };
         self.feed(router, event);
     }
--- a/crates/once/src/fence.rs
+++ b/crates/once/src/fence.rs
@@ -17,9 +17,10 @@
     /// The operation.
     #[serde(rename = "o")]
     pub op: OpId,
-    /// When its name was minted, in milliseconds since 1970.
-    #[serde(rename = "m")]
-    pub minted_ms: u64,
+    /// When its name was minted, in milliseconds since 1970; absent where only the
+    /// link that it comes on may ask about it, so that no clocks are compared.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub minted_ms: Option<u64>,
     /// Time in milliseconds after minting for which it may run. A call whose
     /// caller cannot repeat it needs to be remembered only briefly.
     #[serde(rename = "k")]
@@ -134,7 +135,7 @@
         if self.is_full() {
             return Admission::Refused(RefusedOnce::MemoryFull);
         }
-        self.insert(operation, State::Pending);
+        self.insert(now_ms, operation, State::Pending);
         Admission::Pass
     }
 
@@ -195,7 +196,7 @@
             if self.is_full() {
                 return FenceReply::Unknown;
             }
-            self.insert(operation, State::Fenced);
+            self.insert(now_ms, operation, State::Fenced);
         }
         self.never(minted_ms)
     }
@@ -212,11 +213,11 @@
 
     /// Whether this half already ran when the ticket was minted, whatever the
     /// two clocks say.
-    fn covers(&self, minted_ms: u64) -> bool {
-        minted_ms >= self.started_ms + self.limits.skew_ms
+    fn covers(&self, minted_ms: Option<u64>) -> bool {
+        minted_ms.is_none_or(|minted_ms| minted_ms >= self.started_ms + self.limits.skew_ms)
     }
 
-    fn never(&self, minted_ms: u64) -> FenceReply<A> {
+    fn never(&self, minted_ms: Option<u64>) -> FenceReply<A> {
         if self.covers(minted_ms) {
             FenceReply::Never
         } else {
@@ -233,13 +234,18 @@
     }
 
     fn is_expired(&self, now_ms: u64, operation: Operation) -> bool {
-        now_ms.saturating_sub(operation.minted_ms) > self.keep_ms(operation)
+        operation
+            .minted_ms
+            .is_some_and(|minted_ms| now_ms.saturating_sub(minted_ms) > self.keep_ms(operation))
     }
 
     /// Remembers the operation until no clock within the skew admits it.
-    fn insert(&mut self, operation: Operation, state: State<A>) {
-        let keep_ms = self.keep_ms(operation) + 2 * self.limits.skew_ms;
-        let expiry_ms = operation.minted_ms + keep_ms;
+    fn insert(&mut self, now_ms: u64, operation: Operation, state: State<A>) {
+        let keep_ms = self.keep_ms(operation);
+        let expiry_ms = match operation.minted_ms {
+            Some(minted_ms) => minted_ms + keep_ms + 2 * self.limits.skew_ms,
+            None => now_ms + keep_ms,
+        };
         let record = Record { expiry_ms, state };
         self.ops.insert(operation.op, record);
         self.by_expiry.insert((expiry_ms, operation.op));
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -41,6 +41,7 @@
         deadline: *now + 1_000_000,
         effect: false,
         may_retry: true,
+        attempt_limit: None,
     };
     let actions = router.on(*now, arrived);
     let Some(Action::Send { attempt, .. }) = actions.first() else {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -117,6 +117,9 @@
         /// Whether a further attempt is allowed at all: a retry of a call
         /// higher up the chain takes that right away.
         may_retry: bool,
+        /// Targets it may be delivered to, where its route limits them further
+        /// than the settings of its service.
+        attempt_limit: Option<u32>,
     },
     /// A target answered.
     Answered {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod figures;
 mod ids;
+mod report;
 mod retry;
 mod router;
 mod subset;
@@ -25,6 +26,7 @@
 };
 pub use figures::Figures;
 pub use ids::{AttemptId, CallId, Micros, TargetId};
+pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::RetryBudget;
 pub use router::{Router, RouterParams};
 pub use subset::{Candidate, Here, subset};
--- /dev/null
+++ b/crates/policy/src/report.rs
@@ -0,0 +1,185 @@
+//! Which incarnation of the target beside a daemon may be given calls, decided
+//! from what the target reports of itself.
+//!
+//! Reports come late, twice and out of order. Three rules follow: a report counts
+//! only if its sequence number is higher than any seen of that incarnation;
+//! draining and gone are final for an incarnation; and an incarnation that was
+//! replaced by a later one never comes back. A daemon that has heard nothing
+//! since its own start gives its target no calls.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Incarnations remembered as ended.
+const ENDED_LIMIT: usize = 1_024;
+
+/// What a target says it is doing.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReportedState {
+    /// It takes calls.
+    Ready,
+    /// It finishes what it has and takes no new calls.
+    Draining,
+    /// It is about to end.
+    Gone,
+}
+
+/// One report of a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetReport {
+    /// The target's incarnation.
+    pub instance: String,
+    /// Service that it runs; absent where the report does not say.
+    pub service: Option<String>,
+    /// What it is doing.
+    pub state: ReportedState,
+    /// Order of its reports; absent where the report has no place in the order.
+    pub sequence: Option<u64>,
+    /// Calls it serves at once; absent where it does not say.
+    pub slots: Option<u32>,
+    /// How much longer it is slow from its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// What a report changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportEffect {
+    /// Nothing: it is old, or says what is known.
+    Nothing,
+    /// The target in place changed: another incarnation, or another state.
+    Changed,
+}
+
+/// The target that is in place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InPlace {
+    /// Its incarnation.
+    pub instance: String,
+    /// Its service; absent where it never said.
+    pub service: Option<String>,
+    /// What it is doing.
+    pub state: ReportedState,
+    /// Calls it serves at once; absent where it does not say.
+    pub slots: Option<u32>,
+    sequence: u64,
+}
+
+/// All that a daemon knows from its target's reports.
+#[derive(Debug, Default)]
+pub struct TargetReports {
+    in_place: Option<InPlace>,
+    ended: HashMap<String, ReportedState>,
+}
+
+impl TargetReports {
+    /// The target in place, whatever its state.
+    pub fn in_place(&self) -> Option<&InPlace> {
+        self.in_place.as_ref()
+    }
+
+    /// The incarnation that may be given calls.
+    pub fn open(&self) -> Option<&InPlace> {
+        let ready = |target: &&InPlace| target.state == ReportedState::Ready;
+        self.in_place.as_ref().filter(ready)
+    }
+
+    /// An earlier run of this daemon left word that an incarnation ended.
+    pub fn mark_ended(&mut self, instance: &str, state: ReportedState) -> ReportEffect {
+        self.remember_ended(instance, state);
+        let Some(target) = self.in_place.as_mut() else {
+            return ReportEffect::Nothing;
+        };
+        if target.instance != instance || target.state != ReportedState::Ready {
+            return ReportEffect::Nothing;
+        }
+        target.state = state;
+        ReportEffect::Changed
+    }
+
+    /// The target at the address answered as another incarnation than the one in
+    /// place: what is in place is no longer there.
+    pub fn mark_replaced(&mut self, instance: &str) -> ReportEffect {
+        self.mark_ended(instance, ReportedState::Gone)
+    }
+
+    /// Takes one report.
+    pub fn take(&mut self, report: TargetReport) -> ReportEffect {
+        match self.in_place.as_ref() {
+            Some(target) if target.instance == report.instance => self.of_same(report),
+            _ => self.of_another(report),
+        }
+    }
+
+    fn of_same(&mut self, report: TargetReport) -> ReportEffect {
+        let Some(target) = self.in_place.as_mut() else {
+            return ReportEffect::Nothing;
+        };
+        if report
+            .sequence
+            .is_some_and(|number| number <= target.sequence)
+        {
+            return ReportEffect::Nothing;
+        }
+        target.sequence = report.sequence.unwrap_or(target.sequence);
+        let was = target.state;
+        let slots = report.slots.or(target.slots);
+        let same = later(was, report.state) == was && slots == target.slots;
+        if same {
+            return ReportEffect::Nothing;
+        }
+        target.slots = slots;
+        target.state = later(was, report.state);
+        let (instance, state) = (target.instance.clone(), target.state);
+        if state != ReportedState::Ready {
+            self.remember_ended(&instance, state);
+        }
+        ReportEffect::Changed
+    }
+
+    fn of_another(&mut self, report: TargetReport) -> ReportEffect {
+        let ended = self.ended.get(&report.instance).copied();
+        let stands = self.in_place.is_some();
+        if stands && ended.is_some() {
+            return ReportEffect::Nothing;
+        }
+        if stands && report.state != ReportedState::Ready {
+            self.remember_ended(&report.instance, report.state);
+            return ReportEffect::Nothing;
+        }
+        if let Some(before) = self.in_place.take() {
+            self.remember_ended(&before.instance, ReportedState::Gone);
+        }
+        let state = ended.map_or(report.state, |ended| later(ended, report.state));
+        if state != ReportedState::Ready {
+            self.remember_ended(&report.instance, state);
+        }
+        self.in_place = Some(InPlace {
+            instance: report.instance,
+            service: report.service,
+            state,
+            slots: report.slots,
+            sequence: report.sequence.unwrap_or(0),
+        });
+        ReportEffect::Changed
+    }
+
+    fn remember_ended(&mut self, instance: &str, state: ReportedState) {
+        if self.ended.len() >= ENDED_LIMIT && !self.ended.contains_key(instance) {
+            return;
+        }
+        let known = self.ended.entry(instance.to_owned()).or_insert(state);
+        *known = later(*known, state);
+    }
+}
+
+/// The state that is further on a target's way from ready to gone.
+fn later(one: ReportedState, other: ReportedState) -> ReportedState {
+    use ReportedState::{Draining, Gone, Ready};
+    match (one, other) {
+        (Gone, _) | (_, Gone) => Gone,
+        (Draining, _) | (_, Draining) => Draining,
+        (Ready, Ready) => Ready,
+    }
+}
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -36,6 +36,7 @@
     deadline: Micros,
     effect: bool,
     may_retry: bool,
+    attempt_limit: u32,
     tried: Vec<TargetId>,
     current: Option<AttemptId>,
     /// An earlier attempt of a lookup may have run.
@@ -120,7 +121,24 @@
                 deadline,
                 effect,
                 may_retry,
-            } => self.arrived(now, call, deadline, effect, may_retry),
+                attempt_limit,
+            } => {
+                let limit = attempt_limit.unwrap_or(u32::MAX).min(self.attempt_limit);
+                self.budget.first_attempt();
+                let arrived = Call {
+                    deadline,
+                    effect,
+                    may_retry,
+                    attempt_limit: limit,
+                    tried: Vec::new(),
+                    current: None,
+                    may_have_run: None,
+                    soonest_retry_us: None,
+                    last_refusal: NotRunReason::NoTarget,
+                };
+                self.calls.insert(call, arrived);
+                self.attempt(now, call)
+            }
             Event::Answered {
                 attempt,
                 source,
@@ -156,29 +174,6 @@
         }
     }
 
-    fn arrived(
-        &mut self,
-        now: Micros,
-        id: CallId,
-        deadline: Micros,
-        effect: bool,
-        may_retry: bool,
-    ) -> Vec<Action> {
-        self.budget.first_attempt();
-        let call = Call {
-            deadline,
-            effect,
-            may_retry,
-            tried: Vec::new(),
-            current: None,
-            may_have_run: None,
-            soonest_retry_us: None,
-            last_refusal: NotRunReason::NoTarget,
-        };
-        self.calls.insert(id, call);
-        self.attempt(now, id)
-    }
-
     /// Sends the call to the best target not yet tried, or gives it up.
     fn attempt(&mut self, now: Micros, id: CallId) -> Vec<Action> {
         let Some(call) = self.calls.get_mut(&id) else {
@@ -217,7 +212,7 @@
             return Vec::new();
         };
         call.current = None;
-        let allowed = call.may_retry && call.tried.len() < self.attempt_limit as usize;
+        let allowed = call.may_retry && call.tried.len() < call.attempt_limit as usize;
         if !allowed || !self.budget.take() {
             return self.give_up(id);
         }
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -37,6 +37,7 @@
         deadline: DEADLINE,
         effect,
         may_retry: true,
+        attempt_limit: None,
     };
     router.on(0, event)
 }
@@ -181,6 +182,7 @@
         deadline: DEADLINE,
         effect: false,
         may_retry: false,
+        attempt_limit: None,
     };
     let (attempt, _) = sent(&router.on(0, event));
     let end = router.on(10, refused(attempt, RefusalReason::Full));
@@ -213,6 +215,7 @@
             deadline: now + DEADLINE,
             effect: true,
             may_retry: true,
+            attempt_limit: None,
         };
         let (attempt, target) = sent(&router.on(now, event));
         let source = match target == bad && !ok {
@@ -332,6 +335,7 @@
             deadline: now + DEADLINE,
             effect: false,
             may_retry: true,
+            attempt_limit: None,
         };
         let (attempt, target) = sent(&router.on(now, event));
         used += u32::from(target == slow);
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -9,7 +9,7 @@
     #[error("unknown field; `lynxcleat settings fields` lists the known ones")]
     UnknownField,
     /// A key of the tree's own structure is not known.
-    #[error("unknown key; expected `settings`, `places` or `services` for this level")]
+    #[error("unknown key; expected `settings`, `places`, `services` or `routes` for this level")]
     UnknownKey,
     /// The JSON type is not the one the field takes.
     #[error("expected {expected}, found {found}")]
@@ -45,6 +45,9 @@
     /// A path given by an operator does not lead to a field.
     #[error("not a path to a field; write root.FIELD, places.P.FIELD or places.P.services.S.FIELD")]
     BadPath,
+    /// A route does not have the form of one.
+    #[error("not a route: {0}")]
+    BadRoute(String),
     /// Two fields that depend on each other contradict.
     #[error("{0}")]
     Inconsistent(&'static str),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod field;
 mod generations;
+mod route;
 mod tree;
 
 pub use change::{Change, Conflict, diff, merge};
@@ -19,4 +20,5 @@
 pub use error::{Fault, SettingsError};
 pub use field::{FIELDS, FieldSpec, Kind, field};
 pub use generations::{Generation, OfferError};
+pub use route::{NamedRoute, Route, RouteEffects, RoutePart, RouteTable};
 pub use tree::{Tree, valid_name};
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -9,6 +9,7 @@
 use crate::effective::Effective;
 use crate::error::{Fault, SettingsError};
 use crate::field::{field, wrong_type};
+use crate::route::{ROUTES, Route};
 
 const ROOT: &str = "root";
 const NAME_LIMIT: usize = 63;
@@ -40,11 +41,14 @@
     pub fn from_json(value: &Value) -> Result<Tree, SettingsError> {
         let mut tree = Tree::default();
         let root = object(ROOT, value)?;
-        only_keys(ROOT, root, &["settings", "places"])?;
+        only_keys(ROOT, root, &["settings", "places", "routes"])?;
         tree.read_fields(ROOT, root)?;
         for (name, place) in children(ROOT, root, "places")? {
             tree.read_place(&name, place)?;
         }
+        for (name, route) in children(ROOT, root, "routes")? {
+            tree.put(&format!("{ROUTES}{name}"), route.clone())?;
+        }
         tree.check_consistent()?;
         Ok(tree)
     }
@@ -66,6 +70,10 @@
     pub fn to_json(&self) -> Value {
         let mut root = json!({"settings": {}, "places": {}});
         for (path, value) in &self.entries {
+            if let Some(name) = path.strip_prefix(ROUTES) {
+                root["routes"][name] = value.clone();
+                continue;
+            }
             let (level, name) = split_field(path);
             let at = level_mut(&mut root, level);
             if let Some(name) = name {
@@ -173,6 +181,9 @@
     }
 
     fn put(&mut self, path: &str, value: Value) -> Result<(), SettingsError> {
+        if let Some(name) = path.strip_prefix(ROUTES) {
+            return self.put_route(path, name, value);
+        }
         let (level, name) = split_field(path);
         let Some(name) = name else {
             return self.add_level(level);
@@ -185,6 +196,15 @@
         Ok(())
     }
 
+    fn put_route(&mut self, path: &str, name: &str, value: Value) -> Result<(), SettingsError> {
+        if !valid_name(name) {
+            return Err(SettingsError::at(path, Fault::BadName));
+        }
+        Route::parse(path, &value)?;
+        self.entries.insert(path.to_owned(), value);
+        Ok(())
+    }
+
     fn add_level(&mut self, path: &str) -> Result<(), SettingsError> {
         let parts: Vec<&str> = path.split('.').collect();
         let names = match parts.as_slice() {
@@ -252,6 +272,9 @@
 }
 
 fn check_path(path: &str) -> Result<(), SettingsError> {
+    if path.starts_with(ROUTES) {
+        return Ok(());
+    }
     match split_field(path) {
         (_, Some(name)) if field(name).is_some() => Ok(()),
         (_, Some(_)) => Err(SettingsError::at(path, Fault::UnknownField)),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lynxcleat_platform::{HostEntry, ReadReply, ReadRequest, ScanRequest, Txn};
+use lynxcleat_store::{HostEntry, ReadReply, ReadRequest, ScanRequest, Txn};
 use serde::{Deserialize, Serialize};
 use tiny_http::{Method, Request, Response};
 
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use lynxcleat_platform::{HostEntry, HostPage, NO_ROW, Row, Txn, TxnReply};
+use lynxcleat_store::{HostEntry, HostPage, NO_ROW, Row, Txn, TxnReply};
 use serde_json::Value;
 
 #[derive(Clone)]
--- /dev/null
+++ b/crates/store/src/follower.rs
@@ -0,0 +1,113 @@
+//! Following one table: when to read it whole, when to wait for changes, and
+//! which rows of an answer are news.
+//!
+//! Answers can be old after the store lost its history, so a row counts only if
+//! its version is above the one held, and the position in the feed only rises.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::row_store::{RowStoreError, RowVersion, RowsAt, StoredRow};
+
+/// Pause after a first failure, and the longest one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// What to ask of the store next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ask {
+    /// The whole table.
+    Read,
+    /// What changed after a version.
+    Changes {
+        /// The version.
+        after: RowVersion,
+    },
+}
+
+/// Where a follower stands in one table.
+#[derive(Debug, Default)]
+pub struct Follower {
+    held: HashMap<String, RowVersion>,
+    after: RowVersion,
+    whole: bool,
+    failures: u32,
+}
+
+impl Follower {
+    /// What to ask next.
+    pub fn ask(&self) -> Ask {
+        if self.whole {
+            Ask::Changes { after: self.after }
+        } else {
+            Ask::Read
+        }
+    }
+
+    /// Whether the whole table was read at some time.
+    pub fn has_read(&self) -> bool {
+        self.whole || self.after > 0
+    }
+
+    /// Takes the whole table and returns its news: rows that changed, and rows
+    /// that are no longer there, without a value.
+    pub fn read(&mut self, table: RowsAt) -> Vec<StoredRow> {
+        self.failures = 0;
+        self.whole = true;
+        let gone = self.missing_from(&table);
+        self.after = self.after.max(table.version);
+        let mut news = self.news(table.rows);
+        news.extend(gone);
+        news
+    }
+
+    /// Takes changes and returns those that are news.
+    pub fn changed(&mut self, changes: RowsAt) -> Vec<StoredRow> {
+        self.failures = 0;
+        self.after = self.after.max(changes.version);
+        self.news(changes.rows)
+    }
+
+    /// A call failed. Returns how long to pause before the next.
+    pub fn failed(&mut self, error: &RowStoreError) -> Duration {
+        if *error == RowStoreError::HistoryGone {
+            self.whole = false;
+        }
+        let growth = 1_u32 << self.failures.min(4);
+        self.failures += 1;
+        (FIRST_PAUSE * growth).min(LONGEST_PAUSE)
+    }
+
+    fn news(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
+        let mut news = Vec::new();
+        for row in rows {
+            let held = self.held.get(&row.key).copied().unwrap_or(0);
+            if row.version > held {
+                self.held.insert(row.key.clone(), row.version);
+                news.push(row);
+            }
+        }
+        news
+    }
+
+    /// Rows that are held, were there before this state, and are missing from it.
+    fn missing_from(&mut self, table: &RowsAt) -> Vec<StoredRow> {
+        let there = |key: &str| table.rows.iter().any(|row| row.key == key);
+        let gone: Vec<String> = self
+            .held
+            .iter()
+            .filter(|(key, version)| **version <= table.version && !there(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        gone.into_iter()
+            .map(|key| {
+                self.held.insert(key.clone(), table.version);
+                StoredRow {
+                    key,
+                    value: None,
+                    version: table.version,
+                }
+            })
+            .collect()
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,7 +8,10 @@
 mod api;
 mod client;
 mod error;
+mod follower;
+mod own_row;
 mod release;
+mod row_store;
 mod rows;
 
 pub use api::{
@@ -17,7 +20,10 @@
 };
 pub use client::{Platform, PlatformBuilder};
 pub use error::{AcceptError, PlatformError};
+pub use follower::{Ask, Follower};
+pub use own_row::OwnRow;
 pub use release::{AcceptRequest, Accepted, accept, accepted_change, history, read_tree};
+pub use row_store::{RowStore, RowStoreError, RowVersion, RowWrite, RowsAt, StoreCall, StoredRow};
 pub use rows::{
     AuditEntry, ClaimRow, GenerationRow, Pointer, UnsettledRow, audit_key, claim_key,
     generation_key, keys, unsettled_key,
--- a/crates/platform/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use lynxcleat_platform::{
-    HostEntry, HostState, NO_ROW, Platform, PlatformError, Put, Txn, VersionCheck,
-};
 use lynxcleat_settings::Digest;
 use lynxcleat_standin::{PlatformFaults, PlatformStandin};
+use lynxcleat_store::{
+    HostEntry, HostState, NO_ROW, Platform, PlatformError, Put, Txn, VersionCheck,
+};
 use rstest::rstest;
 use serde_json::json;
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -52,8 +52,11 @@
     #[serde(rename = "t")]
     pub left_us: u64,
     /// Present for a call with effects.
-    #[serde(rename = "o")]
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub operation: Option<Operation>,
+    /// Service of the host where the call began, where targets want to know it.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub caller_service: Option<String>,
     /// Head of the request.
     #[serde(rename = "h")]
     pub head: RequestHead,
