Choice by the chance to make the goal, far targets at a price

A worker is several times slower for some hundred ms at a time, and says so on its answers; the choice did not look. 9 MB crossed zones, dearest of all prices, because all zones were alike to it. Service times of short and long kinds were mixed.

Ruled out: lack of slots (4.5 of 12 in use on the busiest service).

Change: policy `goal-chance`: per kind of call the time at usual speed and its deviation; per target the slowness it last told, believed less with age and replaced by the readings usual for the service; the chance to be back within the route's goal, less the price of a far target (`far_price_percent`).

--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -4,7 +4,7 @@
 
 use hyper::Request;
 use hyper::body::{Body, Incoming};
-use lynxcleat_policy::CallId;
+use lynxcleat_policy::{CallId, CallKind};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
 use rand::RngExt;
 use serde::Serialize;
@@ -38,6 +38,8 @@
 struct Terms {
     timeout_ms: u64,
     attempts: Option<u32>,
+    goal_ms: Option<u64>,
+    kind: CallKind,
     effects: Effects,
 }
 
@@ -102,6 +104,10 @@
         operation: None,
         may_retry: call.may_retry,
         attempt_limit: terms.attempts,
+        goal: terms
+            .goal_ms
+            .map(|goal_ms| core.clock.now() + goal_ms * 1_000),
+        kind: terms.kind,
         caller_service: caller_service(core),
         generation,
         head: call.head,
@@ -140,11 +146,15 @@
         Some(named) => Terms {
             timeout_ms: named.route.timeout_ms,
             attempts: Some(named.route.attempts),
+            goal_ms: Some(named.route.goal_ms),
+            kind: CallKind(named.kind),
             effects: route_effects(named.route.effects, &call.effects),
         },
         None => Terms {
             timeout_ms: effective.deadline_max_ms,
             attempts: None,
+            goal_ms: None,
+            kind: CallKind::default(),
             effects: call.effects.clone(),
         },
     };
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -22,6 +22,14 @@
     pub slowness_percent: u32,
 }
 
+impl TargetLoad {
+    /// The time that a call would have taken at usual speed.
+    pub fn work_us(&self, took_us: u32) -> u32 {
+        let factor = f64::from(self.slowness_percent.max(1)) / 100.0;
+        (f64::from(took_us) / factor) as u32
+    }
+}
+
 /// How a target's answer is to be taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -9,7 +9,7 @@
 use serde_bytes::ByteBuf;
 
 use super::pool::{Pool, Sender};
-use crate::dialect::{AnswerKind, Dialect};
+use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
 
 /// Hint for callers where a target that sheds gives none.
@@ -28,8 +28,8 @@
 
 /// How an exchange with the target ended.
 pub(super) enum Exchange {
-    /// The whole answer arrived.
-    Answer(Answer),
+    /// The whole answer arrived, with the target's load where it tells it.
+    Answer(Answer, Option<TargetLoad>),
     /// The target says that it did not run the call.
     Shed { retry_after_us: Micros },
     /// Another incarnation of the target answered; the call was not run.
@@ -103,11 +103,12 @@
             }
             AnswerKind::OtherInstance => return Exchange::OtherInstance,
         }
-        Exchange::Answer(Answer {
+        let answer = Answer {
             status: parts.status.as_u16(),
             headers: end_to_end(dialect, &parts.headers, is_head),
             body: ByteBuf::from(body.to_vec()),
-        })
+        };
+        Exchange::Answer(answer, dialect.load(&parts.headers))
     }
 }
 
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -154,7 +154,7 @@
 
     /// The target's load.
     pub fn figures(&self) -> Figures {
-        lock(&self.admit).figures()
+        lock(&self.admit).figures(self.clock.now())
     }
 
     /// The target's load for an answer, if the measuring budget lets it ride.
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -11,6 +11,7 @@
 use super::exchange::{Exchange, Request};
 use super::{Go, Half, send};
 use crate::core::Core;
+use crate::dialect::TargetLoad;
 use crate::mesh::Link;
 use crate::metrics::count;
 use crate::sync::lock;
@@ -29,7 +30,8 @@
 
 /// How a call ended at the half.
 enum Ended {
-    Answer(Answer),
+    /// The answer, and the time at usual speed where it is known.
+    Answer(Answer, Option<u32>),
     Refused(Refusal),
     Lost,
     /// The sender no longer wants to know.
@@ -97,11 +99,12 @@
     let there_us = core.clock.now().saturating_sub(arrived);
     let there_us = u32::try_from(there_us).unwrap_or(u32::MAX);
     let frame = match ended {
-        Ended::Answer(answer) => Frame::Answer {
+        Ended::Answer(answer, work_us) => Frame::Answer {
             attempt,
             answer,
             figures: core.half.figures_to_send(core),
             there_us,
+            work_us,
         },
         Ended::Refused(refusal) => {
             count_refusal(core, refusal.reason);
@@ -172,7 +175,7 @@
         let op = operation.op;
         let ended = self.take_slot_and_run(call).await;
         match &ended {
-            Ended::Answer(answer) => self.half.record_ran(op, answer),
+            Ended::Answer(answer, _) => self.half.record_ran(op, answer),
             Ended::Refused(_) | Ended::Unwanted => lock(&self.half.fence).not_run(op),
             Ended::Lost => lock(&self.half.fence).lost(op),
         }
@@ -245,10 +248,18 @@
         let begun = self.core.clock.now();
         let exchange = self.exchange(op, call, instance.clone()).await;
         let took = self.core.clock.now().saturating_sub(begun);
-        let served = matches!(&exchange, Exchange::Answer(answer) if answer.status < 500);
-        self.done(served.then(|| u32::try_from(took).unwrap_or(u32::MAX)));
+        let took_us = u32::try_from(took).unwrap_or(u32::MAX);
+        let served = matches!(&exchange, Exchange::Answer(answer, _) if answer.status < 500);
+        let load = match &exchange {
+            Exchange::Answer(_, load) => *load,
+            _ => None,
+        };
+        self.ended(served.then_some(took_us), load);
         match exchange {
-            Exchange::Answer(answer) => Ended::Answer(answer),
+            Exchange::Answer(answer, load) => {
+                let work_us = load.filter(|_| served).map(|load| load.work_us(took_us));
+                Ended::Answer(answer, work_us)
+            }
             Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
             Exchange::OtherInstance => {
                 self.core.target_replaced(instance.as_deref());
@@ -297,8 +308,16 @@
         }
     }
 
+    /// Gives back the slot of a call that was not delivered.
     fn done(&self, service_us: Option<u32>) {
-        let call = self.id;
-        self.half.admit(AdmitEvent::Done { call, service_us });
+        self.ended(service_us, None);
+    }
+
+    fn ended(&self, service_us: Option<u32>, load: Option<TargetLoad>) {
+        self.half.admit(AdmitEvent::Done {
+            call: self.id,
+            service_us,
+            slowness_percent: load.map(|load| load.slowness_percent),
+        });
     }
 }
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -30,11 +30,13 @@
             answer,
             figures,
             there_us,
+            work_us,
         } => {
             let kind = SignalKind::Answer {
                 answer,
                 figures,
                 there_us,
+                work_us,
             };
             let taken = link.signal(attempt, kind);
             count_late(core, taken, "answer");
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -39,6 +39,8 @@
         figures: Option<Figures>,
         /// Time held and served, in microseconds.
         there_us: u32,
+        /// Time at usual speed, in microseconds.
+        work_us: Option<u32>,
     },
     /// The call was not run.
     Refused {
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -9,8 +9,8 @@
 
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
-    Action, AttemptId, CallId, Event, Micros, NotRunReason, Source, TargetId, UnknownReason,
-    Verdict,
+    Action, AttemptId, CallId, CallKind, Event, Micros, NotRunReason, Source, TargetId,
+    UnknownReason, Verdict,
 };
 use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
 use serde_bytes::ByteBuf;
@@ -39,6 +39,10 @@
     pub may_retry: bool,
     /// Targets it may be delivered to, where its route limits them.
     pub attempt_limit: Option<u32>,
+    /// When its answer loses most of its worth, where its route says so.
+    pub goal: Option<Micros>,
+    /// What kind of call it is.
+    pub kind: CallKind,
     /// Service of the host where it began, where targets want to know it.
     pub caller_service: Option<String>,
     /// Generation of settings it is pinned to.
@@ -122,6 +126,8 @@
             effect: self.call.operation.is_some(),
             may_retry: self.call.may_retry,
             attempt_limit: self.call.attempt_limit,
+            goal: self.call.goal,
+            kind: self.call.kind,
         };
         if let Some(verdict) = self.feed(arrived) {
             return verdict;
@@ -223,6 +229,7 @@
             attempt,
             call: self.call.name.clone(),
             service: self.service.name.clone(),
+            kind: self.call.kind,
             left_us: self.call.deadline.saturating_sub(self.core.clock.now()),
             operation: self.call.operation,
             caller_service: self.call.caller_service.clone(),
@@ -266,6 +273,7 @@
                 answer,
                 figures,
                 there_us,
+                work_us,
             } => {
                 let source = if answer.status >= 500 {
                     self.note("failed");
@@ -280,6 +288,7 @@
                     source,
                     figures,
                     there_us,
+                    work_us,
                 }
             }
             SignalKind::Refused { refusal, figures } => {
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -210,8 +210,13 @@
             .iter()
             .map(|target| (*target, path_us(core, &entries[target])))
             .collect();
+        let is_far = |target: &&TargetId| entries[*target].place != core.config.place;
+        let far: Vec<TargetId> = wanted.iter().filter(is_far).copied().collect();
         let mut peers = lock(&self.peers);
-        lock(&self.router).set_targets(core.clock.now(), &targets);
+        let mut router = lock(&self.router);
+        router.set_targets(core.clock.now(), &targets);
+        router.set_far(&far);
+        drop(router);
         peers.retain(|target, peer| {
             entries
                 .get(target)
@@ -358,6 +363,7 @@
             ramp_us: effective.ramp_ms * 1_000,
             eject_failures: effective.eject_failures,
             eject_us: effective.eject_ms * 1_000,
+            far_price: f64::from(effective.far_price_percent) / 100.0,
         },
         attempt_limit: effective.attempt_limit,
         retry_percent: effective.retry_percent,
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -221,6 +221,7 @@
                 ramp_us: 2 * SECOND,
                 eject_failures: 5,
                 eject_us: SECOND,
+                far_price: 0.0,
             },
             attempt_limit: 3,
             retry_percent,
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -9,8 +9,8 @@
 use std::collections::{BinaryHeap, HashMap};
 
 use lynxcleat_policy::{
-    Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, Event, Figures, Micros,
-    Refusal, Router, RouterParams, Source, TargetId, Verdict,
+    Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, Event,
+    Figures, Micros, Refusal, Router, RouterParams, Source, TargetId, Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -316,6 +316,8 @@
             effect: false,
             may_retry: true,
             attempt_limit: None,
+            goal: None,
+            kind: CallKind::default(),
         };
         self.feed(router, event);
     }
@@ -417,6 +419,7 @@
         let done = AdmitEvent::Done {
             call: local,
             service_us: ok.then_some(took),
+            slowness_percent: None,
         };
         let there_us = (self.now - arrived) as u32;
         let reply = if ok {
@@ -431,7 +434,7 @@
     fn reply(&mut self, target: usize, sent: Sent, reply: Reply) {
         if self.rng.random_range(0.0..1.0) < self.options.figures_share {
             self.measured.figures += 1;
-            let figures = self.targets[target].admit.figures();
+            let figures = self.targets[target].admit.figures(self.now);
             self.figures.insert(sent.attempt.0, figures);
         }
         let arrives = self.now + self.targets[target].fake.path_us;
@@ -447,12 +450,14 @@
                 source: Source::Served,
                 figures,
                 there_us,
+                work_us: None,
             },
             Reply::Failed => Event::Answered {
                 attempt,
                 source: Source::Failed,
                 figures,
                 there_us: 0,
+                work_us: None,
             },
             Reply::Refused(nth) => Event::Refused {
                 attempt,
@@ -485,6 +490,7 @@
             AdmitEvent::Done {
                 call: local,
                 service_us: None,
+                slowness_percent: None,
             }
         };
         self.admit(target, event);
--- a/crates/once/tests/world.rs
+++ b/crates/once/tests/world.rs
@@ -157,6 +157,7 @@
                 ramp_us: 0,
                 eject_failures: 1_000,
                 eject_us: 1,
+                far_price: 0.0,
             },
             attempt_limit: 3,
             retry_percent: 100,
@@ -267,6 +268,8 @@
                         effect: true,
                         may_retry: true,
                         attempt_limit: None,
+                        goal: None,
+                        kind: lynxcleat_policy::CallKind::default(),
                     },
                 );
             }
@@ -372,6 +375,7 @@
                 source: Source::Served,
                 figures: None,
                 there_us: 1,
+                work_us: None,
             },
             Back::Refused => Event::Refused {
                 attempt,
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -5,8 +5,8 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use lynxcleat_policy::{
-    Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, ChooseParams, Cost, Event, Figures,
-    Policy, Router, RouterParams, Source, TargetId,
+    Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, CallKind, ChooseParams, Cost, Event,
+    Figures, Policy, Router, RouterParams, Source, TargetId,
 };
 
 const FIGURES: Figures = Figures {
@@ -14,6 +14,8 @@
     held: 0,
     slots: 12,
     service_us: 5_000,
+    slowness_percent: 0,
+    slowness_age_ms: 0,
 };
 
 fn router(policy: Policy, targets: u32) -> Router {
@@ -23,6 +25,7 @@
             ramp_us: 0,
             eject_failures: 5,
             eject_us: 1_000_000,
+            far_price: 0.0,
         },
         attempt_limit: 3,
         retry_percent: 10,
@@ -42,6 +45,8 @@
         effect: false,
         may_retry: true,
         attempt_limit: None,
+        goal: None,
+        kind: CallKind::default(),
     };
     let actions = router.on(*now, arrived);
     let Some(Action::Send { attempt, .. }) = actions.first() else {
@@ -52,6 +57,7 @@
         source: Source::Served,
         figures: Some(FIGURES),
         there_us: 5_000,
+        work_us: None,
     };
     black_box(router.on(*now + 5_300, answered));
 }
@@ -84,7 +90,14 @@
             let deadline = now + 1_000_000;
             black_box(admit.on(now, AdmitEvent::Offer { call, deadline }));
             let service_us = Some(5_000);
-            black_box(admit.on(now, AdmitEvent::Done { call, service_us }));
+            black_box(admit.on(
+                now,
+                AdmitEvent::Done {
+                    call,
+                    service_us,
+                    slowness_percent: None,
+                },
+            ));
         });
     });
 }
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -52,6 +52,8 @@
         call: CallId,
         /// Service time where the target served it; absent where it failed.
         service_us: Option<u32>,
+        /// How slow the target said it is, in percent; absent where it did not say.
+        slowness_percent: Option<u32>,
     },
     /// The router no longer wants the call.
     Withdraw {
@@ -97,6 +99,8 @@
     refused: f64,
     delivered: f64,
     counted_at: Micros,
+    /// The target's slowness in percent as it said last, and when.
+    slowness: Option<(u32, Micros)>,
 }
 
 impl Admit {
@@ -114,6 +118,7 @@
             refused: 0.0,
             delivered: 0.0,
             counted_at: 0,
+            slowness: None,
         }
     }
 
@@ -124,8 +129,15 @@
             AdmitEvent::Offer { call, deadline } => {
                 actions.extend(self.offer(now, call, deadline));
             }
-            AdmitEvent::Done { call, service_us } => {
+            AdmitEvent::Done {
+                call,
+                service_us,
+                slowness_percent,
+            } => {
                 self.in_flight.remove(&call);
+                if let Some(percent) = slowness_percent {
+                    self.slowness = Some((percent, now));
+                }
                 self.learn(now, service_us);
             }
             AdmitEvent::Withdraw { call } => {
@@ -141,8 +153,12 @@
     }
 
     /// The load at this moment.
-    pub fn figures(&self) -> Figures {
+    pub fn figures(&self, now: Micros) -> Figures {
+        let (slowness_percent, read_at) = self.slowness.unwrap_or((0, now));
+        let age_us = now.saturating_sub(read_at);
         Figures {
+            slowness_percent,
+            slowness_age_ms: u32::try_from(age_us / 1_000).unwrap_or(u32::MAX),
             in_flight: self.in_flight.len() as u32,
             held: self.held.len() as u32,
             slots: self.limits.slots,
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -12,12 +12,20 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::chance::{Need, left_us, worth};
 use crate::figures::Figures;
 use crate::ids::{Micros, TargetId};
+use crate::slowness::{LikelySlowness, UsualSlowness};
 use crate::target::{Health, TargetState, Usual};
+use crate::work::{CallKind, Works};
 
 /// Targets scored for one choice at most.
 const SAMPLE: usize = 8;
+/// Targets whose chance is weighed for one choice at most.
+const GOAL_SAMPLE: usize = 16;
+/// Expected time that weighs as much as a whole call's worth, in microseconds: it
+/// decides between targets that are worth the same.
+const FINISH_SCALE_US: f64 = 20_000_000.0;
 /// Draws made to find the sample among targets that may be unavailable.
 const DRAWS: usize = 4 * SAMPLE;
 /// Scores up to this factor above the least count as equal to it. They are no more
@@ -28,6 +36,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
+    /// The greatest chance to be back within the call's goal, less the price of the
+    /// way.
+    GoalChance,
     /// The least expected finish time.
     ExpectedFinish,
     /// The fewer outstanding of two drawn at random.
@@ -50,6 +61,7 @@
 
     fn from_str(text: &str) -> Result<Self, UnknownPolicy> {
         match text {
+            "goal-chance" => Ok(Policy::GoalChance),
             "expected-finish" => Ok(Policy::ExpectedFinish),
             "power-of-two" => Ok(Policy::PowerOfTwo),
             "least-in-flight" => Ok(Policy::LeastInFlight),
@@ -71,6 +83,21 @@
     pub eject_failures: u32,
     /// Time of a first ejection.
     pub eject_us: Micros,
+    /// Price of sending a call to a far target, as a part of its worth.
+    pub far_price: f64,
+}
+
+/// What is asked of a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Targets not to be taken.
+    pub tried: &'a [TargetId],
+    /// When the answer loses most of its worth.
+    pub goal: Micros,
+    /// When the answer is no longer useful.
+    pub deadline: Micros,
+    /// What kind of call it is.
+    pub kind: CallKind,
 }
 
 /// One target that was scored, for explanations.
@@ -91,6 +118,8 @@
     /// Targets that are ejected, so that a choice need not look for them.
     ejected: Vec<TargetId>,
     usual: Usual,
+    usual_slowness: UsualSlowness,
+    works: Works,
     next: usize,
     picks: u64,
     rng: SmallRng,
@@ -105,6 +134,8 @@
             states: HashMap::new(),
             ejected: Vec::new(),
             usual: Usual::default(),
+            usual_slowness: UsualSlowness::default(),
+            works: Works::default(),
             next: 0,
             picks: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -135,6 +166,18 @@
         self.order = targets.iter().map(|(target, _)| *target).collect();
     }
 
+    /// Says which targets are far.
+    pub fn set_far(&mut self, far: &[TargetId]) {
+        for (target, state) in &mut self.states {
+            state.set_far(far.contains(target));
+        }
+    }
+
+    /// Takes the time that a call of a kind takes at usual speed.
+    pub fn learn_work(&mut self, kind: CallKind, work_us: f64) {
+        self.works.learn(kind, work_us);
+    }
+
     /// The targets, in the order given.
     pub fn targets(&self) -> &[TargetId] {
         &self.order
@@ -181,6 +224,9 @@
     pub fn learn(&mut self, now: Micros, target: TargetId, figures: Figures) {
         if let Some(state) = self.states.get_mut(&target) {
             state.learn(now, figures, &mut self.usual);
+            if let Some(reading) = state.slowness() {
+                self.usual_slowness.learn(reading);
+            }
         }
     }
 
@@ -188,9 +234,10 @@
     pub fn choose(
         &mut self,
         now: Micros,
-        tried: &[TargetId],
+        wanted: Wanted<'_>,
         considered: &mut Vec<Considered>,
     ) -> Option<TargetId> {
+        let tried = wanted.tried;
         considered.clear();
         if let Some(trial) = self.due_trial(now, tried) {
             self.picks += 1;
@@ -202,15 +249,19 @@
             Policy::Random => self.draw(now, tried, 1).first().copied(),
             Policy::PowerOfTwo => {
                 let drawn = self.draw(now, tried, 2);
-                self.least(now, drawn, considered)
+                self.least(now, wanted, drawn, considered)
             }
             Policy::LeastInFlight => {
                 let all = self.open(now, tried);
-                self.least(now, all, considered)
+                self.least(now, wanted, all, considered)
             }
             Policy::ExpectedFinish => {
                 let drawn = self.draw(now, tried, SAMPLE);
-                self.least_in_turn(now, drawn, considered)
+                self.least_in_turn(now, wanted, drawn, considered)
+            }
+            Policy::GoalChance => {
+                let drawn = self.draw(now, tried, GOAL_SAMPLE);
+                self.least(now, wanted, drawn, considered)
             }
         }?;
         self.picks += 1;
@@ -290,10 +341,11 @@
     fn least(
         &self,
         now: Micros,
+        wanted: Wanted<'_>,
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
     ) -> Option<TargetId> {
-        self.consider(now, drawn, considered);
+        self.consider(now, wanted, drawn, considered);
         let least = considered.iter().min_by(|a, b| a.score.total_cmp(&b.score));
         least.map(|one| one.target)
     }
@@ -304,10 +356,11 @@
     fn least_in_turn(
         &self,
         now: Micros,
+        wanted: Wanted<'_>,
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
     ) -> Option<TargetId> {
-        self.consider(now, drawn, considered);
+        self.consider(now, wanted, drawn, considered);
         let scores = considered.iter().map(|one| one.score);
         let least = scores.min_by(f64::total_cmp)?;
         let equal = considered
@@ -317,20 +370,50 @@
         longest_ago.map(|one| one.target)
     }
 
-    fn consider(&self, now: Micros, drawn: Vec<TargetId>, considered: &mut Vec<Considered>) {
+    fn consider(
+        &self,
+        now: Micros,
+        wanted: Wanted<'_>,
+        drawn: Vec<TargetId>,
+        considered: &mut Vec<Considered>,
+    ) {
         considered.extend(drawn.into_iter().map(|target| Considered {
             target,
-            score: self.score(now, target),
+            score: self.score(now, wanted, target),
         }));
     }
 
-    fn score(&self, now: Micros, target: TargetId) -> f64 {
+    fn score(&self, now: Micros, wanted: Wanted<'_>, target: TargetId) -> f64 {
         let state = &self.states[&target];
         match self.params.policy {
+            Policy::GoalChance => -self.worth(now, wanted, state),
             Policy::ExpectedFinish => {
                 state.expected_finish_us(now, &self.usual, self.params.ramp_us)
             }
             _ => f64::from(state.outstanding()),
         }
     }
+
+    /// What a call is worth at a target, less the price of the way. Of targets that
+    /// are worth the same, the one with the least expected finish wins.
+    fn worth(&self, now: Micros, wanted: Wanted<'_>, state: &TargetState) -> f64 {
+        let finish_us = state.expected_finish_us(now, &self.usual, self.params.ramp_us);
+        let Some(work) = self.works.of(wanted.kind) else {
+            return -finish_us / FINISH_SCALE_US - state.far_price(self.params.far_price);
+        };
+        let need = Need {
+            goal_left_us: left_us(now, wanted.goal),
+            deadline_left_us: left_us(now, wanted.deadline),
+            work,
+        };
+        let prospect = state.prospect(now, &self.usual);
+        let slowness = self.usual_slowness.expect(now, state.slowness());
+        let cold = state.cold(now, self.params.ramp_us);
+        let slowness = slowness.map(|likely| LikelySlowness {
+            factor: likely.factor * cold,
+            ..likely
+        });
+        let worth = worth(&need, &prospect, slowness);
+        worth - state.far_price(self.params.far_price) - finish_us / FINISH_SCALE_US
+    }
 }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -5,6 +5,7 @@
 
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
+use crate::work::CallKind;
 
 /// Why a target's daemon did not run a call.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -120,6 +121,10 @@
         /// Targets it may be delivered to, where its route limits them further
         /// than the settings of its service.
         attempt_limit: Option<u32>,
+        /// When its answer loses most of its worth, where its route says so.
+        goal: Option<Micros>,
+        /// What kind of call it is.
+        kind: CallKind,
     },
     /// A target answered.
     Answered {
@@ -131,6 +136,8 @@
         figures: Option<Figures>,
         /// Time at the target's daemon, held and served.
         there_us: u32,
+        /// Time that the call would have taken at usual speed, where it is known.
+        work_us: Option<u32>,
     },
     /// A target's daemon says that it did not run the call.
     Refused {
--- a/crates/policy/src/figures.rs
+++ b/crates/policy/src/figures.rs
@@ -18,6 +18,17 @@
     /// Recent service time in microseconds; 0 while none is known.
     #[serde(rename = "u")]
     pub service_us: u32,
+    /// How long work takes at the target now, in percent of what is usual there; 0
+    /// while it is not known.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub slowness_percent: u32,
+    /// Age of that in milliseconds.
+    #[serde(rename = "y", default, skip_serializing_if = "is_zero")]
+    pub slowness_age_ms: u32,
+}
+
+fn is_zero(figure: &u32) -> bool {
+    *figure == 0
 }
 
 impl Figures {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admit;
 mod budget;
+mod chance;
 mod chooser;
 mod event;
 mod figures;
@@ -15,8 +16,10 @@
 mod report;
 mod retry;
 mod router;
+mod slowness;
 mod subset;
 mod target;
+mod work;
 
 pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
 pub use budget::{Budget, Cost, Limits};
@@ -29,5 +32,7 @@
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::RetryBudget;
 pub use router::{Router, RouterParams};
+pub use slowness::{LikelySlowness, SlownessReading, UsualSlowness};
 pub use subset::{Candidate, Here, subset};
 pub use target::{Health, TargetState, Usual};
+pub use work::{CallKind, Work, Works};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use crate::chooser::{ChooseParams, Chooser, Considered};
+use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
 use crate::event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
@@ -16,6 +16,7 @@
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::retry::RetryBudget;
 use crate::target::TargetState;
+use crate::work::CallKind;
 
 /// Hint for callers when no target is known or open.
 const NO_TARGET_RETRY_AFTER_US: Micros = 500_000;
@@ -37,6 +38,8 @@
     effect: bool,
     may_retry: bool,
     attempt_limit: u32,
+    goal: Micros,
+    kind: CallKind,
     tried: Vec<TargetId>,
     current: Option<AttemptId>,
     /// An earlier attempt of a lookup may have run.
@@ -98,6 +101,11 @@
         self.chooser.set_targets(now, targets);
     }
 
+    /// Says which targets are far, so that sending a call there has a price.
+    pub fn set_far(&mut self, far: &[TargetId]) {
+        self.chooser.set_far(far);
+    }
+
     /// Targets scored for the last choice, for explanations.
     pub fn considered(&self) -> &[Considered] {
         &self.considered
@@ -122,6 +130,8 @@
                 effect,
                 may_retry,
                 attempt_limit,
+                goal,
+                kind,
             } => {
                 let limit = attempt_limit.unwrap_or(u32::MAX).min(self.attempt_limit);
                 self.budget.first_attempt();
@@ -130,6 +140,8 @@
                     effect,
                     may_retry,
                     attempt_limit: limit,
+                    goal: goal.unwrap_or(deadline).min(deadline),
+                    kind,
                     tried: Vec::new(),
                     current: None,
                     may_have_run: None,
@@ -144,7 +156,11 @@
                 source,
                 figures,
                 there_us,
-            } => self.answered(now, attempt, source, figures, there_us),
+                work_us,
+            } => {
+                self.learn_work(attempt, work_us);
+                self.answered(now, attempt, source, figures, there_us)
+            }
             Event::Refused {
                 attempt,
                 refusal,
@@ -183,7 +199,13 @@
             call.last_refusal = NotRunReason::Deadline;
             return self.give_up(id);
         }
-        let chosen = self.chooser.choose(now, &call.tried, &mut self.considered);
+        let wanted = Wanted {
+            tried: &call.tried,
+            goal: call.goal,
+            deadline: call.deadline,
+            kind: call.kind,
+        };
+        let chosen = self.chooser.choose(now, wanted, &mut self.considered);
         let Some(target) = chosen else {
             return self.give_up(id);
         };
@@ -278,6 +300,16 @@
         self.finish(ended.call, Verdict::Answer { attempt })
     }
 
+    fn learn_work(&mut self, attempt: AttemptId, work_us: Option<u32>) {
+        let call = self.attempts.get(&attempt).map(|sent| sent.call);
+        let kind = call
+            .and_then(|call| self.calls.get(&call))
+            .map(|call| call.kind);
+        if let (Some(kind), Some(work_us)) = (kind, work_us) {
+            self.chooser.learn_work(kind, f64::from(work_us));
+        }
+    }
+
     fn failed_lookup_goes_elsewhere(&self, now: Micros, id: CallId) -> bool {
         self.calls
             .get(&id)
--- /dev/null
+++ b/crates/policy/src/slowness.rs
@@ -0,0 +1,82 @@
+//! How slow targets are for a while, and what to expect of one after a while.
+//!
+//! Slowness is a factor: 1 for a target of usual speed. A reading is right when it is
+//! taken; later it is believed less and less, and what is usual among the targets of
+//! the service takes its place: not a mean, but the readings themselves, since a
+//! target is either crowded or not.
+
+use std::collections::VecDeque;
+
+use crate::ids::Micros;
+
+/// Age at which half of a reading is still believed.
+const HALF_LIFE_US: f64 = 200_000.0;
+/// Readings kept as what is usual.
+const USUAL_READINGS: usize = 24;
+/// Least time between two readings kept, so that they are not all of one moment.
+const USUAL_SPACING_US: Micros = 40_000;
+
+/// One reading of a target's slowness.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlownessReading {
+    /// The factor.
+    pub factor: f64,
+    /// When it was right.
+    pub at: Micros,
+}
+
+/// What is usual among the targets of a service.
+#[derive(Clone, Debug, Default)]
+pub struct UsualSlowness {
+    readings: VecDeque<f64>,
+    kept_at: Micros,
+}
+
+/// A factor and how likely it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LikelySlowness {
+    /// The factor.
+    pub factor: f64,
+    /// Its probability.
+    pub probability: f64,
+}
+
+impl UsualSlowness {
+    /// Takes a reading of any target.
+    pub fn learn(&mut self, reading: SlownessReading) {
+        let spaced = reading.at >= self.kept_at + USUAL_SPACING_US;
+        if !spaced && self.readings.len() >= USUAL_READINGS {
+            return;
+        }
+        self.kept_at = reading.at;
+        if self.readings.len() == USUAL_READINGS {
+            self.readings.pop_front();
+        }
+        self.readings.push_back(reading.factor);
+    }
+
+    /// What to expect of a target with this last reading.
+    pub fn expect(
+        &self,
+        now: Micros,
+        last: Option<SlownessReading>,
+    ) -> impl Iterator<Item = LikelySlowness> + '_ {
+        let believed = last.map_or(0.0, |reading| {
+            let age_us = now.saturating_sub(reading.at) as f64;
+            (-age_us / HALF_LIFE_US).exp2()
+        });
+        let first = LikelySlowness {
+            factor: last.map_or(1.0, |reading| reading.factor),
+            probability: match self.readings.is_empty() {
+                true => 1.0,
+                false => believed,
+            },
+        };
+        let each = (1.0 - believed) / self.readings.len().max(1) as f64;
+        let usual = self.readings.iter().map(move |factor| LikelySlowness {
+            factor: *factor,
+            probability: each,
+        });
+        std::iter::once(first).chain(usual)
+    }
+}
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -3,8 +3,10 @@
 //! A figure is exact when it is taken and wrong a moment later, so trust in it
 //! halves with its age. Errors and refusals never make a target look better.
 
+use crate::chance::Prospect;
 use crate::figures::Figures;
 use crate::ids::Micros;
+use crate::slowness::SlownessReading;
 
 /// Age at which half of a load figure is still believed, in service times: calls
 /// come and go within one.
@@ -60,6 +62,8 @@
     failures_in_row: u32,
     warm_from: Micros,
     refused_until: Micros,
+    slowness: Option<SlownessReading>,
+    far: bool,
 }
 
 /// What is usual among the targets of a service: what to expect of one that has
@@ -121,6 +125,8 @@
             failures_in_row: 0,
             warm_from: now,
             refused_until: 0,
+            slowness: None,
+            far: false,
         }
     }
 
@@ -152,6 +158,7 @@
         *self = TargetState {
             outstanding: self.outstanding,
             linked: self.linked,
+            far: self.far,
             ..TargetState::new(now, self.usual_path_us)
         };
     }
@@ -249,6 +256,12 @@
             slots: figures.slots.max(1),
             at: now,
         });
+        if figures.slowness_percent > 0 {
+            self.slowness = Some(SlownessReading {
+                factor: f64::from(figures.slowness_percent) / 100.0,
+                at: now.saturating_sub(Micros::from(figures.slowness_age_ms) * 1_000),
+            });
+        }
         if figures.service_us > 0 {
             self.service_us = Some(f64::from(figures.service_us));
             self.service_at = now;
@@ -298,7 +311,35 @@
         (self.path_us(now) + service + spread + wait.max(refused)) * self.cold(now, ramp_us)
     }
 
-    fn cold(&self, now: Micros, ramp_us: Micros) -> f64 {
+    /// Says whether the way to it has a price.
+    pub fn set_far(&mut self, far: bool) {
+        self.far = far;
+    }
+
+    /// Price of the way to it.
+    pub fn far_price(&self, price: f64) -> f64 {
+        if self.far { price } else { 0.0 }
+    }
+
+    /// The last reading of its slowness.
+    pub fn slowness(&self) -> Option<SlownessReading> {
+        self.slowness
+    }
+
+    /// What a call sent now would find there.
+    pub fn prospect(&self, now: Micros, usual: &Usual) -> Prospect {
+        let known_slots = self.figures.map(|known| f64::from(known.slots));
+        let slots = known_slots.unwrap_or(usual.slots);
+        let queued = (self.load(now, usual) + 1.0 - slots).max(0.0);
+        Prospect {
+            path_us: self.path_us(now),
+            wait_us: queued * usual.service_us / slots,
+            closed_us: self.refused_until.saturating_sub(now) as f64,
+        }
+    }
+
+    /// How much slower it is for being cold.
+    pub fn cold(&self, now: Micros, ramp_us: Micros) -> f64 {
         let age = now.saturating_sub(self.warm_from);
         if age >= ramp_us {
             return 1.0;
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -22,6 +22,7 @@
     AdmitEvent::Done {
         call: CallId(call),
         service_us,
+        slowness_percent: None,
     }
 }
 
@@ -99,7 +100,7 @@
         admit.on(9_000, offer(call, 90_000));
         admit.on(9_001, done(call, None));
     }
-    assert_eq!(admit.figures().service_us, 8_000);
+    assert_eq!(admit.figures(0).service_us, 8_000);
 }
 
 /// Found by the leaving tests: one slow call was remembered for minutes, because
@@ -111,7 +112,7 @@
     admit.on(40_000, done(1, Some(40_000)));
     admit.on(5_000_000, offer(2, 6_000_000));
     admit.on(5_002_000, done(2, Some(2_000)));
-    let service_us = admit.figures().service_us;
+    let service_us = admit.figures(0).service_us;
     assert!(service_us < 2_200, "{service_us}");
 }
 
@@ -184,7 +185,7 @@
             }
             prop_assert!(running.len() <= LIMITS.slots as usize);
             prop_assert!(held.len() <= LIMITS.hold_limit as usize);
-            let figures = admit.figures();
+            let figures = admit.figures(0);
             prop_assert_eq!(figures.in_flight as usize, running.len());
             prop_assert_eq!(figures.held as usize, held.len());
             prop_assert!(held.is_empty() || running.len() == LIMITS.slots as usize);
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -21,6 +21,7 @@
             ramp_us: 0,
             eject_failures: 3,
             eject_us: 100_000,
+            far_price: 0.0,
         },
         attempt_limit: 3,
         retry_percent: 10,
@@ -38,6 +39,8 @@
         effect,
         may_retry: true,
         attempt_limit: None,
+        goal: None,
+        kind: lynxcleat_policy::CallKind::default(),
     };
     router.on(0, event)
 }
@@ -77,6 +80,7 @@
         source,
         figures: None,
         there_us: 10,
+        work_us: None,
     }
 }
 
@@ -183,6 +187,8 @@
         effect: false,
         may_retry: false,
         attempt_limit: None,
+        goal: None,
+        kind: lynxcleat_policy::CallKind::default(),
     };
     let (attempt, _) = sent(&router.on(0, event));
     let end = router.on(10, refused(attempt, RefusalReason::Full));
@@ -216,6 +222,8 @@
             effect: true,
             may_retry: true,
             attempt_limit: None,
+            goal: None,
+            kind: lynxcleat_policy::CallKind::default(),
         };
         let (attempt, target) = sent(&router.on(now, event));
         let source = match target == bad && !ok {
@@ -280,6 +288,8 @@
             held: 0,
             slots: 4,
             service_us,
+            slowness_percent: 0,
+            slowness_age_ms: 0,
         },
     };
     router.on(0, figures(0, 0, 1_000));
@@ -336,6 +346,8 @@
             effect: false,
             may_retry: true,
             attempt_limit: None,
+            goal: None,
+            kind: lynxcleat_policy::CallKind::default(),
         };
         let (attempt, target) = sent(&router.on(now, event));
         used += u32::from(target == slow);
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -54,6 +54,7 @@
     pub attempt_limit: u32,
     pub retry_percent: u32,
     pub policy: String,
+    pub far_price_percent: u32,
     pub subset_size: usize,
     pub eject_failures: u32,
     pub eject_ms: u64,
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -106,6 +106,8 @@
 pub struct NamedRoute {
     /// Name in the tree.
     pub name: String,
+    /// A number for its calls, which differs from those of other routes.
+    pub kind: u32,
     /// The route.
     pub route: Route,
 }
@@ -127,7 +129,8 @@
             let route = Route::parse(path, value).expect("every route was checked when put");
             let host = route.host.to_ascii_lowercase();
             let name = name.to_owned();
-            let named = Arc::new(NamedRoute { name, route });
+            let kind = kind_of(&name);
+            let named = Arc::new(NamedRoute { name, kind, route });
             hosts.entry(host).or_default().push(named);
         }
         for routes in hosts.values_mut() {
@@ -150,3 +153,12 @@
             .find(|named| path.starts_with(&named.route.prefix))
     }
 }
+
+/// A number for a route's name, the same at every daemon (FNV-1a, 32 bits).
+fn kind_of(name: &str) -> u32 {
+    const OFFSET: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    name.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
-use lynxcleat_policy::{AttemptId, Figures, NotRunReason, Refusal};
+use lynxcleat_policy::{AttemptId, CallKind, Figures, NotRunReason, Refusal};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -48,6 +48,9 @@
     /// The service asked for.
     #[serde(rename = "s")]
     pub service: String,
+    /// What kind of call it is.
+    #[serde(rename = "k", default)]
+    pub kind: CallKind,
     /// Time left until the deadline, in microseconds.
     #[serde(rename = "t")]
     pub left_us: u64,
@@ -156,6 +159,9 @@
         /// Time held and served, in microseconds.
         #[serde(rename = "t")]
         there_us: u32,
+        /// Time that the call would have taken at usual speed, where it is known.
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        work_us: Option<u32>,
     },
     /// The call was not run.
     Refused {
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -41,8 +41,11 @@
                 held: 1,
                 slots: 12,
                 service_us: 900,
+                slowness_percent: 400,
+                slowness_age_ms: 3,
             }),
             there_us: 77,
+            work_us: Some(70),
         },
     }
 }
