Hold by goal and rank, a learned limit, what is hopeless refused at once

Admission knew only deadlines: it held calls that had no chance to make their goal, ran all slots of workers that slow down when nearly full (1.7 times above 80 %), and judged all kinds of call by one service time.

Ruled out: processor (0.013 of 0.2 cores), refusals by workers (6 of 19,000).

Change: the hold orders by goal and rank; what cannot make its goal at this target is refused when it arrives, and what cannot make its deadline any more as soon as that shows; a call with a goal is held for 45 % of its time at most; the number of calls run at once is learned from service times by level (pool adjacent violators); service times per kind and slowness.

--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -40,6 +40,7 @@
     attempts: Option<u32>,
     goal_ms: Option<u64>,
     kind: CallKind,
+    priority: u32,
     effects: Effects,
 }
 
@@ -108,6 +109,7 @@
             .goal_ms
             .map(|goal_ms| core.clock.now() + goal_ms * 1_000),
         kind: terms.kind,
+        priority: terms.priority,
         caller_service: caller_service(core),
         generation,
         head: call.head,
@@ -148,6 +150,7 @@
             attempts: Some(named.route.attempts),
             goal_ms: Some(named.route.goal_ms),
             kind: CallKind(named.kind),
+            priority: named.route.priority,
             effects: route_effects(named.route.effects, &call.effects),
         },
         None => Terms {
@@ -155,6 +158,7 @@
             attempts: None,
             goal_ms: None,
             kind: CallKind::default(),
+            priority: 0,
             effects: call.effects.clone(),
         },
     };
--- a/crates/daemon/src/control/budget.rs
+++ b/crates/daemon/src/control/budget.rs
@@ -26,6 +26,9 @@
     clock: Clock,
     budget: Mutex<Budget>,
     figures: Mutex<Budget>,
+    /// What the poll of the settings waits for. Many small pieces of work would
+    /// otherwise always be there first, and it would wait for the end of a burst.
+    first: Mutex<Cost>,
 }
 
 impl MeasureBudget {
@@ -35,6 +38,7 @@
             clock,
             budget: Mutex::new(Budget::new(BEFORE_SETTINGS)),
             figures: Mutex::new(Budget::new(figures_part(BEFORE_SETTINGS))),
+            first: Mutex::default(),
         }
     }
 
@@ -51,7 +55,19 @@
 
     /// Grants a piece of measuring work whole, or refuses it.
     pub fn ask(&self, cost: Cost) -> bool {
-        lock(&self.budget).ask(self.clock.now(), cost)
+        let first = *lock(&self.first);
+        lock(&self.budget).ask_leaving(self.clock.now(), cost, first)
+    }
+
+    /// Grants a piece of work that goes before all others: where it is refused, room
+    /// is kept for it until it is granted.
+    pub fn ask_first(&self, cost: Cost) -> bool {
+        let granted = lock(&self.budget).ask(self.clock.now(), cost);
+        *lock(&self.first) = match granted {
+            true => Cost::default(),
+            false => cost,
+        };
+        granted
     }
 
     /// Grants figures on an answer, or refuses them.
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -42,7 +42,10 @@
         if core.settings.current().is_none() {
             ask_seeds(&core).await;
         }
-        if core.budget.ask(Cost::message(POLL_BYTES, POLL_CPU_US)) {
+        if core
+            .budget
+            .ask_first(Cost::message(POLL_BYTES, POLL_CPU_US))
+        {
             poll(&core).await;
             tokio::time::sleep(jittered(interval_ms(&core))).await;
         } else {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
-use lynxcleat_policy::{AdmitEvent, AttemptId, CallId, Micros, Refusal, RefusalReason};
+use lynxcleat_policy::{AdmitEvent, AttemptId, CallId, CallTerms, Micros, Refusal, RefusalReason};
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
 
@@ -28,6 +28,10 @@
 /// that its outcome can still be told later.
 const OUTCOME_WAIT_US: Micros = 30_000_000;
 
+/// Part of the time left for which a call with a goal is held: one that has waited
+/// for longer will hardly be served, and its caller can use the rest of its time.
+const HELD_PART: f64 = 0.45;
+
 /// How a call ended at the half.
 enum Ended {
     /// The answer, and the time at usual speed where it is known.
@@ -193,7 +197,7 @@
     }
 
     async fn take_slot_and_run(&self, call: CallFrame) -> Ended {
-        match self.take_slot().await {
+        match self.take_slot(&call).await {
             Go::Refuse(refusal) => Ended::Refused(refusal),
             Go::Deliver => self.deliver(call).await,
         }
@@ -201,21 +205,31 @@
 
     /// Slots and hold: waits for a slot until the deadline, a cancellation, or
     /// the loss of the link that the call came on.
-    async fn take_slot(&self) -> Go {
+    async fn take_slot(&self, call: &CallFrame) -> Go {
+        let now = self.core.clock.now();
         let (sender, receiver) = flume::bounded(1);
         lock(&self.half.waiting).insert(self.id, sender);
         self.half.admit(AdmitEvent::Offer {
             call: self.id,
             deadline: self.deadline,
+            terms: CallTerms {
+                goal: call.goal_left_us.map(|left_us| now + left_us),
+                kind: call.kind,
+                priority: call.priority,
+            },
         });
         if let Ok(go) = receiver.try_recv() {
             return go;
         }
+        let held_until = match call.goal_left_us {
+            Some(_) => now + (self.deadline.saturating_sub(now) as f64 * HELD_PART) as Micros,
+            None => self.deadline,
+        };
         tokio::select! {
             Ok(go) = receiver.recv_async() => return go,
             _ = self.cancelled.recv_async() => {}
             () = self.link.closed() => {}
-            () = tokio::time::sleep_until(self.core.clock.instant(self.deadline)) => {}
+            () = tokio::time::sleep_until(self.core.clock.instant(held_until)) => {}
         }
         self.withdraw(&receiver)
     }
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -43,6 +43,8 @@
     pub goal: Option<Micros>,
     /// What kind of call it is.
     pub kind: CallKind,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
     /// Service of the host where it began, where targets want to know it.
     pub caller_service: Option<String>,
     /// Generation of settings it is pinned to.
@@ -230,6 +232,11 @@
             call: self.call.name.clone(),
             service: self.service.name.clone(),
             kind: self.call.kind,
+            priority: self.call.priority,
+            goal_left_us: self
+                .call
+                .goal
+                .map(|goal| goal.saturating_sub(self.core.clock.now())),
             left_us: self.call.deadline.saturating_sub(self.core.clock.now()),
             operation: self.call.operation,
             caller_service: self.call.caller_service.clone(),
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -9,8 +9,8 @@
 use std::collections::{BinaryHeap, HashMap};
 
 use lynxcleat_policy::{
-    Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, Event,
-    Figures, Micros, Refusal, Router, RouterParams, Source, TargetId, Verdict,
+    Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, CallTerms,
+    Event, Figures, Micros, Refusal, Router, RouterParams, Source, TargetId, Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -367,6 +367,7 @@
             } else {
                 sent.deadline
             },
+            terms: CallTerms::default(),
         };
         self.admit(target, offer);
     }
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -5,8 +5,8 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use lynxcleat_policy::{
-    Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, CallKind, ChooseParams, Cost, Event,
-    Figures, Policy, Router, RouterParams, Source, TargetId,
+    Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, CallKind, CallTerms, ChooseParams,
+    Cost, Event, Figures, Policy, Router, RouterParams, Source, TargetId,
 };
 
 const FIGURES: Figures = Figures {
@@ -88,7 +88,14 @@
             now += 50;
             let call = CallId(now);
             let deadline = now + 1_000_000;
-            black_box(admit.on(now, AdmitEvent::Offer { call, deadline }));
+            black_box(admit.on(
+                now,
+                AdmitEvent::Offer {
+                    call,
+                    deadline,
+                    terms: CallTerms::default(),
+                },
+            ));
             let service_us = Some(5_000);
             black_box(admit.on(
                 now,
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -6,11 +6,15 @@
 //! when its deadline nears: the router can still offer it elsewhere, and a
 //! caller that is told early can come back at the right time.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::HashMap;
 
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
+use crate::hold::{CallTerms, Held, Hold};
 use crate::ids::{CallId, Micros};
+use crate::limit::LearnedLimit;
+use crate::slowness::{SlownessReading, UsualSlowness};
+use crate::work::{CallKind, Works};
 
 /// Least weight of one service time in the running mean.
 const SERVICE_WEIGHT: f64 = 0.125;
@@ -45,6 +49,8 @@
         call: CallId,
         /// Latest useful time of its answer.
         deadline: Micros,
+        /// What else it asks for.
+        terms: CallTerms,
     },
     /// A delivered call ended.
     Done {
@@ -85,22 +91,41 @@
     },
 }
 
+/// Part of the slots up to which a target counts as not crowded: what calls take
+/// alone is learned there.
+const ALONE_PART: f64 = 0.5;
+/// Samples of a kind that are taken whatever the number of calls running.
+const FIRST_SAMPLES: u32 = 8;
+/// Largest difference between two readings of slowness for which the time between
+/// them counts as even.
+const EVEN_PART: f64 = 0.2;
+
+/// A call that the target runs.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    kind: CallKind,
+    /// Calls running when it was delivered, itself among them.
+    running: u32,
+    /// Slowness known when it was delivered.
+    slowness: Option<f64>,
+}
+
 /// Admission of one target.
 #[derive(Debug)]
 pub struct Admit {
     limits: AdmitLimits,
     leaving: bool,
-    in_flight: HashSet<CallId>,
-    held: BTreeMap<(Micros, u64), CallId>,
-    held_keys: HashMap<CallId, (Micros, u64)>,
-    next_seq: u64,
+    in_flight: HashMap<CallId, InFlight>,
+    hold: Hold,
     service_us: u32,
     service_at: Micros,
+    works: Works,
+    learned_limit: LearnedLimit,
+    slowness: Option<SlownessReading>,
+    usual_slowness: UsualSlowness,
     refused: f64,
     delivered: f64,
     counted_at: Micros,
-    /// The target's slowness in percent as it said last, and when.
-    slowness: Option<(u32, Micros)>,
 }
 
 impl Admit {
@@ -109,16 +134,17 @@
         Admit {
             limits,
             leaving: false,
-            in_flight: HashSet::new(),
-            held: BTreeMap::new(),
-            held_keys: HashMap::new(),
-            next_seq: 0,
+            in_flight: HashMap::new(),
+            hold: Hold::default(),
             service_us: 0,
             service_at: 0,
+            works: Works::default(),
+            learned_limit: LearnedLimit::default(),
+            slowness: None,
+            usual_slowness: UsualSlowness::default(),
             refused: 0.0,
             delivered: 0.0,
             counted_at: 0,
-            slowness: None,
         }
     }
 
@@ -126,23 +152,20 @@
     pub fn on(&mut self, now: Micros, event: AdmitEvent) -> Vec<AdmitAction> {
         let mut actions = Vec::new();
         match event {
-            AdmitEvent::Offer { call, deadline } => {
-                actions.extend(self.offer(now, call, deadline));
+            AdmitEvent::Offer {
+                call,
+                deadline,
+                terms,
+            } => {
+                let held = self.hold.candidate(call, deadline, terms);
+                actions.extend(self.offer(now, held));
             }
             AdmitEvent::Done {
                 call,
                 service_us,
                 slowness_percent,
-            } => {
-                self.in_flight.remove(&call);
-                if let Some(percent) = slowness_percent {
-                    self.slowness = Some((percent, now));
-                }
-                self.learn(now, service_us);
-            }
-            AdmitEvent::Withdraw { call } => {
-                self.unhold(call);
-            }
+            } => self.done(now, call, service_us, slowness_percent),
+            AdmitEvent::Withdraw { call } => self.hold.remove(call),
             AdmitEvent::Leave => self.leaving = true,
             AdmitEvent::Return => self.leaving = false,
             AdmitEvent::SetLimits(limits) => self.limits = limits,
@@ -154,21 +177,24 @@
 
     /// The load at this moment.
     pub fn figures(&self, now: Micros) -> Figures {
-        let (slowness_percent, read_at) = self.slowness.unwrap_or((0, now));
-        let age_us = now.saturating_sub(read_at);
+        let reading = self.slowness.unwrap_or(SlownessReading {
+            factor: 0.0,
+            at: now,
+        });
+        let age_us = now.saturating_sub(reading.at);
         Figures {
-            slowness_percent,
-            slowness_age_ms: u32::try_from(age_us / 1_000).unwrap_or(u32::MAX),
             in_flight: self.in_flight.len() as u32,
-            held: self.held.len() as u32,
-            slots: self.limits.slots,
+            held: self.hold.len() as u32,
+            slots: self.limit(now),
             service_us: self.service_us,
+            slowness_percent: (reading.factor * 100.0) as u32,
+            slowness_age_ms: u32::try_from(age_us / 1_000).unwrap_or(u32::MAX),
         }
     }
 
     /// Whether the call is held, so that withdrawing it means it never ran.
     pub fn is_held(&self, call: CallId) -> bool {
-        self.held_keys.contains_key(&call)
+        self.hold.contains(call)
     }
 
     /// Whether the target takes no new calls.
@@ -178,38 +204,76 @@
 
     /// Calls served and held.
     pub fn load(&self) -> usize {
-        self.in_flight.len() + self.held.len()
+        self.in_flight.len() + self.hold.len()
+    }
+
+    /// Calls that are run at once.
+    fn limit(&self, now: Micros) -> u32 {
+        self.learned_limit.limit(now, self.limits.slots)
     }
 
     /// Delivers, refuses, or holds the call; holding it takes no action.
-    fn offer(&mut self, now: Micros, call: CallId, deadline: Micros) -> Option<AdmitAction> {
+    fn offer(&mut self, now: Micros, held: Held) -> Option<AdmitAction> {
+        let call = held.call;
         if self.leaving {
             return Some(refuse(call, RefusalReason::Leaving, LEAVING_RETRY_AFTER_US));
         }
-        if self.has_free_slot() && self.held.is_empty() {
-            self.in_flight.insert(call);
-            return Some(AdmitAction::Deliver { call });
+        if self.hold.is_empty() && self.has_free_slot(now) {
+            return Some(self.deliver(now, held));
         }
-        let wait = self.expected_wait(deadline);
-        if self.held.len() >= self.limits.hold_limit as usize {
+        let wait = self.expected_wait(now, &held);
+        if self.hold.len() >= self.limits.hold_limit as usize {
             return Some(refuse(call, RefusalReason::Full, self.retry_after(wait)));
         }
-        if now + wait + Micros::from(self.service_us) > deadline {
+        let finish = now + wait + self.expected_service_us(now, held.terms.kind);
+        if finish > held.goal() {
             return Some(refuse(call, RefusalReason::TooLate, self.retry_after(wait)));
         }
-        self.hold(call, deadline);
+        self.hold.push(held);
         None
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.in_flight.len() < self.limits.slots as usize
+    fn deliver(&mut self, now: Micros, held: Held) -> AdmitAction {
+        let call = held.call;
+        let in_flight = InFlight {
+            kind: held.terms.kind,
+            running: self.in_flight.len() as u32 + 1,
+            slowness: self.expected_slowness(now),
+        };
+        self.in_flight.insert(call, in_flight);
+        AdmitAction::Deliver { call }
+    }
+
+    fn has_free_slot(&self, now: Micros) -> bool {
+        self.in_flight.len() < self.limit(now) as usize
+    }
+
+    /// Time until a slot is free for a call: those that are next before it go first.
+    fn expected_wait(&self, now: Micros, held: &Held) -> Micros {
+        let service_us = |kind| self.expected_service_us(now, kind);
+        let ahead = self.hold.ahead(now, held, &service_us);
+        let ahead_us: Micros = ahead.map(|other| service_us(other.terms.kind)).sum();
+        let running_us = Micros::from(self.service_us);
+        (ahead_us + running_us) / Micros::from(self.limit(now).max(1))
+    }
+
+    /// Time that a call of a kind should take now. Where the target does not tell its
+    /// slowness, what calls took of late stands for all kinds.
+    fn expected_service_us(&self, now: Micros, kind: CallKind) -> Micros {
+        match (self.works.of(kind), self.expected_slowness(now)) {
+            (Some(work), Some(factor)) => (work.mean_us * factor) as Micros,
+            _ => Micros::from(self.service_us),
+        }
     }
 
-    /// Time until a slot is free for a call with this deadline: those held with
-    /// an earlier deadline go first.
-    fn expected_wait(&self, deadline: Micros) -> Micros {
-        let ahead = self.held.range(..(deadline, u64::MAX)).count() as u64 + 1;
-        ahead * Micros::from(self.service_us) / Micros::from(self.limits.slots)
+    fn expected_slowness(&self, now: Micros) -> Option<f64> {
+        self.slowness?;
+        let likely = self.usual_slowness.expect(now, self.slowness);
+        Some(
+            likely
+                .map(|likely| likely.factor * likely.probability)
+                .sum(),
+        )
     }
 
     /// When a refused caller should come back: when a slot should be free, and the
@@ -240,41 +304,55 @@
         }
     }
 
-    fn hold(&mut self, call: CallId, deadline: Micros) {
-        let key = (deadline, self.next_seq);
-        self.next_seq += 1;
-        self.held.insert(key, call);
-        self.held_keys.insert(call, key);
-    }
-
-    fn unhold(&mut self, call: CallId) {
-        if let Some(key) = self.held_keys.remove(&call) {
-            self.held.remove(&key);
-        }
-    }
-
-    /// Gives free slots to held calls that can still finish in time.
+    /// Refuses held calls that can no longer finish in time, and gives free slots to
+    /// the others.
     fn fill(&mut self, now: Micros, actions: &mut Vec<AdmitAction>) {
-        while self.has_free_slot() {
-            let Some(((deadline, _), call)) = self.held.pop_first() else {
+        if self.hold.is_empty() {
+            return;
+        }
+        let mut hold = std::mem::take(&mut self.hold);
+        let hopeless = hold.take_hopeless(now, |kind| self.expected_service_us(now, kind));
+        self.hold = hold;
+        for call in hopeless {
+            let after = self.retry_after(0);
+            actions.push(refuse(call, RefusalReason::TooLate, after));
+        }
+        while self.has_free_slot(now) {
+            let service_us = |kind| self.expected_service_us(now, kind);
+            let Some(held) = self.hold.next(now, service_us) else {
                 return;
             };
-            self.held_keys.remove(&call);
-            if now + Micros::from(self.service_us) > deadline {
-                let after = self.retry_after(0);
-                actions.push(refuse(call, RefusalReason::TooLate, after));
-                continue;
-            }
-            self.in_flight.insert(call);
-            actions.push(AdmitAction::Deliver { call });
+            self.hold.remove(held.call);
+            actions.push(self.deliver(now, held));
+        }
+    }
+
+    fn done(
+        &mut self,
+        now: Micros,
+        call: CallId,
+        service_us: Option<u32>,
+        slowness_percent: Option<u32>,
+    ) {
+        let running = self.in_flight.len() as u32;
+        let ended = self.in_flight.remove(&call);
+        let factor = slowness_percent.map(|percent| f64::from(percent.max(1)) / 100.0);
+        if let Some(factor) = factor {
+            let reading = SlownessReading { factor, at: now };
+            self.slowness = Some(reading);
+            self.usual_slowness.learn(reading);
+        }
+        let Some(service_us) = service_us else { return };
+        self.learn_service(now, service_us);
+        if let (Some(ended), Some(factor)) = (ended, factor) {
+            self.learn_work(now, ended, running, f64::from(service_us), factor);
         }
     }
 
     /// A failure says nothing about the time that serving takes, so a target
     /// that fails fast never looks fast.
-    fn learn(&mut self, now: Micros, service_us: Option<u32>) {
-        let Some(sample) = service_us else { return };
-        let sample = f64::from(sample.max(1));
+    fn learn_service(&mut self, now: Micros, service_us: u32) {
+        let sample = f64::from(service_us.max(1));
         let age_us = now.saturating_sub(self.service_at) as f64;
         let believed = (-age_us / SERVICE_HALF_LIFE_US).exp2();
         let weight = match self.service_us {
@@ -285,6 +363,33 @@
         self.service_us = (mean + (sample - mean) * weight).max(1.0) as u32;
         self.service_at = now;
     }
+
+    /// Learns what a kind of call takes alone, and how much longer it takes beside
+    /// others, from times over which the slowness was even.
+    fn learn_work(
+        &mut self,
+        now: Micros,
+        ended: InFlight,
+        running_at_end: u32,
+        service_us: f64,
+        factor: f64,
+    ) {
+        let before = ended.slowness.unwrap_or(factor);
+        if (before - factor).abs() > factor * EVEN_PART {
+            return;
+        }
+        let usual_us = service_us / factor;
+        let running = (ended.running + running_at_end).div_ceil(2);
+        let alone = f64::from(running) <= f64::from(self.limits.slots) * ALONE_PART;
+        let known = self.works.of_kind(ended.kind);
+        if let Some(work) = known {
+            self.learned_limit
+                .learn(now, running, usual_us / work.mean_us);
+        }
+        if alone || known.is_none_or(|work| work.samples() < FIRST_SAMPLES) {
+            self.works.learn(ended.kind, usual_us);
+        }
+    }
 }
 
 fn refuse(call: CallId, reason: RefusalReason, retry_after_us: Micros) -> AdmitAction {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -92,10 +92,15 @@
     /// Grants `cost` whole, or refuses it whole. A time before the last grant
     /// counts as the time of that grant.
     pub fn ask(&mut self, now: Micros, cost: Cost) -> bool {
+        self.ask_leaving(now, cost, Cost::default())
+    }
+
+    /// Grants `cost` only if `room` could still be granted after it.
+    pub fn ask_leaving(&mut self, now: Micros, cost: Cost, room: Cost) -> bool {
         let now = self.grants.back().map_or(now, |(last, _)| now.max(*last));
         self.forget(now);
         let next = self.in_window + cost;
-        if !within(next, self.limits) {
+        if !within(next + room, self.limits) {
             self.refused += 1;
             return false;
         }
--- /dev/null
+++ b/crates/policy/src/hold.rs
@@ -0,0 +1,140 @@
+//! Calls held for a slot at one target, and which of them is next.
+//!
+//! Calls that can still make their goal go first: by rank, then by goal. Those that
+//! cannot go after them, by rank, then by deadline.
+
+use crate::ids::{CallId, Micros};
+use crate::work::CallKind;
+
+/// What a call asks for besides its deadline.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CallTerms {
+    /// When its answer loses most of its worth; its deadline where absent.
+    pub goal: Option<Micros>,
+    /// What kind of call it is.
+    pub kind: CallKind,
+    /// Its rank; 0 is the highest.
+    pub priority: u32,
+}
+
+/// A call that is held.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// The call.
+    pub call: CallId,
+    /// When its answer is no longer useful.
+    pub deadline: Micros,
+    /// What else it asks for.
+    pub terms: CallTerms,
+    arrival: u64,
+}
+
+impl Held {
+    /// When its answer loses most of its worth.
+    pub fn goal(&self) -> Micros {
+        self.terms.goal.unwrap_or(self.deadline).min(self.deadline)
+    }
+}
+
+/// Order among held calls; the least is next.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Turn {
+    late: bool,
+    priority: u32,
+    due: Micros,
+    arrival: u64,
+}
+
+/// The calls held at one target.
+#[derive(Debug, Default)]
+pub struct Hold {
+    held: Vec<Held>,
+    arrivals: u64,
+}
+
+impl Hold {
+    /// How many are held.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Whether a call is held.
+    pub fn contains(&self, call: CallId) -> bool {
+        self.held.iter().any(|held| held.call == call)
+    }
+
+    /// Makes a call that could be held.
+    pub fn candidate(&mut self, call: CallId, deadline: Micros, terms: CallTerms) -> Held {
+        self.arrivals += 1;
+        Held {
+            call,
+            deadline,
+            terms,
+            arrival: self.arrivals,
+        }
+    }
+
+    /// Holds a call.
+    pub fn push(&mut self, held: Held) {
+        self.held.push(held);
+    }
+
+    /// Holds a call no longer.
+    pub fn remove(&mut self, call: CallId) {
+        self.held.retain(|held| held.call != call);
+    }
+
+    /// Takes out the calls that cannot finish before their deadline any more.
+    pub fn take_hopeless(
+        &mut self,
+        now: Micros,
+        service_us: impl Fn(CallKind) -> Micros,
+    ) -> Vec<CallId> {
+        let mut hopeless = Vec::new();
+        self.held.retain(|held| {
+            let is_hopeless = now + service_us(held.terms.kind) > held.deadline;
+            if is_hopeless {
+                hopeless.push(held.call);
+            }
+            !is_hopeless
+        });
+        hopeless
+    }
+
+    /// The next call, where `service_us` says how long a call would take now.
+    pub fn next(&self, now: Micros, service_us: impl Fn(CallKind) -> Micros) -> Option<Held> {
+        let next = self
+            .held
+            .iter()
+            .min_by_key(|held| turn(now, held, &service_us));
+        next.copied()
+    }
+
+    /// Those that would be next before `candidate`.
+    pub fn ahead<'a>(
+        &'a self,
+        now: Micros,
+        candidate: &Held,
+        service_us: &'a impl Fn(CallKind) -> Micros,
+    ) -> impl Iterator<Item = &'a Held> {
+        let own = turn(now, candidate, service_us);
+        self.held
+            .iter()
+            .filter(move |held| turn(now, held, service_us) < own)
+    }
+}
+
+fn turn(now: Micros, held: &Held, service_us: impl Fn(CallKind) -> Micros) -> Turn {
+    let late = now + service_us(held.terms.kind) > held.goal();
+    Turn {
+        late,
+        priority: held.terms.priority,
+        due: if late { held.deadline } else { held.goal() },
+        arrival: held.arrival,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,9 @@
 mod chooser;
 mod event;
 mod figures;
+mod hold;
 mod ids;
+mod limit;
 mod report;
 mod retry;
 mod router;
@@ -28,7 +30,9 @@
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
 pub use figures::Figures;
+pub use hold::{CallTerms, Held, Hold};
 pub use ids::{AttemptId, CallId, Micros, TargetId};
+pub use limit::LearnedLimit;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::RetryBudget;
 pub use router::{Router, RouterParams};
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Calls that it was learned from.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+
     fn learn(&mut self, sample_us: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = match self.samples {
@@ -77,6 +82,11 @@
         }
     }
 
+    /// What a call of this kind takes, where the kind was seen.
+    pub fn of_kind(&self, kind: CallKind) -> Option<Work> {
+        self.kinds.get(&kind).copied()
+    }
+
     /// What a call of this kind takes; what all take where the kind was not seen.
     pub fn of(&self, kind: CallKind) -> Option<Work> {
         self.kinds.get(&kind).copied().or(self.all)
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lynxcleat_policy::{Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, RefusalReason};
+use lynxcleat_policy::{
+    Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, CallTerms, RefusalReason,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -15,6 +17,7 @@
     AdmitEvent::Offer {
         call: CallId(call),
         deadline,
+        terms: CallTerms::default(),
     }
 }
 
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -76,3 +76,33 @@
     assert!(!budget.ask(2_999_999, Cost::message(1, 0)));
     assert!(budget.ask(3_000_000, Cost::message(1, 0)));
 }
+
+/// Found by a burst: small pieces of work were always there first, and one large piece
+/// waited until the burst was over.
+#[test]
+fn room_that_is_kept_for_one_piece_of_work_is_not_given_to_others() {
+    let limits = Limits {
+        messages: 10,
+        bytes: 4_000,
+        cpu_us: 10_000,
+    };
+    let large = Cost::message(1_200, 100);
+    let small = Cost::message(800, 100);
+    let mut budget = Budget::new(limits);
+    for _ in 0..4 {
+        assert!(budget.ask(0, small));
+    }
+    assert!(!budget.ask(100_000, large), "no room yet");
+    assert!(budget.ask_leaving(100_000, small, Cost::default()));
+    let mut granted_at = None;
+    for step in 2..30 {
+        let now = step * 100_000;
+        if granted_at.is_none() {
+            assert!(!budget.ask_leaving(now, small, large) || now >= 1_000_000);
+            if budget.ask(now, large) {
+                granted_at = Some(now);
+            }
+        }
+    }
+    assert_eq!(granted_at, Some(1_000_000), "as soon as the window allows");
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -51,6 +51,12 @@
     /// What kind of call it is.
     #[serde(rename = "k", default)]
     pub kind: CallKind,
+    /// Its rank; 0 is the highest.
+    #[serde(rename = "p", default)]
+    pub priority: u32,
+    /// Time left until its goal, in microseconds, where its route has one.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub goal_left_us: Option<u64>,
     /// Time left until the deadline, in microseconds.
     #[serde(rename = "t")]
     pub left_us: u64,
