A target's slowness is told to its routers when it changes

A router learned of a target's slow spell (some 300 ms) only from its own answers from there, so that spells were over before most routers knew, and a target once found slow was not asked again.

Change: the target half sends its figures to the daemons that dialed it when the slowness differs by 40 % from what they were told, within the measuring budget's part for figures.

--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -9,7 +9,7 @@
 mod serve;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
@@ -34,6 +34,13 @@
 /// Processor time charged for figures on an answer, in microseconds.
 const FIGURES_CPU_US: u64 = 2;
 
+/// Bytes of a message that tells a load, with its frame and TCP's own.
+const LOAD_BYTES: u64 = 90;
+/// Slowness of a target of which nothing was heard, in percent.
+const USUAL_PERCENT: u32 = 100;
+/// Change of the slowness, in percent of what was told, that is worth a message.
+const SLOWNESS_CHANGE_PERCENT: u32 = 40;
+
 /// What a held call hears.
 pub(super) enum Go {
     /// A slot is its own.
@@ -53,6 +60,8 @@
     next_call: AtomicU64,
     settings: Mutex<Option<Arc<Effective>>>,
     reports: Option<Mutex<TargetReports>>,
+    /// Slowness in percent as the routers were last told.
+    told_slowness: AtomicU32,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -81,6 +90,7 @@
             next_call: AtomicU64::new(1),
             settings: Mutex::default(),
             reports: target_reports.then(Mutex::default),
+            told_slowness: AtomicU32::new(USUAL_PERCENT),
             pool,
         }
     }
@@ -167,6 +177,27 @@
         core.budget.ask_figures(cost).then(|| self.figures())
     }
 
+    /// Tells the daemons that route here how slow the target is, where that changed
+    /// since they were told and the measuring budget allows it.
+    pub(super) fn tell_slowness(&self, core: &Core) {
+        let figures = self.figures();
+        let now = figures.slowness_percent;
+        let told = self.told_slowness.load(Ordering::Relaxed);
+        if now == 0 || now.abs_diff(told) * 100 < told * SLOWNESS_CHANGE_PERCENT {
+            return;
+        }
+        let routers = core.links.accepted() as u64;
+        let cost = Cost {
+            messages: routers,
+            bytes: routers * LOAD_BYTES,
+            cpu_us: routers * FIGURES_CPU_US,
+        };
+        if core.budget.ask_figures(cost) {
+            self.told_slowness.store(now, Ordering::Relaxed);
+            core.links.tell_routers(&Frame::Load(figures));
+        }
+    }
+
     /// The sender of a call no longer wants it.
     pub fn cancel(&self, link: u64, attempt: AttemptId) {
         if let Some(cancel) = lock(&self.cancels).remove(&(link, attempt)) {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -269,6 +269,7 @@
             _ => None,
         };
         self.ended(served.then_some(took_us), load);
+        self.half.tell_slowness(self.core);
         match exchange {
             Exchange::Answer(answer, load) => {
                 let work_us = load.filter(|_| served).map(|load| load.work_us(took_us));
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -56,6 +56,20 @@
         }
     }
 
+    /// Sends a message on every link that another daemon dialed: to those that route
+    /// to our target.
+    pub fn tell_routers(&self, frame: &Frame) {
+        for link in self.all().into_iter().filter(|link| !link.is_dialer()) {
+            let _ = link.send(frame.clone());
+        }
+    }
+
+    /// How many links other daemons dialed.
+    pub fn accepted(&self) -> usize {
+        let all = lock(&self.all);
+        all.values().filter(|link| !link.is_dialer()).count()
+    }
+
     /// The link to an address, dialed if there is none. Several callers at once
     /// make one link. An address of this daemon itself leads to its own half
     /// without a connection.
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -135,6 +135,7 @@
         Frame::Beat => "beat",
         Frame::Leaving(_) => "leaving",
         Frame::Call(_) => "call",
+        Frame::Load(_) => "load",
         Frame::Cancel(_) => "cancel",
         Frame::Answer { .. } => "answer",
         Frame::Refused { .. } => "refused",
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,7 +11,8 @@
 use backon::{BackoffBuilder, ExponentialBuilder};
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, ChooseParams, Cost, Event, Here, Policy, Router, RouterParams, TargetId, subset,
+    Candidate, ChooseParams, Cost, Event, Figures, Here, Policy, Router, RouterParams, TargetId,
+    subset,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -126,6 +127,16 @@
         }
     }
 
+    /// A daemon tells the load of its target.
+    pub fn load(&self, core: &Core, host: &str, figures: Figures) {
+        let Some(target) = lock(&self.ids).get(host).copied() else {
+            return;
+        };
+        for service in self.all() {
+            service.feed(core, Event::FiguresSeen { target, figures });
+        }
+    }
+
     /// Every router.
     pub fn all(&self) -> Vec<Arc<ServiceRouter>> {
         lock(&self.services).values().cloned().collect()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -149,6 +149,8 @@
     Leaving(bool),
     /// A call for the acceptor's target.
     Call(Box<CallFrame>),
+    /// The load of the acceptor's target, which changed.
+    Load(Figures),
     /// A call is no longer wanted.
     Cancel(AttemptId),
     /// The target's answer.
