Feeds are asked anew where a peer knows more

Cause: a wait for changes that a silent store never answers lasted up to 11.5 s; a configuration accepted meanwhile would come too late at every daemon whose wait began before the outage ended.

Change: a newer generation heard from a peer, or the loss of the other feed, ends the wait; the daemons' waits begin at different times; a new generation is announced on all links at once. A peer's copy is asked for only after the feed had its chance twice, since it costs bytes between zones.

--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -24,6 +24,12 @@
 const POLL_CPU_US: u64 = 400;
 /// Interval of polls before settings are in force, in milliseconds.
 const FIRST_POLL_MS: u64 = 300;
+/// Time for which the feed is waited for before it is doubted: it brings a change to
+/// all daemons within a few milliseconds of each other.
+const FEED_FIRST: Duration = Duration::from_millis(250);
+/// Time for which the directory is waited for after that, before a peer is asked: its answer
+/// costs less than a copy that crosses places.
+const DIRECTORY_FIRST: Duration = Duration::from_millis(350);
 /// Longest wait for a peer's copy of the tree.
 const PEER_LIMIT: Duration = Duration::from_secs(2);
 
@@ -62,7 +68,16 @@
     let core = Arc::clone(core);
     let link = Arc::clone(link);
     tokio::spawn(async move {
-        if let Some(copy) = fetch(&link).await {
+        if let Some(directory) = &core.directory {
+            tokio::time::sleep(FEED_FIRST).await;
+            if theirs > core.settings.number() {
+                directory.doubt_feeds();
+                tokio::time::sleep(DIRECTORY_FIRST).await;
+            }
+        }
+        if theirs > core.settings.number()
+            && let Some(copy) = fetch(&link).await
+        {
             take_copy(&core, &link, copy);
         }
         core.settings.end_fetch();
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -137,6 +137,7 @@
         self.routers.apply(self, &in_force);
         let generation = in_force.generation.number;
         self.metrics.generation.set(generation as i64);
+        self.links.announce(&Frame::Beat);
         log::info!(generation, digest:% = in_force.generation.digest; "settings in force");
     }
 }
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -16,7 +16,7 @@
 const FEED_WAIT: Duration = Duration::from_secs(10);
 /// Time for which changes of members are gathered into one call: many come together
 /// when a fleet starts.
-const MEMBERS_GATHER: Duration = Duration::from_millis(150);
+const MEMBERS_GATHER: Duration = Duration::from_millis(300);
 /// Time for which changes of settings are gathered.
 const SETTINGS_GATHER: Duration = Duration::from_millis(30);
 
@@ -79,6 +79,20 @@
     }
 }
 
+/// Why a feed brought nothing.
+enum FeedError {
+    /// The store failed.
+    Store(RowStoreError),
+    /// The wait was given up; see [`DirectoryState::doubt_feeds`].
+    Doubted,
+}
+
+impl From<RowStoreError> for FeedError {
+    fn from(error: RowStoreError) -> Self {
+        FeedError::Store(error)
+    }
+}
+
 /// One table and how far it was followed.
 struct Feed<'a> {
     core: &'a Core,
@@ -87,6 +101,9 @@
     table: &'a str,
     follower: Follower,
     lost: bool,
+    /// Wait of the next call for changes; the first is shorter at random, so that
+    /// the daemons' calls do not all begin at the same time.
+    wait: Duration,
 }
 
 impl<'a> Feed<'a> {
@@ -103,6 +120,7 @@
             table,
             follower: Follower::default(),
             lost: false,
+            wait: FEED_WAIT.mul_f64(rand::rng().random_range(0.1..1.0)),
         }
     }
 
@@ -117,12 +135,15 @@
                         return news;
                     }
                 }
-                Err(error) => self.failed(&error).await,
+                Err(FeedError::Doubted) => {
+                    log::info!(feed = self.name; "feed asked anew");
+                }
+                Err(FeedError::Store(error)) => self.failed(&error).await,
             }
         }
     }
 
-    async fn ask(&mut self) -> Result<Vec<StoredRow>, RowStoreError> {
+    async fn ask(&mut self) -> Result<Vec<StoredRow>, FeedError> {
         let store = &self.directory.directory.store;
         match self.follower.ask() {
             Ask::Read => {
@@ -130,7 +151,12 @@
                 Ok(self.follower.read(table))
             }
             Ask::Changes { after } => {
-                let changes = store.changes(self.table, after, FEED_WAIT).await?;
+                let mut doubted = self.directory.doubted.subscribe();
+                let wait = std::mem::replace(&mut self.wait, FEED_WAIT);
+                let changes = tokio::select! {
+                    changes = store.changes(self.table, after, wait) => changes?,
+                    _ = doubted.changed() => return Err(FeedError::Doubted),
+                };
                 Ok(self.follower.changed(changes))
             }
         }
@@ -141,6 +167,7 @@
         if !self.lost {
             log::warn!(feed = self.name; "store lost: {error}");
             self.lost = true;
+            self.directory.doubt_feeds();
         }
         let pause = self.follower.failed(error);
         let jitter = rand::rng().random_range(0.75..1.25);
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -17,7 +17,7 @@
 use lynxcleat_store::{OwnRow, RowStore};
 use lynxcleat_wire::SharedKey;
 use thiserror::Error;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
@@ -73,6 +73,8 @@
     pub key: OnceLock<SharedKey>,
     members_read: AtomicBool,
     own: Mutex<Option<OwnRow>>,
+    /// Ends a wait for changes: there is reason to think that it would bring none.
+    doubted: watch::Sender<u64>,
     wanted: Notify,
     settled: Notify,
 }
@@ -85,10 +87,17 @@
             key: OnceLock::new(),
             members_read: AtomicBool::new(false),
             own: Mutex::default(),
+            doubted: watch::Sender::new(0),
             wanted: Notify::new(),
             settled: Notify::new(),
         }
     }
+
+    /// Something shows that the feeds may be stuck behind a connection that says
+    /// nothing more: they ask anew.
+    pub fn doubt_feeds(&self) {
+        self.doubted.send_modify(|count| *count += 1);
+    }
 }
 
 impl Core {
