A silent target is asked for its load while calls come

Change: `load_path` and `load_poll_ms`: after a silence, while calls come and within the measuring budget, the target half asks its target, and tells its routers what changed.

--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -52,6 +52,7 @@
                 format!("{min}..={max} {}, default {default}", spec.unit)
             }
             Kind::Choice(words) => format!("{}, default {}", words.join(" | "), words[0]),
+            Kind::Path => "a path that starts with /, default none".to_owned(),
         };
         println!("{:24} {}\n{:24}   {values}", spec.name, spec.help, "");
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod health;
 mod hosts;
+mod load;
 mod settings;
 
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 pub use budget::MeasureBudget;
 pub use hosts::HostTable;
+pub use load::follow as follow_load;
 pub use settings::fetch_from_peer;
 
 /// Part of an interval by which it varies, so that daemons do not poll in step.
@@ -30,6 +32,7 @@
     tokio::spawn(settings::follow(Arc::clone(core)));
     tokio::spawn(hosts::follow(Arc::clone(core)));
     tokio::spawn(health::follow(Arc::clone(core)));
+    tokio::spawn(load::follow(Arc::clone(core)));
 }
 
 /// An interval of polls in milliseconds: the configured one, or a longer one where
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
 
+use crate::control;
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
 use crate::sync::lock;
@@ -142,6 +143,7 @@
     tokio::spawn(follow::settings(Arc::clone(core)));
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
+    tokio::spawn(control::follow_load(Arc::clone(core)));
 }
 
 /// Takes a report of the target. Returns when what must last of it is in the
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -12,6 +12,8 @@
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
 
+/// Largest answer to the question for the load, in bytes.
+const LOAD_ANSWER_BYTES: usize = 16 << 10;
 /// Hint for callers where a target that sheds gives none.
 const SHED_RETRY_AFTER_US: Micros = 100_000;
 
@@ -78,6 +80,23 @@
         }
     }
 
+    /// Asks the target for its load at a path that it answers at once.
+    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<TargetLoad> {
+        let request = hyper::Request::get(path)
+            .header(hyper::header::HOST, "target")
+            .body(Full::default())
+            .ok()?;
+        let mut sender = self.take().await.ok()?;
+        let response = sender.try_send_request(request).await.ok()?;
+        let load = dialect.load(response.headers());
+        Limited::new(response.into_body(), LOAD_ANSWER_BYTES)
+            .collect()
+            .await
+            .ok()?;
+        self.put_back(sender);
+        load
+    }
+
     async fn finish(
         &self,
         dialect: &Dialect,
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
 use lynxcleat_policy::{
@@ -62,6 +63,8 @@
     reports: Option<Mutex<TargetReports>>,
     /// Slowness in percent as the routers were last told.
     told_slowness: AtomicU32,
+    /// When a call was offered last.
+    offered_at: AtomicU64,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -91,6 +94,7 @@
             settings: Mutex::default(),
             reports: target_reports.then(Mutex::default),
             told_slowness: AtomicU32::new(USUAL_PERCENT),
+            offered_at: AtomicU64::new(0),
             pool,
         }
     }
@@ -177,6 +181,27 @@
         core.budget.ask_figures(cost).then(|| self.figures())
     }
 
+    /// Asks the target for its load, and tells the routers where it changed.
+    pub async fn ask_load(&self, core: &Core, path: &str) {
+        if let Some(load) = self.pool.ask_load(&core.dialect, path).await {
+            self.admit(AdmitEvent::Slowness(load.slowness_percent));
+            self.tell_slowness(core);
+        }
+    }
+
+    /// Time since a call was offered last.
+    pub fn since_last_call(&self) -> Duration {
+        let offered_at = self.offered_at.load(Ordering::Relaxed);
+        Duration::from_micros(self.clock.now().saturating_sub(offered_at))
+    }
+
+    /// Time since the target told its load; `None` where it never did.
+    pub fn since_load_told(&self) -> Option<Duration> {
+        let figures = self.figures();
+        let told = figures.slowness_percent > 0;
+        told.then(|| Duration::from_millis(figures.slowness_age_ms.into()))
+    }
+
     /// Tells the daemons that route here how slow the target is, where that changed
     /// since they were told and the measuring budget allows it.
     pub(super) fn tell_slowness(&self, core: &Core) {
@@ -210,6 +235,7 @@
     }
 
     fn new_call(&self) -> CallId {
+        self.offered_at.store(self.clock.now(), Ordering::Relaxed);
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -61,6 +61,8 @@
         /// How slow the target said it is, in percent; absent where it did not say.
         slowness_percent: Option<u32>,
     },
+    /// The target said how slow it is, in percent, apart from an answer to a call.
+    Slowness(u32),
     /// The router no longer wants the call.
     Withdraw {
         /// The call.
@@ -165,6 +167,9 @@
                 service_us,
                 slowness_percent,
             } => self.done(now, call, service_us, slowness_percent),
+            AdmitEvent::Slowness(percent) => {
+                self.learn_slowness(now, percent);
+            }
             AdmitEvent::Withdraw { call } => self.hold.remove(call),
             AdmitEvent::Leave => self.leaving = true,
             AdmitEvent::Return => self.leaving = false,
@@ -336,12 +341,7 @@
     ) {
         let running = self.in_flight.len() as u32;
         let ended = self.in_flight.remove(&call);
-        let factor = slowness_percent.map(|percent| f64::from(percent.max(1)) / 100.0);
-        if let Some(factor) = factor {
-            let reading = SlownessReading { factor, at: now };
-            self.slowness = Some(reading);
-            self.usual_slowness.learn(reading);
-        }
+        let factor = slowness_percent.map(|percent| self.learn_slowness(now, percent));
         let Some(service_us) = service_us else { return };
         self.learn_service(now, service_us);
         if let (Some(ended), Some(factor)) = (ended, factor) {
@@ -349,6 +349,15 @@
         }
     }
 
+    /// Takes a reading and returns its factor.
+    fn learn_slowness(&mut self, now: Micros, percent: u32) -> f64 {
+        let factor = f64::from(percent.max(1)) / 100.0;
+        let reading = SlownessReading { factor, at: now };
+        self.slowness = Some(reading);
+        self.usual_slowness.learn(reading);
+        factor
+    }
+
     /// A failure says nothing about the time that serving takes, so a target
     /// that fails fast never looks fast.
     fn learn_service(&mut self, now: Micros, service_us: u32) {
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -72,6 +72,8 @@
     pub poll_ms: u64,
     pub host_list_ms: u64,
     pub health_ms: u64,
+    pub load_path: String,
+    pub load_poll_ms: u64,
     pub heartbeat_ms: u64,
     pub link_silence_ms: u64,
     pub stop_linger_ms: u64,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -19,6 +19,8 @@
     },
     /// One of a few words; the first is the default.
     Choice(&'static [&'static str]),
+    /// A path that starts with a slash, or nothing, which is the default.
+    Path,
 }
 
 /// One row of the table of fields.
@@ -64,6 +66,15 @@
     }
 }
 
+const fn path(name: &'static str, help: &'static str) -> FieldSpec {
+    FieldSpec {
+        name,
+        unit: "",
+        kind: Kind::Path,
+        help,
+    }
+}
+
 /// Every field, in the order in which help lists them.
 #[rustfmt::skip]
 pub const FIELDS: &[FieldSpec] = &[
@@ -96,6 +107,8 @@
     whole("poll_ms", "ms", (50, 60_000), 1_000, "interval between reads of the accepted generation"),
     whole("host_list_ms", "ms", (50, 60_000), 1_000, "interval between reads of the host list"),
     whole("health_ms", "ms", (50, 60_000), 500, "interval between reads of the target's health endpoint"),
+    path("load_path", "path at which the target tells its load at once; empty where there is none"),
+    whole("load_poll_ms", "ms", (0, 60_000), 0, "silence of a target's answers after which it is asked for its load while calls come; 0 for never"),
     whole("heartbeat_ms", "ms", (50, 60_000), 1_000, "interval between heartbeats on a link"),
     whole("link_silence_ms", "ms", (100, 600_000), 3_000, "silence after which a link counts as lost"),
     whole("stop_linger_ms", "ms", (0, 60_000), 1_000, "time a stopping daemon still answers callers' open connections"),
@@ -113,6 +126,7 @@
         match self.kind {
             Kind::Whole { min, max, .. } => self.check_whole(value, min, max),
             Kind::Choice(words) => check_choice(value, words),
+            Kind::Path => check_path(value),
         }
     }
 
@@ -121,6 +135,7 @@
         match self.kind {
             Kind::Whole { default, .. } => Value::from(default),
             Kind::Choice(words) => Value::from(words[0]),
+            Kind::Path => Value::from(""),
         }
     }
 
@@ -143,6 +158,19 @@
     }
 }
 
+fn check_path(value: &Value) -> Result<(), Fault> {
+    let Some(found) = value.as_str() else {
+        return Err(wrong_type("a path".to_owned(), value));
+    };
+    if found.is_empty() || found.starts_with('/') {
+        return Ok(());
+    }
+    Err(Fault::NotAChoice {
+        found: found.to_owned(),
+        allowed: "a path that starts with /, or nothing".to_owned(),
+    })
+}
+
 fn check_choice(value: &Value, words: &[&str]) -> Result<(), Fault> {
     let Some(found) = value.as_str() else {
         return Err(wrong_type(format!("one of {}", words.join(", ")), value));
