Further attempts bounded over all daemons; what is held for a caller that left is withdrawn

The task that runs such a call heard nothing of its caller. And the budget of further attempts was a bucket of 10 tokens at each daemon, 130 at 13 daemons, where all together may send 58 beyond the share (found by reading).

Ruled out: the cancelling of lookups (its test stands).

Change: a caller's going withdraws a call with effects that was not delivered; one that was goes on. RetryWindow: a sliding window at each daemon, its part of the reserve by the number of daemons, half kept back for restarts. A refusal by a target's daemon costs no attempt and no budget (`reroute_limit`); another incarnation's refusal counts, since it reached a target.

--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -231,7 +231,8 @@
     }
 }
 
-/// Runs a call with effects to its end even if its caller goes away.
+/// Runs a call with effects. If its caller goes away, what was delivered runs to its
+/// end, and what was not is withdrawn.
 async fn run_plain(
     core: &Arc<Core>,
     service: Arc<ServiceRouter>,
@@ -241,8 +242,13 @@
     call.operation = Some(core.once.name_plain(left_us));
     let core = Arc::clone(core);
     let busy = core.life.calls.enter();
+    // Dropped with this future, which tells the task below.
+    let (_here, gone) = flume::bounded::<()>(0);
+    let gone = async move {
+        let _ = gone.recv_async().await;
+    };
     let running = tokio::spawn(async move {
-        let verdict = route::run(&core, &service, call).await;
+        let verdict = route::run_until_gone(&core, &service, call, gone).await;
         drop(busy);
         verdict
     });
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -278,7 +278,7 @@
             Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
             Exchange::OtherInstance => {
                 self.core.target_replaced(instance.as_deref());
-                refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US)
+                refused(RefusalReason::Shed, DOWN_RETRY_AFTER_US)
             }
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Says to the other side that a call is not to be delivered any more. Its end is
+    /// still waited for.
+    pub fn withdraw(&self, attempt: AttemptId) {
+        let _ = self.push(Frame::Cancel(attempt));
+    }
+
     /// Sends an ask and waits for its reply. `make` gets the ask's number.
     ///
     /// # Errors
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -4,6 +4,6 @@
 mod service;
 mod settle;
 
-pub use run::{Outbound, RouteVerdict, run};
+pub use run::{Outbound, RouteVerdict, run, run_until_gone};
 pub use service::{Routers, ServiceRouter};
 pub use settle::fence_at;
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -76,6 +76,17 @@
 
 /// Routes a call and returns what its caller is told.
 pub async fn run(core: &Arc<Core>, service: &Arc<ServiceRouter>, call: Outbound) -> RouteVerdict {
+    run_until_gone(core, service, call, std::future::pending()).await
+}
+
+/// Routes a call. When `gone` says that its caller went away, the call is not sent
+/// anywhere any more, and what was delivered goes on.
+pub async fn run_until_gone(
+    core: &Arc<Core>,
+    service: &Arc<ServiceRouter>,
+    call: Outbound,
+    gone: impl Future<Output = ()>,
+) -> RouteVerdict {
     let deadline = core.clock.instant(call.deadline);
     let _ = tokio::time::timeout_at(deadline, service.ready(core)).await;
     let (sender, signals) = flume::unbounded();
@@ -95,7 +106,7 @@
         answer: None,
         finished: false,
     };
-    let verdict = in_hand.drive(signals).await;
+    let verdict = in_hand.drive(signals, gone).await;
     in_hand.finished = true;
     in_hand.keep_trace(&verdict);
     verdict
@@ -121,7 +132,11 @@
 }
 
 impl InHand<'_> {
-    async fn drive(&mut self, signals: flume::Receiver<Signal>) -> RouteVerdict {
+    async fn drive(
+        &mut self,
+        signals: flume::Receiver<Signal>,
+        gone: impl Future<Output = ()>,
+    ) -> RouteVerdict {
         let arrived = Event::Arrived {
             call: self.call.id,
             deadline: self.call.deadline,
@@ -137,10 +152,16 @@
         let over = self.call.deadline + DEADLINE_GRACE_US;
         let over = tokio::time::sleep_until(self.core.clock.instant(over));
         tokio::pin!(over);
+        tokio::pin!(gone);
+        let mut is_gone = false;
         loop {
             let event = tokio::select! {
                 biased;
                 Ok(signal) = signals.recv_async() => self.event(signal),
+                () = &mut gone, if !is_gone => {
+                    is_gone = true;
+                    Event::CallerGone { call: self.call.id }
+                }
                 () = &mut over => Event::DeadlineOver { call: self.call.id },
             };
             if let Some(verdict) = self.feed(event) {
@@ -162,6 +183,7 @@
                         attempt, target, ..
                     } => self.settle(attempt, target),
                     Action::Cancel { attempt, .. } => self.cancel(attempt),
+                    Action::Withdraw { attempt, .. } => self.withdraw(attempt),
                     Action::Finish { verdict, .. } => return Some(self.verdict(verdict)),
                 }
             }
@@ -268,6 +290,12 @@
         }
     }
 
+    fn withdraw(&self, attempt: AttemptId) {
+        if let Some(link) = self.out(attempt).and_then(|out| out.link.as_ref()) {
+            link.withdraw(attempt);
+        }
+    }
+
     fn out(&self, attempt: AttemptId) -> Option<&OutAttempt> {
         self.attempts.iter().find(|out| out.attempt == attempt)
     }
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,8 +11,8 @@
 use backon::{BackoffBuilder, ExponentialBuilder};
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, ChooseParams, Cost, Event, Figures, Here, Policy, Router, RouterParams, TargetId,
-    subset,
+    Candidate, ChooseParams, Cost, Event, Figures, Here, Policy, RetryBound, Router, RouterParams,
+    TargetId, subset,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -78,7 +78,11 @@
             return Arc::clone(known);
         }
         let first_attempt = ((services.len() as u64) + 1) << ATTEMPTS_BITS;
-        let router = Router::new(params(effective), rand::random(), first_attempt);
+        let router = Router::new(
+            params(effective, core.hosts.len()),
+            rand::random(),
+            first_attempt,
+        );
         let service = Arc::new(ServiceRouter {
             name: name.to_owned(),
             router: Mutex::new(router),
@@ -98,6 +102,7 @@
         };
         for service in self.all() {
             if let Some(effective) = in_force.service(&service.name) {
+                lock(&service.router).set_params(params(&effective, core.hosts.len()));
                 service.refresh(core, &effective);
             }
         }
@@ -107,7 +112,7 @@
     pub fn apply(&self, core: &Arc<Core>, in_force: &InForce) {
         for service in self.all() {
             if let Some(effective) = in_force.service(&service.name) {
-                lock(&service.router).set_params(params(&effective));
+                lock(&service.router).set_params(params(&effective, core.hosts.len()));
                 service.refresh(core, &effective);
             }
         }
@@ -367,7 +372,20 @@
     }
 }
 
-fn params(effective: &Effective) -> RouterParams {
+/// This daemon's part of the bound that all daemons keep together. Half of the reserve
+/// is kept back for daemons that start anew and know nothing of what they sent.
+fn retry_bound(effective: &Effective, hosts: usize) -> Option<RetryBound> {
+    if effective.retry_window_ms == 0 {
+        return None;
+    }
+    let part = u64::from(effective.retry_reserve) / 2 / hosts.max(1) as u64;
+    Some(RetryBound {
+        window_us: effective.retry_window_ms * 1_000,
+        reserve: u32::try_from(part).unwrap_or(u32::MAX),
+    })
+}
+
+fn params(effective: &Effective, hosts: usize) -> RouterParams {
     RouterParams {
         choose: ChooseParams {
             policy: effective.policy.parse().unwrap_or(Policy::ExpectedFinish),
@@ -378,5 +396,7 @@
         },
         attempt_limit: effective.attempt_limit,
         retry_percent: effective.retry_percent,
+        retry_bound: retry_bound(effective, hosts),
+        reroute_limit: effective.reroute_limit,
     }
 }
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -126,6 +126,47 @@
     worker.target.set_faults(TargetFaults::default());
 }
 
+/// Found by a day on the users' platform: calls with effects that were held when their
+/// callers left were delivered up to half a second later.
+#[test]
+fn a_call_with_effects_that_is_held_when_its_caller_goes_away_is_not_delivered() {
+    let mut plan = Plan::new("answers-gone-held");
+    plan.workers = 1;
+    plan.slots = 1;
+    plan.tree = tree(json!({"slots": 1}));
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    worker.target.set_faults(TargetFaults {
+        frozen: true,
+        ..TargetFaults::default()
+    });
+    let post = || {
+        let mut stream = TcpStream::connect(&worker.callers).expect("connect");
+        let request = "POST /gone HTTP/1.1\r\nHost: stock\r\nContent-Length: 0\r\n\
+                       Lynxcleat-Deadline-Ms: 30000\r\n\r\n";
+        stream.write_all(request.as_bytes()).expect("written");
+        stream
+    };
+    let status = |fits: fn(&lynxcleat_daemon::Status) -> bool| {
+        lynxcleat_standin::wait_until(support::PATIENCE, || {
+            worker.status().is_some_and(|status| fits(&status))
+        })
+    };
+    let first = post();
+    assert!(status(|status| status.in_flight == 1));
+    let second = post();
+    assert!(status(|status| status.held == 1));
+    drop(second);
+    assert!(status(|status| status.held == 0), "withdrawn");
+    drop(first);
+    worker.target.set_faults(TargetFaults::default());
+    assert!(
+        status(|status| status.in_flight == 0),
+        "the first ran to its end"
+    );
+    assert_eq!(worker.target.served(), 1);
+}
+
 #[test]
 fn slow_senders_are_bounded_in_time() {
     let mut plan = Plan::new("answers-slow");
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -225,6 +225,8 @@
             },
             attempt_limit: 3,
             retry_percent,
+            retry_bound: None,
+            reroute_limit: 0,
         },
         deadline_us: DEADLINE_US,
         rates: Vec::new(),
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -332,7 +332,7 @@
                 } => self.send(router, call, attempt, target.0 as usize),
                 Action::Finish { call, verdict } => self.finish(router, call, verdict),
                 Action::Cancel { attempt, target } => self.cancel(attempt, target.0 as usize),
-                Action::Settle { .. } => {}
+                Action::Settle { .. } | Action::Withdraw { .. } => {}
             }
         }
     }
--- a/crates/once/tests/world.rs
+++ b/crates/once/tests/world.rs
@@ -161,6 +161,8 @@
             },
             attempt_limit: 3,
             retry_percent: 100,
+            retry_bound: None,
+            reroute_limit: 0,
         };
         let mut router = Router::new(params, self.lives, self.lives << 32);
         router.set_targets(0, &targets(&self.listed));
@@ -427,6 +429,8 @@
                 Action::Cancel { attempt, .. } => {
                     self.nodes[n].out.remove(&attempt);
                 }
+                // A half may miss it; then the operation runs to its end.
+                Action::Withdraw { .. } => {}
                 Action::Finish { call, verdict } => self.finish(n, call, verdict),
             }
         }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -239,6 +239,14 @@
         /// Where it was sent.
         target: TargetId,
     },
+    /// Tell the target's daemon that the attempt is no longer wanted unless it was
+    /// delivered already; its end is still to be heard.
+    Withdraw {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it was sent.
+        target: TargetId,
+    },
     /// Answer the caller.
     Finish {
         /// The call.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,7 +34,7 @@
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use limit::LearnedLimit;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
-pub use retry::RetryBudget;
+pub use retry::{RetryBound, RetryBudget, RetryWindow};
 pub use router::{Router, RouterParams};
 pub use slowness::{LikelySlowness, SlownessReading, UsualSlowness};
 pub use subset::{Candidate, Here, subset};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -14,7 +14,7 @@
 };
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
-use crate::retry::RetryBudget;
+use crate::retry::{RetryBound, RetryBudget, RetryWindow};
 use crate::target::TargetState;
 use crate::work::CallKind;
 
@@ -30,6 +30,11 @@
     pub attempt_limit: u32,
     /// Further attempts as a share of first ones.
     pub retry_percent: u32,
+    /// Bound on them in any window, where there is one; else a bucket of tokens.
+    pub retry_bound: Option<RetryBound>,
+    /// Targets a call may be offered to once more after its daemon refused it, beyond
+    /// the attempts: such an offer never reached a target.
+    pub reroute_limit: u32,
 }
 
 #[derive(Debug)]
@@ -41,6 +46,8 @@
     goal: Micros,
     kind: CallKind,
     tried: Vec<TargetId>,
+    /// Offers that a target's daemon refused, so that they never reached a target.
+    refusals: u32,
     current: Option<AttemptId>,
     /// An earlier attempt of a lookup may have run.
     may_have_run: Option<UnknownReason>,
@@ -60,7 +67,9 @@
 pub struct Router {
     chooser: Chooser,
     attempt_limit: u32,
+    reroute_limit: u32,
     budget: RetryBudget,
+    window: Option<RetryWindow>,
     calls: HashMap<CallId, Call>,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
@@ -75,7 +84,11 @@
         Router {
             chooser: Chooser::new(params.choose, seed),
             attempt_limit: params.attempt_limit,
+            reroute_limit: params.reroute_limit,
             budget: RetryBudget::new(params.retry_percent),
+            window: params
+                .retry_bound
+                .map(|bound| RetryWindow::new(bound, params.retry_percent)),
             calls: HashMap::new(),
             attempts: HashMap::new(),
             next_attempt: first_attempt,
@@ -88,7 +101,14 @@
     pub fn set_params(&mut self, params: RouterParams) {
         self.chooser.set_params(params.choose);
         self.attempt_limit = params.attempt_limit;
+        self.reroute_limit = params.reroute_limit;
         self.budget.set_percent(params.retry_percent);
+        match (&mut self.window, params.retry_bound) {
+            (Some(window), Some(bound)) => window.set(bound, params.retry_percent),
+            (window, bound) => {
+                *window = bound.map(|bound| RetryWindow::new(bound, params.retry_percent));
+            }
+        }
     }
 
     /// The targets and what is known of them.
@@ -134,7 +154,7 @@
                 kind,
             } => {
                 let limit = attempt_limit.unwrap_or(u32::MAX).min(self.attempt_limit);
-                self.budget.first_attempt();
+                self.count_first(now);
                 let arrived = Call {
                     deadline,
                     effect,
@@ -143,6 +163,7 @@
                     goal: goal.unwrap_or(deadline).min(deadline),
                     kind,
                     tried: Vec::new(),
+                    refusals: 0,
                     current: None,
                     may_have_run: None,
                     soonest_retry_us: None,
@@ -234,8 +255,9 @@
             return Vec::new();
         };
         call.current = None;
-        let allowed = call.may_retry && call.tried.len() < call.attempt_limit as usize;
-        if !allowed || !self.budget.take() {
+        let delivered = call.tried.len().saturating_sub(call.refusals as usize);
+        let allowed = call.may_retry && delivered < call.attempt_limit as usize;
+        if !allowed || !self.take_further(now) {
             return self.give_up(id);
         }
         let actions = self.attempt(now, id);
@@ -245,6 +267,34 @@
         actions
     }
 
+    /// Offers a call elsewhere that its target's daemon refused.
+    fn reroute(&mut self, now: Micros, id: CallId) -> Vec<Action> {
+        let limit = self.reroute_limit;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        if call.refusals >= limit || !call.may_retry {
+            return self.attempt_elsewhere(now, id);
+        }
+        call.refusals += 1;
+        call.current = None;
+        self.attempt(now, id)
+    }
+
+    fn count_first(&mut self, now: Micros) {
+        match &mut self.window {
+            Some(window) => window.first_attempt(now),
+            None => self.budget.first_attempt(),
+        }
+    }
+
+    fn take_further(&mut self, now: Micros) -> bool {
+        match &mut self.window {
+            Some(window) => window.take(now),
+            None => self.budget.take(),
+        }
+    }
+
     /// Answers a call that no attempt is out for.
     fn give_up(&mut self, id: CallId) -> Vec<Action> {
         let Some(call) = self.calls.remove(&id) else {
@@ -344,7 +394,10 @@
             let soonest = call.soonest_retry_us.unwrap_or(Micros::MAX);
             call.soonest_retry_us = Some(soonest.min(refusal.retry_after_us));
         }
-        self.attempt_elsewhere(now, ended.call)
+        if refusal.reason == RefusalReason::Shed {
+            return self.attempt_elsewhere(now, ended.call);
+        }
+        self.reroute(now, ended.call)
     }
 
     fn learn_refusal(&mut self, now: Micros, target: TargetId, refusal: Refusal) {
@@ -383,7 +436,7 @@
         if let Some(call) = self.calls.get_mut(&ended.call) {
             call.last_refusal = NotRunReason::NoLink;
         }
-        self.attempt_elsewhere(now, ended.call)
+        self.reroute(now, ended.call)
     }
 
     fn link_lost(&mut self, now: Micros, attempt: AttemptId) -> Vec<Action> {
@@ -450,9 +503,11 @@
     }
 
     fn caller_gone(&mut self, id: CallId) -> Vec<Action> {
-        let effect = self.calls.get(&id).is_some_and(|call| call.effect);
-        if effect {
-            return Vec::new();
+        if let Some(call) = self.calls.get_mut(&id)
+            && call.effect
+        {
+            call.may_retry = false;
+            return self.withdraw_current(id);
         }
         let cancelled = self.cancel_current(id);
         self.calls.remove(&id);
@@ -463,6 +518,18 @@
         vec![Action::Cancel { attempt, target }]
     }
 
+    /// A call with effects whose caller is gone goes on where it was delivered, so
+    /// that its outcome is known, and is not delivered where it was not.
+    fn withdraw_current(&mut self, id: CallId) -> Vec<Action> {
+        let attempt = self.calls.get(&id).and_then(|call| call.current);
+        let sent = attempt.and_then(|attempt| Some((attempt, self.attempts.get(&attempt)?)));
+        let withdraw = sent.map(|(attempt, sent)| Action::Withdraw {
+            attempt,
+            target: sent.target,
+        });
+        withdraw.into_iter().collect()
+    }
+
     fn cancel_current(&mut self, id: CallId) -> Option<(AttemptId, TargetId)> {
         let attempt = self.calls.get(&id)?.current?;
         let ended = self.end(attempt)?;
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -25,6 +25,8 @@
         },
         attempt_limit: 3,
         retry_percent: 10,
+        retry_bound: None,
+        reroute_limit: 0,
     };
     let mut router = Router::new(params, 1, 1);
     let targets: Vec<_> = (0..targets).map(|id| (TargetId(id), 100.0)).collect();
