Structured logs of decisions on the standard output, bounded and never waited for

Cause: logs went to standard error through a blocking appender and had no line for a call's decisions.

--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether the call was answered before a target was chosen for it.
+    pub(super) fn is_unrouted(&self) -> bool {
+        !matches!(self, Problem::NotRun { .. } | Problem::Unknown { .. })
+    }
+
     /// The HTTP answer.
     pub(super) fn answer(&self, dialect: &Dialect, call: &str) -> HttpAnswer {
         let told = self.told();
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -64,7 +64,10 @@
     let outcome = pipeline(core, (id, &name), &parts, body, &mut service).await;
     let (mut http, label) = match outcome {
         Ok(http) => (http, Outcome::Run),
-        Err(problem) => (problem.answer(&core.dialect, &name), problem.outcome()),
+        Err(problem) => {
+            log_unrouted(core, &name, &problem);
+            (problem.answer(&core.dialect, &name), problem.outcome())
+        }
     };
     let ticket = core.dialect.own_interface.then(|| core.once.mint_text());
     let closing = core.life.phase() > Phase::Serving;
@@ -120,6 +123,16 @@
     answered
 }
 
+/// One line for a call that was answered before it was routed; the others are logged
+/// with their attempts.
+fn log_unrouted(core: &Core, name: &str, problem: &Problem) {
+    let now = core.clock.now();
+    if problem.is_unrouted() && core.explain.logs(now, false) {
+        let generation = core.settings.number();
+        log::info!(call = name, generation, problem:? = problem; "call not routed");
+    }
+}
+
 /// Takes room for the call's body: of its stated length, or of its limit where the
 /// length is not known beforehand.
 fn take_room<'a>(
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -82,6 +82,15 @@
     if entries.is_empty() {
         return;
     }
+    for entry in &entries {
+        log::info!(
+            host = entry.host.as_str(),
+            service = entry.service.as_str(),
+            zone = entry.zone.as_str(),
+            state:? = entry.state;
+            "member"
+        );
+    }
     for service in core.hosts.take_entries(entries) {
         core.once.half_gone(&service);
     }
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 
+use lynxcleat_policy::{Micros, SampleRates, Sampler};
 use serde::{Deserialize, Serialize};
 
 use crate::sync::lock;
@@ -17,6 +18,15 @@
     pub host: String,
     /// Its score under the policy; the lowest wins.
     pub score: f64,
+    /// Calls expected at it.
+    #[serde(default)]
+    pub load: f64,
+    /// Its slowness as it told last, as a factor; 0 where it never did.
+    #[serde(default)]
+    pub slowness: f64,
+    /// Age of that, in microseconds.
+    #[serde(default)]
+    pub slowness_age_us: u64,
 }
 
 /// One attempt of a call.
@@ -43,16 +53,35 @@
     pub generation: u64,
     /// Its attempts.
     pub attempts: Vec<AttemptTrace>,
+    /// Whether it ran and its answer is no failure.
+    #[serde(default)]
+    pub success: bool,
     /// What its caller was told.
     pub verdict: String,
     /// Time from arrival to answer, in microseconds.
     pub took_us: u64,
 }
 
-/// The ring.
-#[derive(Default)]
+/// Lines about calls that one daemon logs: failures first, and no more than these.
+const LOG_RATES: SampleRates = SampleRates {
+    lines_per_s: 20,
+    successes_per_s: 2,
+    success_every: 50,
+};
+
+/// The ring, and what of it is logged.
 pub struct Explain {
     ring: Mutex<VecDeque<Trace>>,
+    sampler: Mutex<Sampler>,
+}
+
+impl Default for Explain {
+    fn default() -> Self {
+        Explain {
+            ring: Mutex::default(),
+            sampler: Mutex::new(Sampler::new(LOG_RATES)),
+        }
+    }
 }
 
 impl Explain {
@@ -65,6 +94,16 @@
         ring.push_back(trace);
     }
 
+    /// Whether a decision about a call is to be logged.
+    pub fn logs(&self, now: Micros, success: bool) -> bool {
+        lock(&self.sampler).take(now, success)
+    }
+
+    /// Failures that were not logged, for there were too many.
+    pub fn unlogged(&self) -> u64 {
+        lock(&self.sampler).dropped()
+    }
+
     /// The trace of a call, if it is still kept.
     pub fn find(&self, call: &str) -> Option<Trace> {
         let ring = lock(&self.ring);
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -64,7 +64,9 @@
     tokio::spawn(async move {
         let arrived = core.clock.now();
         let attempt = call.attempt;
+        let name = call.call.clone();
         let ended = serve(&core, &link, call, cancelled).await;
+        log_ended(&core, &link, &name, &ended);
         lock(&core.half.cancels).remove(&key);
         reply(&core, &link, attempt, arrived, ended);
         drop(busy);
@@ -124,6 +126,32 @@
     send(link, frame);
 }
 
+/// One line for a call that was not run, or whose answer was lost, with the load that
+/// decided it.
+fn log_ended(core: &Core, link: &Link, call: &str, ended: &Ended) {
+    let outcome = match ended {
+        Ended::Answer(..) | Ended::Unwanted => return,
+        Ended::Refused(refusal) => format!("refused: {:?}", refusal.reason),
+        Ended::Lost => "answer lost".to_owned(),
+    };
+    if !core.explain.logs(core.clock.now(), false) {
+        return;
+    }
+    let figures = core.half.figures();
+    log::info!(
+        call,
+        from = link.peer.host.as_str(),
+        outcome = outcome.as_str(),
+        in_flight = figures.in_flight,
+        held = figures.held,
+        limit = figures.slots,
+        service_us = figures.service_us,
+        slowness_percent = figures.slowness_percent,
+        slowness_age_ms = figures.slowness_age_ms;
+        "call at the target"
+    );
+}
+
 fn count_refusal(core: &Core, reason: RefusalReason) {
     let kind = match reason {
         RefusalReason::Full => "full",
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -62,7 +62,8 @@
 }
 
 fn run(config: Config) -> anyhow::Result<StopReport> {
-    logging::install(config.log_level)?;
+    let logging = logging::install(config.log_level)?;
     let report = lynxcleat_daemon::run(config, Environment::default(), |_| {}, || {})?;
+    logging.finish();
     Ok(report)
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,7 @@
     pub once_records: Gauge,
     pub settled: Kinds,
     pub platform_failures: Kinds,
+    pub unlogged: Counter,
 }
 
 impl Default for Metrics {
@@ -86,6 +87,7 @@
             once_records: Gauge::default(),
             settled: Family::default(),
             platform_failures: Family::default(),
+            unlogged: Counter::default(),
         };
         metrics.register();
         metrics
@@ -116,6 +118,7 @@
         registry.register("measure_bytes_allowed", "Measuring: bytes allowed in a second", self.measure_bytes_allowed.clone());
         registry.register("once_records", "Once-only operations remembered as guard", self.once_records.clone());
         registry.register("settled", "Outcomes settled after a loss", self.settled.clone());
+        registry.register("unlogged", "Failed calls that were not logged, for there were too many", self.unlogged.clone());
         registry.register("platform_failures", "Failed calls to the platform", self.platform_failures.clone());
     }
 
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -186,6 +186,8 @@
     core.metrics.held.set(i64::from(figures.held));
     core.metrics.once_records.set(core.once.records() as i64);
     core.budget.show(&core.metrics);
+    let unlogged = &core.metrics.unlogged;
+    unlogged.inc_by(core.explain.unlogged().saturating_sub(unlogged.get()));
     let text = core.metrics.text();
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     let header = Header::from_bytes("content-type", kind).expect("a plain header");
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -212,6 +212,9 @@
                 .map(|one| ScoredHost {
                     host: self.service.host(one.target),
                     score: one.score,
+                    load: one.load,
+                    slowness: one.slowness,
+                    slowness_age_us: one.slowness_age_us,
                 })
                 .collect();
             self.trace.attempts.push(AttemptTrace {
@@ -380,6 +383,25 @@
         }
     }
 
+    /// One line with all that decided on the call.
+    fn log(&self, trace: &Trace) {
+        let now = self.core.clock.now();
+        if !self.core.explain.logs(now, trace.success) {
+            return;
+        }
+        let attempts = serde_json::to_string(&trace.attempts).unwrap_or_default();
+        log::info!(
+            call = trace.call.as_str(),
+            service = trace.service.as_str(),
+            generation = trace.generation,
+            effect = self.call.operation.is_some(),
+            verdict = trace.verdict.as_str(),
+            took_us = trace.took_us,
+            attempts = attempts.as_str();
+            "call routed"
+        );
+    }
+
     fn keep_trace(&mut self, verdict: &RouteVerdict) {
         let mut trace = std::mem::take(&mut self.trace);
         trace.verdict = match verdict {
@@ -387,7 +409,9 @@
             RouteVerdict::NotRun { reason, .. } => format!("not-run: {reason:?}"),
             RouteVerdict::Unknown { reason } => format!("unknown: {reason:?}"),
         };
+        trace.success = matches!(verdict, RouteVerdict::Answer(answer) if answer.status < 500);
         trace.took_us = self.core.clock.now().saturating_sub(self.began);
+        self.log(&trace);
         self.core.explain.keep(trace);
     }
 }
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -306,6 +306,7 @@
     }
 
     fn link_made(&self, core: &Core, target: TargetId, link: &Arc<Link>) {
+        log::info!(peer = link.peer.host.as_str(), service = self.name.as_str(); "link made");
         let replaced = {
             let mut peers = lock(&self.peers);
             let Some(peer) = peers.get_mut(&target) else {
@@ -342,6 +343,8 @@
     }
 
     fn link_lost(&self, core: &Core, target: TargetId) {
+        let host = self.host(target);
+        log::info!(peer = host.as_str(), service = self.name.as_str(); "link lost");
         if let Some(peer) = lock(&self.peers).get_mut(&target) {
             peer.link = None;
         }
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -107,6 +107,12 @@
     pub target: TargetId,
     /// Its score under the policy; the lowest wins.
     pub score: f64,
+    /// Calls expected at it.
+    pub load: f64,
+    /// Its slowness as it told last, as a factor; 0 where it never did.
+    pub slowness: f64,
+    /// Age of that, in microseconds.
+    pub slowness_age_us: Micros,
 }
 
 /// The targets of one service as one router sees them.
@@ -377,9 +383,16 @@
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
     ) {
-        considered.extend(drawn.into_iter().map(|target| Considered {
-            target,
-            score: self.score(now, wanted, target),
+        considered.extend(drawn.into_iter().map(|target| {
+            let state = &self.states[&target];
+            let reading = state.slowness();
+            Considered {
+                target,
+                score: self.score(now, wanted, target),
+                load: state.load(now, &self.usual),
+                slowness: reading.map_or(0.0, |reading| reading.factor),
+                slowness_age_us: reading.map_or(0, |reading| now.saturating_sub(reading.at)),
+            }
         }));
     }
 
