Short waits after a failure, and three watchers of the settings

The store was silent from 2.5 to 7.0 s; a wait for changes that begins then looks like one without changes until it times out, 10 s and more later. A configuration sent at 6.5 s was in force at 11.8 s instead of 10.0 s. All 26 waits had begun before 7.0 s, so no machine could tell the others.

Ruled out: the mesh (a restarted machine had the version at 10.65 s and those it spoke with had it 1.1 s later).

Change: after a failure the next waits are short (0.3 s, doubling); of the members, the first three by name wait for one second only for changes of the settings, all others for 15 s.

--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -48,6 +48,13 @@
         found
     }
 
+    /// Whether a host is among the first `count` by name.
+    pub fn is_among_first(&self, host: &str, count: usize) -> bool {
+        let hosts = lock(&self.hosts);
+        let before = hosts.keys().filter(|other| other.as_str() < host).count();
+        hosts.contains_key(host) && before < count
+    }
+
     /// One host.
     pub fn get(&self, host: &str) -> Option<HostEntry> {
         lock(&self.hosts).get(host).cloned()
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -12,8 +12,9 @@
 use crate::core::Core;
 use crate::metrics::count;
 
-/// Longest wait of one call for changes.
-const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Daemons that look at the settings often, so that all hear of a change even after the
+/// store fell silent without a word.
+const WATCHERS: usize = 3;
 /// Time for which changes of members are gathered into one call: many come together
 /// when a fleet starts.
 const MEMBERS_GATHER: Duration = Duration::from_millis(300);
@@ -27,6 +28,7 @@
     };
     let row = &directory.directory.settings;
     let mut feed = Feed::new(&core, directory, "settings", &row.table);
+    feed.watches = true;
     loop {
         let news = feed.next().await;
         let newest = news.into_iter().rfind(|change| change.key == row.key);
@@ -101,9 +103,11 @@
     table: &'a str,
     follower: Follower,
     lost: bool,
-    /// Wait of the next call for changes; the first is shorter at random, so that
-    /// the daemons' calls do not all begin at the same time.
-    wait: Duration,
+    /// Whether some daemons look at this table often.
+    watches: bool,
+    /// Whether a call for changes was made. The first is shorter at random, so that the
+    /// daemons' calls do not all begin at the same time.
+    asked: bool,
 }
 
 impl<'a> Feed<'a> {
@@ -120,7 +124,8 @@
             table,
             follower: Follower::default(),
             lost: false,
-            wait: FEED_WAIT.mul_f64(rand::rng().random_range(0.1..1.0)),
+            watches: false,
+            asked: false,
         }
     }
 
@@ -152,7 +157,7 @@
             }
             Ask::Changes { after } => {
                 let mut doubted = self.directory.doubted.subscribe();
-                let wait = std::mem::replace(&mut self.wait, FEED_WAIT);
+                let wait = self.wait();
                 let changes = tokio::select! {
                     changes = store.changes(self.table, after, wait) => changes?,
                     _ = doubted.changed() => return Err(FeedError::Doubted),
@@ -162,6 +167,19 @@
         }
     }
 
+    fn wait(&mut self) -> Duration {
+        let watches = self.watches
+            && self
+                .core
+                .hosts
+                .is_among_first(&self.core.config.host, WATCHERS);
+        let wait = self.follower.wait(watches);
+        match std::mem::replace(&mut self.asked, true) {
+            true => wait,
+            false => wait.mul_f64(rand::rng().random_range(0.1..1.0)),
+        }
+    }
+
     async fn failed(&mut self, error: &RowStoreError) {
         count(&self.core.metrics.platform_failures, self.name);
         if !self.lost {
--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -13,6 +13,14 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// Longest wait of one call for changes, and that of the few watchers: a store that
+/// falls silent looks like one without changes until the wait is over, so some daemons
+/// wait for a short time only, and the others hear from them.
+const WAIT: Duration = Duration::from_secs(15);
+const WATCHER_WAIT: Duration = Duration::from_secs(1);
+/// Wait of the first call after a failure; it doubles with each call that is answered.
+const WAIT_AFTER_FAILURE: Duration = Duration::from_millis(300);
+
 /// What to ask of the store next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ask {
@@ -32,6 +40,8 @@
     after: RowVersion,
     whole: bool,
     failures: u32,
+    /// Calls answered since the last failure, where there was one.
+    answered: Option<u32>,
 }
 
 impl Follower {
@@ -44,6 +54,15 @@
         }
     }
 
+    /// Longest wait of the next call for changes.
+    pub fn wait(&self, watcher: bool) -> Duration {
+        let usual = if watcher { WATCHER_WAIT } else { WAIT };
+        match self.answered {
+            None => usual,
+            Some(answered) => usual.min(WAIT_AFTER_FAILURE * (1 << answered.min(10))),
+        }
+    }
+
     /// Whether the whole table was read at some time.
     pub fn has_read(&self) -> bool {
         self.whole || self.after > 0
@@ -52,7 +71,7 @@
     /// Takes the whole table and returns its news: rows that changed, and rows
     /// that are no longer there, without a value.
     pub fn read(&mut self, table: RowsAt) -> Vec<StoredRow> {
-        self.failures = 0;
+        self.was_answered();
         self.whole = true;
         let gone = self.missing_from(&table);
         self.after = self.after.max(table.version);
@@ -63,7 +82,7 @@
 
     /// Takes changes and returns those that are news.
     pub fn changed(&mut self, changes: RowsAt) -> Vec<StoredRow> {
-        self.failures = 0;
+        self.was_answered();
         self.after = self.after.max(changes.version);
         self.news(changes.rows)
     }
@@ -75,9 +94,15 @@
         }
         let growth = 1_u32 << self.failures.min(4);
         self.failures += 1;
+        self.answered = Some(0);
         (FIRST_PAUSE * growth).min(LONGEST_PAUSE)
     }
 
+    fn was_answered(&mut self) {
+        self.failures = 0;
+        self.answered = self.answered.map(|answered| answered + 1);
+    }
+
     fn news(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
         let mut news = Vec::new();
         for row in rows {
