--- /dev/null
+++ b/crates/policy/tests/goals.rs
@@ -0,0 +1,262 @@
+//! Goals, slowness, ranks and the learned limit: what is chosen, held and refused.
+
+use lynxcleat_policy::{
+    Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, CallTerms,
+    ChooseParams, Event, Figures, LearnedLimit, Policy, RefusalReason, Router, RouterParams,
+    SampleRates, Sampler, Source, TargetId,
+};
+use rstest::rstest;
+
+const MS: u64 = 1_000;
+const KIND: CallKind = CallKind(1);
+const NEAR: TargetId = TargetId(0);
+const FAR: TargetId = TargetId(1);
+
+fn terms(goal: u64, priority: u32) -> CallTerms {
+    CallTerms {
+        goal: Some(goal),
+        kind: KIND,
+        priority,
+    }
+}
+
+/// A router with one near and one far target, which knows that calls take 100 ms.
+fn router() -> Router {
+    let params = RouterParams {
+        choose: ChooseParams {
+            policy: Policy::GoalChance,
+            ramp_us: 0,
+            eject_failures: 5,
+            eject_us: 1_000 * MS,
+            far_price: 0.2,
+        },
+        attempt_limit: 2,
+        retry_percent: 20,
+        retry_bound: None,
+        reroute_limit: 3,
+    };
+    let mut router = Router::new(params, 7, 1);
+    router.set_targets(0, &[(NEAR, 300.0), (FAR, 2_000.0)]);
+    router.set_far(&[FAR]);
+    for nth in 0..40 {
+        let (attempt, _) = sent(&arrive(&mut router, nth, 0, 400 * MS));
+        router.on(100 * MS, answered(attempt, 100));
+    }
+    router
+}
+
+fn arrive(router: &mut Router, call: u64, now: u64, goal: u64) -> Vec<Action> {
+    let event = Event::Arrived {
+        call: CallId(call),
+        deadline: now + 1_000 * MS,
+        effect: false,
+        may_retry: true,
+        attempt_limit: None,
+        goal: Some(now + goal),
+        kind: KIND,
+    };
+    router.on(now, event)
+}
+
+fn sent(actions: &[Action]) -> (AttemptId, TargetId) {
+    match actions {
+        [
+            Action::Send {
+                attempt, target, ..
+            },
+        ] => (*attempt, *target),
+        other => panic!("expected a send, got {other:?}"),
+    }
+}
+
+fn answered(attempt: AttemptId, work_ms: u32) -> Event {
+    Event::Answered {
+        attempt,
+        source: Source::Served,
+        figures: None,
+        there_us: work_ms * 1_000,
+        work_us: Some(work_ms * 1_000),
+    }
+}
+
+fn told(target: TargetId, slowness_percent: u32, in_flight: u32) -> Event {
+    Event::FiguresSeen {
+        target,
+        figures: Figures {
+            in_flight,
+            held: 0,
+            slots: 8,
+            service_us: 100_000,
+            slowness_percent,
+            slowness_age_ms: 0,
+        },
+    }
+}
+
+#[test]
+fn the_near_target_serves_while_it_is_likely_to_make_the_goal() {
+    let mut router = router();
+    router.on(100 * MS, told(NEAR, 100, 0));
+    router.on(100 * MS, told(FAR, 100, 0));
+    assert_eq!(sent(&arrive(&mut router, 100, 100 * MS, 400 * MS)).1, NEAR);
+}
+
+#[test]
+fn a_slow_near_target_loses_its_calls_to_a_far_one_and_gets_them_back() {
+    let mut router = router();
+    let now = 100 * MS;
+    router.on(now, told(NEAR, 600, 0));
+    router.on(now, told(FAR, 100, 0));
+    assert_eq!(sent(&arrive(&mut router, 100, now, 400 * MS)).1, FAR);
+    let later = now + 10 * MS;
+    router.on(later, told(NEAR, 100, 0));
+    assert_eq!(sent(&arrive(&mut router, 101, later, 400 * MS)).1, NEAR);
+}
+
+#[test]
+fn a_goal_that_a_slow_target_makes_all_the_same_is_not_worth_the_way() {
+    let mut router = router();
+    let now = 100 * MS;
+    router.on(now, told(NEAR, 200, 0));
+    router.on(now, told(FAR, 100, 0));
+    assert_eq!(sent(&arrive(&mut router, 100, now, 900 * MS)).1, NEAR);
+}
+
+#[test]
+fn a_refusal_by_a_daemon_costs_no_attempt_and_no_budget() {
+    let mut router = router();
+    for nth in 100..400 {
+        let (first, at) = sent(&arrive(&mut router, nth, 200 * MS, 400 * MS));
+        let refused = Event::Refused {
+            attempt: first,
+            refusal: lynxcleat_policy::Refusal {
+                reason: RefusalReason::TooLate,
+                retry_after_us: 1,
+            },
+            figures: None,
+        };
+        let (second, other) = sent(&router.on(200 * MS, refused));
+        assert_ne!(at, other);
+        router.on(200 * MS, answered(second, 100));
+    }
+    assert_eq!(router.retries(), 0);
+}
+
+const LIMITS: AdmitLimits = AdmitLimits {
+    slots: 4,
+    hold_limit: 8,
+};
+
+/// An admission that has learned that calls take 100 ms.
+fn admit() -> Admit {
+    let mut admit = Admit::new(LIMITS);
+    for nth in 0..20 {
+        admit.on(0, offer(nth, 0, terms(400 * MS, 0)));
+        admit.on(100 * MS, done(nth, 100, 100));
+    }
+    admit
+}
+
+fn offer(call: u64, now: u64, terms: CallTerms) -> AdmitEvent {
+    AdmitEvent::Offer {
+        call: CallId(call),
+        deadline: now + 2_000 * MS,
+        terms,
+    }
+}
+
+fn done(call: u64, took_ms: u32, slowness_percent: u32) -> AdmitEvent {
+    AdmitEvent::Done {
+        call: CallId(call),
+        service_us: Some(took_ms * 1_000),
+        slowness_percent: Some(slowness_percent),
+    }
+}
+
+fn delivered(actions: &[AdmitAction]) -> Option<u64> {
+    actions.iter().find_map(|action| match action {
+        AdmitAction::Deliver { call } => Some(call.0),
+        AdmitAction::Refuse { .. } => None,
+    })
+}
+
+#[test]
+fn held_calls_go_by_rank_then_goal() {
+    let mut admit = admit();
+    let now = 100 * MS;
+    for nth in 100..104 {
+        assert_eq!(
+            delivered(&admit.on(now, offer(nth, now, terms(now + 900 * MS, 1)))),
+            Some(nth)
+        );
+    }
+    for (call, goal_ms, priority) in [(200, 900, 1), (201, 500, 1), (202, 950, 0)] {
+        let held = admit.on(now, offer(call, now, terms(now + goal_ms * MS, priority)));
+        assert!(held.is_empty(), "{held:?}");
+    }
+    let order: Vec<_> = (100..103)
+        .map(|call| delivered(&admit.on(now + 50 * MS, done(call, 100, 100))))
+        .collect();
+    assert_eq!(order, [Some(202), Some(201), Some(200)]);
+}
+
+#[rstest]
+#[case::usual_speed(100, false)]
+#[case::slow(900, true)]
+fn a_goal_that_cannot_be_made_here_is_refused_when_it_arrives(
+    #[case] slowness_percent: u32,
+    #[case] is_refused: bool,
+) {
+    let mut admit = admit();
+    let now = 100 * MS;
+    admit.on(now, AdmitEvent::Slowness(slowness_percent));
+    for nth in 100..104 {
+        admit.on(now, offer(nth, now, terms(now + 900 * MS, 0)));
+    }
+    let actions = admit.on(now, offer(200, now, terms(now + 500 * MS, 0)));
+    let refused = matches!(
+        actions[..],
+        [AdmitAction::Refuse { refusal, .. }] if refusal.reason == RefusalReason::TooLate
+    );
+    assert_eq!(refused, is_refused, "{actions:?}");
+}
+
+#[test]
+fn the_limit_is_the_number_of_calls_that_serves_most() {
+    let mut limit = LearnedLimit::default();
+    assert_eq!(limit.limit(0, 12), 12, "nothing is known");
+    for nth in 0..400_u64 {
+        let running = nth % 12 + 1;
+        let ratio = if running > 9 { 1.7 } else { 1.0 };
+        limit.learn(nth * MS, running as u32, ratio);
+    }
+    assert_eq!(limit.limit(400 * MS, 12), 9);
+    let long_after = 400 * MS + 200_000 * MS;
+    assert_eq!(limit.limit(long_after, 12), 12, "tried again");
+}
+
+#[test]
+fn times_that_grow_by_luck_do_not_lower_the_limit() {
+    let mut limit = LearnedLimit::default();
+    for nth in 0..600_u64 {
+        let running = nth % 12 + 1;
+        let luck = 1.0 + 0.1 * ((nth * 7_919 % 11) as f64 - 5.0) / 5.0;
+        limit.learn(nth * MS, running as u32, luck);
+    }
+    assert_eq!(limit.limit(600 * MS, 12), 12);
+}
+
+#[test]
+fn failures_are_logged_before_successes_and_no_more_than_allowed() {
+    let rates = SampleRates {
+        lines_per_s: 10,
+        successes_per_s: 2,
+        success_every: 5,
+    };
+    let mut sampler = Sampler::new(rates);
+    let successes = (0..100).filter(|_| sampler.take(0, true)).count();
+    let failures = (0..100).filter(|_| sampler.take(1, false)).count();
+    assert_eq!((successes, failures), (2, 8));
+    assert_eq!(sampler.dropped(), 92);
+    assert!(sampler.take(1_000 * MS, false), "another second");
+}
--- /dev/null
+++ b/crates/policy/tests/report.rs
@@ -0,0 +1,91 @@
+//! Reports of a target, late and out of order, against a plain model.
+
+use std::collections::BTreeSet;
+
+use lynxcleat_policy::{ReportEffect, ReportedState, TargetReport, TargetReports};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rstest::rstest;
+
+fn report(instance: u8, state: ReportedState, sequence: Option<u64>) -> TargetReport {
+    TargetReport {
+        instance: format!("i-{instance}"),
+        service: Some("stock".to_owned()),
+        state,
+        sequence,
+        slots: Some(4),
+        cold_ms: 0,
+    }
+}
+
+fn open(reports: &TargetReports) -> Option<&str> {
+    reports.open().map(|target| target.instance.as_str())
+}
+
+#[rstest]
+#[case::draining(ReportedState::Draining, Some(7))]
+#[case::gone(ReportedState::Gone, None)]
+fn an_end_is_final_for_an_incarnation(#[case] state: ReportedState, #[case] sequence: Option<u64>) {
+    let mut reports = TargetReports::default();
+    assert_eq!(open(&reports), None, "nothing was heard");
+    reports.take(report(1, ReportedState::Ready, Some(3)));
+    assert_eq!(open(&reports), Some("i-1"));
+    assert_eq!(
+        reports.take(report(1, state, sequence)),
+        ReportEffect::Changed
+    );
+    assert_eq!(open(&reports), None);
+    for late in [2, 4, 90] {
+        reports.take(report(1, ReportedState::Ready, Some(late)));
+        assert_eq!(open(&reports), None);
+    }
+    reports.take(report(2, ReportedState::Ready, Some(1)));
+    assert_eq!(open(&reports), Some("i-2"));
+    reports.take(report(1, ReportedState::Ready, Some(91)));
+    assert_eq!(open(&reports), Some("i-2"), "the old one never comes back");
+}
+
+#[test]
+fn a_mark_left_by_an_earlier_run_holds_whichever_comes_first() {
+    let mut marked_first = TargetReports::default();
+    marked_first.mark_ended("i-1", ReportedState::Draining);
+    marked_first.take(report(1, ReportedState::Ready, Some(5)));
+    assert_eq!(open(&marked_first), None);
+    let mut reported_first = TargetReports::default();
+    reported_first.take(report(1, ReportedState::Ready, Some(5)));
+    let effect = reported_first.mark_ended("i-1", ReportedState::Draining);
+    assert_eq!(effect, ReportEffect::Changed);
+    assert_eq!(open(&reported_first), None);
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(2), cases: 1_000, failure_persistence: None, ..Config::default() })]
+
+    /// Whatever order reports come in: an incarnation that was seen to end is never open
+    /// again, nor is one whose place another took.
+    #[test]
+    fn what_ended_never_opens_again(
+        steps in prop::collection::vec((1..5_u8, 0..4_u8, 0..10_u64), 1..100)
+    ) {
+        let mut reports = TargetReports::default();
+        let mut ended = BTreeSet::new();
+        for (instance, kind, sequence) in steps {
+            let before = open(&reports).map(str::to_owned);
+            match kind {
+                0 | 1 => drop(reports.take(report(instance, ReportedState::Ready, Some(sequence)))),
+                2 => drop(reports.take(report(instance, ReportedState::Gone, None))),
+                _ => drop(reports.mark_replaced(&format!("i-{instance}"))),
+            }
+            if kind >= 2 {
+                ended.insert(format!("i-{instance}"));
+            }
+            let now = open(&reports).map(str::to_owned);
+            if let (Some(before), Some(now)) = (&before, &now) && before != now {
+                ended.insert(before.clone());
+            }
+            if let Some(now) = &now {
+                prop_assert!(!ended.contains(now), "{now} is open again");
+            }
+        }
+    }
+}
