Nested calls first; a lookup that failed is not told "not run"

And a lookup that a worker had run and failed was told "not run" (503) when the next worker refused it.

Ruled out: failing workers (500 only where a call of theirs was refused).

Change: a call that comes from the daemon's own host is nested and goes before others at the target. A lookup keeps its first failure and is told that.

Tests: a_nested_call_goes_first_whatever_its_rank_and_goal; a_lookup_that_failed_and_is_refused_elsewhere_is_told_its_failure.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -26,6 +26,15 @@
 use crate::core::Core;
 use crate::life::Phase;
 
+/// Whether the other end is on this host: the target, which calls on while it runs a
+/// call.
+fn is_from_own_host(stream: &TcpStream) -> bool {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(own)) => peer.ip() == own.ip(),
+        _ => false,
+    }
+}
+
 /// Longest time for the head of a request before settings are in force.
 const FIRST_CALLER_LIMIT: Duration = Duration::from_secs(15);
 /// Time for the first request of a connection that was made as the daemon closes.
@@ -95,11 +104,12 @@
         return;
     }
     let limit = caller_limit(core);
+    let nested = is_from_own_host(&stream);
     let first = Notify::new();
     let service = service_fn(|request| {
         first.notify_one();
         let core = Arc::clone(core);
-        async move { Ok::<_, Infallible>(serve::serve(&core, request).await) }
+        async move { Ok::<_, Infallible>(serve::serve(&core, request, nested).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -49,8 +49,12 @@
     tickets: Vec<String>,
 }
 
-/// Answers one request.
-pub(super) async fn serve(core: &Arc<Core>, request: Request<Incoming>) -> HttpAnswer {
+/// Answers one request. A nested one is made by a target that runs a call itself.
+pub(super) async fn serve(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+    nested: bool,
+) -> HttpAnswer {
     let busy = core.life.calls.enter();
     let began = core.clock.now();
     let id = core.new_call_id();
@@ -61,7 +65,7 @@
         return own(core, &parts, &name);
     }
     let mut service = String::new();
-    let outcome = pipeline(core, (id, &name), &parts, body, &mut service).await;
+    let outcome = pipeline(core, (id, &name, nested), &parts, body, &mut service).await;
     let (mut http, label) = match outcome {
         Ok(http) => (http, Outcome::Run),
         Err(problem) => {
@@ -79,7 +83,7 @@
 
 async fn pipeline(
     core: &Arc<Core>,
-    (id, name): (CallId, &str),
+    (id, name, nested): (CallId, &str, bool),
     parts: &hyper::http::request::Parts,
     body: Incoming,
     service: &mut String,
@@ -113,6 +117,7 @@
             .map(|goal_ms| core.clock.now() + goal_ms * 1_000),
         kind: terms.kind,
         priority: terms.priority,
+        nested,
         caller_service: caller_service(core),
         generation,
         head: call.head,
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -244,6 +244,7 @@
                 goal: call.goal_left_us.map(|left_us| now + left_us),
                 kind: call.kind,
                 priority: call.priority,
+                nested: call.nested,
             },
         });
         if let Ok(go) = receiver.try_recv() {
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -45,6 +45,8 @@
     pub kind: CallKind,
     /// Its rank; 0 is the highest.
     pub priority: u32,
+    /// Whether a target makes it while it runs a call of its own.
+    pub nested: bool,
     /// Service of the host where it began, where targets want to know it.
     pub caller_service: Option<String>,
     /// Generation of settings it is pinned to.
@@ -258,6 +260,7 @@
             service: self.service.name.clone(),
             kind: self.call.kind,
             priority: self.call.priority,
+            nested: self.call.nested,
             goal_left_us: self
                 .call
                 .goal
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -1,7 +1,8 @@
 //! Calls held for a slot at one target, and which of them is next.
 //!
-//! Calls that can still make their goal go first: by rank, then by goal. Those that
-//! cannot go after them, by rank, then by deadline.
+//! Nested calls go first, since another call holds a slot while it waits for them. Of
+//! the others, those that can still make their goal go first: by rank, then by goal.
+//! Those that cannot go after them, by rank, then by deadline.
 
 use crate::ids::{CallId, Micros};
 use crate::work::CallKind;
@@ -15,6 +16,8 @@
     pub kind: CallKind,
     /// Its rank; 0 is the highest.
     pub priority: u32,
+    /// Whether a target makes it while it runs a call of its own, which waits for it.
+    pub nested: bool,
 }
 
 /// A call that is held.
@@ -30,7 +33,8 @@
 }
 
 impl Held {
-    /// When its answer loses most of its worth.
+    /// When its answer loses most of its worth. A nested call that misses its goal is
+    /// refused like any other: holding it would hold the call that waits for it.
     pub fn goal(&self) -> Micros {
         self.terms.goal.unwrap_or(self.deadline).min(self.deadline)
     }
@@ -39,6 +43,8 @@
 /// Order among held calls; the least is next.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Turn {
+    /// A nested call first: another call holds a slot for it.
+    not_nested: bool,
     late: bool,
     priority: u32,
     due: Micros,
@@ -132,6 +138,7 @@
 fn turn(now: Micros, held: &Held, service_us: impl Fn(CallKind) -> Micros) -> Turn {
     let late = now + service_us(held.terms.kind) > held.goal();
     Turn {
+        not_nested: !held.terms.nested,
         late,
         priority: held.terms.priority,
         due: if late { held.deadline } else { held.goal() },
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -51,6 +51,8 @@
     current: Option<AttemptId>,
     /// An earlier attempt of a lookup may have run.
     may_have_run: Option<UnknownReason>,
+    /// An earlier attempt of a lookup ran and failed; the shell holds its answer.
+    failed: Option<AttemptId>,
     soonest_retry_us: Option<Micros>,
     last_refusal: NotRunReason,
 }
@@ -166,6 +168,7 @@
                     refusals: 0,
                     current: None,
                     may_have_run: None,
+                    failed: None,
                     soonest_retry_us: None,
                     last_refusal: NotRunReason::NoTarget,
                 };
@@ -300,9 +303,10 @@
         let Some(call) = self.calls.remove(&id) else {
             return Vec::new();
         };
-        let verdict = match call.may_have_run {
-            Some(reason) => Verdict::Unknown { reason },
-            None => Verdict::NotRun {
+        let verdict = match (call.failed, call.may_have_run) {
+            (Some(attempt), _) => Verdict::Answer { attempt },
+            (None, Some(reason)) => Verdict::Unknown { reason },
+            (None, None) => Verdict::NotRun {
                 reason: call.last_refusal,
                 retry_after_us: call.soonest_retry_us.unwrap_or(NO_TARGET_RETRY_AFTER_US),
             },
@@ -341,7 +345,10 @@
         if source == Source::Failed {
             self.chooser.failed(now, ended.target);
             if self.failed_lookup_goes_elsewhere(now, ended.call) {
-                return self.attempt_elsewhere_or(now, ended.call, attempt);
+                if let Some(call) = self.calls.get_mut(&ended.call) {
+                    call.failed = Some(attempt);
+                }
+                return self.attempt_elsewhere(now, ended.call);
             }
             return self.finish(ended.call, Verdict::Answer { attempt });
         }
@@ -366,17 +373,6 @@
             .is_some_and(|call| !call.effect && call.may_retry && now < call.deadline)
     }
 
-    /// Tries elsewhere; where that is not possible, passes on the answer at hand.
-    fn attempt_elsewhere_or(&mut self, now: Micros, id: CallId, at_hand: AttemptId) -> Vec<Action> {
-        let mut actions = self.attempt_elsewhere(now, id);
-        for action in &mut actions {
-            if let Action::Finish { verdict, .. } = action {
-                *verdict = Verdict::Answer { attempt: at_hand };
-            }
-        }
-        actions
-    }
-
     fn refused(
         &mut self,
         now: Micros,
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -17,6 +17,7 @@
         goal: Some(goal),
         kind: KIND,
         priority,
+        nested: false,
     }
 }
 
@@ -200,6 +201,24 @@
     assert_eq!(order, [Some(202), Some(201), Some(200)]);
 }
 
+#[test]
+fn a_nested_call_goes_first_whatever_its_rank_and_goal() {
+    let mut admit = admit();
+    let now = 100 * MS;
+    for nth in 100..104 {
+        admit.on(now, offer(nth, now, terms(now + 900 * MS, 0)));
+    }
+    admit.on(now, offer(200, now, terms(now + 900 * MS, 0)));
+    let nested = CallTerms {
+        nested: true,
+        ..terms(now + 950 * MS, 2)
+    };
+    let held = admit.on(now, offer(201, now, nested));
+    assert!(held.is_empty(), "{held:?}");
+    let next = admit.on(now + 50 * MS, done(100, 100, 100));
+    assert_eq!(delivered(&next), Some(201));
+}
+
 #[rstest]
 #[case::usual_speed(100, false)]
 #[case::slow(900, true)]
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -152,6 +152,17 @@
     assert_eq!(verdict(&end), Verdict::Unknown { reason });
 }
 
+/// Found in an incident's log: a lookup that a target had run and failed was told "not
+/// run" when the next target refused it.
+#[test]
+fn a_lookup_that_failed_and_is_refused_elsewhere_is_told_its_failure() {
+    let mut router = router(2);
+    let (first, _) = sent(&arrive(&mut router, CALL, false));
+    let (second, _) = sent(&router.on(10, answered(first, Source::Failed)));
+    let end = router.on(20, refused(second, RefusalReason::TooLate));
+    assert_eq!(verdict(&end), Verdict::Answer { attempt: first });
+}
+
 #[test]
 fn a_call_that_is_out_at_its_deadline_is_cancelled_and_unknown() {
     let mut router = router(2);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -54,6 +54,9 @@
     /// Its rank; 0 is the highest.
     #[serde(rename = "p", default)]
     pub priority: u32,
+    /// Whether a target makes it while it runs a call of its own.
+    #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
+    pub nested: bool,
     /// Time left until its goal, in microseconds, where its route has one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub goal_left_us: Option<u64>,
