--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -201,7 +201,11 @@
 pub struct ExplainArgs {
     /// Operators' endpoint of the daemon that took the call
     #[bpaf(argument("IP:PORT"))]
-    pub ops: String,
+    pub ops: Option<String>,
+    /// Log of a daemon to look the call up in, instead of asking a daemon; may be given
+    /// for several daemons
+    #[bpaf(argument("FILE"))]
+    pub log: Vec<PathBuf>,
     #[bpaf(external(format))]
     pub format: Format,
     /// Name of the call, from its answer's lynxcleat-call; the newest calls
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -40,6 +40,12 @@
         /// What is wrong.
         reason: String,
     },
+    /// No log has a line about the call.
+    #[error("no line about call {0:?}; successes are sampled, and failures bounded a second")]
+    NotLogged(String),
+    /// Neither a daemon nor a log says where to look a call up.
+    #[error("give --ops, or --log and a call: where is the call to be looked up?")]
+    NoTrace,
     /// Nothing says which tree is meant.
     #[error("give --file or --platform: which tree is to be shown?")]
     NoSource,
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -6,15 +6,20 @@
 use crate::Done;
 use crate::args::{ExplainArgs, Format};
 use crate::error::Failure;
+use crate::explain_log;
 
 /// Seconds that the daemon's answer may take.
 const ASK_LIMIT_S: u64 = 5;
 
 /// Prints the trace of one call, or of the newest.
 pub fn run(args: &ExplainArgs) -> Done {
+    if let (false, Some(call)) = (args.log.is_empty(), &args.call) {
+        return explain_log::run(&args.log, call, args.format);
+    }
+    let ops = args.ops.as_deref().ok_or(Failure::NoTrace)?;
     let traces = match &args.call {
-        Some(call) => vec![ask(args, &format!("/explain?call={call}"))?],
-        None => ask(args, "/explain")?,
+        Some(call) => vec![ask(ops, &format!("/explain?call={call}"))?],
+        None => ask(ops, "/explain")?,
     };
     match args.format {
         Format::Json => println!("{:#}", json!(traces)),
@@ -23,12 +28,12 @@
     Ok(())
 }
 
-fn ask<T: serde::de::DeserializeOwned>(args: &ExplainArgs, path: &str) -> Result<T, Failure> {
+fn ask<T: serde::de::DeserializeOwned>(ops: &str, path: &str) -> Result<T, Failure> {
     let failed = |reason: String| Failure::Ops {
-        address: args.ops.clone(),
+        address: ops.to_owned(),
         reason,
     };
-    let response = minreq::get(format!("http://{}{path}", args.ops))
+    let response = minreq::get(format!("http://{ops}{path}"))
         .with_timeout(ASK_LIMIT_S)
         .send()
         .map_err(|error| failed(error.to_string()))?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod dev;
 mod error;
 mod explain;
+mod explain_log;
 mod fleet;
 mod settings;
 mod working;
