--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,8 +11,8 @@
 use backon::{BackoffBuilder, ExponentialBuilder};
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, ChooseParams, Cost, Event, Figures, Here, Policy, RetryBound, Router, RouterParams,
-    TargetId, subset,
+    Candidate, ChooseParams, Cost, Event, Figures, FurtherParams, Here, Policy, RetryBound, Router,
+    RouterParams, TargetId, subset,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -398,8 +398,10 @@
             far_price: f64::from(effective.far_price_percent) / 100.0,
         },
         attempt_limit: effective.attempt_limit,
-        retry_percent: effective.retry_percent,
-        retry_bound: retry_bound(effective, hosts),
+        further: FurtherParams {
+            percent: effective.retry_percent,
+            bound: retry_bound(effective, hosts),
+        },
         reroute_limit: effective.reroute_limit,
     }
 }
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -224,8 +224,10 @@
                 far_price: 0.0,
             },
             attempt_limit: 3,
-            retry_percent,
-            retry_bound: None,
+            further: lynxcleat_policy::FurtherParams {
+                percent: retry_percent,
+                bound: None,
+            },
             reroute_limit: 0,
         },
         deadline_us: DEADLINE_US,
--- a/crates/once/tests/world.rs
+++ b/crates/once/tests/world.rs
@@ -160,8 +160,10 @@
                 far_price: 0.0,
             },
             attempt_limit: 3,
-            retry_percent: 100,
-            retry_bound: None,
+            further: lynxcleat_policy::FurtherParams {
+                percent: 100,
+                bound: None,
+            },
             reroute_limit: 0,
         };
         let mut router = Router::new(params, self.lives, self.lives << 32);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,7 +35,7 @@
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use limit::LearnedLimit;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
-pub use retry::{RetryBound, RetryBudget, RetryWindow};
+pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
 pub use router::{Router, RouterParams};
 pub use sample::{SampleRates, Sampler};
 pub use slowness::{LikelySlowness, SlownessReading, UsualSlowness};
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -153,3 +153,56 @@
             .expect("one was pushed where there was none")
     }
 }
+
+/// How many further attempts a router may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FurtherParams {
+    /// As a share of first ones.
+    pub percent: u32,
+    /// Bound in any window, where there is one; else a bucket of tokens.
+    pub bound: Option<RetryBound>,
+}
+
+/// A router's allowance of further attempts, of either kind.
+#[derive(Clone, Debug)]
+pub enum FurtherAttempts {
+    /// A bucket of tokens.
+    Tokens(RetryBudget),
+    /// A window.
+    Window(RetryWindow),
+}
+
+impl FurtherAttempts {
+    /// An allowance of which nothing was taken.
+    pub fn new(params: FurtherParams) -> Self {
+        match params.bound {
+            Some(bound) => FurtherAttempts::Window(RetryWindow::new(bound, params.percent)),
+            None => FurtherAttempts::Tokens(RetryBudget::new(params.percent)),
+        }
+    }
+
+    /// Changes the allowance; what was taken still counts where the kind stays.
+    pub fn set(&mut self, params: FurtherParams) {
+        match (&mut *self, params.bound) {
+            (FurtherAttempts::Tokens(budget), None) => budget.set_percent(params.percent),
+            (FurtherAttempts::Window(window), Some(bound)) => window.set(bound, params.percent),
+            _ => *self = FurtherAttempts::new(params),
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn first_attempt(&mut self, now: Micros) {
+        match self {
+            FurtherAttempts::Tokens(budget) => budget.first_attempt(),
+            FurtherAttempts::Window(window) => window.first_attempt(now),
+        }
+    }
+
+    /// Takes one further attempt, if there is one.
+    pub fn take(&mut self, now: Micros) -> bool {
+        match self {
+            FurtherAttempts::Tokens(budget) => budget.take(),
+            FurtherAttempts::Window(window) => window.take(now),
+        }
+    }
+}
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -14,7 +14,7 @@
 };
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
-use crate::retry::{RetryBound, RetryBudget, RetryWindow};
+use crate::retry::{FurtherAttempts, FurtherParams};
 use crate::target::TargetState;
 use crate::work::CallKind;
 
@@ -28,10 +28,8 @@
     pub choose: ChooseParams,
     /// Targets one call may be offered to.
     pub attempt_limit: u32,
-    /// Further attempts as a share of first ones.
-    pub retry_percent: u32,
-    /// Bound on them in any window, where there is one; else a bucket of tokens.
-    pub retry_bound: Option<RetryBound>,
+    /// How many further attempts may be sent.
+    pub further: FurtherParams,
     /// Targets a call may be offered to once more after its daemon refused it, beyond
     /// the attempts: such an offer never reached a target.
     pub reroute_limit: u32,
@@ -70,8 +68,7 @@
     chooser: Chooser,
     attempt_limit: u32,
     reroute_limit: u32,
-    budget: RetryBudget,
-    window: Option<RetryWindow>,
+    further: FurtherAttempts,
     calls: HashMap<CallId, Call>,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
@@ -87,10 +84,7 @@
             chooser: Chooser::new(params.choose, seed),
             attempt_limit: params.attempt_limit,
             reroute_limit: params.reroute_limit,
-            budget: RetryBudget::new(params.retry_percent),
-            window: params
-                .retry_bound
-                .map(|bound| RetryWindow::new(bound, params.retry_percent)),
+            further: FurtherAttempts::new(params.further),
             calls: HashMap::new(),
             attempts: HashMap::new(),
             next_attempt: first_attempt,
@@ -104,13 +98,7 @@
         self.chooser.set_params(params.choose);
         self.attempt_limit = params.attempt_limit;
         self.reroute_limit = params.reroute_limit;
-        self.budget.set_percent(params.retry_percent);
-        match (&mut self.window, params.retry_bound) {
-            (Some(window), Some(bound)) => window.set(bound, params.retry_percent),
-            (window, bound) => {
-                *window = bound.map(|bound| RetryWindow::new(bound, params.retry_percent));
-            }
-        }
+        self.further.set(params.further);
     }
 
     /// The targets and what is known of them.
@@ -156,7 +144,7 @@
                 kind,
             } => {
                 let limit = attempt_limit.unwrap_or(u32::MAX).min(self.attempt_limit);
-                self.count_first(now);
+                self.further.first_attempt(now);
                 let arrived = Call {
                     deadline,
                     effect,
@@ -260,7 +248,7 @@
         call.current = None;
         let delivered = call.tried.len().saturating_sub(call.refusals as usize);
         let allowed = call.may_retry && delivered < call.attempt_limit as usize;
-        if !allowed || !self.take_further(now) {
+        if !allowed || !self.further.take(now) {
             return self.give_up(id);
         }
         let actions = self.attempt(now, id);
@@ -284,20 +272,6 @@
         self.attempt(now, id)
     }
 
-    fn count_first(&mut self, now: Micros) {
-        match &mut self.window {
-            Some(window) => window.first_attempt(now),
-            None => self.budget.first_attempt(),
-        }
-    }
-
-    fn take_further(&mut self, now: Micros) -> bool {
-        match &mut self.window {
-            Some(window) => window.take(now),
-            None => self.budget.take(),
-        }
-    }
-
     /// Answers a call that no attempt is out for.
     fn give_up(&mut self, id: CallId) -> Vec<Action> {
         let Some(call) = self.calls.remove(&id) else {
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -32,8 +32,10 @@
             far_price: 0.2,
         },
         attempt_limit: 2,
-        retry_percent: 20,
-        retry_bound: None,
+        further: lynxcleat_policy::FurtherParams {
+            percent: 20,
+            bound: None,
+        },
         reroute_limit: 3,
     };
     let mut router = Router::new(params, 7, 1);
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -24,8 +24,10 @@
             far_price: 0.0,
         },
         attempt_limit: 3,
-        retry_percent: 10,
-        retry_bound: None,
+        further: lynxcleat_policy::FurtherParams {
+            percent: 10,
+            bound: None,
+        },
         reroute_limit: 0,
     };
     let mut router = Router::new(params, 1, 1);
