--- a/crates/policy/src/sample.rs
+++ b/crates/policy/src/sample.rs
@@ -62,7 +62,8 @@
 
     fn takes_success(&mut self) -> bool {
         self.seen += 1;
-        let sampled = self.seen % u64::from(self.rates.success_every.max(1)) == 0;
+        let every = u64::from(self.rates.success_every.max(1));
+        let sampled = self.seen.is_multiple_of(every);
         let room = self.lines < self.rates.lines_per_s;
         sampled && room && self.successes < self.rates.successes_per_s
     }
