Of targets that are worth nearly the same, one is drawn

Logs and a trial that printed each exchange: calls ran beside 5 or 6 others at 57 % of their deliveries although the mean load was 2.6 of 6 slots; 7,700 refusals TooLate. A target tells its routers when its slowness changes, 88 routers hear the same news, and each took the very best target, the one that told last.

--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -32,6 +32,10 @@
 /// exact than that, and taking equals in turn keeps every good target in use and
 /// known; always taking the least would leave all but one idle while load is low.
 const EQUAL_WITHIN: f64 = 1.1;
+/// Targets whose worth is below the best one's by up to this part of a call's worth are
+/// taken as equal, and one of them is drawn. Many routers hear the same news; if each took
+/// the very best, all would send to the target that told last.
+const NEAR_WORTH: f64 = 0.05;
 /// How a target is chosen.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -267,7 +271,7 @@
             }
             Policy::GoalChance => {
                 let drawn = self.draw(now, tried, GOAL_SAMPLE);
-                self.least(now, wanted, drawn, considered)
+                self.first_near_least(now, wanted, drawn, considered)
             }
         }?;
         self.picks += 1;
@@ -356,6 +360,23 @@
         least.map(|one| one.target)
     }
 
+    /// The first, in the drawn order, whose score is within [`NEAR_WORTH`] of the least.
+    fn first_near_least(
+        &self,
+        now: Micros,
+        wanted: Wanted<'_>,
+        drawn: Vec<TargetId>,
+        considered: &mut Vec<Considered>,
+    ) -> Option<TargetId> {
+        self.consider(now, wanted, drawn, considered);
+        let scores = considered.iter().map(|one| one.score);
+        let least = scores.min_by(f64::total_cmp)?;
+        let mut near = considered
+            .iter()
+            .filter(|one| one.score <= least + NEAR_WORTH);
+        near.next().map(|one| one.target)
+    }
+
     /// Of those whose score is the least or nearly so, the one that this router
     /// picked longest ago: equals get calls in turn, which spreads them more evenly
     /// than chance does.
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -21,9 +21,8 @@
     }
 }
 
-/// A router with one near and one far target, which knows that calls take 100 ms.
-fn router() -> Router {
-    let params = RouterParams {
+fn params() -> RouterParams {
+    RouterParams {
         choose: ChooseParams {
             policy: Policy::GoalChance,
             ramp_us: 0,
@@ -37,8 +36,12 @@
             bound: None,
         },
         reroute_limit: 3,
-    };
-    let mut router = Router::new(params, 7, 1);
+    }
+}
+
+/// A router with one near and one far target, which knows that calls take 100 ms.
+fn router() -> Router {
+    let mut router = Router::new(params(), 7, 1);
     router.set_targets(0, &[(NEAR, 300.0), (FAR, 2_000.0)]);
     router.set_far(&[FAR]);
     for nth in 0..40 {
@@ -125,6 +128,30 @@
     assert_eq!(sent(&arrive(&mut router, 100, now, 900 * MS)).1, NEAR);
 }
 
+/// Routers that hear the same would otherwise all send to the one target that told last.
+#[test]
+fn routers_that_know_the_same_spread_over_targets_of_nearly_the_same_worth() {
+    let targets: Vec<TargetId> = (0..8).map(TargetId).collect();
+    let mut chosen = std::collections::BTreeSet::new();
+    for seed in 0..40 {
+        let mut router = Router::new(params(), seed, 1);
+        let paths: Vec<_> = targets.iter().map(|target| (*target, 300.0)).collect();
+        router.set_targets(0, &paths);
+        for nth in 0..40 {
+            let (attempt, _) = sent(&arrive(&mut router, nth, 0, 400 * MS));
+            router.on(0, answered(attempt, 100));
+        }
+        for (nth, target) in targets.iter().enumerate() {
+            let slowness_percent = if nth < 4 { 100 } else { 500 };
+            let now = (100 + nth as u64) * MS;
+            router.on(now, told(*target, slowness_percent, 0));
+        }
+        chosen.insert(sent(&arrive(&mut router, 100, 110 * MS, 400 * MS)).1);
+    }
+    let fast: Vec<_> = targets[..4].to_vec();
+    assert_eq!(chosen.into_iter().collect::<Vec<_>>(), fast);
+}
+
 #[test]
 fn a_refusal_by_a_daemon_costs_no_attempt_and_no_budget() {
     let mut router = router();
