--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -3,7 +3,7 @@
 //! Some targets slow down when they are nearly full, so that running one call more
 //! serves fewer. For each number of calls running, the time that calls took is kept
 //! as a multiple of what they take alone; the number with the greatest throughput is
-//! the limit. Levels that were not seen for a while count as no slower than those
+//! the limit, less where that makes calls much longer. Levels that were not seen for a while count as no slower than those
 //! below, so that a limit is tried again.
 
 use crate::ids::Micros;
@@ -15,6 +15,10 @@
 /// Age at which half of a level's samples still count.
 const HALF_LIFE_US: f64 = 20_000_000.0;
 
+/// Weight of a slowdown, as an exponent: 1 would weigh throughput alone, and run six calls
+/// at once where four serve as much and end sooner.
+const SLOWDOWN_WEIGHT: f64 = 1.25;
+
 /// What was seen at one number of calls running.
 #[derive(Clone, Copy, Debug, Default)]
 struct Level {
@@ -54,15 +58,16 @@
         self.levels[at].learn(now, ratio);
     }
 
-    /// The number of calls, up to `slots`, that serves most.
+    /// The number of calls, up to `slots`, that serves most, and of those that serve nearly
+    /// as much, one at which calls end sooner.
     pub fn limit(&self, now: Micros, slots: u32) -> u32 {
         let ratios = self.rising_ratios(now, slots);
         let mut best = (0.0, slots);
         for (at, ratio) in ratios.into_iter().enumerate() {
             let running = at as u32 + 1;
-            let throughput = f64::from(running) / ratio.max(1.0);
-            if throughput >= best.0 {
-                best = (throughput, running);
+            let value = f64::from(running) / ratio.max(1.0).powf(SLOWDOWN_WEIGHT);
+            if value >= best.0 {
+                best = (value, running);
             }
         }
         best.1
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -283,6 +283,19 @@
     assert_eq!(limit.limit(long_after, 12), 12, "tried again");
 }
 
+/// Six calls at once that take 1.48 times as long serve no more than four, and each of
+/// them waits longer.
+#[test]
+fn calls_that_serve_no_more_but_take_longer_are_beyond_the_limit() {
+    let mut limit = LearnedLimit::default();
+    for nth in 0..400_u64 {
+        let running = nth % 6 + 1;
+        let ratio = if running > 4 { 1.48 } else { 1.0 };
+        limit.learn(nth * MS, running as u32, ratio);
+    }
+    assert_eq!(limit.limit(400 * MS, 6), 4);
+}
+
 #[test]
 fn times_that_grow_by_luck_do_not_lower_the_limit() {
     let mut limit = LearnedLimit::default();
