A busy target refuses what its router can offer to another near target

The target half does not know of the others; the router does. Change: a send says whether the call may move (offers left, and another near target open); a half without a free slot then refuses it as Busy, at once, with its figures.

--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -155,6 +155,7 @@
 fn count_refusal(core: &Core, reason: RefusalReason) {
     let kind = match reason {
         RefusalReason::Full => "full",
+        RefusalReason::Busy => "busy",
         RefusalReason::TooLate => "too-late",
         RefusalReason::Leaving => "leaving",
         RefusalReason::TargetDown => "target-down",
@@ -245,6 +246,7 @@
                 kind: call.kind,
                 priority: call.priority,
                 nested: call.nested,
+                may_move: call.may_move,
             },
         });
         if let Ok(go) = receiver.try_recv() {
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -179,8 +179,11 @@
             for action in self.decide(event) {
                 match action {
                     Action::Send {
-                        attempt, target, ..
-                    } => events.extend(self.send(attempt, target)),
+                        attempt,
+                        target,
+                        may_move,
+                        ..
+                    } => events.extend(self.send(attempt, target, may_move)),
                     Action::Settle {
                         attempt, target, ..
                     } => self.settle(attempt, target),
@@ -230,14 +233,14 @@
     }
 
     /// Forwards the call to a target's daemon. Returns an event where it cannot.
-    fn send(&mut self, attempt: AttemptId, target: TargetId) -> Option<Event> {
+    fn send(&mut self, attempt: AttemptId, target: TargetId, may_move: bool) -> Option<Event> {
         let link = self.service.link(target);
         self.attempts.push(OutAttempt {
             attempt,
             link: link.clone(),
         });
         let sent = link.is_some_and(|link| {
-            let frame = self.frame(attempt);
+            let frame = self.frame(attempt, may_move);
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
@@ -247,7 +250,7 @@
         Some(Event::NotSent { attempt })
     }
 
-    fn frame(&self, attempt: AttemptId) -> CallFrame {
+    fn frame(&self, attempt: AttemptId, may_move: bool) -> CallFrame {
         let mut head = self.call.head.clone();
         let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
         if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
@@ -261,6 +264,7 @@
             kind: self.call.kind,
             priority: self.call.priority,
             nested: self.call.nested,
+            may_move,
             goal_left_us: self
                 .call
                 .goal
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -329,6 +329,7 @@
                     call,
                     attempt,
                     target,
+                    ..
                 } => self.send(router, call, attempt, target.0 as usize),
                 Action::Finish { call, verdict } => self.finish(router, call, verdict),
                 Action::Cancel { attempt, target } => self.cancel(attempt, target.0 as usize),
--- a/crates/once/tests/world.rs
+++ b/crates/once/tests/world.rs
@@ -422,6 +422,7 @@
                     call,
                     attempt,
                     target,
+                    ..
                 } => self.send(n, call, attempt, target.0 as usize),
                 Action::Settle {
                     call,
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -234,6 +234,9 @@
         if finish > held.goal() {
             return Some(refuse(call, RefusalReason::TooLate, self.retry_after(wait)));
         }
+        if held.terms.may_move && held.terms.goal.is_some() {
+            return Some(refuse(call, RefusalReason::Busy, self.retry_after(wait)));
+        }
         self.hold.push(held);
         None
     }
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -200,6 +200,12 @@
             .any(|target| self.is_open(now, *target, &[]))
     }
 
+    /// Whether any target that is not far and not in `tried` may be chosen now.
+    pub fn any_near_open_but(&self, now: Micros, tried: &[TargetId]) -> bool {
+        let mut near = self.order.iter().filter(|id| !self.states[*id].is_far());
+        near.any(|target| self.is_open(now, *target, tried))
+    }
+
     /// What is known of one target.
     pub fn target(&self, target: TargetId) -> Option<&TargetState> {
         self.states.get(&target)
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -13,6 +13,8 @@
 pub enum RefusalReason {
     /// No slot is free and the hold queue is full.
     Full,
+    /// No slot is free, and the call can be offered to another target.
+    Busy,
     /// It could not finish before its deadline.
     TooLate,
     /// The target takes no new calls.
@@ -222,6 +224,8 @@
         attempt: AttemptId,
         /// Where to.
         target: TargetId,
+        /// Whether the call can be offered elsewhere if the target's daemon refuses it.
+        may_move: bool,
     },
     /// Ask the target's daemon what became of an attempt, and fence it there.
     Settle {
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -18,6 +18,8 @@
     pub priority: u32,
     /// Whether a target makes it while it runs a call of its own, which waits for it.
     pub nested: bool,
+    /// Whether its router can offer it to another target.
+    pub may_move: bool,
 }
 
 /// A call that is held.
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -233,10 +233,13 @@
                 sent_at: now,
             },
         );
+        let others = call.may_retry && self.chooser.any_near_open_but(now, &call.tried);
+        let may_move = others && call.refusals < self.reroute_limit;
         vec![Action::Send {
             call: id,
             attempt,
             target,
+            may_move,
         }]
     }
 
@@ -383,7 +386,10 @@
                     state.trial_told_nothing();
                 });
             }
-            RefusalReason::TooLate | RefusalReason::Once | RefusalReason::WrongService => {
+            RefusalReason::Busy
+            | RefusalReason::TooLate
+            | RefusalReason::Once
+            | RefusalReason::WrongService => {
                 self.with_target(target, |state| state.trial_told_nothing());
             }
         }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -316,6 +316,11 @@
         self.far = far;
     }
 
+    /// Whether the way to it has a price.
+    pub fn is_far(&self) -> bool {
+        self.far
+    }
+
     /// Price of the way to it.
     pub fn far_price(&self, price: f64) -> f64 {
         if self.far { price } else { 0.0 }
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -17,7 +17,7 @@
         goal: Some(goal),
         kind: KIND,
         priority,
-        nested: false,
+        ..CallTerms::default()
     }
 }
 
@@ -248,6 +248,73 @@
     assert_eq!(delivered(&next), Some(201));
 }
 
+/// A target that is busy does not know of idle ones; the router does.
+#[rstest]
+#[case::can_go_elsewhere(true)]
+#[case::was_offered_elsewhere_already(false)]
+fn a_busy_target_holds_only_what_cannot_go_elsewhere(#[case] may_move: bool) {
+    let mut admit = admit();
+    let now = 100 * MS;
+    for nth in 100..104 {
+        admit.on(now, offer(nth, now, terms(now + 900 * MS, 0)));
+    }
+    let movable = CallTerms {
+        may_move,
+        ..terms(now + 900 * MS, 0)
+    };
+    let actions = admit.on(now, offer(200, now, movable));
+    let refused = matches!(
+        actions[..],
+        [AdmitAction::Refuse { refusal, .. }] if refusal.reason == RefusalReason::Busy
+    );
+    assert_eq!(refused, may_move, "{actions:?}");
+}
+
+#[test]
+fn a_call_may_move_until_its_offers_elsewhere_are_used_up() {
+    let mut router = Router::new(params(), 7, 1);
+    let paths: Vec<_> = (0..8).map(|nth| (TargetId(nth), 300.0)).collect();
+    router.set_targets(0, &paths);
+    let mut actions = arrive(&mut router, 1, 0, 400 * MS);
+    let mut may_move = Vec::new();
+    while let [
+        Action::Send {
+            attempt,
+            may_move: movable,
+            ..
+        },
+    ] = actions[..]
+        && may_move.len() < 4
+    {
+        may_move.push(movable);
+        let refused = Event::Refused {
+            attempt,
+            refusal: lynxcleat_policy::Refusal {
+                reason: RefusalReason::Busy,
+                retry_after_us: 1,
+            },
+            figures: None,
+        };
+        actions = router.on(0, refused);
+    }
+    assert_eq!(may_move, [true, true, true, false]);
+}
+
+/// The way to a far target has a price; a target that cannot make the goal refuses the
+/// call whether it may move or not.
+#[test]
+fn a_call_may_not_move_when_only_far_targets_are_left() {
+    let mut router = router();
+    let actions = arrive(&mut router, 1, 0, 400 * MS);
+    assert!(matches!(
+        actions[..],
+        [Action::Send {
+            may_move: false,
+            ..
+        }]
+    ));
+}
+
 #[rstest]
 #[case::usual_speed(100, false)]
 #[case::slow(900, true)]
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -57,6 +57,9 @@
     /// Whether a target makes it while it runs a call of its own.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub nested: bool,
+    /// Whether the sender can offer it to another target.
+    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+    pub may_move: bool,
     /// Time left until its goal, in microseconds, where its route has one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub goal_left_us: Option<u64>,
