News of members that keep coming are gathered for longer, by the size of the fleet

Change: the pause doubles while news come within a second of each other, up to 25 ms a member, at least 600 ms and at most 2 s; all daemons together ask 40 times a second at most.

--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lynxcleat_settings::{Generation, digest};
 use lynxcleat_store::{Ask, Follower, RowStoreError, StoredRow};
@@ -15,9 +15,6 @@
 /// Daemons that look at the settings often, so that all hear of a change even after the
 /// store fell silent without a word.
 const WATCHERS: usize = 3;
-/// Time for which changes of members are gathered into one call: many come together
-/// when a fleet starts.
-const MEMBERS_GATHER: Duration = Duration::from_millis(300);
 /// Time for which changes of settings are gathered.
 const SETTINGS_GATHER: Duration = Duration::from_millis(30);
 
@@ -68,6 +65,7 @@
     };
     let mut feed = Feed::new(&core, directory, "members", TABLE);
     loop {
+        let asked = Instant::now();
         let news = feed.next().await;
         publish::take_key(directory, &news);
         let is_first = !directory.members_read.load(Ordering::Relaxed);
@@ -77,7 +75,8 @@
             directory.members_read.store(true, Ordering::Relaxed);
             log::info!(members = core.hosts.len(); "members known");
         }
-        tokio::time::sleep(MEMBERS_GATHER).await;
+        let pause = feed.follower.gather(asked.elapsed(), core.hosts.len());
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -21,6 +21,16 @@
 /// Wait of the first call after a failure; it doubles with each call that is answered.
 const WAIT_AFTER_FAILURE: Duration = Duration::from_millis(300);
 
+/// Time for which news are gathered at first, and at most while they keep coming: in a
+/// small fleet, and in any.
+const FIRST_GATHER: Duration = Duration::from_millis(300);
+const SMALL_FLEET_GATHER: Duration = Duration::from_millis(600);
+const LONGEST_GATHER: Duration = Duration::from_secs(2);
+/// Longest time to gather, for each member: all of them ask 40 times a second at most.
+const GATHER_OF_ONE_MEMBER: Duration = Duration::from_millis(25);
+/// A wait for news of this length ends a row of them.
+const QUIET: Duration = Duration::from_secs(1);
+
 /// What to ask of the store next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ask {
@@ -40,6 +50,8 @@
     after: RowVersion,
     whole: bool,
     failures: u32,
+    /// News in a row without a quiet time between them.
+    gathered: u32,
     /// Calls answered since the last failure, where there was one.
     answered: Option<u32>,
 }
@@ -87,6 +99,21 @@
         self.news(changes.rows)
     }
 
+    /// News came after the call for them had waited for `waited`. Returns how long to
+    /// pause before the next call, so that news that come together are read together:
+    /// each change wakes every daemon, so a fleet of `members` pauses for longer while
+    /// they keep coming.
+    pub fn gather(&mut self, waited: Duration, members: usize) -> Duration {
+        if waited >= QUIET {
+            self.gathered = 0;
+        }
+        let growth = 1_u32 << self.gathered.min(4);
+        self.gathered += 1;
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        let longest = GATHER_OF_ONE_MEMBER.saturating_mul(members);
+        (FIRST_GATHER * growth).min(longest.clamp(SMALL_FLEET_GATHER, LONGEST_GATHER))
+    }
+
     /// A call failed. Returns how long to pause before the next.
     pub fn failed(&mut self, error: &RowStoreError) -> Duration {
         if *error == RowStoreError::HistoryGone {
--- a/crates/store/tests/follower.rs
+++ b/crates/store/tests/follower.rs
@@ -194,6 +194,34 @@
     assert_eq!(follower.wait(false), usual);
 }
 
+/// While a fleet starts, news come one after the other, and each wakes every daemon.
+#[test]
+fn news_that_keep_coming_are_gathered_for_longer_in_a_large_fleet() {
+    let calls = |members: usize| {
+        let mut follower = Follower::default();
+        let mut passed = Duration::ZERO;
+        let mut calls = 0;
+        while passed < Duration::from_secs(4) {
+            passed += follower.gather(Duration::from_millis(5), members);
+            calls += 1;
+        }
+        calls
+    };
+    assert!(calls(13) >= 6, "a small fleet hears at once");
+    assert!(calls(88) <= 5, "{} calls of each of 88", calls(88));
+}
+
+#[test]
+fn news_after_a_quiet_time_are_not_kept_waiting() {
+    let mut follower = Follower::default();
+    let first = follower.gather(Duration::from_secs(9), 800);
+    for _ in 0..10 {
+        follower.gather(Duration::ZERO, 800);
+    }
+    assert!(follower.gather(Duration::ZERO, 800) > first);
+    assert_eq!(follower.gather(Duration::from_secs(9), 800), first);
+}
+
 #[test]
 fn pauses_grow_with_failures_in_a_row_and_are_bounded() {
     let mut follower = Follower::default();
