A daemon vouches only for hosts that it has read of since a ticket was minted

Its daemon had started while the platform was down and got its settings from a peer. It had read no host list; when the guard was killed, the recovery asked the empty list, and the roster vouched for it, since it counted from the start of the process. Ruled out: the fence (both halves that knew the operation were killed and never asked). Change: the roster counts from the first whole reading of the list, and vouches only where one began after the ticket was minted and the list's lag; before that the outcome is unknown. A guard lost while the platform is down is therefore "unknown" until the list is read again. Test: daemon/regression a_daemon_that_knows_no_hosts_vouches_for_none got "not-run" before and gets "unknown" now; once/ticket has the cases.

--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -91,6 +91,7 @@
 /// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
     let mut more = false;
+    let mut begun_ms = core.clock.wall_ms();
     loop {
         let limit = if more { page_limit(&core) } else { FIRST_PAGE };
         let cost = Cost::message(PAGE_BYTES + limit * ENTRY_BYTES, PAGE_CPU_US);
@@ -98,7 +99,14 @@
             tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         }
-        more = poll(&core, limit).await;
+        if !more {
+            begun_ms = core.clock.wall_ms();
+        }
+        let polled = poll(&core, limit).await;
+        if polled == Some(false) {
+            core.once.hosts_listed(begun_ms);
+        }
+        more = polled == Some(true);
         if !more {
             tokio::time::sleep(jittered(interval_ms(&core))).await;
         }
@@ -118,8 +126,8 @@
     })
 }
 
-/// Reads a page; returns whether more follow.
-async fn poll(core: &Arc<Core>, limit: usize) -> bool {
+/// Reads a page; returns whether more follow, and nothing where it could not be read.
+async fn poll(core: &Arc<Core>, limit: usize) -> Option<bool> {
     let platform = core.platform.clone();
     let after = core.hosts.version.load(Ordering::Relaxed);
     let polled = tokio::task::spawn_blocking(move || platform.hosts(after, limit)).await;
@@ -129,15 +137,15 @@
             let kind = "hosts";
             count(&core.metrics.platform_failures, kind);
             log::warn!("host list: {error}");
-            return false;
+            return None;
         }
-        Err(_) => return false,
+        Err(_) => return None,
     };
     let more = page.more;
     if !page.hosts.is_empty() {
         take(core, page);
     }
-    more
+    Some(more)
 }
 
 fn take(core: &Arc<Core>, page: HostPage) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -276,7 +276,6 @@
         once: Once::new(
             clock,
             me.incarnation,
-            me.started_ms,
             me.mesh.to_string(),
             config.shared_key.as_ref(),
         ),
--- a/crates/daemon/src/once/mod.rs
+++ b/crates/daemon/src/once/mod.rs
@@ -52,7 +52,6 @@
     pub fn new(
         clock: Clock,
         me: Incarnation,
-        started_ms: u64,
         mesh: String,
         shared_key: Option<&SharedKey>,
     ) -> Self {
@@ -66,7 +65,7 @@
             key: ticket_key(shared_key),
             guard: Mutex::new(Guard::new(me, mesh, limits)),
             waiting: Mutex::default(),
-            roster: Mutex::new(Roster::new(started_ms)),
+            roster: Mutex::new(Roster::new()),
             claims: claims::Claims::default(),
             reported: Mutex::default(),
             settings: Mutex::default(),
@@ -112,6 +111,11 @@
         lock(&self.roster).gone(self.clock.wall_ms(), service);
     }
 
+    /// The whole host list was read; the reading began at `begun_ms`.
+    pub fn hosts_listed(&self, begun_ms: u64) {
+        lock(&self.roster).listed(begun_ms);
+    }
+
     /// Operations remembered as guard.
     pub fn records(&self) -> usize {
         lock(&self.guard).len()
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -71,12 +71,8 @@
         .into_iter()
         .map(|entry| entry.mesh)
         .collect();
-    let all_known = lock(&core.once.roster).covers(
-        core.clock.wall_ms(),
-        service,
-        ticket.minted_ms,
-        core.once.list_lag_ms(),
-    );
+    let all_known =
+        lock(&core.once.roster).covers(service, ticket.minted_ms, core.once.list_lag_ms());
     let (sender, replies) = flume::unbounded();
     for mesh in &halves {
         let sender = sender.clone();
--- a/crates/daemon/tests/regression.rs
+++ b/crates/daemon/tests/regression.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use lynxcleat_standin::wait_until;
+use lynxcleat_standin::{PlatformFaults, wait_until};
 use serde_json::json;
-use support::{PATIENCE, Plan, answer, each_gets_its_own, odd_target, read_path, tree};
+use support::{PATIENCE, Plan, answer, each_gets_its_own, odd_target, read_path, tree, try_call};
 
 /// The second answer on a connection was given to the next caller: connections
 /// were used again at once, before the second answer could be noticed.
@@ -44,3 +44,49 @@
     };
     assert!(wait_until(PATIENCE, anew));
 }
+
+/// Found by the soak (seed 3): a daemon that started while the platform was down had read
+/// no host list, took the empty one for all there is, and said "not run" of an operation
+/// that had run at a host it did not know.
+#[test]
+fn a_daemon_that_knows_no_hosts_vouches_for_none() {
+    let mut plan = Plan::new("regression-no-hosts");
+    plan.workers = 3;
+    plan.processes = true;
+    plan.seeds = true;
+    plan.service = Duration::from_millis(300);
+    let mut fleet = plan.start();
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    fleet.kill(2);
+    fleet.restart(2);
+    let has_settings = || fleet.workers[2].status().is_some_and(|s| s.generation > 0);
+    assert!(wait_until(PATIENCE, has_settings), "settings from a seed");
+    assert_eq!(fleet.workers[2].status().expect("a status").hosts, 0);
+    let ticket = fleet.workers[0].ticket();
+    let headers = [("Lynxcleat-Ticket", ticket.as_str()), ("x-op", "a")];
+    std::thread::scope(|scope| {
+        let guard = fleet.workers[0].callers.clone();
+        scope.spawn(move || {
+            let mut all = vec![("Host", "stock")];
+            all.extend_from_slice(&headers);
+            // The guard is killed under it.
+            let _ = try_call(&guard, "POST", "/take", &all, b"one");
+        });
+        let runs = || {
+            fleet
+                .workers
+                .iter()
+                .any(|worker| worker.target.served() > 0)
+        };
+        assert!(wait_until(PATIENCE, runs), "a call at a target");
+        for number in [0, 1] {
+            fleet.signal(number, "-KILL");
+        }
+    });
+    assert!(wait_until(PATIENCE, || fleet.ledger().contains_key("a")));
+    let reply = fleet.workers[2].post(&headers, b"one");
+    assert_eq!(reply.outcome(), "unknown", "{}", reply.head);
+}
--- a/crates/once/tests/ticket.rs
+++ b/crates/once/tests/ticket.rs
@@ -44,23 +44,27 @@
 }
 
 #[rstest]
-#[case::watched_long_enough(1_000, 20_000, None, 40_000, true)]
-#[case::not_watched_when_minted(15_000, 20_000, None, 40_000, false)]
-#[case::list_may_lag(1_000, 20_000, None, 29_000, false)]
-#[case::half_gone_since(1_000, 20_000, Some(21_000), 40_000, false)]
-#[case::half_gone_just_before(1_000, 20_000, Some(12_000), 40_000, false)]
-#[case::half_gone_long_before(1_000, 20_000, Some(9_000), 40_000, true)]
+#[case::watched_long_enough(&[1_000, 40_000], 20_000, None, true)]
+#[case::never_read(&[], 20_000, None, false)]
+#[case::not_read_since(&[1_000, 19_000], 20_000, None, false)]
+#[case::not_watched_when_minted(&[15_000, 40_000], 20_000, None, false)]
+#[case::list_may_lag(&[1_000, 29_000], 20_000, None, false)]
+#[case::half_gone_since(&[1_000, 40_000], 20_000, Some(21_000), false)]
+#[case::half_gone_just_before(&[1_000, 40_000], 20_000, Some(12_000), false)]
+#[case::half_gone_long_before(&[1_000, 40_000], 20_000, Some(9_000), true)]
 fn a_roster_vouches_only_for_what_it_watched(
-    #[case] started_ms: u64,
+    #[case] read_ms: &[u64],
     #[case] minted_ms: u64,
     #[case] gone_ms: Option<u64>,
-    #[case] now_ms: u64,
     #[case] covers: bool,
 ) {
-    let mut roster = Roster::new(started_ms);
+    let mut roster = Roster::new();
+    for begun_ms in read_ms {
+        roster.listed(*begun_ms);
+    }
     if let Some(gone_ms) = gone_ms {
         roster.gone(gone_ms, "stock");
     }
     roster.gone(minted_ms, "another service");
-    assert_eq!(roster.covers(now_ms, "stock", minted_ms, 10_000), covers);
+    assert_eq!(roster.covers("stock", minted_ms, 10_000), covers);
 }
