--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -134,7 +134,7 @@
         Ended::Refused(refusal) => format!("refused: {:?}", refusal.reason),
         Ended::Lost => "answer lost".to_owned(),
     };
-    if !core.explain.logs(core.clock.now(), false) {
+    if !core.explain.logs(core.clock.now(), is_ordinary(ended)) {
         return;
     }
     let figures = core.half.figures();
@@ -152,6 +152,12 @@
     );
 }
 
+/// Whether an end is no failure: a busy target's call goes on to an idle one. Its lines are
+/// as many as those of successes, and must not take the place of those of failures.
+fn is_ordinary(ended: &Ended) -> bool {
+    matches!(ended, Ended::Refused(refusal) if refusal.reason == RefusalReason::Busy)
+}
+
 fn count_refusal(core: &Core, reason: RefusalReason) {
     let kind = match reason {
         RefusalReason::Full => "full",
