A target that was silent is asked before a call, and a slow one sends on what can move

Cause: a trial that printed each exchange showed that what a call takes is decided by how slow its target is when it begins (lookups that began at usual speed took 321 ms at the median whether the target was slow at their end or not, 758 ms where it was slow at their begin). 9 to 28 % of the calls of a kind were delivered to a target that had told it was four times slower, because a free slot was reason enough; others to targets that had turned slow within the 100 ms since they told. On grown sites a target is called some eight times a second, so its daemon rarely knows. Not tried: asking for calls that cannot move; other ages than 40 ms.

--- a/crates/daemon/src/control/load.rs
+++ b/crates/daemon/src/control/load.rs
@@ -7,14 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_policy::Cost;
+use lynxcleat_settings::Effective;
 
 use crate::core::Core;
 
-/// Bytes charged for a question: request, answer, and TCP's own.
-const ASK_BYTES: usize = 500;
-/// Processor time charged for a question, in microseconds.
-const ASK_CPU_US: u64 = 150;
 /// Longest time for an answer; a target answers this question at once.
 const ASK_LIMIT: Duration = Duration::from_millis(500);
 /// Time without calls after which no question is asked.
@@ -42,8 +38,7 @@
 fn wanted(core: &Core) -> Option<(String, Duration)> {
     let in_force = core.settings.current()?;
     let own = &in_force.own;
-    let asks = core.dialect.load.is_some() && own.load_poll_ms > 0 && !own.load_path.is_empty();
-    asks.then(|| {
+    asks_for_load(core, own).then(|| {
         (
             own.load_path.clone(),
             Duration::from_millis(own.load_poll_ms),
@@ -56,13 +51,12 @@
     let needless = half.is_leaving()
         || half.since_last_call() > IDLE_LIMIT
         || half.since_load_told().is_some_and(|age| age < silence);
-    if needless || !core.budget.ask(Cost::message(ASK_BYTES, ASK_CPU_US)) {
-        return;
-    }
-    if tokio::time::timeout(ASK_LIMIT, half.ask_load(core, path))
-        .await
-        .is_err()
-    {
-        log::debug!("the target did not tell its load");
+    if !needless {
+        half.ask_load(core, path, ASK_LIMIT).await;
     }
 }
+
+/// Whether the settings say that the target may be asked for its load, and it can tell it.
+pub fn asks_for_load(core: &Core, own: &Effective) -> bool {
+    core.dialect.load.is_some() && own.load_poll_ms > 0 && !own.load_path.is_empty()
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -16,7 +16,7 @@
 
 pub use budget::MeasureBudget;
 pub use hosts::HostTable;
-pub use load::follow as follow_load;
+pub use load::{asks_for_load, follow as follow_load};
 pub use settings::fetch_from_peer;
 
 /// Part of an interval by which it varies, so that daemons do not poll in step.
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -35,6 +35,10 @@
 /// Processor time charged for figures on an answer, in microseconds.
 const FIGURES_CPU_US: u64 = 2;
 
+/// Bytes charged for asking the target for its load: request, answer, and TCP's own.
+const ASK_BYTES: usize = 500;
+/// Processor time charged for that, in microseconds.
+const ASK_CPU_US: u64 = 150;
 /// Bytes of a message that tells a load, with its frame and TCP's own.
 const LOAD_BYTES: u64 = 90;
 /// Slowness of a target of which nothing was heard, in percent.
@@ -181,12 +185,19 @@
         core.budget.ask_figures(cost).then(|| self.figures())
     }
 
-    /// Asks the target for its load, and tells the routers where it changed.
-    pub async fn ask_load(&self, core: &Core, path: &str) {
-        if let Some(load) = self.pool.ask_load(&core.dialect, path).await {
-            self.admit(AdmitEvent::Slowness(load.slowness_percent));
-            self.tell_slowness(core);
+    /// Asks the target for its load, if the measuring budget allows it, and tells the
+    /// routers where it changed. Waits for `limit` at most.
+    pub async fn ask_load(&self, core: &Core, path: &str, limit: Duration) {
+        if !core.budget.ask(Cost::message(ASK_BYTES, ASK_CPU_US)) {
+            return;
         }
+        let asked = self.pool.ask_load(&core.dialect, path);
+        let Ok(Some(load)) = tokio::time::timeout(limit, asked).await else {
+            log::debug!("the target did not tell its load");
+            return;
+        };
+        self.admit(AdmitEvent::Slowness(load.slowness_percent));
+        self.tell_slowness(core);
     }
 
     /// Time since a call was offered last.
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -10,6 +10,7 @@
 
 use super::exchange::{Exchange, Request};
 use super::{Go, Half, send};
+use crate::control::asks_for_load;
 use crate::core::Core;
 use crate::dialect::TargetLoad;
 use crate::mesh::Link;
@@ -32,6 +33,11 @@
 /// for longer will hardly be served, and its caller can use the rest of its time.
 const HELD_PART: f64 = 0.45;
 
+/// Age up to which a target's load counts as known when a call is offered to it.
+const LOAD_KNOWN_FOR: Duration = Duration::from_millis(40);
+/// Longest wait for a target's load before a call is offered to it all the same.
+const ASK_LIMIT: Duration = Duration::from_millis(20);
+
 /// How a call ended at the half.
 enum Ended {
     /// The answer, and the time at usual speed where it is known.
@@ -241,6 +247,7 @@
     /// Slots and hold: waits for a slot until the deadline, a cancellation, or
     /// the loss of the link that the call came on.
     async fn take_slot(&self, call: &CallFrame) -> Go {
+        self.ask_if_unknown(call).await;
         let now = self.core.clock.now();
         let (sender, receiver) = flume::bounded(1);
         lock(&self.half.waiting).insert(self.id, sender);
@@ -271,6 +278,18 @@
         self.withdraw(&receiver)
     }
 
+    /// A target that has not told its load of late is asked for it before a call that
+    /// could go elsewhere is offered to it.
+    async fn ask_if_unknown(&self, call: &CallFrame) {
+        let age = self.half.since_load_told();
+        let is_known = age.is_some_and(|age| age < LOAD_KNOWN_FOR);
+        let can_move = call.may_move && call.goal_left_us.is_some();
+        if can_move && !is_known && asks_for_load(self.core, &self.settings) {
+            let path = &self.settings.load_path;
+            self.half.ask_load(self.core, path, ASK_LIMIT).await;
+        }
+    }
+
     /// Gives up the wait. A slot that was given meanwhile is given back.
     fn withdraw(&self, receiver: &flume::Receiver<Go>) -> Go {
         self.half.admit(AdmitEvent::Withdraw { call: self.id });
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -8,6 +8,8 @@
 
 use std::collections::HashMap;
 
+use crate::chance::{Need, left_us};
+use crate::elsewhere::is_better_elsewhere;
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
 use crate::hold::{CallTerms, Held, Hold};
@@ -224,6 +226,10 @@
             return Some(refuse(call, RefusalReason::Leaving, LEAVING_RETRY_AFTER_US));
         }
         if self.hold.is_empty() && self.has_free_slot(now) {
+            if self.should_move(now, &held) {
+                let wait = self.expected_service_us(now, held.terms.kind);
+                return Some(refuse(call, RefusalReason::Busy, self.retry_after(wait)));
+            }
             return Some(self.deliver(now, held));
         }
         let wait = self.expected_wait(now, &held);
@@ -241,6 +247,22 @@
         None
     }
 
+    /// Whether a call that can go elsewhere is worth more there, though a slot is free.
+    fn should_move(&self, now: Micros, held: &Held) -> bool {
+        let (Some(reading), Some(work)) = (self.slowness, self.works.of(held.terms.kind)) else {
+            return false;
+        };
+        if !held.terms.may_move || held.terms.goal.is_none() {
+            return false;
+        }
+        let need = Need {
+            goal_left_us: left_us(now, held.goal()),
+            deadline_left_us: left_us(now, held.deadline),
+            work,
+        };
+        is_better_elsewhere(now, &need, reading, &self.usual_slowness)
+    }
+
     fn deliver(&mut self, now: Micros, held: Held) -> AdmitAction {
         let call = held.call;
         let in_flight = InFlight {
--- a/crates/policy/src/chance.rs
+++ b/crates/policy/src/chance.rs
@@ -26,7 +26,7 @@
 }
 
 /// What a call would find at one target.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Prospect {
     /// Time on the way, there and back, in microseconds.
     pub path_us: f64,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -13,7 +13,7 @@
 pub enum RefusalReason {
     /// No slot is free and the hold queue is full.
     Full,
-    /// No slot is free, and the call can be offered to another target.
+    /// No slot is free or the target is slow, and the call can be offered to another one.
     Busy,
     /// It could not finish before its deadline.
     TooLate,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod chance;
 mod chooser;
+mod elsewhere;
 mod event;
 mod figures;
 mod hold;
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -270,6 +270,33 @@
     assert_eq!(refused, may_move, "{actions:?}");
 }
 
+/// How long a call takes is decided by how slow the target is when it begins.
+#[rstest]
+#[case::slow(500, true, true)]
+#[case::slow_and_nowhere_else_to_go(500, false, false)]
+#[case::usual_speed(100, true, false)]
+#[case::slow_but_in_time(200, true, false)]
+fn a_slow_target_with_a_free_slot_sends_on_what_can_go_elsewhere(
+    #[case] slowness_percent: u32,
+    #[case] may_move: bool,
+    #[case] is_sent_on: bool,
+) {
+    let mut admit = admit();
+    let now = 100 * MS;
+    admit.on(now, AdmitEvent::Slowness(slowness_percent));
+    let movable = CallTerms {
+        may_move,
+        ..terms(now + 400 * MS, 0)
+    };
+    let actions = admit.on(now, offer(200, now, movable));
+    let refused = matches!(
+        actions[..],
+        [AdmitAction::Refuse { refusal, .. }] if refusal.reason == RefusalReason::Busy
+    );
+    assert_eq!(refused, is_sent_on, "{actions:?}");
+    assert_eq!(delivered(&actions).is_some(), !is_sent_on);
+}
+
 #[test]
 fn a_call_may_move_until_its_offers_elsewhere_are_used_up() {
     let mut router = Router::new(params(), 7, 1);
