A body of unknown length takes room as it comes

Change: room for a stated length is taken before the body is read, the rest as it comes; reading the body moves to a module of its own. Tests: daemon/answers a_body_of_unknown_length_takes_room_for_what_has_come got 503 before; bodies_of_unknown_length_are_bounded_all_together_as_they_come holds before and after.

--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -4,11 +4,7 @@
 //! tree without routes it is the first label of the host: a path prefix would have
 //! to be taken off the path again, and paths pass unchanged here.
 
-use std::time::Duration;
-
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Method;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 use hyper::http::request::Parts;
 use lynxcleat_once::Ticket;
@@ -83,19 +79,6 @@
     Ok(())
 }
 
-/// Reads a request's body, within its limit and its time.
-pub(super) async fn read_body(body: Incoming, effective: &Effective) -> Result<ByteBuf, Problem> {
-    let limit = effective.body_limit_bytes;
-    let time = Duration::from_millis(effective.caller_limit_ms);
-    let whole = Limited::new(body, limit).collect();
-    match tokio::time::timeout(time, whole).await {
-        Ok(Ok(whole)) => Ok(ByteBuf::from(whole.to_bytes().to_vec())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::TooLarge { limit }),
-        Ok(Err(_)) => Err(Problem::Bad("the body was not sent whole")),
-        Err(_) => Err(Problem::TooSlow),
-    }
-}
-
 /// Refuses what could be read in two ways by us and a target. A request with both
 /// Content-Length and Transfer-Encoding never shows both here: hyper goes by the
 /// chunks, drops the length and closes the connection after the answer (RFC 9112,
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,6 +6,7 @@
 //! none of the three. It serves the operators' endpoint.
 
 mod answer;
+mod body;
 mod classify;
 mod room;
 mod serve;
--- a/crates/daemon/src/callers/room.rs
+++ b/crates/daemon/src/callers/room.rs
@@ -1,8 +1,8 @@
 //! Memory for the bodies of callers' calls in hand.
 //!
 //! Each body is bounded by its limit, but thousands of connections may each send
-//! one. A call takes room for its body before it is read, and is refused at once
-//! where there is none.
+//! one. A call takes room for its body before it is read, as far as its length is known,
+//! and for the rest as it comes; it is refused at once where there is none.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -22,12 +22,26 @@
 impl BodyRoom {
     /// Takes `bytes`, unless more than `limit` would then be in use.
     pub(super) fn take(&self, bytes: usize, limit: usize) -> Option<Taken<'_>> {
-        let taken = self
-            .used
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
-                used.checked_add(bytes).filter(|sum| *sum <= limit)
-            });
-        taken.ok().map(|_| Taken { room: self, bytes })
+        let is_taken = self.reserve(bytes, limit);
+        is_taken.then(|| Taken { room: self, bytes })
+    }
+
+    fn reserve(&self, bytes: usize, limit: usize) -> bool {
+        let sum = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= limit);
+        self.used
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, sum)
+            .is_ok()
+    }
+}
+
+impl Taken<'_> {
+    /// Takes `bytes` more. False where more than `limit` would then be in use.
+    pub(super) fn grow(&mut self, bytes: usize, limit: usize) -> bool {
+        let is_taken = self.room.reserve(bytes, limit);
+        if is_taken {
+            self.bytes += bytes;
+        }
+        is_taken
     }
 }
 
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::answer::{self, HttpAnswer, Outcome, Problem};
+use super::body;
 use super::classify::{self, Classified, Effects};
 use super::room::Taken;
 use crate::core::Core;
@@ -92,8 +93,8 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let room = take_room(core, &pinned.effective, &body)?;
-    let body = classify::read_body(body, &pinned.effective).await?;
+    let mut room = take_room(core, &pinned.effective, &body)?;
+    let body = body::read(body, &pinned.effective, &mut room).await?;
     let Pinned {
         call,
         effective,
@@ -138,15 +139,15 @@
     }
 }
 
-/// Takes room for the call's body: of its stated length, or of its limit where the
-/// length is not known beforehand.
+/// Takes room for the call's body as far as its length is stated; the rest is taken as it
+/// comes.
 fn take_room<'a>(
     core: &'a Core,
     effective: &Effective,
     body: &Incoming,
 ) -> Result<Taken<'a>, Problem> {
-    let stated = body.size_hint().exact().map(|length| length as usize);
-    let bytes = stated.unwrap_or(effective.body_limit_bytes);
+    let stated = body.size_hint().exact();
+    let bytes = stated.map_or(0, |length| length as usize);
     let room = core.bodies.take(bytes, effective.body_memory_bytes);
     room.ok_or(Problem::NoRoom)
 }
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -242,3 +242,49 @@
         "room again"
     );
 }
+
+/// Found by reading: a body of unknown length took room for the largest body allowed, so
+/// that one caller who had sent a head alone kept all others out.
+#[test]
+fn a_body_of_unknown_length_takes_room_for_what_has_come() {
+    let mut plan = Plan::new("answers-chunked-room");
+    plan.workers = 1;
+    plan.tree = tree(json!({"body_limit_bytes": 90_000, "body_memory_bytes": 100_000}));
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    let mut slow = std::net::TcpStream::connect(&worker.callers).expect("connected");
+    let head = "POST /take HTTP/1.1\r\nHost: stock\r\nTransfer-Encoding: chunked\r\n\r\n";
+    slow.write_all(head.as_bytes()).expect("written");
+    slow.write_all(b"5\r\nfirst\r\n").expect("written");
+    thread::sleep(Duration::from_millis(200));
+    for _ in 0..3 {
+        assert_eq!(worker.post(&[], &[b'x'; 45_000]).status, 200);
+    }
+    slow.write_all(b"0\r\n\r\n").expect("written");
+    let mut got = [0; 12];
+    slow.read_exact(&mut got).expect("an answer");
+    assert_eq!(&got, b"HTTP/1.1 200");
+}
+
+#[test]
+fn bodies_of_unknown_length_are_bounded_all_together_as_they_come() {
+    let mut plan = Plan::new("answers-chunked-bound");
+    plan.workers = 1;
+    plan.tree = tree(json!({"body_limit_bytes": 90_000, "body_memory_bytes": 100_000}));
+    let fleet = plan.start();
+    let callers = &fleet.workers[0].callers;
+    let chunk = |bytes: usize| format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes));
+    let begin = |bytes: usize| {
+        let mut stream = std::net::TcpStream::connect(callers).expect("connected");
+        let head = "POST /take HTTP/1.1\r\nHost: stock\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).expect("written");
+        stream.write_all(chunk(bytes).as_bytes()).expect("written");
+        thread::sleep(Duration::from_millis(200));
+        stream
+    };
+    let _first = begin(60_000);
+    let mut second = begin(60_000);
+    let mut got = [0; 12];
+    second.read_exact(&mut got).expect("an answer");
+    assert_eq!(&got, b"HTTP/1.1 503", "no room for it");
+}
