Split the chooser and the service router; choices share one scan

Policy names and router parameters move to modules of their own; the least score and the first near it are one function.

--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -10,15 +10,13 @@
 
 use backon::{BackoffBuilder, ExponentialBuilder};
 use lynxcleat_once::Incarnation;
-use lynxcleat_policy::{
-    Candidate, ChooseParams, Cost, Event, Figures, FurtherParams, Here, Policy, RetryBound, Router,
-    RouterParams, TargetId, subset,
-};
+use lynxcleat_policy::{Candidate, Cost, Event, Figures, Here, Router, TargetId, subset};
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use super::params::params;
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::settings_state::InForce;
@@ -374,34 +372,3 @@
         PATH_OTHER_PLACE_US
     }
 }
-
-/// This daemon's part of the bound that all daemons keep together. Half of the reserve
-/// is kept back for daemons that start anew and know nothing of what they sent.
-fn retry_bound(effective: &Effective, hosts: usize) -> Option<RetryBound> {
-    if effective.retry_window_ms == 0 {
-        return None;
-    }
-    let part = u64::from(effective.retry_reserve) / 2 / hosts.max(1) as u64;
-    Some(RetryBound {
-        window_us: effective.retry_window_ms * 1_000,
-        reserve: u32::try_from(part).unwrap_or(u32::MAX),
-    })
-}
-
-fn params(effective: &Effective, hosts: usize) -> RouterParams {
-    RouterParams {
-        choose: ChooseParams {
-            policy: effective.policy.parse().unwrap_or(Policy::ExpectedFinish),
-            ramp_us: effective.ramp_ms * 1_000,
-            eject_failures: effective.eject_failures,
-            eject_us: effective.eject_ms * 1_000,
-            far_price: f64::from(effective.far_price_percent) / 100.0,
-        },
-        attempt_limit: effective.attempt_limit,
-        further: FurtherParams {
-            percent: effective.retry_percent,
-            bound: retry_bound(effective, hosts),
-        },
-        reroute_limit: effective.reroute_limit,
-    }
-}
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -10,11 +10,11 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::chance::{Need, left_us, worth};
 use crate::figures::Figures;
 use crate::ids::{Micros, TargetId};
+use crate::policy_name::Policy;
 use crate::slowness::{LikelySlowness, UsualSlowness};
 use crate::target::{Health, TargetState, Usual};
 use crate::work::{CallKind, Works};
@@ -36,46 +36,6 @@
 /// taken as equal, and one of them is drawn. Many routers hear the same news; if each took
 /// the very best, all would send to the target that told last.
 const NEAR_WORTH: f64 = 0.05;
-/// How a target is chosen.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Policy {
-    /// The greatest chance to be back within the call's goal, less the price of the
-    /// way.
-    GoalChance,
-    /// The least expected finish time.
-    ExpectedFinish,
-    /// The fewer outstanding of two drawn at random.
-    PowerOfTwo,
-    /// The fewest outstanding of all.
-    LeastInFlight,
-    /// One after the other.
-    RoundRobin,
-    /// Any.
-    Random,
-}
-
-/// A policy name that is not known.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("{0:?} is not a policy")]
-pub struct UnknownPolicy(pub String);
-
-impl std::str::FromStr for Policy {
-    type Err = UnknownPolicy;
-
-    fn from_str(text: &str) -> Result<Self, UnknownPolicy> {
-        match text {
-            "goal-chance" => Ok(Policy::GoalChance),
-            "expected-finish" => Ok(Policy::ExpectedFinish),
-            "power-of-two" => Ok(Policy::PowerOfTwo),
-            "least-in-flight" => Ok(Policy::LeastInFlight),
-            "round-robin" => Ok(Policy::RoundRobin),
-            "random" => Ok(Policy::Random),
-            other => Err(UnknownPolicy(other.to_owned())),
-        }
-    }
-}
-
 /// Settings of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChooseParams {
@@ -265,11 +225,11 @@
             Policy::Random => self.draw(now, tried, 1).first().copied(),
             Policy::PowerOfTwo => {
                 let drawn = self.draw(now, tried, 2);
-                self.least(now, wanted, drawn, considered)
+                self.first_within(0.0, now, wanted, drawn, considered)
             }
             Policy::LeastInFlight => {
                 let all = self.open(now, tried);
-                self.least(now, wanted, all, considered)
+                self.first_within(0.0, now, wanted, all, considered)
             }
             Policy::ExpectedFinish => {
                 let drawn = self.draw(now, tried, SAMPLE);
@@ -277,7 +237,7 @@
             }
             Policy::GoalChance => {
                 let drawn = self.draw(now, tried, GOAL_SAMPLE);
-                self.first_near_least(now, wanted, drawn, considered)
+                self.first_within(NEAR_WORTH, now, wanted, drawn, considered)
             }
         }?;
         self.picks += 1;
@@ -353,33 +313,18 @@
         None
     }
 
-    /// The least score; the drawn order is random, so equals are decided by chance.
-    fn least(
-        &self,
-        now: Micros,
-        wanted: Wanted<'_>,
-        drawn: Vec<TargetId>,
-        considered: &mut Vec<Considered>,
-    ) -> Option<TargetId> {
-        self.consider(now, wanted, drawn, considered);
-        let least = considered.iter().min_by(|a, b| a.score.total_cmp(&b.score));
-        least.map(|one| one.target)
-    }
-
-    /// The first, in the drawn order, whose score is within [`NEAR_WORTH`] of the least.
-    fn first_near_least(
+    /// The first, in the drawn order, whose score is at most `margin` above the least. The
+    /// order is random, so equals are decided by chance.
+    fn first_within(
         &self,
+        margin: f64,
         now: Micros,
         wanted: Wanted<'_>,
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
     ) -> Option<TargetId> {
-        self.consider(now, wanted, drawn, considered);
-        let scores = considered.iter().map(|one| one.score);
-        let least = scores.min_by(f64::total_cmp)?;
-        let mut near = considered
-            .iter()
-            .filter(|one| one.score <= least + NEAR_WORTH);
+        let least = self.consider(now, wanted, drawn, considered)?;
+        let mut near = considered.iter().filter(|one| one.score <= least + margin);
         near.next().map(|one| one.target)
     }
 
@@ -393,9 +338,7 @@
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
     ) -> Option<TargetId> {
-        self.consider(now, wanted, drawn, considered);
-        let scores = considered.iter().map(|one| one.score);
-        let least = scores.min_by(f64::total_cmp)?;
+        let least = self.consider(now, wanted, drawn, considered)?;
         let equal = considered
             .iter()
             .filter(|one| one.score <= least * EQUAL_WITHIN);
@@ -403,13 +346,14 @@
         longest_ago.map(|one| one.target)
     }
 
+    /// Scores the drawn targets and returns the least score.
     fn consider(
         &self,
         now: Micros,
         wanted: Wanted<'_>,
         drawn: Vec<TargetId>,
         considered: &mut Vec<Considered>,
-    ) {
+    ) -> Option<f64> {
         considered.extend(drawn.into_iter().map(|target| {
             let state = &self.states[&target];
             let reading = state.slowness();
@@ -421,6 +365,8 @@
                 slowness_age_us: reading.map_or(0, |reading| now.saturating_sub(reading.at)),
             }
         }));
+        let scores = considered.iter().map(|one| one.score);
+        scores.min_by(f64::total_cmp)
     }
 
     fn score(&self, now: Micros, wanted: Wanted<'_>, target: TargetId) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod hold;
 mod ids;
 mod limit;
+mod policy_name;
 mod report;
 mod retry;
 mod router;
@@ -27,7 +28,7 @@
 
 pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
 pub use budget::{Budget, Cost, Limits};
-pub use chooser::{ChooseParams, Chooser, Considered, Policy, UnknownPolicy};
+pub use chooser::{ChooseParams, Chooser, Considered};
 pub use event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
@@ -35,6 +36,7 @@
 pub use hold::{CallTerms, Held, Hold};
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use limit::LearnedLimit;
+pub use policy_name::{Policy, UnknownPolicy};
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
 pub use router::{Router, RouterParams};
