A slow target sends on what can only go to far targets, where that is worth its price

Change: a send says where else the call can go (nowhere, far, near); a slow half sends it on to far targets if it is worth more there by the price of the way besides. Full targets still send on to near ones only.

--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -80,6 +80,7 @@
         let nothing = AdmitLimits {
             slots: 1,
             hold_limit: 0,
+            far_price_percent: 0,
         };
         let limits = FenceLimits {
             retention_ms: 0,
@@ -124,6 +125,7 @@
         self.admit(AdmitEvent::SetLimits(AdmitLimits {
             slots: reported.unwrap_or(own.slots).max(1),
             hold_limit: own.hold_limit,
+            far_price_percent: own.far_price_percent,
         }));
     }
 
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -259,7 +259,7 @@
                 kind: call.kind,
                 priority: call.priority,
                 nested: call.nested,
-                may_move: call.may_move,
+                elsewhere: call.elsewhere,
             },
         });
         if let Ok(go) = receiver.try_recv() {
@@ -283,7 +283,7 @@
     async fn ask_if_unknown(&self, call: &CallFrame) {
         let age = self.half.since_load_told();
         let is_known = age.is_some_and(|age| age < LOAD_KNOWN_FOR);
-        let can_move = call.may_move && call.goal_left_us.is_some();
+        let can_move = !call.elsewhere.is_nowhere() && call.goal_left_us.is_some();
         if can_move && !is_known && asks_for_load(self.core, &self.settings) {
             let path = &self.settings.load_path;
             self.half.ask_load(self.core, path, ASK_LIMIT).await;
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lynxcleat_once::{Begin, GuardRefusal, OpId, Outcome, Ticket};
-use lynxcleat_policy::{AttemptId, Micros, NotRunReason, RefusalReason};
+use lynxcleat_policy::{AttemptId, Elsewhere, Micros, NotRunReason, RefusalReason};
 use lynxcleat_wire::{Answer, CallFrame, Frame, GuardedVerdict};
 
 use super::claims::{self, ClaimError, Claimed};
@@ -260,7 +260,7 @@
         kind: outbound.kind,
         priority: outbound.priority,
         nested: outbound.nested,
-        may_move: false,
+        elsewhere: Elsewhere::Nowhere,
         goal_left_us: None,
         left_us: outbound.deadline.saturating_sub(core.clock.now()),
         operation: None,
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -9,7 +9,7 @@
 
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
-    Action, AttemptId, CallId, CallKind, Event, Micros, NotRunReason, Source, TargetId,
+    Action, AttemptId, CallId, CallKind, Elsewhere, Event, Micros, NotRunReason, Source, TargetId,
     UnknownReason, Verdict,
 };
 use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
@@ -181,9 +181,9 @@
                     Action::Send {
                         attempt,
                         target,
-                        may_move,
+                        elsewhere,
                         ..
-                    } => events.extend(self.send(attempt, target, may_move)),
+                    } => events.extend(self.send(attempt, target, elsewhere)),
                     Action::Settle {
                         attempt, target, ..
                     } => self.settle(attempt, target),
@@ -233,14 +233,19 @@
     }
 
     /// Forwards the call to a target's daemon. Returns an event where it cannot.
-    fn send(&mut self, attempt: AttemptId, target: TargetId, may_move: bool) -> Option<Event> {
+    fn send(
+        &mut self,
+        attempt: AttemptId,
+        target: TargetId,
+        elsewhere: Elsewhere,
+    ) -> Option<Event> {
         let link = self.service.link(target);
         self.attempts.push(OutAttempt {
             attempt,
             link: link.clone(),
         });
         let sent = link.is_some_and(|link| {
-            let frame = self.frame(attempt, may_move);
+            let frame = self.frame(attempt, elsewhere);
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
@@ -250,7 +255,7 @@
         Some(Event::NotSent { attempt })
     }
 
-    fn frame(&self, attempt: AttemptId, may_move: bool) -> CallFrame {
+    fn frame(&self, attempt: AttemptId, elsewhere: Elsewhere) -> CallFrame {
         let mut head = self.call.head.clone();
         let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
         if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
@@ -264,7 +269,7 @@
             kind: self.call.kind,
             priority: self.call.priority,
             nested: self.call.nested,
-            may_move,
+            elsewhere,
             goal_left_us: self
                 .call
                 .goal
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -213,6 +213,7 @@
         limits: AdmitLimits {
             slots: deployment.slots,
             hold_limit: 4 * deployment.slots,
+            far_price_percent: 0,
         },
         service_us: SERVICE_US,
         params: RouterParams {
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -200,6 +200,7 @@
             } else {
                 options.limits.hold_limit
             },
+            far_price_percent: 0,
         };
         let targets: Vec<Target> = options
             .targets
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -85,6 +85,7 @@
         let limits = AdmitLimits {
             slots: 12,
             hold_limit: 48,
+            far_price_percent: 0,
         };
         let mut admit = Admit::new(limits);
         let mut now = 0;
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 
 use crate::chance::{Need, left_us};
-use crate::elsewhere::is_better_elsewhere;
+use crate::elsewhere::{Choice, Elsewhere, is_better_elsewhere};
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
 use crate::hold::{CallTerms, Held, Hold};
@@ -40,6 +40,8 @@
     pub slots: u32,
     /// Calls held for a slot.
     pub hold_limit: u32,
+    /// Price of sending a call to a far target, in percent of what the call is worth.
+    pub far_price_percent: u32,
 }
 
 /// What happens at a target.
@@ -240,7 +242,7 @@
         if finish > held.goal() {
             return Some(refuse(call, RefusalReason::TooLate, self.retry_after(wait)));
         }
-        if held.terms.may_move && held.terms.goal.is_some() {
+        if held.terms.elsewhere == Elsewhere::Near && held.terms.goal.is_some() {
             return Some(refuse(call, RefusalReason::Busy, self.retry_after(wait)));
         }
         self.hold.push(held);
@@ -252,7 +254,7 @@
         let (Some(reading), Some(work)) = (self.slowness, self.works.of(held.terms.kind)) else {
             return false;
         };
-        if !held.terms.may_move || held.terms.goal.is_none() {
+        if held.terms.goal.is_none() {
             return false;
         }
         let need = Need {
@@ -260,7 +262,12 @@
             deadline_left_us: left_us(now, held.deadline),
             work,
         };
-        is_better_elsewhere(now, &need, reading, &self.usual_slowness)
+        let choice = Choice {
+            need,
+            elsewhere: held.terms.elsewhere,
+            far_price: f64::from(self.limits.far_price_percent) / 100.0,
+        };
+        is_better_elsewhere(now, &choice, reading, &self.usual_slowness)
     }
 
     fn deliver(&mut self, now: Micros, held: Held) -> AdmitAction {
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::chance::{Need, left_us, worth};
+use crate::elsewhere::Elsewhere;
 use crate::figures::Figures;
 use crate::ids::{Micros, TargetId};
 use crate::policy_name::Policy;
@@ -160,10 +161,18 @@
             .any(|target| self.is_open(now, *target, &[]))
     }
 
-    /// Whether any target that is not far and not in `tried` may be chosen now.
-    pub fn any_near_open_but(&self, now: Micros, tried: &[TargetId]) -> bool {
-        let mut near = self.order.iter().filter(|id| !self.states[*id].is_far());
-        near.any(|target| self.is_open(now, *target, tried))
+    /// Where a call can go that is to go to none of `tried`.
+    pub fn elsewhere(&self, now: Micros, tried: &[TargetId]) -> Elsewhere {
+        let all = self.order.iter();
+        let mut open = all.filter(|target| self.is_open(now, **target, tried));
+        let Some(first) = open.next() else {
+            return Elsewhere::Nowhere;
+        };
+        let is_near = |target: &TargetId| !self.states[target].is_far();
+        match is_near(first) || open.any(is_near) {
+            true => Elsewhere::Near,
+            false => Elsewhere::Far,
+        }
     }
 
     /// What is known of one target.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::elsewhere::Elsewhere;
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::work::CallKind;
@@ -224,8 +225,8 @@
         attempt: AttemptId,
         /// Where to.
         target: TargetId,
-        /// Whether the call can be offered elsewhere if the target's daemon refuses it.
-        may_move: bool,
+        /// Where the call can be offered if the target's daemon refuses it.
+        elsewhere: Elsewhere,
     },
     /// Ask the target's daemon what became of an attempt, and fence it there.
     Settle {
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -4,6 +4,7 @@
 //! the others, those that can still make their goal go first: by rank, then by goal.
 //! Those that cannot go after them, by rank, then by deadline.
 
+use crate::elsewhere::Elsewhere;
 use crate::ids::{CallId, Micros};
 use crate::work::CallKind;
 
@@ -18,8 +19,8 @@
     pub priority: u32,
     /// Whether a target makes it while it runs a call of its own, which waits for it.
     pub nested: bool,
-    /// Whether its router can offer it to another target.
-    pub may_move: bool,
+    /// Where its router can offer it if it is refused here.
+    pub elsewhere: Elsewhere,
 }
 
 /// A call that is held.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
 pub use budget::{Budget, Cost, Limits};
 pub use chooser::{ChooseParams, Chooser, Considered};
+pub use elsewhere::Elsewhere;
 pub use event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
+use crate::elsewhere::Elsewhere;
 use crate::event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
@@ -233,13 +234,16 @@
                 sent_at: now,
             },
         );
-        let others = call.may_retry && self.chooser.any_near_open_but(now, &call.tried);
-        let may_move = others && call.refusals < self.reroute_limit;
+        let can_move = call.may_retry && call.refusals < self.reroute_limit;
+        let elsewhere = match can_move {
+            true => self.chooser.elsewhere(now, &call.tried),
+            false => Elsewhere::Nowhere,
+        };
         vec![Action::Send {
             call: id,
             attempt,
             target,
-            may_move,
+            elsewhere,
         }]
     }
 
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -11,6 +11,7 @@
 const LIMITS: AdmitLimits = AdmitLimits {
     slots: 2,
     hold_limit: 3,
+    far_price_percent: 0,
 };
 
 fn offer(call: u64, deadline: u64) -> AdmitEvent {
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -2,8 +2,8 @@
 
 use lynxcleat_policy::{
     Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, CallTerms,
-    ChooseParams, Event, Figures, LearnedLimit, Policy, RefusalReason, Router, RouterParams,
-    SampleRates, Sampler, Source, TargetId,
+    ChooseParams, Elsewhere, Event, Figures, LearnedLimit, Policy, RefusalReason, Router,
+    RouterParams, SampleRates, Sampler, Source, TargetId,
 };
 use rstest::rstest;
 
@@ -175,6 +175,7 @@
 const LIMITS: AdmitLimits = AdmitLimits {
     slots: 4,
     hold_limit: 8,
+    far_price_percent: 20,
 };
 
 /// An admission that has learned that calls take 100 ms.
@@ -250,16 +251,20 @@
 
 /// A target that is busy does not know of idle ones; the router does.
 #[rstest]
-#[case::can_go_elsewhere(true)]
-#[case::was_offered_elsewhere_already(false)]
-fn a_busy_target_holds_only_what_cannot_go_elsewhere(#[case] may_move: bool) {
+#[case::can_go_elsewhere(Elsewhere::Near, true)]
+#[case::only_to_far_targets(Elsewhere::Far, false)]
+#[case::was_offered_elsewhere_already(Elsewhere::Nowhere, false)]
+fn a_busy_target_holds_only_what_cannot_go_elsewhere(
+    #[case] elsewhere: Elsewhere,
+    #[case] is_sent_on: bool,
+) {
     let mut admit = admit();
     let now = 100 * MS;
     for nth in 100..104 {
         admit.on(now, offer(nth, now, terms(now + 900 * MS, 0)));
     }
     let movable = CallTerms {
-        may_move,
+        elsewhere,
         ..terms(now + 900 * MS, 0)
     };
     let actions = admit.on(now, offer(200, now, movable));
@@ -267,25 +272,28 @@
         actions[..],
         [AdmitAction::Refuse { refusal, .. }] if refusal.reason == RefusalReason::Busy
     );
-    assert_eq!(refused, may_move, "{actions:?}");
+    assert_eq!(refused, is_sent_on, "{actions:?}");
 }
 
 /// How long a call takes is decided by how slow the target is when it begins.
 #[rstest]
-#[case::slow(500, true, true)]
-#[case::slow_and_nowhere_else_to_go(500, false, false)]
-#[case::usual_speed(100, true, false)]
-#[case::slow_but_in_time(200, true, false)]
+#[case::slow(500, Elsewhere::Near, true)]
+#[case::slow_and_others_are_far(500, Elsewhere::Far, true)]
+#[case::hardly_slow_and_others_are_far(340, Elsewhere::Far, false)]
+#[case::hardly_slow_and_others_are_near(340, Elsewhere::Near, true)]
+#[case::slow_and_nowhere_else_to_go(500, Elsewhere::Nowhere, false)]
+#[case::usual_speed(100, Elsewhere::Near, false)]
+#[case::slow_but_in_time(200, Elsewhere::Near, false)]
 fn a_slow_target_with_a_free_slot_sends_on_what_can_go_elsewhere(
     #[case] slowness_percent: u32,
-    #[case] may_move: bool,
+    #[case] elsewhere: Elsewhere,
     #[case] is_sent_on: bool,
 ) {
     let mut admit = admit();
     let now = 100 * MS;
     admit.on(now, AdmitEvent::Slowness(slowness_percent));
     let movable = CallTerms {
-        may_move,
+        elsewhere,
         ..terms(now + 400 * MS, 0)
     };
     let actions = admit.on(now, offer(200, now, movable));
@@ -303,17 +311,15 @@
     let paths: Vec<_> = (0..8).map(|nth| (TargetId(nth), 300.0)).collect();
     router.set_targets(0, &paths);
     let mut actions = arrive(&mut router, 1, 0, 400 * MS);
-    let mut may_move = Vec::new();
+    let mut ways = Vec::new();
     while let [
         Action::Send {
-            attempt,
-            may_move: movable,
-            ..
+            attempt, elsewhere, ..
         },
     ] = actions[..]
-        && may_move.len() < 4
+        && ways.len() < 4
     {
-        may_move.push(movable);
+        ways.push(elsewhere);
         let refused = Event::Refused {
             attempt,
             refusal: lynxcleat_policy::Refusal {
@@ -324,19 +330,20 @@
         };
         actions = router.on(0, refused);
     }
-    assert_eq!(may_move, [true, true, true, false]);
+    let near = Elsewhere::Near;
+    assert_eq!(ways, [near, near, near, Elsewhere::Nowhere]);
 }
 
 /// The way to a far target has a price; a target that cannot make the goal refuses the
 /// call whether it may move or not.
 #[test]
-fn a_call_may_not_move_when_only_far_targets_are_left() {
+fn a_router_says_that_only_far_targets_are_left() {
     let mut router = router();
     let actions = arrive(&mut router, 1, 0, 400 * MS);
     assert!(matches!(
         actions[..],
         [Action::Send {
-            may_move: false,
+            elsewhere: Elsewhere::Far,
             ..
         }]
     ));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
-use lynxcleat_policy::{AttemptId, CallKind, Figures, NotRunReason, Refusal};
+use lynxcleat_policy::{AttemptId, CallKind, Elsewhere, Figures, NotRunReason, Refusal};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -57,9 +57,9 @@
     /// Whether a target makes it while it runs a call of its own.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub nested: bool,
-    /// Whether the sender can offer it to another target.
-    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
-    pub may_move: bool,
+    /// Where the sender can offer it if it is refused.
+    #[serde(rename = "m", default, skip_serializing_if = "Elsewhere::is_nowhere")]
+    pub elsewhere: Elsewhere,
     /// Time left until its goal, in microseconds, where its route has one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub goal_left_us: Option<u64>,
