--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -80,8 +80,14 @@
         }
     }
 
-    /// Asks the target for its load at a path that it answers at once.
-    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<TargetLoad> {
+    /// Asks the target for its load at a path that it answers at once. Nothing where no
+    /// whole answer came; an inner `None` where the answer does not tell a load.
+    #[allow(clippy::option_option)]
+    pub(super) async fn ask_load(
+        &self,
+        dialect: &Dialect,
+        path: &str,
+    ) -> Option<Option<TargetLoad>> {
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, "target")
             .body(Full::default())
@@ -94,7 +100,7 @@
             .await
             .ok()?;
         self.put_back(sender);
-        load
+        Some(load)
     }
 
     async fn finish(
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -39,6 +39,8 @@
 const ASK_BYTES: usize = 500;
 /// Processor time charged for that, in microseconds.
 const ASK_CPU_US: u64 = 150;
+/// Time for which a target that does not tell its load is not asked again.
+const ASK_PAUSE_US: u64 = 10_000_000;
 /// Bytes of a message that tells a load, with its frame and TCP's own.
 const LOAD_BYTES: u64 = 90;
 /// Slowness of a target of which nothing was heard, in percent.
@@ -69,6 +71,8 @@
     told_slowness: AtomicU32,
     /// When a call was offered last.
     offered_at: AtomicU64,
+    /// When the target may be asked for its load again.
+    ask_again_at: AtomicU64,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -100,6 +104,7 @@
             reports: target_reports.then(Mutex::default),
             told_slowness: AtomicU32::new(USUAL_PERCENT),
             offered_at: AtomicU64::new(0),
+            ask_again_at: AtomicU64::new(0),
             pool,
         }
     }
@@ -188,15 +193,27 @@
     }
 
     /// Asks the target for its load, if the measuring budget allows it, and tells the
-    /// routers where it changed. Waits for `limit` at most.
+    /// routers where it changed. Waits for `limit` at most. A target that answers without a
+    /// load is not asked again for a while.
     pub async fn ask_load(&self, core: &Core, path: &str, limit: Duration) {
+        if self.clock.now() < self.ask_again_at.load(Ordering::Relaxed) {
+            return;
+        }
         if !core.budget.ask(Cost::message(ASK_BYTES, ASK_CPU_US)) {
             return;
         }
         let asked = self.pool.ask_load(&core.dialect, path);
-        let Ok(Some(load)) = tokio::time::timeout(limit, asked).await else {
-            log::debug!("the target did not tell its load");
-            return;
+        let load = match tokio::time::timeout(limit, asked).await {
+            Ok(Some(Some(load))) => load,
+            Ok(Some(None)) => {
+                let until = self.clock.now() + ASK_PAUSE_US;
+                self.ask_again_at.store(until, Ordering::Relaxed);
+                return;
+            }
+            Ok(None) | Err(_) => {
+                log::debug!("the target did not tell its load");
+                return;
+            }
         };
         self.admit(AdmitEvent::Slowness(load.slowness_percent));
         self.tell_slowness(core);
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -35,8 +35,9 @@
 
 /// Age up to which a target's load counts as known when a call is offered to it.
 const LOAD_KNOWN_FOR: Duration = Duration::from_millis(40);
-/// Longest wait for a target's load before a call is offered to it all the same.
-const ASK_LIMIT: Duration = Duration::from_millis(20);
+/// Part of the time left until a call's goal that is spent at most on asking its target for
+/// its load, as a divisor; then the call is offered to it all the same.
+const ASK_PART: u64 = 20;
 
 /// How a call ended at the half.
 enum Ended {
@@ -283,10 +284,14 @@
     async fn ask_if_unknown(&self, call: &CallFrame) {
         let age = self.half.since_load_told();
         let is_known = age.is_some_and(|age| age < LOAD_KNOWN_FOR);
-        let can_move = !call.elsewhere.is_nowhere() && call.goal_left_us.is_some();
+        let Some(goal_left_us) = call.goal_left_us else {
+            return;
+        };
+        let can_move = !call.elsewhere.is_nowhere();
         if can_move && !is_known && asks_for_load(self.core, &self.settings) {
             let path = &self.settings.load_path;
-            self.half.ask_load(self.core, path, ASK_LIMIT).await;
+            let limit = Duration::from_micros(goal_left_us / ASK_PART);
+            self.half.ask_load(self.core, path, limit).await;
         }
     }
 
