--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -305,6 +305,24 @@
     assert_eq!(delivered(&actions).is_some(), !is_sent_on);
 }
 
+/// Its own readings are all that a half knows of targets, so after some two seconds it takes
+/// its own slowness for usual. Known red; see `docs/HUNTS.md`.
+#[test]
+fn a_target_that_stays_slow_still_sends_on_what_can_go_elsewhere() {
+    let mut admit = admit();
+    let mut now = 100 * MS;
+    for _ in 0..30 {
+        now += 100 * MS;
+        admit.on(now, AdmitEvent::Slowness(500));
+    }
+    let movable = CallTerms {
+        elsewhere: Elsewhere::Near,
+        ..terms(now + 400 * MS, 0)
+    };
+    let actions = admit.on(now, offer(200, now, movable));
+    assert_eq!(delivered(&actions), None, "{actions:?}");
+}
+
 #[test]
 fn a_call_may_move_until_its_offers_elsewhere_are_used_up() {
     let mut router = Router::new(params(), 7, 1);
