A test that freezes a daemon waits until it stands still

SIGSTOP takes effect after kill(1) has ended; on a busy machine the guard still ran the call, and the caller was rightly told "unknown". Ruled out: a run by anybody else. Beside 24 busy processes 4 of 20 runs failed as it was, and 0 of 30 with the wait for all threads in state T. No assertion is changed; the precondition that the test claims is awaited.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -349,6 +349,10 @@
             let pid = child.id().to_string();
             let sent = Command::new("kill").args([name, &pid]).status();
             assert!(sent.expect("kill").success());
+            if name == "-STOP" {
+                let stands = wait_until(PATIENCE, || stands_still(child.id()));
+                assert!(stands, "it is stopped");
+            }
         }
     }
 
@@ -358,6 +362,18 @@
     }
 }
 
+/// Whether every thread of a process is stopped: the signal is delivered after `kill` ended,
+/// and later on a busy machine.
+fn stands_still(process: u32) -> bool {
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).expect("its threads");
+    let mut states = tasks.flatten().map(|task| {
+        let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+        let after_name = stat.rsplit(')').next().unwrap_or_default().trim_start();
+        after_name.starts_with('T')
+    });
+    states.all(|stopped| stopped)
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for worker in &mut self.workers {
