--- a/crates/daemon/src/control/budget.rs
+++ b/crates/daemon/src/control/budget.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::{Budget, Cost, Limits};
+use lynxcleat_policy::{Budget, Cost, FairBudget, Limits};
 use lynxcleat_settings::Effective;
 
 use crate::clock::Clock;
@@ -21,16 +21,33 @@
 /// for a poll, and a new configuration would wait for the end of a burst.
 const FIGURES_PERCENT: u64 = 40;
 
+/// What a piece of measuring is for. Each has one place in the queue of those that the
+/// budget refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// A poll of the settings.
+    Settings,
+    /// A poll of the host list.
+    Hosts,
+    /// A poll of the target's health endpoint.
+    Health,
+    /// A heartbeat on a link.
+    Beat,
+    /// Making a link again.
+    Redial,
+    /// Figures on an answer, or by themselves.
+    Figures,
+    /// A question to the target for its load.
+    Load,
+}
+
 /// The budget of one daemon, and the part of it for figures.
 pub struct MeasureBudget {
     clock: Clock,
-    budget: Mutex<Budget>,
+    budget: Mutex<FairBudget<Purpose>>,
     figures: Mutex<Budget>,
     /// Questions to the target, which has a bound of its own for them.
     load_asks: Mutex<Budget>,
-    /// What the poll of the settings waits for. Many small pieces of work would
-    /// otherwise always be there first, and it would wait for the end of a burst.
-    first: Mutex<Cost>,
 }
 
 impl MeasureBudget {
@@ -38,10 +55,9 @@
     pub fn new(clock: Clock) -> Self {
         MeasureBudget {
             clock,
-            budget: Mutex::new(Budget::new(BEFORE_SETTINGS)),
+            budget: Mutex::new(FairBudget::new(BEFORE_SETTINGS)),
             figures: Mutex::new(Budget::new(figures_part(BEFORE_SETTINGS))),
             load_asks: Mutex::new(Budget::new(load_asks(0))),
-            first: Mutex::default(),
         }
     }
 
@@ -57,41 +73,31 @@
         lock(&self.load_asks).set_limits(load_asks(own.load_asks_per_s));
     }
 
-    /// Grants a piece of measuring work whole, or refuses it.
-    pub fn ask(&self, cost: Cost) -> bool {
-        let first = *lock(&self.first);
-        lock(&self.budget).ask_leaving(self.clock.now(), cost, first)
-    }
-
-    /// Grants a piece of work that goes before all others: where it is refused, room
-    /// is kept for it until it is granted.
-    pub fn ask_first(&self, cost: Cost) -> bool {
-        let granted = lock(&self.budget).ask(self.clock.now(), cost);
-        *lock(&self.first) = match granted {
-            true => Cost::default(),
-            false => cost,
-        };
-        granted
+    /// Grants a piece of measuring work whole, or refuses it. Whoever was refused first is
+    /// granted first.
+    pub fn ask(&self, purpose: Purpose, cost: Cost) -> bool {
+        lock(&self.budget).ask(self.clock.now(), purpose, cost)
     }
 
     /// Grants figures on an answer, or refuses them.
     pub fn ask_figures(&self, cost: Cost) -> bool {
-        lock(&self.figures).ask(self.clock.now(), cost) && self.ask(cost)
+        lock(&self.figures).ask(self.clock.now(), cost) && self.ask(Purpose::Figures, cost)
     }
 
     /// Grants a question to the target for its load, or refuses it.
     pub fn ask_load(&self, cost: Cost) -> bool {
-        lock(&self.load_asks).ask(self.clock.now(), cost) && self.ask(cost)
+        lock(&self.load_asks).ask(self.clock.now(), cost) && self.ask(Purpose::Load, cost)
     }
 
     /// Bytes allowed in a second.
     pub fn bytes_allowed(&self) -> u64 {
-        lock(&self.budget).limits().bytes
+        lock(&self.budget).budget().limits().bytes
     }
 
     /// Brings the metrics up to what was spent.
     pub fn show(&self, metrics: &Metrics) {
-        let budget = lock(&self.budget);
+        let fair = lock(&self.budget);
+        let budget = fair.budget();
         let spent = budget.spent();
         let raise = |counter: &prometheus_client::metrics::counter::Counter, to: u64| {
             counter.inc_by(to.saturating_sub(counter.get()));
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -8,7 +8,7 @@
 use lynxcleat_policy::Cost;
 use serde::Deserialize;
 
-use super::jittered;
+use super::{Purpose, jittered};
 use crate::core::Core;
 use crate::life::LeaveCause;
 
@@ -37,7 +37,9 @@
     loop {
         keep_warm(&core).await;
         if let Some(address) = core.config.target_health
-            && core.budget.ask(Cost::message(POLL_BYTES, POLL_CPU_US))
+            && core
+                .budget
+                .ask(Purpose::Health, Cost::message(POLL_BYTES, POLL_CPU_US))
         {
             poll(&core, address).await;
         }
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -9,7 +9,7 @@
 use lynxcleat_policy::Cost;
 use lynxcleat_store::{HostEntry, HostPage, HostState};
 
-use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
+use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::life::LeaveCause;
 use crate::metrics::count;
@@ -95,7 +95,7 @@
     loop {
         let limit = if more { page_limit(&core) } else { FIRST_PAGE };
         let cost = Cost::message(PAGE_BYTES + limit * ENTRY_BYTES, PAGE_CPU_US);
-        if !core.budget.ask(cost) {
+        if !core.budget.ask(Purpose::Hosts, cost) {
             tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         }
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -13,7 +13,7 @@
 use lynxcleat_wire::{Frame, TreeCopy};
 use thiserror::Error;
 
-use super::{REFUSED_PAUSE, fleet_interval_ms, jittered};
+use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::metrics::count;
@@ -48,10 +48,8 @@
         if core.settings.current().is_none() {
             ask_seeds(&core).await;
         }
-        if core
-            .budget
-            .ask_first(Cost::message(POLL_BYTES, POLL_CPU_US))
-        {
+        let cost = Cost::message(POLL_BYTES, POLL_CPU_US);
+        if core.budget.ask(Purpose::Settings, cost) {
             poll(&core).await;
             tokio::time::sleep(jittered(interval_ms(&core))).await;
         } else {
--- a/crates/daemon/src/mesh/beat.rs
+++ b/crates/daemon/src/mesh/beat.rs
@@ -13,6 +13,7 @@
 use lynxcleat_wire::Frame;
 
 use super::link::Link;
+use crate::control::Purpose;
 use crate::core::Core;
 
 /// Bytes of a heartbeat and its reply with their frames and TCP headers.
@@ -58,7 +59,7 @@
         let quiet = now.saturating_sub(heard_at) >= interval_us;
         match unanswered_since {
             Some(since) if now.saturating_sub(since) >= silence_us => return,
-            None if quiet && core.budget.ask(BEAT) => {
+            None if quiet && core.budget.ask(Purpose::Beat, BEAT) => {
                 let _ = link.send(Frame::Beat);
                 unanswered_since = Some(now);
             }
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 
 use super::params::params;
+use crate::control::Purpose;
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::settings_state::InForce;
@@ -27,9 +28,11 @@
 /// Bytes charged for making a link again: web socket, hellos, proofs, and TCP's
 /// own. The first link to a target is made because a call wants it, and is part of
 /// serving the call; making it again is upkeep and asks the measuring budget.
-const REDIAL_BYTES: usize = 2_000;
-/// Processor time charged for making a link again, in microseconds.
-const REDIAL_CPU_US: u64 = 500;
+const REDIAL: Cost = Cost {
+    messages: 1,
+    bytes: 2_000,
+    cpu_us: 500,
+};
 /// Path times assumed before any was seen, by distance, in microseconds.
 const PATH_SAME_PLACE_US: f64 = 300.0;
 const PATH_OTHER_PLACE_US: f64 = 2_500.0;
@@ -317,7 +320,7 @@
                 };
                 drop(service);
                 pause(&mut redial, ended).await;
-                while !core.budget.ask(Cost::message(REDIAL_BYTES, REDIAL_CPU_US)) {
+                while !core.budget.ask(Purpose::Redial, REDIAL) {
                     pause(&mut redial, RedialEvent::Refused).await;
                 }
             }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -33,6 +33,13 @@
             cpu_us,
         }
     }
+
+    /// Whether it exceeds none of the limits.
+    pub fn is_within(self, limits: Limits) -> bool {
+        self.messages <= limits.messages
+            && self.bytes <= limits.bytes
+            && self.cpu_us <= limits.cpu_us
+    }
 }
 
 impl Add for Cost {
@@ -100,7 +107,7 @@
         let now = self.grants.back().map_or(now, |(last, _)| now.max(*last));
         self.forget(now);
         let next = self.in_window + cost;
-        if !within(next + room, self.limits) {
+        if !(next + room).is_within(self.limits) {
             self.refused += 1;
             return false;
         }
@@ -135,7 +142,3 @@
         }
     }
 }
-
-fn within(cost: Cost, limits: Limits) -> bool {
-    cost.messages <= limits.messages && cost.bytes <= limits.bytes && cost.cpu_us <= limits.cpu_us
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod chooser;
 mod elsewhere;
 mod event;
+mod fair_budget;
 mod figures;
 mod hold;
 mod ids;
@@ -39,6 +40,7 @@
 pub use event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
+pub use fair_budget::FairBudget;
 pub use figures::Figures;
 pub use hold::{CallTerms, Held, Hold};
 pub use ids::{AttemptId, CallId, Micros, TargetId};
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -1,6 +1,6 @@
 //! The budget of measuring and the budget of retries.
 
-use lynxcleat_policy::{Budget, Cost, Limits, RetryBudget};
+use lynxcleat_policy::{Budget, Cost, FairBudget, Limits, RetryBudget};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -106,3 +106,85 @@
     }
     assert_eq!(granted_at, Some(1_000_000), "as soon as the window allows");
 }
+
+/// Found by a test that failed beside load: the poll of the settings went first and, at a
+/// short interval, took all that the budget allows, so that the poll of the hosts was never
+/// granted.
+#[test]
+fn two_who_want_more_than_there_is_are_granted_in_turn() {
+    let limits = Limits {
+        messages: 40,
+        bytes: 6_000,
+        cpu_us: 13_000,
+    };
+    let settings = Cost::message(1_200, 400);
+    let hosts = Cost::message(1_600, 400);
+    let mut budget = FairBudget::new(limits);
+    let mut granted = [0, 0];
+    for step in 0..400 {
+        let now = step * 50_000;
+        granted[0] += u32::from(budget.ask(now, "settings", settings));
+        granted[1] += u32::from(budget.ask(now, "hosts", hosts));
+    }
+    assert!(granted[0] >= 30, "{granted:?}");
+    assert!(granted[1] >= 30, "{granted:?}");
+}
+
+#[test]
+fn a_large_piece_of_work_is_granted_though_small_ones_keep_coming() {
+    let limits = Limits {
+        messages: 100,
+        bytes: 4_000,
+        cpu_us: 10_000,
+    };
+    let mut budget = FairBudget::new(limits);
+    let mut granted_at = None;
+    for step in 0..400_u64 {
+        let now = step * 10_000;
+        budget.ask(now, "small", Cost::message(800, 10));
+        if step >= 10 && granted_at.is_none() && step % 20 == 0 {
+            let granted = budget.ask(now, "large", Cost::message(3_000, 10));
+            granted_at = granted.then_some(now);
+        }
+    }
+    assert!(
+        granted_at.is_some_and(|at| at <= 1_400_000),
+        "{granted_at:?}"
+    );
+}
+
+#[test]
+fn who_asks_no_more_or_asks_for_too_much_holds_up_nobody() {
+    let mut budget = FairBudget::new(LIMITS);
+    assert!(budget.ask(0, "first", Cost::message(900, 0)));
+    assert!(!budget.ask(0, "gone", Cost::message(900, 0)));
+    assert!(!budget.ask(0, "too large", Cost::message(2_000, 0)));
+    assert!(
+        !budget.ask(100, "second", Cost::message(100, 0)),
+        "kept free"
+    );
+    assert!(budget.ask(600_000, "second", Cost::message(100, 0)));
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(5), cases: 500, failure_persistence: None, ..Config::default() })]
+
+    /// Whatever others ask for: who asks again and again is granted within five windows: four ask.
+    #[test]
+    fn nobody_starves(
+        others in prop::collection::vec((1..4_u8, 0..1_000_u64, 0..500_u64), 400)
+    ) {
+        let mut budget = FairBudget::new(LIMITS);
+        let mut waits_since = 0;
+        for (step, (who, bytes, cpu_us)) in others.into_iter().enumerate() {
+            let now = step as u64 * 25_000;
+            let cost = Cost { messages: 1, bytes, cpu_us };
+            budget.ask(now, who, cost);
+            if step % 8 == 0 {
+                let granted = budget.ask(now, 0, Cost::message(900, 450));
+                if granted { waits_since = now }
+                prop_assert!(now - waits_since <= 5_000_000, "since {waits_since}");
+            }
+        }
+    }
+}
