--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -177,6 +177,7 @@
         threads: None,
         caller_connections: None,
         log_level: None,
+        first_start: false,
     };
     let daemon = Daemon::start(Config::resolve(raw, Path::new("."))?).await?;
     platform.put_host(daemon.host_entry(HostState::Live));
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -55,6 +55,10 @@
     pub caller_connections: Option<usize>,
     /// Least level that is logged: error, warn, info, debug or trace.
     pub log_level: Option<String>,
+    /// Whether the whole deployment starts for the first time, so that nobody waits for
+    /// this daemon yet and its peers write their rows at the same moment.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 /// A checked configuration.
@@ -77,6 +81,7 @@
     pub threads: usize,
     pub caller_connections: usize,
     pub log_level: log::LevelFilter,
+    pub first_start: bool,
 }
 
 /// What is wrong with a settings file.
@@ -186,6 +191,7 @@
             zone: raw.zone,
             service: raw.service,
             seeds: raw.seeds,
+            first_start: raw.first_start,
         })
     }
 }
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -3,6 +3,8 @@
 //! and the list only about who there may be.
 
 use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -48,11 +50,22 @@
         found
     }
 
-    /// Whether a host is among the first `count` by name.
-    pub fn is_among_first(&self, host: &str, count: usize) -> bool {
+    /// Every host that is not gone, sorted by name.
+    pub fn all(&self) -> Vec<HostEntry> {
+        let mut all: Vec<HostEntry> = lock(&self.hosts).values().cloned().collect();
+        all.sort_by(|a, b| a.host.cmp(&b.host));
+        all
+    }
+
+    /// How many live hosts come before one, in an order by hash that is the same for all and
+    /// mixes the zones.
+    pub fn rank(&self, host: &str) -> usize {
+        let own = order_of(host);
         let hosts = lock(&self.hosts);
-        let before = hosts.keys().filter(|other| other.as_str() < host).count();
-        hosts.contains_key(host) && before < count
+        let live = hosts
+            .values()
+            .filter(|entry| entry.state == HostState::Live);
+        live.filter(|entry| order_of(&entry.host) < own).count()
     }
 
     /// One host.
@@ -87,6 +100,13 @@
     }
 }
 
+/// Place of a host in an order that is the same for all daemons and mixes the zones.
+pub fn order_of(host: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    host.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Follows the list until the daemon ends. Most polls find nothing, so a small
 /// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -11,6 +11,7 @@
 use lynxcleat_settings::{Digest, Generation, OfferError};
 use lynxcleat_store::{PlatformError, Pointer, keys};
 use lynxcleat_wire::{Frame, TreeCopy};
+use rand::seq::IteratorRandom;
 use thiserror::Error;
 
 use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
@@ -30,6 +31,14 @@
 /// Time for which the directory is waited for after that, before a peer is asked: its answer
 /// costs less than a copy that crosses places.
 const DIRECTORY_FIRST: Duration = Duration::from_millis(350);
+/// Time over which daemons that do not follow the directory ask their peers for a tree:
+/// those that have it grow in number meanwhile.
+const PEER_SPREAD_MS: u64 = 40;
+/// Largest tree that is asked of a peer before the directory, in bytes: a hundred copies of
+/// it take a link of 20 Mbit/s for a second.
+const SMALL_TREE_BYTES: u64 = 24 << 10;
+/// Longest wait for such a copy.
+const SMALL_COPY_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait for a peer's copy of the tree.
 const PEER_LIMIT: Duration = Duration::from_secs(2);
 
@@ -58,7 +67,8 @@
     }
 }
 
-/// A peer's message carries a newer generation: asks it for the tree.
+/// A peer's message carries a newer generation: waits for the directory where this daemon
+/// follows it, and asks a peer for the tree.
 pub fn fetch_from_peer(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
     if !core.settings.begin_fetch(theirs) {
         return;
@@ -66,20 +76,49 @@
     let core = Arc::clone(core);
     let link = Arc::clone(link);
     tokio::spawn(async move {
-        if let Some(directory) = &core.directory {
+        fetch_newer(&core, &link, theirs).await;
+        core.settings.end_fetch();
+    });
+}
+
+async fn fetch_newer(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
+    if let Some(directory) = &core.directory {
+        if directory.follows_settings(core) {
             tokio::time::sleep(FEED_FIRST).await;
-            if theirs > core.settings.number() {
-                directory.doubt_feeds();
-                tokio::time::sleep(DIRECTORY_FIRST).await;
+        } else {
+            tokio::time::sleep(jittered(PEER_SPREAD_MS)).await;
+            let source = source(core, link, theirs);
+            let copied = fetch(&source, Some(SMALL_TREE_BYTES));
+            match tokio::time::timeout(SMALL_COPY_LIMIT, copied).await {
+                Ok(Some(copy)) => take_copy(core, &source, copy),
+                Ok(None) => log::info!(peer = source.peer.host.as_str(); "no copy of the settings"),
+                Err(_) => {
+                    log::info!(peer = source.peer.host.as_str(); "no copy of the settings in time")
+                }
             }
         }
-        if theirs > core.settings.number()
-            && let Some(copy) = fetch(&link).await
-        {
-            take_copy(&core, &link, copy);
+        if theirs > core.settings.number() {
+            directory.doubt_feeds();
+            tokio::time::sleep(DIRECTORY_FIRST).await;
         }
-        core.settings.end_fetch();
+    }
+    if theirs > core.settings.number()
+        && let Some(copy) = fetch(link, None).await
+    {
+        take_copy(core, link, copy);
+    }
+}
+
+/// A peer to ask for a generation: one of this zone, where any told of it, drawn so that
+/// not all ask the same.
+fn source(core: &Core, link: &Arc<Link>, theirs: u64) -> Arc<Link> {
+    let all = core.links.all();
+    let near = all.iter().filter(|other| {
+        other.peer.zone == core.config.zone
+            && other.peer.host != core.config.host
+            && other.generation() >= theirs
     });
+    near.choose(&mut rand::rng()).unwrap_or(link).clone()
 }
 
 fn interval_ms(core: &Core) -> u64 {
@@ -135,7 +174,7 @@
             let seed = seed.clone();
             tokio::spawn(async move {
                 let link = Links::dial(&core, &seed).await.ok()?;
-                let copy = fetch(&link).await?;
+                let copy = fetch(&link, None).await?;
                 Some((link, copy))
             })
         })
@@ -150,8 +189,9 @@
     }
 }
 
-async fn fetch(link: &Link) -> Option<TreeCopy> {
-    let asked = link.ask(|ask| Frame::FetchTree { ask });
+/// The tree in force at a peer, if its text has no more bytes than `limit`.
+async fn fetch(link: &Link, limit: Option<u64>) -> Option<TreeCopy> {
+    let asked = link.ask(|ask| Frame::FetchTree { ask, limit });
     match tokio::time::timeout(PEER_LIMIT, asked).await {
         Ok(Ok(Frame::Tree { copy, .. })) => copy,
         _ => None,
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -1,33 +1,55 @@
-//! Following tables of the store, each by one long feed.
+//! Following tables of the store: waiting for changes, or listening to the peers that do.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use lynxcleat_settings::{Generation, digest};
-use lynxcleat_store::{Ask, Follower, RowStoreError, StoredRow};
+use lynxcleat_store::{Ask, Duty, Follower, RowStoreError, StoredRow};
 use rand::RngExt;
+use tokio::sync::watch;
 
-use super::{DirectoryState, TABLE, member, publish};
+use super::{DirectoryState, TABLE, member, publish, spread};
 use crate::core::Core;
 use crate::metrics::count;
+use crate::sync::lock;
 
-/// Daemons that look at the settings often, so that all hear of a change even after the
-/// store fell silent without a word.
-const WATCHERS: usize = 3;
+/// Time between two looks of a watcher at the settings: a change is known in time though
+/// the store fell silent without a word.
+pub(super) const SETTINGS_WATCH: Duration = Duration::from_secs(1);
+/// The same for the members: as long as the usual wait, since a look at the settings that
+/// fails has them asked for anew, and a target that ends says so itself.
+const MEMBERS_WATCH: Duration = Duration::from_secs(15);
 /// Time for which changes of settings are gathered.
 const SETTINGS_GATHER: Duration = Duration::from_millis(30);
+/// Longest time until a daemon that listens looks at its duty again: ranks change.
+const DUTY_PAUSE: Duration = Duration::from_secs(1);
+/// Least time before the members are read where the whole deployment starts: by then most
+/// targets have said that they are ready, and one reading finds nearly all rows.
+const FIRST_START_QUIET: Duration = Duration::from_millis(2_000);
+/// Time over which these readings are spread, so that the first finds no key and makes one,
+/// and the others find it.
+const FIRST_START_SPREAD: Duration = Duration::from_millis(1_000);
+/// Time left to the peers to tell the settings in such a start.
+const FIRST_START_PEERS: Duration = Duration::from_millis(1_500);
 
 /// Follows the row of the accepted settings until the daemon ends.
 pub(super) async fn settings(core: Arc<Core>) {
     let Some(directory) = &core.directory else {
         return;
     };
+    if core.config.first_start {
+        await_first_settings(&core, directory).await;
+    }
     let row = &directory.directory.settings;
-    let mut feed = Feed::new(&core, directory, "settings", &row.table);
-    feed.watches = true;
+    let mut feed = Feed::settings(&core, directory, &row.table);
     loop {
-        let news = feed.next().await;
+        let wait = feed.due().await;
+        let through = lock(&directory.members).through();
+        let Some(news) = feed.ask(wait).await else {
+            continue;
+        };
+        spread::heard(&core, directory, core.clock.now(), through);
         let newest = news.into_iter().rfind(|change| change.key == row.key);
         if let Some(value) = newest.and_then(|change| change.value) {
             take_settings(&core, directory, &value);
@@ -36,6 +58,19 @@
     }
 }
 
+/// Leaves it to the first members to read the settings where all start at once.
+async fn await_first_settings(core: &Core, directory: &DirectoryState) {
+    let mut raised = core.settings.subscribe();
+    while !directory.members_read.load(Ordering::Relaxed) {
+        tokio::time::sleep(DUTY_PAUSE / 10).await;
+    }
+    if directory.follows_settings(core) {
+        return;
+    }
+    let told = raised.wait_for(|number| *number > 0);
+    let _ = tokio::time::timeout(FIRST_START_PEERS, told).await;
+}
+
 fn take_settings(core: &Arc<Core>, directory: &DirectoryState, value: &[u8]) {
     let translated = match (directory.directory.settings.read)(value) {
         Ok(translated) => translated,
@@ -63,20 +98,31 @@
     let Some(directory) = &core.directory else {
         return;
     };
-    let mut feed = Feed::new(&core, directory, "members", TABLE);
+    if core.config.first_start {
+        let drawn = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(FIRST_START_QUIET + FIRST_START_SPREAD.mul_f64(drawn)).await;
+    }
+    let mut feed = Feed::members(&core, directory);
     loop {
-        let asked = Instant::now();
-        let news = feed.next().await;
+        let wait = feed.due().await;
+        let begun = Instant::now();
+        let before = lock(feed.follower).through();
+        let Some(news) = feed.ask(wait).await else {
+            continue;
+        };
+        let has_news = !news.is_empty();
         publish::take_key(directory, &news);
-        let is_first = !directory.members_read.load(Ordering::Relaxed);
         member::take(&core, directory, news);
-        if is_first {
-            publish::make_key_if_absent(directory).await;
+        if !directory.members_read.load(Ordering::Relaxed) {
+            publish::make_key_if_absent(&core, directory).await;
             directory.members_read.store(true, Ordering::Relaxed);
             log::info!(members = core.hosts.len(); "members known");
         }
-        let pause = feed.follower.gather(asked.elapsed(), core.hosts.len());
-        tokio::time::sleep(pause).await;
+        spread::heard(&core, directory, core.clock.now(), before);
+        if has_news {
+            let pause = lock(feed.follower).gather(begun.elapsed());
+            tokio::time::sleep(pause).await;
+        }
     }
 }
 
@@ -94,85 +140,149 @@
     }
 }
 
+/// Names of a feed's calls, in the metrics.
+struct FeedNames {
+    feed: &'static str,
+    read: &'static str,
+    wait: &'static str,
+}
+
+const SETTINGS_NAMES: FeedNames = FeedNames {
+    feed: "settings",
+    read: "settings-read",
+    wait: "settings-wait",
+};
+const MEMBERS_NAMES: FeedNames = FeedNames {
+    feed: "members",
+    read: "members-read",
+    wait: "members-wait",
+};
+
 /// One table and how far it was followed.
 struct Feed<'a> {
     core: &'a Core,
     directory: &'a DirectoryState,
-    name: &'static str,
+    names: FeedNames,
     table: &'a str,
-    follower: Follower,
+    follower: &'a Mutex<Follower>,
+    watch: Duration,
+    doubted: watch::Receiver<u64>,
     lost: bool,
-    /// Whether some daemons look at this table often.
-    watches: bool,
     /// Whether a call for changes was made. The first is shorter at random, so that the
     /// daemons' calls do not all begin at the same time.
     asked: bool,
 }
 
 impl<'a> Feed<'a> {
-    fn new(
-        core: &'a Core,
-        directory: &'a DirectoryState,
-        name: &'static str,
-        table: &'a str,
-    ) -> Self {
+    fn settings(core: &'a Core, directory: &'a DirectoryState, table: &'a str) -> Self {
         Feed {
             core,
             directory,
-            name,
+            names: SETTINGS_NAMES,
             table,
-            follower: Follower::default(),
+            follower: &directory.settings,
+            watch: SETTINGS_WATCH,
+            doubted: directory.doubted.subscribe(),
             lost: false,
-            watches: false,
             asked: false,
         }
     }
 
-    /// Waits for news; the first answer may hold none.
-    async fn next(&mut self) -> Vec<StoredRow> {
+    fn members(core: &'a Core, directory: &'a DirectoryState) -> Self {
+        Feed {
+            names: MEMBERS_NAMES,
+            table: TABLE,
+            follower: &directory.members,
+            watch: MEMBERS_WATCH,
+            ..Feed::settings(core, directory, TABLE)
+        }
+    }
+
+    /// Returns when the store is to be asked, with the longest wait of that call where it
+    /// is not the usual one.
+    async fn due(&mut self) -> Option<Duration> {
+        if self.is_unknown() {
+            return None;
+        }
+        let mut listened = false;
         loop {
-            let first = !self.follower.has_read();
-            match self.ask().await {
-                Ok(news) => {
-                    self.regained();
-                    if first || !news.is_empty() {
-                        return news;
+            match self.directory.duty(self.core, self.watch) {
+                Duty::Follow { wait } => {
+                    if listened {
+                        self.step_in();
                     }
+                    return wait;
                 }
-                Err(FeedError::Doubted) => {
-                    log::info!(feed = self.name; "feed asked anew");
+                Duty::Listen(left) => {
+                    listened = true;
+                    tokio::select! {
+                        () = tokio::time::sleep(left.min(DUTY_PAUSE)) => {}
+                        _ = self.doubted.changed() => return Some(Duration::ZERO),
+                    }
                 }
-                Err(FeedError::Store(error)) => self.failed(&error).await,
             }
         }
     }
 
-    async fn ask(&mut self) -> Result<Vec<StoredRow>, FeedError> {
+    /// Whether nothing is known of the table, so that the store is asked whatever the rank.
+    fn is_unknown(&self) -> bool {
+        match self.names.feed {
+            "settings" => self.core.settings.current().is_none(),
+            _ => !lock(self.follower).has_read(),
+        }
+    }
+
+    fn step_in(&self) {
+        self.core.metrics.store_steps_in.inc();
+        log::info!(
+            feed = self.names.feed,
+            silence_ms = self.directory.silence(self.core).as_millis() as u64,
+            rank = self.core.hosts.rank(&self.core.config.host);
+            "store asked for want of news"
+        );
+    }
+
+    /// One call: the news, or nothing where it failed.
+    async fn ask(&mut self, wait: Option<Duration>) -> Option<Vec<StoredRow>> {
+        match self.call(wait).await {
+            Ok(news) => {
+                self.regained();
+                Some(news)
+            }
+            Err(FeedError::Doubted) => {
+                log::info!(feed = self.names.feed; "feed asked anew");
+                None
+            }
+            Err(FeedError::Store(error)) => {
+                self.failed(&error).await;
+                None
+            }
+        }
+    }
+
+    async fn call(&mut self, wait: Option<Duration>) -> Result<Vec<StoredRow>, FeedError> {
         let store = &self.directory.directory.store;
-        match self.follower.ask() {
+        let ask = lock(self.follower).ask();
+        match ask {
             Ask::Read => {
+                count(&self.core.metrics.store_calls, self.names.read);
                 let table = store.read(self.table).await?;
-                Ok(self.follower.read(table))
+                Ok(lock(self.follower).read(table))
             }
             Ask::Changes { after } => {
-                let mut doubted = self.directory.doubted.subscribe();
-                let wait = self.wait();
+                count(&self.core.metrics.store_calls, self.names.wait);
+                let wait = self.wait(wait);
                 let changes = tokio::select! {
                     changes = store.changes(self.table, after, wait) => changes?,
-                    _ = doubted.changed() => return Err(FeedError::Doubted),
+                    _ = self.doubted.changed() => return Err(FeedError::Doubted),
                 };
-                Ok(self.follower.changed(changes))
+                Ok(lock(self.follower).changed(changes))
             }
         }
     }
 
-    fn wait(&mut self) -> Duration {
-        let watches = self.watches
-            && self
-                .core
-                .hosts
-                .is_among_first(&self.core.config.host, WATCHERS);
-        let wait = self.follower.wait(watches);
+    fn wait(&mut self, usual: Option<Duration>) -> Duration {
+        let wait = lock(self.follower).wait(usual);
         match std::mem::replace(&mut self.asked, true) {
             true => wait,
             false => wait.mul_f64(rand::rng().random_range(0.1..1.0)),
@@ -180,20 +290,20 @@
     }
 
     async fn failed(&mut self, error: &RowStoreError) {
-        count(&self.core.metrics.platform_failures, self.name);
+        count(&self.core.metrics.platform_failures, self.names.feed);
         if !self.lost {
-            log::warn!(feed = self.name; "store lost: {error}");
+            log::warn!(feed = self.names.feed; "store lost: {error}");
             self.lost = true;
             self.directory.doubt_feeds();
         }
-        let pause = self.follower.failed(error);
+        let pause = lock(self.follower).failed(error);
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 
     fn regained(&mut self) {
         if self.lost {
-            log::info!(feed = self.name; "store regained");
+            log::info!(feed = self.names.feed; "store regained");
             self.lost = false;
         }
     }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -6,15 +6,17 @@
 
 mod follow;
 mod member;
+mod neighbours;
 mod publish;
+mod spread;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use lynxcleat_policy::{ReportEffect, TargetReport};
+use lynxcleat_policy::{Micros, ReportEffect, TargetReport};
 use lynxcleat_settings::Tree;
-use lynxcleat_store::{OwnRow, RowStore};
+use lynxcleat_store::{Duty, Follower, OwnRow, RowStore, Standing, duty};
 use lynxcleat_wire::SharedKey;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
@@ -24,6 +26,9 @@
 use crate::life::{LeaveCause, Phase};
 use crate::sync::lock;
 
+use neighbours::Neighbours;
+pub use spread::{send_rows, take_rows};
+
 /// Table of the members and the key.
 const TABLE: &str = "lynxcleat";
 /// Longest wait for the member row before a report is answered: targets wait a
@@ -74,6 +79,14 @@
     pub key: OnceLock<SharedKey>,
     members_read: AtomicBool,
     own: Mutex<Option<OwnRow>>,
+    /// The members' table as far as it is known.
+    members: Mutex<Follower>,
+    /// The table of the settings, where this daemon follows it.
+    settings: Mutex<Follower>,
+    /// When the store last answered somebody who follows it, as far as is known here, by
+    /// this daemon's clock; the start of the daemon before that.
+    heard_at: AtomicU64,
+    neighbours: Neighbours,
     /// Ends a wait for changes: there is reason to think that it would bring none.
     doubted: watch::Sender<u64>,
     wanted: Notify,
@@ -87,6 +100,10 @@
             directory,
             key: OnceLock::new(),
             members_read: AtomicBool::new(false),
+            members: Mutex::default(),
+            settings: Mutex::default(),
+            heard_at: AtomicU64::new(0),
+            neighbours: Neighbours::default(),
             own: Mutex::default(),
             doubted: watch::Sender::new(0),
             wanted: Notify::new(),
@@ -94,8 +111,39 @@
         }
     }
 
+    /// What this daemon does next about a table; `watch` is the time between two looks of a
+    /// watcher.
+    fn duty(&self, core: &Core, watch: Duration) -> Duty {
+        duty(
+            Standing {
+                rank: core.hosts.rank(&core.config.host),
+                has_peers: self.neighbours.any(),
+                silence: self.silence(core),
+            },
+            watch,
+        )
+    }
+
+    /// Whether this daemon waits for changes of the settings at the store.
+    pub fn follows_settings(&self, core: &Core) -> bool {
+        matches!(self.duty(core, follow::SETTINGS_WATCH), Duty::Follow { .. })
+    }
+
+    /// Time since the store last answered somebody who follows it, as far as is known here.
+    fn silence(&self, core: &Core) -> Duration {
+        let heard_at = self.heard_at.load(Ordering::Relaxed);
+        Duration::from_micros(core.clock.now().saturating_sub(heard_at))
+    }
+
+    /// The store answered at some time. Returns by how much that is later than what was
+    /// known.
+    fn hear(&self, at: Micros) -> Duration {
+        let before = self.heard_at.fetch_max(at, Ordering::Relaxed);
+        Duration::from_micros(at.saturating_sub(before))
+    }
+
     /// Something shows that the feeds may be stuck behind a connection that says
-    /// nothing more: they ask anew.
+    /// nothing more, or that no peer can tell what is new: the store is asked anew.
     pub fn doubt_feeds(&self) {
         self.doubted.send_modify(|count| *count += 1);
     }
@@ -142,6 +190,7 @@
     core.set_leaving(LeaveCause::Report, true);
     tokio::spawn(follow::settings(Arc::clone(core)));
     tokio::spawn(follow::members(Arc::clone(core)));
+    tokio::spawn(neighbours::keep(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
     tokio::spawn(control::follow_load(Arc::clone(core)));
 }
--- /dev/null
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -0,0 +1,181 @@
+//! The neighbours of a daemon: the few peers with which it shares what the store says of
+//! the members.
+//!
+//! A daemon keeps a link to two members of its own zone, and is a neighbour of all that keep
+//! one to it. With two links each, drawn by hash, the daemons of a zone hang together with
+//! near certainty, and news cross it in a few hops. A few of each zone keep a link to another
+//! zone besides.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use lynxcleat_policy::{Candidate, Cost, Here, TargetId, subset};
+use lynxcleat_store::{HostEntry, HostState};
+
+use super::spread;
+use crate::control::{Purpose, order_of};
+use crate::core::Core;
+use crate::mesh::{Link, Links};
+use crate::sync::lock;
+
+/// Neighbours that a daemon looks for in its own zone.
+const NEAR: usize = 2;
+/// Neighbours that some look for in another zone, and how many of a zone do. Bytes between
+/// zones have a price; where half of a zone is lost, all six are in one of 64 cases.
+const FAR: usize = 1;
+const FAR_KEEPERS: usize = 6;
+/// Pause between two looks at whether the links stand.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which a member that could not be reached is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(4);
+/// What making a link costs, as for the links to targets.
+const LINK: Cost = Cost {
+    messages: 1,
+    bytes: 2_000,
+    cpu_us: 500,
+};
+
+/// The links to neighbours, by number.
+#[derive(Default)]
+pub(super) struct Neighbours {
+    links: Mutex<HashMap<u64, Arc<Link>>>,
+}
+
+impl Neighbours {
+    /// Whether any link to a neighbour stands.
+    pub(super) fn any(&self) -> bool {
+        lock(&self.links).values().any(|link| !link.is_closed())
+    }
+
+    /// The links that stand.
+    pub(super) fn links(&self) -> Vec<Arc<Link>> {
+        let mut links = lock(&self.links);
+        links.retain(|_, link| !link.is_closed());
+        links.values().cloned().collect()
+    }
+
+    /// Takes a link as one to a neighbour. Returns whether it was none before.
+    pub(super) fn add(&self, link: &Arc<Link>) -> bool {
+        let added = lock(&self.links).insert(link.id, Arc::clone(link));
+        added.is_none()
+    }
+}
+
+/// Members that could not be reached, with the time of the try.
+type Unreached = HashMap<String, Instant>;
+
+/// Keeps links to neighbours until the daemon ends.
+pub(super) async fn keep(core: Arc<Core>) {
+    let mut unreached = Unreached::new();
+    loop {
+        if core.shared_key().is_some() {
+            unreached.retain(|_, tried| tried.elapsed() < PASSED_OVER);
+            let (near, far) = members(&core);
+            keep_some(&core, &near, NEAR, &mut unreached).await;
+            if is_far_keeper(&core, &near) {
+                keep_some(&core, &far, FAR, &mut unreached).await;
+            }
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Whether this daemon is one of those that keep a link to another zone: the first of its
+/// zone, in the order by hash.
+fn is_far_keeper(core: &Core, near: &[HostEntry]) -> bool {
+    let own = order_of(&core.config.host);
+    let before = near.iter().filter(|entry| order_of(&entry.host) < own);
+    before.count() < FAR_KEEPERS
+}
+
+/// Sees to it that links to the first `count` members that can be reached stand.
+async fn keep_some(
+    core: &Arc<Core>,
+    members: &[HostEntry],
+    count: usize,
+    unreached: &mut Unreached,
+) {
+    let mut standing = 0;
+    for member in members {
+        if standing == count {
+            return;
+        }
+        if unreached.contains_key(&member.host) {
+            continue;
+        }
+        match link_to(core, member).await {
+            Some(link) => {
+                standing += 1;
+                join(core, &link);
+            }
+            None => {
+                unreached.insert(member.host.clone(), Instant::now());
+            }
+        }
+    }
+}
+
+async fn link_to(core: &Arc<Core>, member: &HostEntry) -> Option<Arc<Link>> {
+    let live = core.links.live(&member.mesh);
+    let link = match live {
+        Some(link) => link,
+        None if core.budget.ask(Purpose::Redial, LINK) => {
+            match Links::dial(core, &member.mesh).await {
+                Ok(link) => link,
+                Err(error) => {
+                    log::debug!("no link to a neighbour: {error}");
+                    return None;
+                }
+            }
+        }
+        None => return None,
+    };
+    (link.peer.host == member.host).then_some(link)
+}
+
+/// A new neighbour is told what is known here, and answers with what it knows besides.
+fn join(core: &Core, link: &Arc<Link>) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    if directory.neighbours.add(link) {
+        let through = lock(&directory.members).through();
+        spread::send(core, directory, link, through);
+    }
+}
+
+/// The other members of this zone, and those of other zones, in the order in which this
+/// daemon would have them as neighbours.
+fn members(core: &Core) -> (Vec<HostEntry>, Vec<HostEntry>) {
+    let is_other = |entry: &HostEntry| entry.host != core.config.host;
+    let all: Vec<HostEntry> = core.hosts.all().into_iter().filter(is_other).collect();
+    let (near, far) = all
+        .into_iter()
+        .filter(|entry| entry.state == HostState::Live)
+        .partition(|entry| entry.zone == core.config.zone);
+    (in_order(core, near), in_order(core, far))
+}
+
+fn in_order(core: &Core, members: Vec<HostEntry>) -> Vec<HostEntry> {
+    let candidates: Vec<Candidate> = members
+        .iter()
+        .enumerate()
+        .map(|(number, entry)| Candidate {
+            target: TargetId(number as u32),
+            host: entry.host.clone(),
+            place: entry.place.clone(),
+            zone: entry.zone.clone(),
+        })
+        .collect();
+    let here = Here {
+        host: &core.config.host,
+        place: &core.config.place,
+        zone: &core.config.zone,
+    };
+    let order = subset(here, &candidates, candidates.len());
+    order
+        .into_iter()
+        .map(|target| members[target.0 as usize].clone())
+        .collect()
+}
--- a/crates/daemon/src/directory/publish.rs
+++ b/crates/daemon/src/directory/publish.rs
@@ -10,6 +10,7 @@
 
 use super::{DirectoryState, TABLE};
 use crate::core::Core;
+use crate::metrics::count;
 use crate::sync::lock;
 
 /// Key of the row that holds the key of links.
@@ -29,7 +30,7 @@
         directory.wanted.notified().await;
         let mut pause = FIRST_PAUSE;
         while let Some(write) = next_write(directory) {
-            if let Err(error) = write_own(directory, write).await {
+            if let Err(error) = write_own(&core, directory, write).await {
                 log::warn!("own member row: {error}");
                 tokio::time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -43,7 +44,12 @@
     lock(&directory.own).as_ref().and_then(OwnRow::next_write)
 }
 
-async fn write_own(directory: &DirectoryState, write: RowWrite) -> Result<(), RowStoreError> {
+async fn write_own(
+    core: &Core,
+    directory: &DirectoryState,
+    write: RowWrite,
+) -> Result<(), RowStoreError> {
+    count(&core.metrics.store_calls, "own-row");
     let value = write.value.clone();
     let written = directory.directory.store.write(write).await;
     let mut own = lock(&directory.own);
@@ -75,7 +81,7 @@
 }
 
 /// Makes a key if the store has none. Of several daemons that try, the first wins.
-pub(super) async fn make_key_if_absent(directory: &DirectoryState) {
+pub(super) async fn make_key_if_absent(core: &Core, directory: &DirectoryState) {
     while directory.key.get().is_none() {
         let value = rand::random::<[u8; KEY_BYTES]>().to_vec();
         let write = RowWrite {
@@ -89,6 +95,7 @@
             value: Some(value),
             version: 0,
         };
+        count(&core.metrics.store_calls, "key");
         match directory.directory.store.write(write).await {
             Ok(_) => take_key(directory, &[row(value)]),
             Err(RowStoreError::Conflict { current: Some(row) }) => take_key(directory, &[row]),
--- /dev/null
+++ b/crates/daemon/src/directory/spread.rs
@@ -0,0 +1,142 @@
+//! Passing on what the store says of the members, from neighbour to neighbour.
+//!
+//! What comes from a neighbour is taken if it is news, and passed on to the others. A
+//! neighbour that knows less is told the rest, and one that knows more is asked, so that
+//! two that exchanged messages know the same. Nothing is passed on that the store did not
+//! say: rows carry its versions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxcleat_policy::Micros;
+use lynxcleat_store::{Missing, RowDelta, RowVersion, StoredRow};
+use lynxcleat_wire::{Frame, RowFrame, RowsFrame};
+use serde_bytes::ByteBuf;
+
+use super::{DirectoryState, member, publish};
+use crate::core::Core;
+use crate::mesh::Link;
+use crate::sync::lock;
+
+/// Gain in how lately the store was heard that is passed on without other news: a third of
+/// the silence after which others ask the store.
+const PASSED_ON: Duration = Duration::from_secs(2);
+
+/// Takes changes of members from a neighbour.
+pub fn take_rows(core: &Arc<Core>, link: &Arc<Link>, frame: RowsFrame) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    let is_new = directory.neighbours.add(link);
+    let told_at = core.clock.now().saturating_sub(frame.age_ms * 1_000);
+    let theirs = frame.through;
+    let (before, taken, through) = {
+        let mut members = lock(&directory.members);
+        let before = members.through();
+        let taken = members.take_delta(delta(frame));
+        (before, taken, members.through())
+    };
+    let gained = match through >= theirs {
+        true => directory.hear(told_at),
+        false => Duration::ZERO,
+    };
+    let has_news = !taken.news.is_empty();
+    publish::take_key(directory, &taken.news);
+    member::take(core, directory, taken.news);
+    if has_news || through > before || gained >= PASSED_ON {
+        tell(core, directory, before, Some(link.id));
+    }
+    if let Some(missing) = taken.missing {
+        ask_for(link, missing);
+    } else if through > theirs || is_new {
+        // A new neighbour also hears of the generation of settings, with any message.
+        send(core, directory, link, theirs);
+    }
+}
+
+/// Asks a neighbour for what is missing here.
+fn ask_for(link: &Link, missing: Missing) {
+    let after = match missing {
+        Missing::Changes { after } => Some(after),
+        Missing::Removals => None,
+    };
+    let _ = link.send(Frame::AskRows { after });
+}
+
+/// A neighbour asks for the changes after a version, or for the whole table.
+pub fn send_rows(core: &Core, link: &Link, after: Option<RowVersion>) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    match after {
+        Some(after) => send(core, directory, link, after),
+        None => {
+            let whole = lock(&directory.members).copy().whole();
+            let _ = link.send(frame(core, directory, whole));
+        }
+    }
+}
+
+/// Tells all neighbours but one of the changes after a version.
+pub(super) fn tell(
+    core: &Core,
+    directory: &DirectoryState,
+    after: RowVersion,
+    except: Option<u64>,
+) {
+    let links = directory.neighbours.links();
+    let delta = lock(&directory.members).copy().delta_after(after);
+    let frame = frame(core, directory, delta);
+    for link in links.iter().filter(|link| Some(link.id) != except) {
+        let _ = link.send(frame.clone());
+    }
+}
+
+/// Tells one neighbour of the changes after a version.
+pub(super) fn send(core: &Core, directory: &DirectoryState, link: &Link, after: RowVersion) {
+    let delta = lock(&directory.members).copy().delta_after(after);
+    let _ = link.send(frame(core, directory, delta));
+}
+
+/// The store answered a call that was made at some time; neighbours hear of it, and of what
+/// changed after `before`.
+pub(super) fn heard(core: &Core, directory: &DirectoryState, at: Micros, before: RowVersion) {
+    let gained = directory.hear(at);
+    let through = lock(&directory.members).through();
+    if through > before || gained >= PASSED_ON {
+        tell(core, directory, before, None);
+    }
+}
+
+fn frame(core: &Core, directory: &DirectoryState, delta: RowDelta) -> Frame {
+    let age = directory.silence(core);
+    Frame::Rows(RowsFrame {
+        after: delta.after,
+        through: delta.through,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        rows: delta.rows.into_iter().map(row_frame).collect(),
+        digest: delta.digest,
+    })
+}
+
+fn row_frame(row: StoredRow) -> RowFrame {
+    RowFrame {
+        key: row.key,
+        value: row.value.map(ByteBuf::from),
+        version: row.version,
+    }
+}
+
+fn delta(frame: RowsFrame) -> RowDelta {
+    let row = |row: RowFrame| StoredRow {
+        key: row.key,
+        value: row.value.map(ByteBuf::into_vec),
+        version: row.version,
+    };
+    RowDelta {
+        after: frame.after,
+        through: frame.through,
+        rows: frame.rows.into_iter().map(row).collect(),
+        digest: frame.digest,
+    }
+}
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -7,12 +7,14 @@
 use super::link::{Link, SignalKind};
 use crate::control;
 use crate::core::Core;
+use crate::directory;
 use crate::half;
 use crate::metrics::count;
 use crate::once;
 
 /// A message carried a generation; a newer one is fetched from its sender.
 pub(super) fn generation(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
+    link.tell_generation(theirs);
     if theirs > core.settings.number() {
         control::fetch_from_peer(core, link, theirs);
     }
@@ -58,7 +60,9 @@
         Frame::Guarded { ask, ticket, call } => {
             once::spawn_guarded(core, link, ask, ticket, *call);
         }
-        Frame::FetchTree { ask } => send_tree(core, link, ask),
+        Frame::FetchTree { ask, limit } => send_tree(core, link, ask, limit),
+        Frame::Rows(rows) => directory::take_rows(core, link, rows),
+        Frame::AskRows { after } => directory::send_rows(core, link, after),
         Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
             let taken = link.reply(ask, frame);
             count_late(core, taken, "reply");
@@ -83,8 +87,13 @@
     }
 }
 
-fn send_tree(core: &Core, link: &Link, ask: u64) {
-    let copy = core.settings.current().map(|in_force| TreeCopy {
+fn send_tree(core: &Core, link: &Link, ask: u64, limit: Option<u64>) {
+    let in_force = core.settings.current();
+    let wanted = in_force.filter(|in_force| {
+        let size = in_force.generation.text.len() as u64;
+        limit.is_none_or(|limit| size <= limit)
+    });
+    let copy = wanted.map(|in_force| TreeCopy {
         generation: in_force.generation.number,
         digest: in_force.generation.digest.to_string(),
         text: in_force.generation.text.clone(),
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -83,6 +83,8 @@
     out: flume::Sender<Out>,
     pending: Mutex<Pending>,
     heard_at: AtomicU64,
+    /// Newest generation of settings that the other side told.
+    generation: AtomicU64,
     closed: watch::Sender<bool>,
 }
 
@@ -101,6 +103,7 @@
             out,
             pending: Mutex::default(),
             heard_at: AtomicU64::new(now),
+            generation: AtomicU64::new(0),
             closed: watch::Sender::new(false),
         };
         (link, queue)
@@ -194,6 +197,15 @@
         let _ = self.lost_if_failed(pushed.map_err(|_| LinkClosed));
     }
 
+    /// Newest generation of settings that the other side told.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn tell_generation(&self, generation: u64) {
+        self.generation.fetch_max(generation, Ordering::Relaxed);
+    }
+
     pub(super) fn heard(&self, now: Micros) {
         self.heard_at.store(now, Ordering::Relaxed);
     }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -143,5 +143,6 @@
         Frame::Fence { .. } | Frame::Fenced { .. } => "fence",
         Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
         Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
+        Frame::Rows(_) | Frame::AskRows { .. } => "rows",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,8 @@
     pub once_records: Gauge,
     pub settled: Kinds,
     pub platform_failures: Kinds,
+    pub store_calls: Kinds,
+    pub store_steps_in: Counter,
     pub unlogged: Counter,
 }
 
@@ -87,6 +89,8 @@
             once_records: Gauge::default(),
             settled: Family::default(),
             platform_failures: Family::default(),
+            store_calls: Family::default(),
+            store_steps_in: Counter::default(),
             unlogged: Counter::default(),
         };
         metrics.register();
@@ -119,6 +123,8 @@
         registry.register("once_records", "Once-only operations remembered as guard", self.once_records.clone());
         registry.register("settled", "Outcomes settled after a loss", self.settled.clone());
         registry.register("unlogged", "Failed calls that were not logged, for there were too many", self.unlogged.clone());
+        registry.register("store_calls", "Calls to the store of rows, by what they are for", self.store_calls.clone());
+        registry.register("store_steps_in", "Times that the store was asked since nobody told of it", self.store_steps_in.clone());
         registry.register("platform_failures", "Failed calls to the platform", self.platform_failures.clone());
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -193,6 +193,7 @@
             threads: None,
             caller_connections: None,
             log_level: Some("info".to_owned()),
+            first_start: false,
         };
         if let Some(counter) = self.counter.take() {
             let (platform, crossed) = counter(raw.platform.trim_start_matches("http://"));
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,8 +11,10 @@
 mod follower;
 mod own_row;
 mod release;
+mod row_copy;
 mod row_store;
 mod rows;
+mod standby;
 
 pub use api::{
     HostEntry, HostPage, HostState, NO_ROW, Put, ReadReply, ReadRequest, Row, ScanRequest, Txn,
@@ -23,8 +25,10 @@
 pub use follower::{Ask, Follower};
 pub use own_row::OwnRow;
 pub use release::{AcceptRequest, Accepted, accept, accepted_change, history, read_tree};
+pub use row_copy::{DeltaTaken, Missing, RowCopy, RowDelta};
 pub use row_store::{RowStore, RowStoreError, RowVersion, RowWrite, RowsAt, StoreCall, StoredRow};
 pub use rows::{
     AuditEntry, ClaimRow, GenerationRow, Pointer, UnsettledRow, audit_key, claim_key,
     generation_key, keys, unsettled_key,
 };
+pub use standby::{Duty, Standing, duty};
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -164,7 +164,15 @@
 #[test]
 fn a_platform_that_is_not_there_was_sent_nothing() {
     let (standin, client) = platform();
+    let address = standin.url().replace("http://", "");
     drop(standin);
+    // A listener that is closing resets what is still in its queue: that is a platform that
+    // may have been sent something.
+    let is_gone = || std::net::TcpStream::connect(&address).is_err();
+    assert!(lynxcleat_standin::wait_until(
+        std::time::Duration::from_secs(3),
+        is_gone
+    ));
     let refused = client
         .write(&txn(&[], &[("w", 1)]))
         .expect_err("no platform");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -142,6 +142,40 @@
     pub text: String,
 }
 
+/// One row of the members' table on its way to a peer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowFrame {
+    /// Its key.
+    #[serde(rename = "k")]
+    pub key: String,
+    /// Its value; absent where the row was removed.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<ByteBuf>,
+    /// Version that the store gave to the change that made it so.
+    #[serde(rename = "n")]
+    pub version: u64,
+}
+
+/// All changes of the members' table after one version and up to another, or all of it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowsFrame {
+    /// What took place up to this version is left out; absent where it is the whole table.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<u64>,
+    /// Nothing up to this version is missing.
+    #[serde(rename = "t")]
+    pub through: u64,
+    /// Time since the store last answered somebody who follows it, in milliseconds.
+    #[serde(rename = "o")]
+    pub age_ms: u64,
+    /// The rows that changed.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<RowFrame>,
+    /// Digest of all rows, where the sender may not know of some removals.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<u64>,
+}
+
 /// A message. Asks carry a number that their reply repeats.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
@@ -225,6 +259,9 @@
     FetchTree {
         /// Number of the ask.
         ask: u64,
+        /// Largest text that is wanted, in bytes, where there is a limit.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<u64>,
     },
     /// The tree in force, if there is one.
     Tree {
@@ -233,4 +270,12 @@
         /// The copy.
         copy: Option<TreeCopy>,
     },
+    /// Changes of the members' table that the sender knows of.
+    Rows(RowsFrame),
+    /// Asks for the changes of the members' table.
+    AskRows {
+        /// The version after which; absent where the whole table is needed.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        after: Option<u64>,
+    },
 }
