--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -3,12 +3,10 @@
 //! and the list only about who there may be.
 
 use std::collections::HashMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::Cost;
+use lynxcleat_policy::{Cost, rank};
 use lynxcleat_store::{HostEntry, HostPage, HostState};
 
 use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
@@ -57,15 +55,13 @@
         all
     }
 
-    /// How many live hosts come before one, in an order by hash that is the same for all and
-    /// mixes the zones.
+    /// How many live hosts come before one, in an order that is the same for all.
     pub fn rank(&self, host: &str) -> usize {
-        let own = order_of(host);
         let hosts = lock(&self.hosts);
         let live = hosts
             .values()
             .filter(|entry| entry.state == HostState::Live);
-        live.filter(|entry| order_of(&entry.host) < own).count()
+        rank(host, live.map(|entry| entry.host.as_str()))
     }
 
     /// One host.
@@ -100,13 +96,6 @@
     }
 }
 
-/// Place of a host in an order that is the same for all daemons and mixes the zones.
-pub fn order_of(host: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    host.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Follows the list until the daemon ends. Most polls find nothing, so a small
 /// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -1,30 +1,24 @@
 //! The neighbours of a daemon: the few peers with which it shares what the store says of
 //! the members.
 //!
-//! A daemon keeps a link to two members of its own zone, and is a neighbour of all that keep
-//! one to it. With two links each, drawn by hash, the daemons of a zone hang together with
-//! near certainty, and news cross it in a few hops. A few of each zone keep a link to another
-//! zone besides.
+//! Whom it looks for is decided by [`lynxcleat_policy::neighbours`]; whoever sends news is a
+//! neighbour as well.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lynxcleat_policy::{Candidate, Cost, Here, TargetId, subset};
+use lynxcleat_policy::{
+    Candidate, Cost, FAR_NEIGHBOURS, Here, NEAR_NEIGHBOURS, TargetId, neighbours,
+};
 use lynxcleat_store::{HostEntry, HostState};
 
 use super::spread;
-use crate::control::{Purpose, order_of};
+use crate::control::Purpose;
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::sync::lock;
 
-/// Neighbours that a daemon looks for in its own zone.
-const NEAR: usize = 2;
-/// Neighbours that some look for in another zone, and how many of a zone do. Bytes between
-/// zones have a price; where half of a zone is lost, all six are in one of 64 cases.
-const FAR: usize = 1;
-const FAR_KEEPERS: usize = 6;
 /// Pause between two looks at whether the links stand.
 const LOOK_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which a member that could not be reached is passed over.
@@ -71,24 +65,14 @@
     loop {
         if core.shared_key().is_some() {
             unreached.retain(|_, tried| tried.elapsed() < PASSED_OVER);
-            let (near, far) = members(&core);
-            keep_some(&core, &near, NEAR, &mut unreached).await;
-            if is_far_keeper(&core, &near) {
-                keep_some(&core, &far, FAR, &mut unreached).await;
-            }
+            let (near, far) = wanted(&core);
+            keep_some(&core, &near, NEAR_NEIGHBOURS, &mut unreached).await;
+            keep_some(&core, &far, FAR_NEIGHBOURS, &mut unreached).await;
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
 }
 
-/// Whether this daemon is one of those that keep a link to another zone: the first of its
-/// zone, in the order by hash.
-fn is_far_keeper(core: &Core, near: &[HostEntry]) -> bool {
-    let own = order_of(&core.config.host);
-    let before = near.iter().filter(|entry| order_of(&entry.host) < own);
-    before.count() < FAR_KEEPERS
-}
-
 /// Sees to it that links to the first `count` members that can be reached stand.
 async fn keep_some(
     core: &Arc<Core>,
@@ -145,19 +129,10 @@
     }
 }
 
-/// The other members of this zone, and those of other zones, in the order in which this
-/// daemon would have them as neighbours.
-fn members(core: &Core) -> (Vec<HostEntry>, Vec<HostEntry>) {
-    let is_other = |entry: &HostEntry| entry.host != core.config.host;
-    let all: Vec<HostEntry> = core.hosts.all().into_iter().filter(is_other).collect();
-    let (near, far) = all
-        .into_iter()
-        .filter(|entry| entry.state == HostState::Live)
-        .partition(|entry| entry.zone == core.config.zone);
-    (in_order(core, near), in_order(core, far))
-}
-
-fn in_order(core: &Core, members: Vec<HostEntry>) -> Vec<HostEntry> {
+/// The members of this zone and of others that this daemon looks for, in their order.
+fn wanted(core: &Core) -> (Vec<HostEntry>, Vec<HostEntry>) {
+    let mut members = core.hosts.all();
+    members.retain(|entry| entry.state == HostState::Live);
     let candidates: Vec<Candidate> = members
         .iter()
         .enumerate()
@@ -173,9 +148,12 @@
         place: &core.config.place,
         zone: &core.config.zone,
     };
-    let order = subset(here, &candidates, candidates.len());
-    order
-        .into_iter()
-        .map(|target| members[target.0 as usize].clone())
-        .collect()
+    let order = neighbours(here, &candidates);
+    let entries = |targets: Vec<TargetId>| {
+        let targets = targets.into_iter();
+        targets
+            .map(|target| members[target.0 as usize].clone())
+            .collect()
+    };
+    (entries(order.near), entries(order.far))
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,9 +9,11 @@
 mod report;
 mod rounds;
 mod service;
+mod spread;
 
 pub use caller::{Connections, Destination};
 pub use open_loop::{LoadError, LoadOptions, Mix, run};
 pub use report::{Counts, Latency, LoadReport};
 pub use rounds::{Balancer, Case, CaseReport, Deployment, cases, run_case};
 pub use service::{FakeService, FakeTarget, Measured, ServiceOptions};
+pub use spread::{Lost, SpreadReport, spread};
