--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -275,7 +275,7 @@
 
     /// What is best for a call while a slot is free.
     fn begin(&self, now: Micros, held: &Held) -> Begin {
-        let choice = self.choice(now, held.deadline, &held.terms);
+        let choice = self.choice(now, held.deadline, &held.terms, held.whole_us());
         let Some((outlook, choice)) = self.outlook(now).zip(choice) else {
             return Begin::Now;
         };
@@ -303,11 +303,12 @@
         let Some(outlook) = self.outlook(now) else {
             return terms.goal.is_some();
         };
+        let whole_us = left_us(now, terms.goal.unwrap_or(deadline));
         let terms = CallTerms {
             goal: terms.goal_of(now),
             ..*terms
         };
-        let Some(choice) = self.choice(now, deadline, &terms) else {
+        let Some(choice) = self.choice(now, deadline, &terms, whole_us) else {
             return false;
         };
         let price = f64::from(self.limits.ask_price_permille) / 1_000.0;
@@ -324,12 +325,19 @@
         })
     }
 
-    /// What is known of a call; nothing for one without a goal, or while none ended.
-    fn choice(&self, now: Micros, deadline: Micros, terms: &CallTerms) -> Option<Choice> {
+    /// What is known of a call; nothing for one without a goal. It had `whole_us` until its
+    /// goal when it came.
+    fn choice(
+        &self,
+        now: Micros,
+        deadline: Micros,
+        terms: &CallTerms,
+        whole_us: f64,
+    ) -> Option<Choice> {
         let need = Need {
             goal_left_us: left_us(now, terms.goal?.min(deadline)),
             deadline_left_us: left_us(now, deadline),
-            work: self.works.of(terms.kind)?,
+            work: self.works.of_or_assumed(terms.kind, whole_us),
         };
         Some(Choice {
             need,
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -393,13 +393,11 @@
     /// are worth the same, the one with the least expected finish wins.
     fn worth(&self, now: Micros, wanted: Wanted<'_>, state: &TargetState) -> f64 {
         let finish_us = state.expected_finish_us(now, &self.usual, self.params.ramp_us);
-        let Some(work) = self.works.of(wanted.kind) else {
-            return -finish_us / FINISH_SCALE_US - state.far_price(self.params.far_price);
-        };
+        let goal_left_us = left_us(now, wanted.goal);
         let need = Need {
-            goal_left_us: left_us(now, wanted.goal),
+            goal_left_us,
             deadline_left_us: left_us(now, wanted.deadline),
-            work,
+            work: self.works.of_or_assumed(wanted.kind, goal_left_us),
         };
         let prospect = state.prospect(now, &self.usual);
         let slowness = self.usual_slowness.expect(now, state.slowness());
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -66,6 +66,17 @@
         !self.terms.nested && waited_us * COME_BACK_PART <= whole_us
     }
 
+    /// Time until the goal of its route when it was offered, in microseconds.
+    pub fn whole_us(&self) -> f64 {
+        let patience = if self.terms.nested {
+            NESTED_PATIENCE
+        } else {
+            1
+        };
+        let whole_us = self.goal().saturating_sub(self.offered_at);
+        (whole_us / patience) as f64
+    }
+
     /// When its answer loses most of its worth.
     pub fn goal(&self) -> Micros {
         self.terms.goal.unwrap_or(self.deadline).min(self.deadline)
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -18,6 +18,9 @@
 const FIRST_SAMPLES: u32 = 20;
 /// Part of the mean that is assumed as deviation before enough was seen.
 const FIRST_DEVIATION: f64 = 0.4;
+/// Part of the time until its goal that a call is assumed to take before any call ended:
+/// operators set goals that most calls make though they meet a queue or a slow target.
+const ASSUMED_PART: f64 = 1.0 / 3.0;
 /// Kinds that are told apart; further ones share what is known of all.
 const KINDS_LIMIT: usize = 256;
 
@@ -40,6 +43,14 @@
         }
     }
 
+    /// What is assumed of a call with this time until its goal, in microseconds.
+    fn assumed(goal_us: f64) -> Self {
+        Work {
+            samples: 0,
+            ..Work::first(goal_us * ASSUMED_PART)
+        }
+    }
+
     /// Calls that it was learned from.
     pub fn samples(&self) -> u32 {
         self.samples
@@ -91,4 +102,10 @@
     pub fn of(&self, kind: CallKind) -> Option<Work> {
         self.kinds.get(&kind).copied().or(self.all)
     }
+
+    /// What a call of this kind takes, or, while no call ended, what is assumed of one with
+    /// this time until its goal, in microseconds.
+    pub fn of_or_assumed(&self, kind: CallKind, goal_us: f64) -> Work {
+        self.of(kind).unwrap_or_else(|| Work::assumed(goal_us))
+    }
 }
