--- a/crates/daemon/src/control/load.rs
+++ b/crates/daemon/src/control/load.rs
@@ -1,8 +1,8 @@
 //! Asking the target for its load, where the answers to calls did not tell it of late.
 //!
 //! A target that is seldom called may turn slow without a word, and the next call finds
-//! out. A question costs a little, so it is asked only while calls come, only after a
-//! silence, and only within the measuring budget.
+//! out. A question costs a little, so it is asked only while calls come and at the start,
+//! only after a silence, and only within the measuring budget.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,10 @@
 const LOOK_LIMIT: Duration = Duration::from_millis(25);
 /// Time without calls after which no question is asked.
 const IDLE_LIMIT: Duration = Duration::from_millis(600);
+/// Readings for which a target is asked though no calls come: over a second or so, which is
+/// some slow spells of usual length, one of them tells its usual speed. Without it the first
+/// calls could not tell a slow spell from a slow target.
+const FIRST_READINGS: u32 = 8;
 /// Pause while no question is to be asked.
 const OFF_PAUSE: Duration = Duration::from_millis(1_000);
 /// Looks at the silence, for each length of silence that is allowed.
@@ -65,8 +69,9 @@
 
 async fn ask_if_silent(core: &Core, path: &str, silence: Duration) {
     let half = &core.half;
+    let is_known = half.load_readings() >= FIRST_READINGS;
     let needless = half.is_leaving()
-        || half.since_last_call() > IDLE_LIMIT
+        || (is_known && half.since_last_call() > IDLE_LIMIT)
         || half.since_load_told().is_some_and(|age| age < silence);
     if !needless {
         half.ask_load(core, path, ASK_LIMIT).await;
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -44,6 +44,8 @@
 };
 /// Time for which a target that does not tell its load is not asked again.
 const ASK_PAUSE_US: u64 = 10_000_000;
+/// Number of readings of a target that tells no load: there is nothing to learn of it.
+const TELLS_NO_LOAD: u32 = u32::MAX;
 /// Bytes of a message that tells a load, with its frame and TCP's own.
 const LOAD_BYTES: u64 = 90;
 /// Slowness of a target of which nothing was heard, in percent.
@@ -77,6 +79,8 @@
     offered_at: AtomicU64,
     /// When the target may be asked for its load again.
     ask_again_at: AtomicU64,
+    /// Questions for the load that the target answered.
+    load_readings: AtomicU32,
     /// Held while the target is asked: calls that want to know share one question.
     asking: tokio::sync::Mutex<()>,
     /// Told when held calls want to be looked at again.
@@ -115,6 +119,7 @@
             told_slowness: AtomicU32::new(USUAL_PERCENT),
             offered_at: AtomicU64::new(0),
             ask_again_at: AtomicU64::new(0),
+            load_readings: AtomicU32::new(0),
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
             pool,
@@ -244,6 +249,7 @@
             Ok(Some(None)) => {
                 let until = self.clock.now() + ASK_PAUSE_US;
                 self.ask_again_at.store(until, Ordering::Relaxed);
+                self.load_readings.store(TELLS_NO_LOAD, Ordering::Relaxed);
                 return;
             }
             Ok(None) | Err(_) => {
@@ -251,6 +257,7 @@
                 return;
             }
         };
+        self.count_reading();
         self.admit(AdmitEvent::Slowness(load.slowness_percent));
         self.tell_slowness(core);
     }
@@ -283,6 +290,18 @@
         Duration::from_micros(self.clock.now().saturating_sub(offered_at))
     }
 
+    fn count_reading(&self) {
+        let readings = self.load_readings();
+        let next = readings.saturating_add(1);
+        self.load_readings.store(next, Ordering::Relaxed);
+    }
+
+    /// Questions for the load that the target answered since the daemon started; the highest
+    /// number where it answered without a load.
+    pub fn load_readings(&self) -> u32 {
+        self.load_readings.load(Ordering::Relaxed)
+    }
+
     /// Time since the target told its load; `None` where it never did.
     pub fn since_load_told(&self) -> Option<Duration> {
         let figures = self.figures();
