--- a/crates/policy/src/begin.rs
+++ b/crates/policy/src/begin.rs
@@ -92,16 +92,19 @@
     pub fn worth_of_asking(&self, choice: &Choice) -> f64 {
         let need = &choice.need;
         let age_us = self.now.saturating_sub(self.reading.at) as f64;
-        if self.spells.is_slow(self.reading) {
-            return 0.0;
-        }
+        let chance_slow = match self.spells.is_slow(self.reading) {
+            false => self.spells.chance_turned_slow(age_us),
+            // Where an old reading still keeps the call from beginning, it needs no other.
+            true if self.best(choice) != Begin::Now => return 0.0,
+            true => self.spells.chance_still_slow(age_us),
+        };
         let known = match choice.elsewhere.price(choice.far_price) {
             Some(price) => self.worth_elsewhere(need) - price,
             None => 0.0,
         };
         let known = known.max(self.worth_after_spell(need, self.spells.baseline()));
         let unknown = worth_at(need, self.spells.slow_factor());
-        self.spells.chance_turned_slow(age_us) * (known - unknown).max(0.0)
+        chance_slow * (known - unknown).max(0.0)
     }
 
     fn worth_now(&self, need: &Need) -> f64 {
--- a/crates/policy/src/spell.rs
+++ b/crates/policy/src/spell.rs
@@ -136,9 +136,22 @@
 
     /// The chance that a target that was usual some time ago is slow now.
     pub fn chance_turned_slow(&self, age_us: f64) -> f64 {
+        let (share, kept) = self.share_and_kept(age_us);
+        share * (1.0 - kept)
+    }
+
+    /// The chance that a target that was slow some time ago is slow now.
+    pub fn chance_still_slow(&self, age_us: f64) -> f64 {
+        let (share, kept) = self.share_and_kept(age_us);
+        share + (1.0 - share) * kept
+    }
+
+    /// The share of time for which the target is slow, and how much of what a reading told
+    /// beyond that still holds after some time.
+    fn share_and_kept(&self, age_us: f64) -> (f64, f64) {
         let to_slow = 1.0 / self.usual.mean_us();
         let to_usual = 1.0 / self.slow.mean_us();
         let either = to_slow + to_usual;
-        to_slow / either * (1.0 - (-either * age_us).exp())
+        (to_slow / either, (-either * age_us).exp())
     }
 }
