--- a/scripts/make-days.py
+++ b/scripts/make-days.py
@@ -68,13 +68,16 @@
     return "{ " + ", ".join(parts) + " }"
 
 
-def day(name, seed, troubles):
+def day(name, seed, troubles, small):
     plan = [entry(*trouble) for trouble in troubles if trouble[0] in PLANNED]
     faults = [entry(*trouble) for trouble in troubles if trouble[0] not in PLANNED]
     # A change of the configuration now and then, so that there is one to be late with.
     plan.append(entry("config_change", "timeout", {}, 9.0 + seed % 5))
     plan.append(entry("config_change", "route", {}, 19.0 + seed % 4))
     lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}", "zero = 0.0", "one = 1.0"]
+    if small:
+        fields = ", ".join(f"{field} = {value}" for field, value in small.items())
+        lines.append(f"small = {{ {fields} }}")
     for field, entries in (("plan", plan), ("faults", faults)):
         lines.append(f"{field} = [")
         lines += [f"  {text}," for text in entries]
@@ -86,20 +89,21 @@
     folder, site = Path(sys.argv[1]), Path(sys.argv[2])
     pairs = int(sys.argv[3]) if len(sys.argv) > 3 else 40
     draw = random.Random(int(sys.argv[4]) if len(sys.argv) > 4 else 1)
-    tomllib.loads(site.read_text())
+    # Days of a large site say how its small twin is made.
+    small = tomllib.loads(site.read_text())["day"][0].get("small")
     folder.mkdir(parents=True, exist_ok=True)
     variants = [(kind, how, fields) for kind, hows, fields in KINDS for how in hows]
     for number, (kind, how, fields) in enumerate(variants):
         name = "one-" + "-".join([kind, *how.split()])
         first, second = draw.uniform(1.0, 8.0), draw.uniform(13.0, 22.0)
         troubles = [(kind, how, fields, first), (kind, how, fields, second)]
-        (folder / f"{name}.toml").write_text(day(name, 1_000 + number, troubles))
+        (folder / f"{name}.toml").write_text(day(name, 1_000 + number, troubles, small))
     for number in range(pairs):
         chosen = draw.sample(variants, 2)
         start = draw.uniform(1.0, 18.0)
         troubles = [(*one, start + draw.uniform(0.0, 3.0)) for one in chosen]
         name = f"pair-{number:03d}-" + "-".join(kind for kind, _, _ in chosen)
-        (folder / f"{name}.toml").write_text(day(name, 5_000 + number, troubles))
+        (folder / f"{name}.toml").write_text(day(name, 5_000 + number, troubles, small))
 
 
 if __name__ == "__main__":
