--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -295,12 +295,21 @@
             log::warn!(feed = self.names.feed; "store lost: {error}");
             self.lost = true;
             self.directory.doubt_feeds();
+            self.heed_only_others(error);
         }
         let pause = lock(self.follower).failed(error);
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 
+    /// The doubt is meant for the other feed, but for history that is gone: then this one
+    /// reads anew, whatever its duty.
+    fn heed_only_others(&mut self, error: &RowStoreError) {
+        if *error != RowStoreError::HistoryGone {
+            self.doubted.mark_unchanged();
+        }
+    }
+
     fn regained(&mut self) {
         if self.lost {
             log::info!(feed = self.names.feed; "store regained");
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -1,6 +1,7 @@
 //! The row of one member, and what news of members change here.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use lynxcleat_policy::{ReportEffect, ReportedState};
 use lynxcleat_store::{HostEntry, HostState, OwnRow, StoredRow};
@@ -69,32 +70,45 @@
 
 /// Takes news of members.
 pub(super) fn take(core: &Arc<Core>, directory: &DirectoryState, news: Vec<StoredRow>) {
+    if news.is_empty() {
+        return;
+    }
+    for service in put_entries(core, directory, &news) {
+        core.once.half_gone(&service);
+    }
+    core.routers.refresh(core);
+}
+
+/// Puts what the rows of the news say now into the host table. They are taken from the copy
+/// while it is locked: news come from the store and from neighbours at the same time, and
+/// the later ones must stand. Returns the services of hosts that are gone.
+fn put_entries(core: &Core, directory: &DirectoryState, news: &[StoredRow]) -> Vec<String> {
+    let members = lock(&directory.members);
     let mut entries = Vec::new();
-    for row in news {
+    for row in news.iter().filter_map(|row| members.copy().row(&row.key)) {
         let Some(host) = row.key.strip_prefix(MEMBER) else {
             continue;
         };
         if host == core.config.host {
-            take_own(core, directory, &row);
+            take_own(core, directory, row);
         }
-        entries.extend(entry(core, host, &row));
+        entries.extend(entry(core, host, row));
     }
-    if entries.is_empty() {
-        return;
-    }
-    for entry in &entries {
-        log::info!(
-            host = entry.host.as_str(),
-            service = entry.service.as_str(),
-            zone = entry.zone.as_str(),
-            state:? = entry.state;
-            "member"
-        );
-    }
-    for service in core.hosts.take_entries(entries) {
-        core.once.half_gone(&service);
+    // The first reading brings all members at once; one line with their number follows it.
+    if directory.members_read.load(Ordering::Relaxed) {
+        entries.iter().for_each(log_member);
     }
-    core.routers.refresh(core);
+    core.hosts.take_entries(entries)
+}
+
+fn log_member(entry: &HostEntry) {
+    log::info!(
+        host = entry.host.as_str(),
+        service = entry.service.as_str(),
+        zone = entry.zone.as_str(),
+        state:? = entry.state;
+        "member"
+    );
 }
 
 /// The entry that a row stands for; a row that is gone or cannot be read stands
--- a/crates/store/src/row_copy.rs
+++ b/crates/store/src/row_copy.rs
@@ -63,6 +63,11 @@
         self.through
     }
 
+    /// The row under a key, as far as it is known; one that was removed has no value.
+    pub fn row(&self, key: &str) -> Option<&StoredRow> {
+        self.rows.get(key)
+    }
+
     /// Takes the whole table as the store told it. Returns its news: rows that changed,
     /// and rows that are no longer there, without a value.
     pub fn take_table(&mut self, table: RowsAt) -> Vec<StoredRow> {
