--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -245,9 +245,7 @@
     core.life.connections.idle().await;
     core.life.calls.idle().await;
     core.life.target_calls.idle().await;
-    for link in core.links.all() {
-        link.finish();
-    }
+    core.links.finish();
     core.life.writers.idle().await;
 }
 
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -50,6 +50,9 @@
     /// The shared key is not known yet.
     #[error("the shared key is not known yet")]
     NoKey,
+    /// This daemon ends and makes no links any more.
+    #[error("the daemon is ending")]
+    Ending,
     /// It took too long.
     #[error("took longer than {HANDSHAKE_LIMIT:?}")]
     TooSlow,
@@ -63,6 +66,7 @@
         HandshakeError::Codec(_) => "malformed",
         HandshakeError::TooSlow => "slow",
         HandshakeError::NoKey => "no-key",
+        HandshakeError::Ending => "ending",
         HandshakeError::Io(_) | HandshakeError::Socket(_) | HandshakeError::Closed => "connection",
     };
     count(&core.metrics.links_refused, kind);
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -1,7 +1,7 @@
 //! All links of a daemon, and the making of new ones.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_wire::{Frame, Hello, Side};
@@ -26,6 +26,8 @@
 /// The links of one daemon.
 #[derive(Default)]
 pub struct Links {
+    /// The daemon ends: links are closed after what they have to send, and none is made.
+    finishing: AtomicBool,
     next_id: AtomicU64,
     all: Mutex<HashMap<u64, Arc<Link>>>,
     dialed: Mutex<HashMap<String, Arc<Link>>>,
@@ -49,6 +51,18 @@
         lock(&self.all).values().cloned().collect()
     }
 
+    /// Closes every link after what it has to send, and makes none any more.
+    pub fn finish(&self) {
+        self.finishing.store(true, Ordering::Release);
+        for link in self.all() {
+            link.finish();
+        }
+    }
+
+    fn is_finishing(&self) -> bool {
+        self.finishing.load(Ordering::Acquire)
+    }
+
     /// Sends a message on every link that stands.
     pub fn announce(&self, frame: &Frame) {
         for link in self.all() {
@@ -75,9 +89,14 @@
     /// without a connection.
     ///
     /// # Errors
-    /// A connection or a proof that failed.
+    /// A connection or a proof that failed, or a daemon that ends.
     pub async fn dial(core: &Arc<Core>, mesh: &str) -> Result<Arc<Link>, LinkError> {
         let links = &core.links;
+        if links.is_finishing() {
+            let mesh = mesh.to_owned();
+            let error = HandshakeError::Ending;
+            return Err(LinkError { mesh, error });
+        }
         if let Some(link) = links.live(mesh) {
             return Ok(link);
         }
@@ -138,6 +157,11 @@
         let mut all = lock(&self.all);
         all.insert(id, Arc::clone(&link));
         core.metrics.links.set(all.len() as i64);
+        drop(all);
+        // One that was being made when the others were closed.
+        if self.is_finishing() {
+            link.finish();
+        }
         (link, queue)
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -55,7 +55,7 @@
     pub daemon: Option<Running>,
     pub entry: HostEntry,
     pub callers: String,
-    raw: RawConfig,
+    pub raw: RawConfig,
 }
 
 pub struct Fleet {
