A cold target gets no more calls in any second than it bears

Cause: a target that has just started bears few calls a second and falls over at more. How long it is cold was decoded from its reports and used by nobody; after a loss of all power targets were given all calls, fell over and came back cold. Ruled out: a bound at the routers, since no router knows what the others send. Change: the target half, which every call passes, keeps the deliveries of the last second and holds to the bound (settings: cold_calls_per_s, 0 for none), spread over the second, with room kept for as many nested calls as came of late; the last second before a start of the daemon counts as used up. Reports and the answers to questions for the load tell how long it is cold; a third of the bound is delivered between two questions at most. Routers are told fewer slots, and avoid a target that refused until it has room.

--- a/crates/daemon/src/control/load.rs
+++ b/crates/daemon/src/control/load.rs
@@ -46,9 +46,9 @@
 /// admission goes by what it knows.
 pub async fn follow_held(core: Arc<Core>) {
     loop {
-        let at = core.half.next_look().await;
-        tokio::time::sleep_until(core.clock.instant(at)).await;
-        if let Some((path, _)) = wanted(&core) {
+        let next = core.half.next_look().await;
+        tokio::time::sleep_until(core.clock.instant(next.at)).await;
+        if let Some((path, _)) = wanted(&core).filter(|_| next.needs_reading) {
             core.half.ask_load(&core, &path, LOOK_LIMIT).await;
         }
         core.half.look();
@@ -70,10 +70,10 @@
 async fn ask_if_silent(core: &Core, path: &str, silence: Duration) {
     let half = &core.half;
     let is_known = half.load_readings() >= FIRST_READINGS;
-    let needless = half.is_leaving()
-        || (is_known && half.since_last_call() > IDLE_LIMIT)
-        || half.since_load_told().is_some_and(|age| age < silence);
-    if !needless {
+    let is_idle = is_known && half.since_last_call() > IDLE_LIMIT;
+    let has_told = half.since_load_told().is_some_and(|age| age < silence);
+    let is_wanted = half.wants_cold_reading() || !(is_idle || has_told);
+    if is_wanted && !half.is_leaving() {
         half.ask_load(core, path, ASK_LIMIT).await;
     }
 }
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -5,6 +5,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use lynxcleat_policy::Micros;
+use thiserror::Error;
 
 use crate::headers::{CALL, DEADLINE, OUTCOME, PREFIX, RETRY, RETRY_AFTER_MS};
 
@@ -30,6 +31,11 @@
     }
 }
 
+/// A target told for how long it is cold in a text that is no number of milliseconds.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is no number of milliseconds for which a target is cold")]
+pub struct NotColdTime(pub String);
+
 /// How a target's answer is to be taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -71,6 +77,10 @@
     pub retry: Option<HeaderName>,
     /// The target's load, from targets.
     pub load: Option<LoadHeader>,
+    /// Milliseconds for which the target is cold, from targets that are asked for their load.
+    pub cold_left_ms: Option<HeaderName>,
+    /// Incarnation of the target, from targets that are asked for their load.
+    pub told_instance: Option<HeaderName>,
     /// How a target's answer is to be taken.
     pub answer_kind: fn(&Parts) -> AnswerKind,
     /// Headers of ours that are neither taken from callers nor from targets.
@@ -92,6 +102,8 @@
             caller_service: None,
             retry: Some(HeaderName::from_static(RETRY)),
             load: None,
+            cold_left_ms: None,
+            told_instance: None,
             answer_kind: own_answer_kind,
             is_ours: |name| name.as_str().starts_with(PREFIX),
             own_interface: true,
@@ -114,6 +126,30 @@
         (load.read)(headers.get(&load.name)?.to_str().ok()?)
     }
 
+    /// How much longer the target is cold, in microseconds, where an answer tells it.
+    ///
+    /// # Errors
+    /// A header that is no number of milliseconds.
+    pub fn cold_left(&self, headers: &HeaderMap) -> Result<Option<Micros>, NotColdTime> {
+        let name = self.cold_left_ms.as_ref();
+        let Some(value) = name.and_then(|name| headers.get(name)) else {
+            return Ok(None);
+        };
+        let fault = || NotColdTime(String::from_utf8_lossy(value.as_bytes()).into_owned());
+        let text = value.to_str().map_err(|_| fault())?;
+        let left_ms: f64 = text.trim().parse().map_err(|_| fault())?;
+        if !left_ms.is_finite() || left_ms < 0.0 {
+            return Err(fault());
+        }
+        Ok(Some((left_ms * 1_000.0).ceil() as Micros))
+    }
+
+    /// The incarnation that answers, where it says so.
+    pub fn told_instance(&self, headers: &HeaderMap) -> Option<String> {
+        let value = headers.get(self.told_instance.as_ref()?)?;
+        Some(value.to_str().ok()?.to_owned())
+    }
+
     /// The value of `Retry-After`: whole seconds, or fractions where allowed.
     pub fn retry_after(&self, after_us: Micros) -> HeaderValue {
         if !self.fractional_retry_after {
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -200,8 +200,8 @@
 pub async fn report(core: &Core, report: TargetReport) {
     let instance = report.instance.clone();
     let state = report.state;
-    let taken = core.half.with_reports(|reports| reports.take(report));
-    if taken != Some(ReportEffect::Changed) {
+    let taken = core.half.take_report(report);
+    if taken != ReportEffect::Changed {
         return;
     }
     log::info!(instance = instance.as_str(), state:? = state; "target reported");
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -42,6 +42,23 @@
     Lost,
 }
 
+/// What a target tells that was asked for its load.
+pub(super) struct Told {
+    /// Its load, where it tells it.
+    pub load: Option<TargetLoad>,
+    /// How much longer it is cold, in microseconds, where it tells it.
+    pub cold_left_us: Option<Micros>,
+    /// Its incarnation, where it tells it.
+    pub instance: Option<String>,
+}
+
+impl Told {
+    /// Whether there is nothing to learn from asking the target.
+    pub fn is_empty(&self) -> bool {
+        self.load.is_none() && self.cold_left_us.is_none()
+    }
+}
+
 type HttpRequest = hyper::Request<Full<Bytes>>;
 
 impl Pool {
@@ -81,26 +98,29 @@
     }
 
     /// Asks the target for its load at a path that it answers at once. Nothing where no
-    /// whole answer came; an inner `None` where the answer does not tell a load.
-    #[allow(clippy::option_option)]
-    pub(super) async fn ask_load(
-        &self,
-        dialect: &Dialect,
-        path: &str,
-    ) -> Option<Option<TargetLoad>> {
+    /// whole answer came.
+    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<Told> {
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, "target")
             .body(Full::default())
             .ok()?;
         let mut sender = self.take().await.ok()?;
         let response = sender.try_send_request(request).await.ok()?;
-        let load = dialect.load(response.headers());
+        let headers = response.headers();
+        let told = Told {
+            load: dialect.load(headers),
+            cold_left_us: dialect.cold_left(headers).unwrap_or_else(|error| {
+                log::warn!("the target told no cold time: {error}");
+                None
+            }),
+            instance: dialect.told_instance(headers),
+        };
         Limited::new(response.into_body(), LOAD_ANSWER_BYTES)
             .collect()
             .await
             .ok()?;
         self.put_back(sender);
-        Some(load)
+        Some(told)
     }
 
     async fn finish(
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -16,7 +16,7 @@
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallTerms, Cost, Figures,
-    Micros, Origins, Refusal, TargetReports,
+    Micros, NextLook, Origins, Refusal, ReportEffect, TargetReport, TargetReports,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
@@ -27,6 +27,8 @@
 use crate::mesh::Link;
 use crate::sync::lock;
 
+use exchange::Told;
+
 pub use pool::Pool;
 pub use serve::{spawn_call, spawn_fence};
 
@@ -98,6 +100,7 @@
             hold_limit: 0,
             far_price_percent: 0,
             ask_price_permille: 0,
+            cold_calls_per_s: 0,
         };
         let limits = FenceLimits {
             retention_ms: 0,
@@ -105,9 +108,11 @@
             entries: 0,
             bytes: 0,
         };
+        let mut admit = Admit::new(nothing);
+        admit.on(clock.now(), AdmitEvent::Start);
         Half {
             clock,
-            admit: Mutex::new(Admit::new(nothing)),
+            admit: Mutex::new(admit),
             waiting: Mutex::default(),
             fence: Mutex::new(Fence::new(started_ms, limits)),
             ended: watch::Sender::new(0),
@@ -149,6 +154,7 @@
             hold_limit: own.hold_limit,
             far_price_percent: own.far_price_percent,
             ask_price_permille: own.ask_price_permille,
+            cold_calls_per_s: own.cold_calls_per_s,
         }));
     }
 
@@ -244,31 +250,94 @@
             return;
         }
         let asked = self.pool.ask_load(&core.dialect, path);
-        let load = match tokio::time::timeout(limit, asked).await {
-            Ok(Some(Some(load))) => load,
-            Ok(Some(None)) => {
+        let asked_at = self.clock.now();
+        match tokio::time::timeout(limit, asked).await {
+            Ok(Some(told)) if told.is_empty() => {
                 let until = self.clock.now() + ASK_PAUSE_US;
                 self.ask_again_at.store(until, Ordering::Relaxed);
                 self.load_readings.store(TELLS_NO_LOAD, Ordering::Relaxed);
-                return;
-            }
-            Ok(None) | Err(_) => {
-                log::debug!("the target did not tell its load");
-                return;
             }
+            Ok(Some(told)) => self.take_told(core, told, asked_at),
+            Ok(None) | Err(_) => log::debug!("the target did not tell its load"),
+        }
+    }
+
+    /// Takes what the target told that was asked at some time.
+    fn take_told(&self, core: &Core, told: Told, asked_at: Micros) {
+        if let Some(left_us) = told.cold_left_us
+            && self.is_in_place(told.instance.as_deref())
+        {
+            let passed = self.clock.now().saturating_sub(asked_at);
+            self.learn_cold(left_us.saturating_sub(passed));
+        }
+        if let Some(load) = told.load {
+            self.count_reading();
+            self.admit(AdmitEvent::Slowness(load.slowness_percent));
+            self.tell_slowness(core);
+        }
+    }
+
+    /// Whether an incarnation that answered is the one in place; one without a name is.
+    fn is_in_place(&self, instance: Option<&str>) -> bool {
+        let in_place = self.with_reports(|reports| {
+            let in_place = reports.in_place().map(|target| target.instance.as_str());
+            instance.is_none() || instance == in_place
+        });
+        in_place.unwrap_or(true)
+    }
+
+    /// Takes a report of the target.
+    pub fn take_report(&self, report: TargetReport) -> ReportEffect {
+        let name = |reports: &TargetReports| {
+            let in_place = reports.in_place();
+            in_place.map(|target| target.instance.clone())
         };
-        self.count_reading();
-        self.admit(AdmitEvent::Slowness(load.slowness_percent));
-        self.tell_slowness(core);
+        let reported = report.instance.clone();
+        let left_us = report.cold_ms * 1_000;
+        let taken = self.with_reports(|reports| {
+            let before = name(reports);
+            let effect = reports.take(report);
+            (effect, before, name(reports))
+        });
+        let Some((effect, before, after)) = taken else {
+            return ReportEffect::Nothing;
+        };
+        if before != after {
+            self.admit(AdmitEvent::Replaced);
+        }
+        if effect != ReportEffect::Nothing && after == Some(reported) {
+            self.learn_cold(left_us);
+        }
+        effect
+    }
+
+    /// The target told how much longer it is cold.
+    fn learn_cold(&self, left_us: Micros) {
+        let was_cold = self.is_cold();
+        self.admit(AdmitEvent::ColdTold { left_us });
+        let is_cold = self.is_cold();
+        if was_cold != is_cold {
+            log::info!(cold = is_cold, left_ms = left_us / 1_000; "target cold");
+        }
+    }
+
+    /// Whether the target is cold or may be, so that it is given few calls.
+    pub fn is_cold(&self) -> bool {
+        lock(&self.admit).is_cold(self.clock.now())
+    }
+
+    /// Whether the target is to be asked how much longer it is cold.
+    pub fn wants_cold_reading(&self) -> bool {
+        lock(&self.admit).wants_cold_reading()
     }
 
     /// Waits until held calls are to be looked at again, and says when.
-    pub async fn next_look(&self) -> Micros {
+    pub async fn next_look(&self) -> NextLook {
         loop {
             let wanted = self.look_wanted.notified();
             let next = lock(&self.admit).next_look(self.clock.now());
             match next {
-                Some(at) => return at,
+                Some(next) => return next,
                 None => wanted.await,
             }
         }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -160,7 +160,10 @@
 /// Whether an end is no failure: a busy target's call goes on to an idle one. Its lines are
 /// as many as those of successes, and must not take the place of those of failures.
 fn is_ordinary(ended: &Ended) -> bool {
-    matches!(ended, Ended::Refused(refusal) if refusal.reason == RefusalReason::Busy)
+    let Ended::Refused(refusal) = ended else {
+        return false;
+    };
+    matches!(refusal.reason, RefusalReason::Busy | RefusalReason::Cold)
 }
 
 fn count_refusal(core: &Core, reason: RefusalReason) {
@@ -168,6 +171,7 @@
         RefusalReason::Full => "full",
         RefusalReason::Busy => "busy",
         RefusalReason::TooLate => "too-late",
+        RefusalReason::Cold => "cold",
         RefusalReason::Leaving => "leaving",
         RefusalReason::TargetDown => "target-down",
         RefusalReason::Shed => "shed",
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,7 +30,7 @@
 pub use config::{Config, ConfigError, ConfigFault, RawConfig};
 pub use core::Identity;
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
-pub use dialect::{AnswerKind, Dialect, LoadHeader, TargetLoad};
+pub use dialect::{AnswerKind, Dialect, LoadHeader, NotColdTime, TargetLoad};
 pub use directory::{Directory, SettingsRow, TranslateError, TranslatedTree};
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use life::StopReport;
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -215,6 +215,7 @@
             hold_limit: 4 * deployment.slots,
             far_price_percent: 0,
             ask_price_permille: 10,
+            cold_calls_per_s: 0,
         },
         service_us: SERVICE_US,
         params: RouterParams {
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -10,6 +10,7 @@
 
 use crate::begin::{Begin, Choice, Outlook};
 use crate::chance::{Need, left_us};
+use crate::cold::ColdBound;
 use crate::elsewhere::Elsewhere;
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
@@ -46,6 +47,8 @@
     pub far_price_percent: u32,
     /// Price of asking the target for its load, in thousandths of what a call is worth.
     pub ask_price_permille: u32,
+    /// Calls that a cold target is given in any second at most; 0 for no bound.
+    pub cold_calls_per_s: u32,
 }
 
 /// What happens at a target.
@@ -86,6 +89,17 @@
     Return,
     /// The settings changed.
     SetLimits(AdmitLimits),
+    /// The daemon starts; what an earlier run of it delivered is not known.
+    Start,
+    /// Another incarnation of the target is in place.
+    Replaced,
+    /// The target told how much longer it is cold.
+    ColdTold {
+        /// That time in microseconds; 0 if it is warm.
+        left_us: Micros,
+    },
+    /// The target may have turned cold while it was given no calls.
+    ColdDoubted,
 }
 
 /// What the shell has to do.
@@ -105,6 +119,15 @@
     },
 }
 
+/// When held calls are to be looked at again though nothing happened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NextLook {
+    /// When.
+    pub at: Micros,
+    /// Whether a new reading of the target's load is of use then.
+    pub needs_reading: bool,
+}
+
 /// Looks at a target in a spell of mean length: a spell is noticed to be over within an
 /// eighth of it.
 const LOOKS_PER_SPELL: f64 = 8.0;
@@ -144,6 +167,7 @@
     slowness: Option<SlownessReading>,
     usual_slowness: UsualSlowness,
     spells: Spells,
+    cold: ColdBound,
     refused: f64,
     delivered: f64,
     counted_at: Micros,
@@ -164,6 +188,7 @@
             slowness: None,
             usual_slowness: UsualSlowness::default(),
             spells: Spells::default(),
+            cold: ColdBound::default(),
             refused: 0.0,
             delivered: 0.0,
             counted_at: 0,
@@ -179,6 +204,7 @@
                 deadline,
                 terms,
             } => {
+                self.cold.offered(now, terms.nested);
                 let held = self.hold.candidate(now, call, deadline, terms);
                 actions.extend(self.offer(now, held));
             }
@@ -195,7 +221,14 @@
             AdmitEvent::Withdraw { call } => self.hold.remove(call),
             AdmitEvent::Leave => self.leaving = true,
             AdmitEvent::Return => self.leaving = false,
-            AdmitEvent::SetLimits(limits) => self.limits = limits,
+            AdmitEvent::SetLimits(limits) => {
+                self.limits = limits;
+                self.cold.set_limit(limits.cold_calls_per_s);
+            }
+            AdmitEvent::Start => self.cold.start(now),
+            AdmitEvent::Replaced => self.cold.replace(),
+            AdmitEvent::ColdTold { left_us } => self.cold.told(now, left_us),
+            AdmitEvent::ColdDoubted => self.cold.doubt(),
         }
         self.fill(now, &mut actions);
         self.count(now, &actions);
@@ -212,7 +245,7 @@
         Figures {
             in_flight: self.in_flight.len() as u32,
             held: self.hold.len() as u32,
-            slots: self.limit(now),
+            slots: self.at_once(now),
             service_us: self.service_us,
             slowness_percent: (reading.factor * 100.0) as u32,
             slowness_age_ms: u32::try_from(age_us / 1_000).unwrap_or(u32::MAX),
@@ -243,6 +276,24 @@
         }
     }
 
+    /// Calls that the target serves at once as routers are told: of a cold target, as many as
+    /// its bound leaves.
+    fn at_once(&self, now: Micros) -> u32 {
+        let limit = self.limit(now);
+        let cold = self.cold.at_once(now, Micros::from(self.service_us));
+        cold.map_or(limit, |cold| cold.min(limit))
+    }
+
+    /// Whether the target is cold or may be.
+    pub fn is_cold(&self, now: Micros) -> bool {
+        self.cold.is_cold(now)
+    }
+
+    /// Whether the target is to be asked how much longer it is cold.
+    pub fn wants_cold_reading(&self) -> bool {
+        self.cold.wants_reading()
+    }
+
     /// Delivers, refuses, or holds the call; holding it takes no action.
     fn offer(&mut self, now: Micros, held: Held) -> Option<AdmitAction> {
         let call = held.call;
@@ -250,7 +301,12 @@
             return Some(refuse(call, RefusalReason::Leaving, LEAVING_RETRY_AFTER_US));
         }
         let wait = self.expected_wait(now, &held);
-        if self.has_free_slot(now) {
+        let has_cold_room = self.cold.has_room(now, held.terms.nested);
+        let no_room = match has_cold_room {
+            true => RefusalReason::Busy,
+            false => RefusalReason::Cold,
+        };
+        if has_cold_room && self.has_free_slot(now) {
             match self.begin(now, &held) {
                 Begin::Now => return Some(self.deliver(now, held)),
                 Begin::Elsewhere => return Some(self.send_on(now, &held)),
@@ -263,11 +319,15 @@
         }
         let finish = now + wait + self.expected_service_us(now, held.terms.kind);
         if finish > held.goal() {
-            return Some(refuse(call, RefusalReason::TooLate, self.retry_after(wait)));
+            let reason = match has_cold_room {
+                true => RefusalReason::TooLate,
+                false => RefusalReason::Cold,
+            };
+            return Some(refuse(call, reason, self.retry_after(wait)));
         }
         let can_move = held.terms.elsewhere == Elsewhere::Near && held.terms.goal.is_some();
-        if can_move && !self.has_free_slot(now) {
-            return Some(refuse(call, RefusalReason::Busy, self.retry_after(wait)));
+        if can_move && !(has_cold_room && self.has_free_slot(now)) {
+            return Some(refuse(call, no_room, self.retry_after(wait)));
         }
         self.hold.push(held);
         None
@@ -354,6 +414,7 @@
             running: self.in_flight.len() as u32 + 1,
             slowness: self.expected_slowness(now),
         };
+        self.cold.delivered(now, held.terms.nested);
         self.in_flight.insert(call, in_flight);
         AdmitAction::Deliver { call }
     }
@@ -369,11 +430,14 @@
         let limit = self.limit(now).max(1);
         let ahead = self.hold.ahead(now, held, &service_us);
         let ahead: Vec<Micros> = ahead.map(|other| service_us(other.terms.kind)).collect();
+        let room_at = self.cold.room_at(now, held.terms.nested);
+        let cold_us = (room_at - now) + self.cold.pace_us(now) * ahead.len() as Micros;
         if ahead.len() + self.in_flight.len() < limit as usize {
-            return 0;
+            return cold_us;
         }
         let ahead_us: Micros = ahead.into_iter().sum();
-        (ahead_us + Micros::from(self.service_us)) / Micros::from(limit)
+        let slot_us = (ahead_us + Micros::from(self.service_us)) / Micros::from(limit);
+        slot_us.max(cold_us)
     }
 
     /// Time that a call of a kind should take from now on if a slot is free: at once, or
@@ -388,15 +452,28 @@
         at_once.min(after_spell) as Micros
     }
 
-    /// When held calls are to be looked at again though nothing has happened, best after a
-    /// new reading: they wait for the end of a slow spell. Nothing where none does.
-    pub fn next_look(&self, now: Micros) -> Option<Micros> {
+    /// When held calls are to be looked at again though nothing has happened: they wait for
+    /// room at a cold target, or for the end of a slow spell. Nothing where none does.
+    pub fn next_look(&self, now: Micros) -> Option<NextLook> {
         if self.hold.is_empty() || !self.has_free_slot(now) {
             return None;
         }
+        let room_at = self
+            .hold
+            .any_nested()
+            .map(|nested| self.cold.room_at(now, nested));
+        if let Some(at) = room_at.filter(|at| *at > now) {
+            return Some(NextLook {
+                at,
+                needs_reading: false,
+            });
+        }
         let read_at = self.slowness.map_or(now, |reading| reading.at);
         let step_us = (self.spells.slow_us() / LOOKS_PER_SPELL) as Micros;
-        Some((read_at + step_us).max(now + LOOK_LEAST_US))
+        Some(NextLook {
+            at: (read_at + step_us).max(now + LOOK_LEAST_US),
+            needs_reading: true,
+        })
     }
 
     fn expected_slowness(&self, now: Micros) -> Option<f64> {
@@ -455,6 +532,9 @@
             if !self.has_free_slot(now) {
                 return;
             }
+            if !self.cold.has_room(now, held.terms.nested) {
+                continue;
+            }
             let action = match self.begin(now, &held) {
                 Begin::Later => continue,
                 Begin::Now => self.deliver(now, held),
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -18,6 +18,8 @@
     Busy,
     /// It could not finish before its deadline.
     TooLate,
+    /// The target is cold and was given as many calls as it bears.
+    Cold,
     /// The target takes no new calls.
     Leaving,
     /// The target could not be reached by its own daemon.
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -112,6 +112,12 @@
         self.held.is_empty()
     }
 
+    /// Whether any held call is a nested one; nothing where none is held.
+    pub fn any_nested(&self) -> Option<bool> {
+        let any = self.held.iter().any(|held| held.terms.nested);
+        (!self.held.is_empty()).then_some(any)
+    }
+
     /// Whether a call is held.
     pub fn contains(&self, call: CallId) -> bool {
         self.held.iter().any(|held| held.call == call)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod chance;
 mod chooser;
+mod cold;
 mod elsewhere;
 mod event;
 mod fair_budget;
@@ -32,11 +33,12 @@
 mod target;
 mod work;
 
-pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits};
+pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits, NextLook};
 pub use begin::{Begin, Choice, Outlook};
 pub use budget::{Budget, Cost, Limits};
 pub use chance::Need;
 pub use chooser::{ChooseParams, Chooser, Considered};
+pub use cold::ColdBound;
 pub use elsewhere::Elsewhere;
 pub use event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -46,8 +46,11 @@
 /// What a report changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportEffect {
-    /// Nothing: it is old, or says what is known.
+    /// Nothing: it is old.
     Nothing,
+    /// It is the newest of the target in place and says what is known, but for how long the
+    /// target is cold.
+    Newer,
     /// The target in place changed: another incarnation, or another state.
     Changed,
 }
@@ -127,7 +130,7 @@
         let slots = report.slots.or(target.slots);
         let same = later(was, report.state) == was && slots == target.slots;
         if same {
-            return ReportEffect::Nothing;
+            return ReportEffect::Newer;
         }
         target.slots = slots;
         target.state = later(was, report.state);
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -385,7 +385,7 @@
             RefusalReason::Leaving => {
                 self.with_target(target, |state| state.leave());
             }
-            RefusalReason::Full | RefusalReason::Shed => {
+            RefusalReason::Full | RefusalReason::Shed | RefusalReason::Cold => {
                 let until = now + refusal.retry_after_us;
                 self.with_target(target, |state| {
                     state.refused(until);
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -13,6 +13,7 @@
     hold_limit: 3,
     far_price_percent: 0,
     ask_price_permille: 10,
+    cold_calls_per_s: 0,
 };
 
 fn offer(call: u64, deadline: u64) -> AdmitEvent {
--- a/crates/policy/tests/asking.rs
+++ b/crates/policy/tests/asking.rs
@@ -26,6 +26,7 @@
         hold_limit: 48,
         far_price_percent: 20,
         ask_price_permille: 10,
+        cold_calls_per_s: 0,
     });
     for nth in 0..24 {
         let at = nth * 40 * MS;
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -177,6 +177,7 @@
     hold_limit: 8,
     far_price_percent: 20,
     ask_price_permille: 10,
+    cold_calls_per_s: 0,
 };
 
 /// An admission that has learned that calls take 100 ms, also beside three others.
@@ -356,12 +357,12 @@
         Outcome::Waits
     );
     for _ in 0..3 {
-        let look = admit.next_look(now).expect("a held call is looked at");
+        let look = admit.next_look(now).expect("a held call is looked at").at;
         assert!(look > now && look <= now + 50 * MS, "{}", look - now);
         now = look;
         assert!(admit.on(now, AdmitEvent::Slowness(500)).is_empty());
     }
-    now = admit.next_look(now).expect("it is still held");
+    now = admit.next_look(now).expect("it is still held").at;
     assert_eq!(
         delivered(&admit.on(now, AdmitEvent::Slowness(100))),
         Some(200)
@@ -379,7 +380,7 @@
     let goal = now + 2_000 * MS;
     let mut actions = admit.on(now, offer(200, now, terms(goal, 0)));
     while actions.is_empty() {
-        now = admit.next_look(now).expect("a held call is looked at");
+        now = admit.next_look(now).expect("a held call is looked at").at;
         assert!(now < goal, "it waited until its goal");
         actions = admit.on(now, AdmitEvent::Look);
     }
@@ -457,7 +458,7 @@
     let mut actions = admit.on(now, offer(200, now, movable));
     assert_eq!(outcome(&actions), Outcome::Waits);
     while actions.is_empty() {
-        now = admit.next_look(now).expect("a held call is looked at");
+        now = admit.next_look(now).expect("a held call is looked at").at;
         actions = admit.on(now, AdmitEvent::Slowness(500));
     }
     assert_eq!(outcome(&actions), Outcome::IsSentOn);
