The targets of an evacuated availability zone get no new calls

Ruled out: a mark in each member row, which costs a write for each daemon and leaves those that are cut off; the settings' own number, which such a row does not raise. Change: whoever follows the table of the settings reads the rows; for each zone the newest version counts (Evacuations). News go over every link, and a new link begins with what is known. The half leaves while its zone is evacuated; when it returns its target counts as cold until it says that it is not. Routers keep links to targets of such a zone only where there are no others. A row of an unknown zone is refused with a line.

What is lost is the zone: of jobcard's six targets three stand there.

--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::{Cost, rank};
+use lynxcleat_policy::{Candidate, Cost, TargetId, rank};
 use lynxcleat_store::{HostEntry, HostPage, HostState};
 
 use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
@@ -96,6 +96,17 @@
     }
 }
 
+/// A host as one of those that a daemon may keep links to.
+pub fn candidate(target: TargetId, entry: &HostEntry) -> Candidate {
+    Candidate {
+        target,
+        host: entry.host.clone(),
+        place: entry.place.clone(),
+        zone: entry.zone.clone(),
+        evacuated: false,
+    }
+}
+
 /// Follows the list until the daemon ends. Most polls find nothing, so a small
 /// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -15,7 +15,7 @@
 use crate::core::Core;
 
 pub use budget::{MeasureBudget, Purpose};
-pub use hosts::HostTable;
+pub use hosts::{HostTable, candidate};
 pub use load::{asks_for_load, follow as follow_load};
 pub use settings::fetch_from_peer;
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Availability zones that are evacuated, as far as is known here.
+    pub fn evacuated_zones(&self) -> Vec<String> {
+        let directory = self.directory.as_ref();
+        directory.map_or_else(Vec::new, DirectoryState::evacuated_zones)
+    }
+
     /// A number for a new call.
     pub fn new_call_id(&self) -> CallId {
         CallId(self.calls.fetch_add(1, Ordering::Relaxed))
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -9,12 +9,13 @@
 mod neighbours;
 mod publish;
 mod spread;
+mod zones;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use lynxcleat_policy::{Micros, ReportEffect, TargetReport};
+use lynxcleat_policy::{Evacuations, Micros, ReportEffect, TargetReport};
 use lynxcleat_settings::Tree;
 use lynxcleat_store::{Duty, Follower, OwnRow, RowStore, Standing, duty};
 use lynxcleat_wire::SharedKey;
@@ -28,6 +29,7 @@
 
 use neighbours::Neighbours;
 pub use spread::{send_rows, take_rows};
+pub use zones::{greet, take_zones};
 
 /// Table of the members and the key.
 const TABLE: &str = "lynxcleat";
@@ -52,7 +54,17 @@
 /// Reads the value of a settings row.
 pub type ReadSettings = Arc<dyn Fn(&[u8]) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
 
-/// The row that holds the accepted settings.
+/// Why a row evacuates no zone though its key says so.
+#[derive(Debug, Error)]
+#[error("there is no availability zone {0:?}")]
+pub struct UnknownZone(pub String);
+
+/// The availability zone that a row with this key evacuates while it is there; nothing for a
+/// row of another kind.
+pub type EvacuatedZone = Arc<dyn Fn(&str) -> Result<Option<String>, UnknownZone> + Send + Sync>;
+
+/// What operators write: the row that holds the accepted settings, and rows beside it that
+/// evacuate availability zones.
 #[derive(Clone)]
 pub struct SettingsRow {
     /// Its table.
@@ -61,6 +73,8 @@
     pub key: String,
     /// Reads its value.
     pub read: ReadSettings,
+    /// Reads the key of a row of the same table.
+    pub evacuated_zone: EvacuatedZone,
 }
 
 /// Where a daemon finds settings, key and members.
@@ -87,6 +101,7 @@
     /// this daemon's clock; the start of the daemon before that.
     heard_at: AtomicU64,
     neighbours: Neighbours,
+    evacuations: Mutex<Evacuations>,
     /// Ends a wait for changes: there is reason to think that it would bring none.
     doubted: watch::Sender<u64>,
     wanted: Notify,
@@ -104,6 +119,7 @@
             settings: Mutex::default(),
             heard_at: AtomicU64::new(0),
             neighbours: Neighbours::default(),
+            evacuations: Mutex::default(),
             own: Mutex::default(),
             doubted: watch::Sender::new(0),
             wanted: Notify::new(),
@@ -142,6 +158,11 @@
         Duration::from_micros(at.saturating_sub(before))
     }
 
+    /// Availability zones that are evacuated, as far as is known here.
+    pub fn evacuated_zones(&self) -> Vec<String> {
+        lock(&self.evacuations).evacuated()
+    }
+
     /// Something shows that the feeds may be stuck behind a connection that says
     /// nothing more, or that no peer can tell what is new: the store is asked anew.
     pub fn doubt_feeds(&self) {
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -14,7 +14,7 @@
 use lynxcleat_store::{HostEntry, HostState};
 
 use super::spread;
-use crate::control::Purpose;
+use crate::control::{Purpose, candidate};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::sync::lock;
@@ -136,12 +136,7 @@
     let candidates: Vec<Candidate> = members
         .iter()
         .enumerate()
-        .map(|(number, entry)| Candidate {
-            target: TargetId(number as u32),
-            host: entry.host.clone(),
-            place: entry.place.clone(),
-            zone: entry.zone.clone(),
-        })
+        .map(|(number, entry)| candidate(TargetId(number as u32), entry))
         .collect();
     let here = Here {
         host: &core.config.host,
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -321,6 +321,11 @@
         }
     }
 
+    /// The target was given no calls for a while and may have turned cold meanwhile.
+    pub fn doubt_warmth(&self) {
+        self.admit(AdmitEvent::ColdDoubted);
+    }
+
     /// Whether the target is cold or may be, so that it is given few calls.
     pub fn is_cold(&self) -> bool {
         lock(&self.admit).is_cold(self.clock.now())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,7 +31,9 @@
 pub use core::Identity;
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
 pub use dialect::{AnswerKind, Dialect, LoadHeader, NotColdTime, TargetLoad};
-pub use directory::{Directory, SettingsRow, TranslateError, TranslatedTree};
+pub use directory::{
+    Directory, EvacuatedZone, SettingsRow, TranslateError, TranslatedTree, UnknownZone,
+};
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use life::StopReport;
 pub use mesh::prepare_connection;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -31,6 +31,8 @@
     Target,
     /// The host list says that the host will be taken away.
     List,
+    /// An operator evacuated the availability zone.
+    Evacuation,
     /// The target has not reported that it takes calls.
     Report,
     /// An operator's tool said so at the operators' endpoint.
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -61,6 +61,7 @@
             once::spawn_guarded(core, link, ask, ticket, *call);
         }
         Frame::FetchTree { ask, limit } => send_tree(core, link, ask, limit),
+        Frame::Zones(news) => directory::take_zones(core, link, news),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows { after } => directory::send_rows(core, link, after),
         Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -11,6 +11,7 @@
 use super::link::{Link, Out};
 use super::{beat, pump};
 use crate::core::Core;
+use crate::directory;
 use crate::sync::lock;
 
 /// Why there is no link to an address.
@@ -131,6 +132,7 @@
         side: Side,
     ) -> Arc<Link> {
         let (link, queue) = self.add(core, peer, side);
+        directory::greet(core, &link);
         pump::start(core, &link, socket, queue);
         link
     }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -143,6 +143,7 @@
         Frame::Fence { .. } | Frame::Fenced { .. } => "fence",
         Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
         Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
+        Frame::Zones(_) => "zones",
         Frame::Rows(_) | Frame::AskRows { .. } => "rows",
     }
 }
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -47,6 +47,12 @@
     pub digest: Option<String>,
     /// Whether its target takes no new calls.
     pub leaving: bool,
+    /// Whether its target is cold or may be.
+    #[serde(default)]
+    pub cold: bool,
+    /// Availability zones that are evacuated, as far as it knows.
+    #[serde(default)]
+    pub evacuated_zones: Vec<String>,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Calls at its target.
@@ -131,6 +137,8 @@
         generation: core.settings.number(),
         digest: in_force.map(|in_force| in_force.generation.digest.to_string()),
         leaving: core.half.is_leaving(),
+        cold: core.half.is_cold(),
+        evacuated_zones: core.evacuated_zones(),
         stopping: core.life.phase() > Phase::Serving,
         in_flight: figures.in_flight,
         held: figures.held,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 
 use super::params::params;
-use crate::control::Purpose;
+use crate::control::{Purpose, candidate};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
 use crate::settings_state::InForce;
@@ -218,13 +218,12 @@
     /// Makes the subset of the listed targets the router's targets.
     fn refresh(self: &Arc<Self>, core: &Arc<Core>, effective: &Effective) {
         let listed = core.hosts.of_service(&self.name);
+        let evacuated = core.evacuated_zones();
         let candidates: Vec<Candidate> = listed
             .iter()
             .map(|entry| Candidate {
-                target: core.routers.id(&entry.host),
-                host: entry.host.clone(),
-                place: entry.place.clone(),
-                zone: entry.zone.clone(),
+                evacuated: evacuated.contains(&entry.zone),
+                ..candidate(core.routers.id(&entry.host), entry)
             })
             .collect();
         let here = Here {
--- a/crates/load/src/spread.rs
+++ b/crates/load/src/spread.rs
@@ -277,6 +277,7 @@
 
 fn candidates(count: usize, seed: u64) -> Vec<Candidate> {
     let one = |number: usize| Candidate {
+        evacuated: false,
         target: TargetId(number as u32),
         host: format!("host-{seed}-{number}"),
         place: format!("zone-{}", number % ZONES),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod chooser;
 mod cold;
 mod elsewhere;
+mod evacuation;
 mod event;
 mod fair_budget;
 mod figures;
@@ -40,6 +41,7 @@
 pub use chooser::{ChooseParams, Chooser, Considered};
 pub use cold::ColdBound;
 pub use elsewhere::Elsewhere;
+pub use evacuation::{Evacuations, ZoneNews};
 pub use event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -33,20 +33,23 @@
     pub place: String,
     /// Its availability zone.
     pub zone: String,
+    /// Whether its zone is evacuated, so that it is taken only where there are no others.
+    pub evacuated: bool,
 }
 
 /// The `size` targets that `here` keeps links to, nearest first.
 pub fn subset(here: Here<'_>, candidates: &[Candidate], size: usize) -> Vec<TargetId> {
-    let mut ranked: Vec<(u8, u64, TargetId)> = candidates
+    let mut ranked: Vec<(bool, u8, u64, TargetId)> = candidates
         .iter()
         .map(|candidate| {
             let weight = rendezvous(here.host, &candidate.host);
-            (distance(here, candidate), weight, candidate.target)
+            let distance = distance(here, candidate);
+            (candidate.evacuated, distance, weight, candidate.target)
         })
         .collect();
     ranked.sort_unstable();
     ranked.truncate(size);
-    ranked.into_iter().map(|(_, _, target)| target).collect()
+    ranked.into_iter().map(|(_, _, _, target)| target).collect()
 }
 
 fn distance(here: Here<'_>, candidate: &Candidate) -> u8 {
--- a/crates/policy/tests/neighbours.rs
+++ b/crates/policy/tests/neighbours.rs
@@ -8,6 +8,7 @@
 fn members(count: usize, zones: usize, seed: usize) -> Vec<Candidate> {
     (0..count)
         .map(|number| Candidate {
+            evacuated: false,
             target: TargetId(number as u32),
             host: format!("host-{seed}-{number}"),
             place: format!("zone-{}", number % zones),
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -338,6 +338,7 @@
 fn a_subset_is_nearest_first_bounded_and_different_for_each_router() {
     let candidates: Vec<Candidate> = (0..60)
         .map(|n| Candidate {
+            evacuated: false,
             target: TargetId(n),
             host: format!("host-{n}"),
             place: format!("place-{}", n % 3),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
-use lynxcleat_policy::{AttemptId, CallKind, Elsewhere, Figures, NotRunReason, Refusal};
+use lynxcleat_policy::{AttemptId, CallKind, Elsewhere, Figures, NotRunReason, Refusal, ZoneNews};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -270,6 +270,8 @@
         /// The copy.
         copy: Option<TreeCopy>,
     },
+    /// Availability zones that were evacuated, or are no more, as the sender knows.
+    Zones(Vec<ZoneNews>),
     /// Changes of the members' table that the sender knows of.
     Rows(RowsFrame),
     /// Asks for the changes of the members' table.
