Held calls are looked at again on the users' platform too

On the users' platform a call that waited for the end of a slow spell was looked at when something else happened at its target, and one that waits for room at a cold target might never be. Change: both tasks of the load are started by one function.

--- a/crates/daemon/src/control/load.rs
+++ b/crates/daemon/src/control/load.rs
@@ -27,8 +27,15 @@
 /// Looks at the silence, for each length of silence that is allowed.
 const LOOKS: u32 = 2;
 
+/// Starts both tasks: the one that asks the target now and then, and the one that looks at
+/// held calls again.
+pub fn start(core: &Arc<Core>) {
+    tokio::spawn(follow(Arc::clone(core)));
+    tokio::spawn(follow_held(Arc::clone(core)));
+}
+
 /// Asks the target now and then, until the daemon ends.
-pub async fn follow(core: Arc<Core>) {
+async fn follow(core: Arc<Core>) {
     loop {
         let pause = match wanted(&core) {
             Some((path, silence)) => {
@@ -44,7 +51,7 @@
 /// Looks at held calls again whenever their admission wants that, until the daemon ends.
 /// The target is asked for its load first; where that may not be or brings nothing, the
 /// admission goes by what it knows.
-pub async fn follow_held(core: Arc<Core>) {
+async fn follow_held(core: Arc<Core>) {
     loop {
         let next = core.half.next_look().await;
         tokio::time::sleep_until(core.clock.instant(next.at)).await;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -16,7 +16,7 @@
 
 pub use budget::{MeasureBudget, Purpose};
 pub use hosts::{HostTable, candidate};
-pub use load::{asks_for_load, follow as follow_load};
+pub use load::{asks_for_load, start as start_load};
 pub use settings::fetch_from_peer;
 
 /// Part of an interval by which it varies, so that daemons do not poll in step.
@@ -32,8 +32,7 @@
     tokio::spawn(settings::follow(Arc::clone(core)));
     tokio::spawn(hosts::follow(Arc::clone(core)));
     tokio::spawn(health::follow(Arc::clone(core)));
-    tokio::spawn(load::follow(Arc::clone(core)));
-    tokio::spawn(load::follow_held(Arc::clone(core)));
+    load::start(core);
 }
 
 /// An interval of polls in milliseconds: the configured one, or a longer one where
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -213,7 +213,7 @@
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(neighbours::keep(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
-    tokio::spawn(control::follow_load(Arc::clone(core)));
+    control::start_load(core);
 }
 
 /// Takes a report of the target. Returns when what must last of it is in the
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -9,7 +9,7 @@
         zone: format!("zone-{zone}"),
         version,
         // A version stands for one change, which is the same wherever it is heard.
-        evacuated: version % 3 != 0,
+        evacuated: !version.is_multiple_of(3),
     }
 }
 
