A silent link is given up after 150 ms, and others are tried at once

Cause: connections that fall silent for good were given up after a second without acknowledgement, which is the whole deadline of many calls; and each was found out by the calls that were sent on it. Ruled out: a message that acknowledges each call, since bytes between zones have a price and TCP acknowledges already; a limit of 75 ms, which measured no better. Change: the limit is 150 ms towards a peer and doubles with each loss for silence, up to the second of before (SilenceLimit). The first such loss at a daemon has all its links sent something, so that those that are silent are found out before calls are, and its idle connections to the target dropped.

--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Closes all idle connections: there is reason to think that they are silent.
+    pub fn drop_idle(&self) {
+        lock(&self.idle).clear();
+    }
+
     /// Closes idle connections that have grown old.
     pub fn drop_old(&self) {
         lock(&self.idle).retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -18,9 +18,8 @@
 /// Longest time from a connection to its proof.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
 
-/// Time for which sent bytes may stay unacknowledged. A host without power or behind a cut
-/// says nothing, and calls sent there wait; five times the least pause before TCP sends
-/// again, so that a link that loses packets is kept.
+/// Time for which sent bytes may stay unacknowledged until the peer is known; then it
+/// follows from [`lynxcleat_policy::SilenceLimit`].
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Bytes of a link's read and write buffers. They grow for larger messages; small
@@ -95,6 +94,14 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
 
+/// Sets how long a link may leave sent bytes unacknowledged.
+pub(super) fn limit_silence(socket: &Socket, limit: Duration) {
+    let stream = SockRef::from(socket.get_ref());
+    if let Err(error) = stream.set_tcp_user_timeout(Some(limit)) {
+        log::debug!("TCP_USER_TIMEOUT: {error}");
+    }
+}
+
 /// Opens a link's connection and proves both sides.
 pub(super) async fn dial(core: &Core, mesh: &str) -> Result<(Socket, Hello), HandshakeError> {
     within_limit(async {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use lynxcleat_policy::{Micros, SilenceLimit};
 use lynxcleat_wire::{Frame, Hello, Side};
 use thiserror::Error;
 
@@ -24,6 +26,18 @@
     pub error: HandshakeError,
 }
 
+/// Least time between two trials of all links.
+const TRY_PAUSE_US: Micros = 500_000;
+
+fn links_limit_us(
+    silence: &Mutex<HashMap<String, SilenceLimit>>,
+    mesh: &str,
+    now: Micros,
+) -> Micros {
+    let known = lock(silence).get(mesh).copied();
+    known.unwrap_or_default().limit_us(now)
+}
+
 /// The links of one daemon.
 #[derive(Default)]
 pub struct Links {
@@ -33,6 +47,10 @@
     all: Mutex<HashMap<u64, Arc<Link>>>,
     dialed: Mutex<HashMap<String, Arc<Link>>>,
     dialing: Mutex<HashMap<String, Arc<tokio::sync::Mutex<()>>>>,
+    /// By address, for peers to which a link was lost for silence.
+    silence: Mutex<HashMap<String, SilenceLimit>>,
+    /// When all links were tried last for want of word from one.
+    tried_at: AtomicU64,
 }
 
 impl Links {
@@ -132,11 +150,31 @@
         side: Side,
     ) -> Arc<Link> {
         let (link, queue) = self.add(core, peer, side);
+        let limit_us = links_limit_us(&self.silence, &link.peer.mesh, core.clock.now());
+        handshake::limit_silence(&socket, Duration::from_micros(limit_us));
         directory::greet(core, &link);
         pump::start(core, &link, socket, queue);
         link
     }
 
+    /// A link was lost since its peer acknowledged nothing. What silenced it may have silenced
+    /// others at the same moment, so each of them is sent something: those that are silent
+    /// are found out before calls are sent on them.
+    pub(super) fn lost_for_silence(&self, core: &Core, link: &Link) {
+        let now = core.clock.now();
+        let mesh = link.peer.mesh.clone();
+        lock(&self.silence).entry(mesh).or_default().lost(now);
+        core.metrics.links_silent.inc();
+        let tried_at = self.tried_at.load(Ordering::Relaxed);
+        if now < tried_at + TRY_PAUSE_US {
+            return;
+        }
+        self.tried_at.store(now, Ordering::Relaxed);
+        log::info!(peer = link.peer.host.as_str(); "connections doubted");
+        self.announce(&Frame::Beat);
+        core.half.pool.drop_idle();
+    }
+
     /// Forgets a link that is lost.
     pub(super) fn remove(&self, core: &Core, link: &Arc<Link>) {
         link.close();
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -1,5 +1,6 @@
 //! The two tasks of a link: one writes what is queued, one reads what comes.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 use futures_util::stream::{SplitSink, SplitStream};
@@ -25,6 +26,16 @@
     NotBinary,
 }
 
+impl PumpError {
+    /// Whether the other side acknowledged nothing for too long.
+    fn is_silence(&self) -> bool {
+        let PumpError::Socket(error) = self else {
+            return false;
+        };
+        matches!(error.as_ref(), tungstenite::Error::Io(error) if error.kind() == ErrorKind::TimedOut)
+    }
+}
+
 /// Starts the tasks of a link over a web socket.
 pub(super) fn start(
     core: &Arc<Core>,
@@ -38,6 +49,9 @@
     tokio::spawn(async move {
         let (core, link) = writing;
         if let Err(error) = write(&core, &link, sink, queue).await {
+            if error.is_silence() {
+                core.links.lost_for_silence(&core, &link);
+            }
             log::debug!(peer = link.peer.host.as_str(); "link write: {error}");
         }
         core.links.remove(&core, &link);
@@ -47,6 +61,9 @@
     tokio::spawn(async move {
         let (core, link) = reading;
         if let Err(error) = read(&core, &link, stream).await {
+            if error.is_silence() {
+                core.links.lost_for_silence(&core, &link);
+            }
             log::info!(peer = link.peer.host.as_str(); "link lost: {error}");
         }
         core.links.remove(&core, &link);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -47,6 +47,7 @@
     pub dropped_answers: Kinds,
     pub links: Gauge,
     pub links_refused: Kinds,
+    pub links_silent: Counter,
     pub mesh_frames: Kinds,
     pub mesh_bytes: Kinds,
     pub in_flight: Gauge,
@@ -76,6 +77,7 @@
             dropped_answers: Family::default(),
             links: Gauge::default(),
             links_refused: Family::default(),
+            links_silent: Counter::default(),
             mesh_frames: Family::default(),
             mesh_bytes: Family::default(),
             in_flight: Gauge::default(),
@@ -110,6 +112,7 @@
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
+        registry.register("links_silent", "Links lost since the other side acknowledged nothing", self.links_silent.clone());
         registry.register("mesh_frames", "Messages sent to other daemons", self.mesh_frames.clone());
         registry.register("mesh_bytes", "Bytes sent to other daemons", self.mesh_bytes.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry;
 mod router;
 mod sample;
+mod silence;
 mod slowness;
 mod spell;
 mod subset;
@@ -58,6 +59,7 @@
 pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
 pub use router::{Router, RouterParams};
 pub use sample::{SampleRates, Sampler};
+pub use silence::SilenceLimit;
 pub use slowness::{LikelySlowness, SlownessReading, UsualSlowness};
 pub use spell::Spells;
 pub use subset::{Candidate, Here, subset};
