Calls pass over targets whose link may be silent

Cause: of 200 lookups that failed after two lost links the second link was as silent as the first, and would have been found out a little later. Change: when a link is lost for silence, the others count as doubted until something comes back on them, and their targets are passed over while another is open.

--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use lynxcleat_policy::{AttemptId, Figures, Micros, Refusal, Settlement};
 use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, Side};
@@ -83,6 +83,8 @@
     out: flume::Sender<Out>,
     pending: Mutex<Pending>,
     heard_at: AtomicU64,
+    /// Whether it may be silent: nothing was heard since there was reason to think so.
+    doubted: AtomicBool,
     /// Newest generation of settings that the other side told.
     generation: AtomicU64,
     closed: watch::Sender<bool>,
@@ -103,6 +105,7 @@
             out,
             pending: Mutex::default(),
             heard_at: AtomicU64::new(now),
+            doubted: AtomicBool::new(false),
             generation: AtomicU64::new(0),
             closed: watch::Sender::new(false),
         };
@@ -206,8 +209,15 @@
         self.generation.fetch_max(generation, Ordering::Relaxed);
     }
 
-    pub(super) fn heard(&self, now: Micros) {
+    /// Something arrived. Returns whether that ends a doubt.
+    pub(super) fn heard(&self, now: Micros) -> bool {
         self.heard_at.store(now, Ordering::Relaxed);
+        self.doubted.swap(false, Ordering::Relaxed)
+    }
+
+    /// The link may be silent.
+    pub(super) fn doubt(&self) {
+        self.doubted.store(true, Ordering::Relaxed);
     }
 
     pub(super) fn heard_at(&self) -> Micros {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -171,10 +171,25 @@
         }
         self.tried_at.store(now, Ordering::Relaxed);
         log::info!(peer = link.peer.host.as_str(); "connections doubted");
-        self.announce(&Frame::Beat);
+        for link in self.all() {
+            self.doubt(core, &link);
+        }
         core.half.pool.drop_idle();
     }
 
+    /// Sends something on a link that may be silent, and has calls go elsewhere until
+    /// something comes back on it. An acceptor's end carries no calls of this daemon.
+    fn doubt(&self, core: &Core, link: &Link) {
+        if link.peer.host == core.config.host {
+            return;
+        }
+        if link.is_dialer() {
+            link.doubt();
+            core.routers.doubted(core, &link.peer.host, true);
+        }
+        let _ = link.send(Frame::Beat);
+    }
+
     /// Forgets a link that is lost.
     pub(super) fn remove(&self, core: &Core, link: &Arc<Link>) {
         link.close();
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -130,7 +130,9 @@
             message = stream.next() => message,
             () = link.closed() => return Ok(()),
         };
-        link.heard(core.clock.now());
+        if link.heard(core.clock.now()) {
+            core.routers.doubted(core, &link.peer.host, false);
+        }
         match message {
             Some(Ok(Message::Binary(bytes))) => {
                 let envelope = decode(&bytes)?;
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// The link to a daemon may be silent, or was heard from since.
+    pub fn doubted(&self, core: &Core, host: &str, doubted: bool) {
+        let Some(target) = lock(&self.ids).get(host).copied() else {
+            return;
+        };
+        for service in self.all() {
+            service.feed(core, Event::TargetDoubted { target, doubted });
+        }
+    }
+
     /// A daemon tells the load of its target.
     pub fn load(&self, core: &Core, host: &str, figures: Figures) {
         let Some(target) = lock(&self.ids).get(host).copied() else {
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -93,6 +93,8 @@
     works: Works,
     next: usize,
     picks: u64,
+    /// Whether targets whose link may be silent are passed over: some other is open.
+    passes_over_doubted: bool,
     rng: SmallRng,
 }
 
@@ -109,6 +111,7 @@
             works: Works::default(),
             next: 0,
             picks: 0,
+            passes_over_doubted: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -224,6 +227,7 @@
     ) -> Option<TargetId> {
         let tried = wanted.tried;
         considered.clear();
+        self.passes_over_doubted = self.any_undoubted(now, tried);
         if let Some(trial) = self.due_trial(now, tried) {
             self.picks += 1;
             self.states.get_mut(&trial)?.sent(self.picks);
@@ -269,7 +273,21 @@
     }
 
     fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
-        !tried.contains(&target) && self.states[&target].available(now)
+        let state = &self.states[&target];
+        let is_passed_over = self.passes_over_doubted && state.is_doubted();
+        !is_passed_over && !tried.contains(&target) && state.available(now)
+    }
+
+    /// Whether an open target is linked to beyond doubt, while others are not.
+    fn any_undoubted(&self, now: Micros, tried: &[TargetId]) -> bool {
+        let mut states = self
+            .order
+            .iter()
+            .map(|target| (target, &self.states[target]));
+        let is_sure = |(target, state): (&TargetId, &TargetState)| {
+            !state.is_doubted() && !tried.contains(target) && state.available(now)
+        };
+        states.clone().any(|(_, state)| state.is_doubted()) && states.any(is_sure)
     }
 
     fn open(&self, now: Micros, tried: &[TargetId]) -> Vec<TargetId> {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -195,6 +195,13 @@
         /// The target.
         target: TargetId,
     },
+    /// The link to a target's daemon may be silent, or was heard from since.
+    TargetDoubted {
+        /// The target.
+        target: TargetId,
+        /// Whether it may be silent.
+        doubted: bool,
+    },
     /// The link to a target's daemon was made or lost.
     TargetLinked {
         /// The target.
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -193,6 +193,9 @@
             Event::TargetLinked { target, linked } => {
                 self.target_event(target, |state| state.set_linked(linked))
             }
+            Event::TargetDoubted { target, doubted } => {
+                self.target_event(target, |state| state.set_doubted(doubted))
+            }
             Event::TargetReplaced { target } => {
                 self.target_event(target, |state| state.replaced(now))
             }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -64,6 +64,7 @@
     refused_until: Micros,
     slowness: Option<SlownessReading>,
     far: bool,
+    doubted: bool,
 }
 
 /// What is usual among the targets of a service: what to expect of one that has
@@ -127,6 +128,7 @@
             refused_until: 0,
             slowness: None,
             far: false,
+            doubted: false,
         }
     }
 
@@ -151,6 +153,17 @@
     /// chosen, so no call waits for a connection to be made.
     pub fn set_linked(&mut self, linked: bool) {
         self.linked = linked;
+        self.doubted = false;
+    }
+
+    /// Whether the link to its daemon may be silent.
+    pub fn is_doubted(&self) -> bool {
+        self.doubted
+    }
+
+    /// There is reason to think that the link to its daemon is silent, or it was heard from.
+    pub fn set_doubted(&mut self, doubted: bool) {
+        self.doubted = doubted;
     }
 
     /// Its daemon is another incarnation: what was known of the old is void.
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -386,3 +386,38 @@
     }
     assert!(used > 20, "{used} of 400");
 }
+
+#[test]
+fn a_target_whose_link_may_be_silent_is_passed_over_while_there_is_another() {
+    let mut router = router(3);
+    let doubt = |router: &mut Router, target, doubted| {
+        let target = TargetId(target);
+        router.on(0, Event::TargetDoubted { target, doubted });
+    };
+    doubt(&mut router, 0, true);
+    doubt(&mut router, 1, true);
+    for call in 1..=20 {
+        let (attempt, target) = sent(&arrive(&mut router, CallId(call), false));
+        assert_eq!(target, TargetId(2));
+        router.on(0, answered(attempt, Source::Served));
+    }
+    let (attempt, _) = sent(&arrive(&mut router, CallId(30), false));
+    let again = router.on(0, Event::LinkLost { attempt });
+    assert!(
+        sent(&again).1 != TargetId(2),
+        "the others are better than none"
+    );
+    doubt(&mut router, 0, false);
+    doubt(&mut router, 2, true);
+    assert_eq!(sent(&arrive(&mut router, CallId(31), false)).1, TargetId(0));
+    router.on(
+        0,
+        Event::TargetLinked {
+            target: TargetId(1),
+            linked: true,
+        },
+    );
+    let targets = (40..80).map(|call| sent(&arrive(&mut router, CallId(call), false)).1);
+    let targets: std::collections::BTreeSet<u32> = targets.map(|target| target.0).collect();
+    assert_eq!(targets, [0, 1].into(), "a new link is beyond doubt");
+}
