Links are made again at once while few targets of a service are linked to

Cause: after a moment in which most connections fell silent, 297 of 1,400 calls were refused since no target was linked to: making links again asked the measuring budget, which grants five a second. Change: while fewer than half of a service's targets are linked to, making a link is part of serving its calls, as the first one is, and asks no budget; the pauses stay.

--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -5,7 +5,7 @@
 //! waits for a connection.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use log::Level;
@@ -33,6 +33,9 @@
     bytes: 2_000,
     cpu_us: 500,
 };
+/// Part of a service's targets, as a divisor, that have to be linked to: while fewer are,
+/// links are made again without asking the measuring budget.
+const SHORT_PART: usize = 2;
 /// Path times assumed before any was seen, by distance, in microseconds.
 const PATH_SAME_PLACE_US: f64 = 300.0;
 const PATH_OTHER_PLACE_US: f64 = 2_500.0;
@@ -293,7 +296,7 @@
 
     /// Starts the keeper of one target's link.
     fn keep(self: &Arc<Self>, core: &Arc<Core>, target: TargetId, entry: HostEntry) -> Peer {
-        let service = Arc::downgrade(self);
+        let weak = Arc::downgrade(self);
         let core = Arc::clone(core);
         let mesh = entry.mesh.clone();
         let host = entry.host.clone();
@@ -303,7 +306,7 @@
             let mut is_told = false;
             loop {
                 let dialed = Links::dial(&core, &mesh).await;
-                let Some(service) = service.upgrade() else {
+                let Some(service) = weak.upgrade() else {
                     return;
                 };
                 let ended = match dialed {
@@ -329,7 +332,7 @@
                 };
                 drop(service);
                 pause(&mut redial, ended).await;
-                while !core.budget.ask(Purpose::Redial, REDIAL) {
+                while !is_short(&weak) && !core.budget.ask(Purpose::Redial, REDIAL) {
                     pause(&mut redial, RedialEvent::Refused).await;
                 }
             }
@@ -396,6 +399,16 @@
     }
 }
 
+/// Whether so few links of a service stand that making another is part of serving its calls.
+fn is_short(service: &Weak<ServiceRouter>) -> bool {
+    let Some(service) = service.upgrade() else {
+        return false;
+    };
+    let peers = lock(&service.peers);
+    let linked = peers.values().filter(|peer| peer.link.is_some()).count();
+    linked * SHORT_PART < peers.len()
+}
+
 async fn pause(redial: &mut Redial, event: RedialEvent) {
     tokio::time::sleep(Duration::from_micros(redial.on(event))).await;
 }
