A report that was held back displaces no target that stands

Cause: of two incarnations that report, the one heard last took the place, and the other counted as ended for good. After a restart of the daemon a heartbeat that was held back until its sender had crashed locked out the target that stood there. Ruled out: numbers, which count for each incarnation alone; the member row, which may be of either. Change: a report of another incarnation than the open one has the target asked who it is, and that decides. Without an answer the newcomer takes the place, and the other may come back.

--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -221,7 +221,7 @@
 pub async fn report(core: &Core, report: TargetReport) {
     let instance = report.instance.clone();
     let state = report.state;
-    let taken = core.half.take_report(report);
+    let taken = core.half.take_report(core, report).await;
     if taken != ReportEffect::Changed {
         return;
     }
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -46,6 +46,9 @@
 };
 /// Time for which a target that does not tell its load is not asked again.
 const ASK_PAUSE_US: u64 = 10_000_000;
+/// Longest time for the answer to the question which incarnation the target is; its report
+/// waits for that, and reports are answered within a second.
+const INSTANCE_LIMIT: Duration = Duration::from_millis(400);
 /// Number of readings of a target that tells no load: there is nothing to learn of it.
 const TELLS_NO_LOAD: u32 = u32::MAX;
 /// Bytes of a message that tells a load, with its frame and TCP's own.
@@ -286,31 +289,57 @@
         in_place.unwrap_or(true)
     }
 
-    /// Takes a report of the target.
-    pub fn take_report(&self, report: TargetReport) -> ReportEffect {
+    /// Takes a report of the target. Where it is of another incarnation than the one in
+    /// place, the target is asked which one it is.
+    pub async fn take_report(&self, core: &Core, report: TargetReport) -> ReportEffect {
+        let reported = report.instance.clone();
+        let left_us = report.cold_ms * 1_000;
+        let mut effect = self.change_reports(|reports| reports.take(report));
+        if effect == ReportEffect::Rival {
+            let at_address = self.ask_instance(core).await;
+            log::info!(reported = reported.as_str(), at_address:? = at_address; "another target reported");
+            effect = self.change_reports(|reports| reports.settle_rival(at_address.as_deref()));
+        }
+        if effect != ReportEffect::Nothing && self.is_in_place(Some(&reported)) {
+            self.learn_cold(left_us);
+        }
+        effect
+    }
+
+    /// Changes what is known of the reports; another incarnation in place starts anew.
+    fn change_reports(
+        &self,
+        change: impl FnOnce(&mut TargetReports) -> ReportEffect,
+    ) -> ReportEffect {
         let name = |reports: &TargetReports| {
             let in_place = reports.in_place();
             in_place.map(|target| target.instance.clone())
         };
-        let reported = report.instance.clone();
-        let left_us = report.cold_ms * 1_000;
-        let taken = self.with_reports(|reports| {
+        let changed = self.with_reports(|reports| {
             let before = name(reports);
-            let effect = reports.take(report);
-            (effect, before, name(reports))
+            let effect = change(reports);
+            (effect, before != name(reports))
         });
-        let Some((effect, before, after)) = taken else {
+        let Some((effect, is_other)) = changed else {
             return ReportEffect::Nothing;
         };
-        if before != after {
+        if is_other {
             self.admit(AdmitEvent::Replaced);
         }
-        if effect != ReportEffect::Nothing && after == Some(reported) {
-            self.learn_cold(left_us);
-        }
         effect
     }
 
+    /// Which incarnation stands at the target's address, as it says itself.
+    async fn ask_instance(&self, core: &Core) -> Option<String> {
+        let settings = self.settings()?;
+        if settings.load_path.is_empty() {
+            return None;
+        }
+        let asked = self.pool.ask_load(&core.dialect, &settings.load_path);
+        let told = tokio::time::timeout(INSTANCE_LIMIT, asked).await;
+        told.ok().flatten()?.instance
+    }
+
     /// The target told how much longer it is cold.
     fn learn_cold(&self, left_us: Micros) {
         let was_cold = self.is_cold();
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -6,6 +6,10 @@
 //! draining and gone are final for an incarnation; and an incarnation that was
 //! replaced by a later one never comes back. A daemon that has heard nothing
 //! since its own start gives its target no calls.
+//!
+//! Which of two incarnations is the later one, their reports do not tell: one that was held
+//! back on its way can arrive when its sender is gone and another is in place. So a report of
+//! another incarnation than the one in place has the target at the address asked who it is.
 
 use std::collections::HashMap;
 
@@ -53,6 +57,9 @@
     Newer,
     /// The target in place changed: another incarnation, or another state.
     Changed,
+    /// Another incarnation than the one in place says that it is ready; see
+    /// [`TargetReports::settle_rival`].
+    Rival,
 }
 
 /// The target that is in place.
@@ -73,6 +80,8 @@
 #[derive(Debug, Default)]
 pub struct TargetReports {
     in_place: Option<InPlace>,
+    /// Report of another incarnation, until it is known which one stands at the address.
+    rival: Option<TargetReport>,
     ended: HashMap<String, ReportedState>,
 }
 
@@ -151,9 +160,41 @@
             self.remember_ended(&report.instance, report.state);
             return ReportEffect::Nothing;
         }
+        if self.open().is_some() {
+            self.rival = Some(report);
+            return ReportEffect::Rival;
+        }
         if let Some(before) = self.in_place.take() {
             self.remember_ended(&before.instance, ReportedState::Gone);
         }
+        self.place(report, ended)
+    }
+
+    /// The target at the address said which incarnation it is, or gave no answer; that
+    /// decides whether the one whose report came last takes the place. Without an answer it
+    /// does, since the one in place does not show that it is there, but the latter may come
+    /// back.
+    pub fn settle_rival(&mut self, at_address: Option<&str>) -> ReportEffect {
+        let Some(rival) = self.rival.take() else {
+            return ReportEffect::Nothing;
+        };
+        if at_address.is_some_and(|instance| instance != rival.instance) {
+            return ReportEffect::Nothing;
+        }
+        let ended = self.ended.get(&rival.instance).copied();
+        if ended.is_some() {
+            return ReportEffect::Nothing;
+        }
+        if let Some(before) = self.in_place.take()
+            && at_address.is_some()
+        {
+            self.remember_ended(&before.instance, ReportedState::Gone);
+        }
+        self.place(rival, None)
+    }
+
+    /// Puts the sender of a report in place.
+    fn place(&mut self, report: TargetReport, ended: Option<ReportedState>) -> ReportEffect {
         let state = ended.map_or(report.state, |ended| later(ended, report.state));
         if state != ReportedState::Ready {
             self.remember_ended(&report.instance, state);
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -41,10 +41,61 @@
     }
     reports.take(report(2, ReportedState::Ready, Some(1)));
     assert_eq!(open(&reports), Some("i-2"));
-    reports.take(report(1, ReportedState::Ready, Some(91)));
+    assert_eq!(
+        reports.take(report(1, ReportedState::Ready, Some(91))),
+        ReportEffect::Nothing
+    );
     assert_eq!(open(&reports), Some("i-2"), "the old one never comes back");
 }
 
+#[rstest]
+#[case::the_new_one_first([2, 1])]
+#[case::the_old_one_first([1, 2])]
+fn a_report_that_was_held_back_does_not_displace_who_stands_there(#[case] order: [u8; 2]) {
+    // After a restart of the daemon nothing else is known of either.
+    let mut reports = TargetReports::default();
+    for sequence in 0..4 {
+        for instance in order {
+            let number = sequence + u64::from(instance) * 10;
+            let taken = reports.take(report(instance, ReportedState::Ready, Some(number)));
+            if taken == ReportEffect::Rival {
+                reports.settle_rival(Some("i-2"));
+            }
+        }
+        assert_eq!(open(&reports), Some("i-2"), "{sequence}");
+    }
+}
+
+#[test]
+fn without_an_answer_the_newcomer_takes_the_place_and_the_other_may_come_back() {
+    let mut reports = TargetReports::default();
+    reports.take(report(1, ReportedState::Ready, Some(1)));
+    let taken = reports.take(report(2, ReportedState::Ready, Some(1)));
+    assert_eq!(taken, ReportEffect::Rival);
+    assert_eq!(open(&reports), Some("i-1"), "until it is asked");
+    assert_eq!(reports.settle_rival(None), ReportEffect::Changed);
+    assert_eq!(open(&reports), Some("i-2"));
+    reports.take(report(1, ReportedState::Ready, Some(2)));
+    assert_eq!(reports.settle_rival(Some("i-1")), ReportEffect::Changed);
+    assert_eq!(open(&reports), Some("i-1"));
+    assert_eq!(
+        reports.take(report(2, ReportedState::Ready, Some(2))),
+        ReportEffect::Nothing,
+        "it was seen not to stand there any more"
+    );
+    assert_eq!(reports.settle_rival(Some("i-1")), ReportEffect::Nothing);
+}
+
+#[test]
+fn a_rival_that_ended_meanwhile_takes_no_place() {
+    let mut reports = TargetReports::default();
+    reports.take(report(1, ReportedState::Ready, Some(1)));
+    reports.take(report(2, ReportedState::Ready, Some(1)));
+    reports.take(report(2, ReportedState::Gone, None));
+    assert_eq!(reports.settle_rival(Some("i-2")), ReportEffect::Nothing);
+    assert_eq!(open(&reports), Some("i-1"));
+}
+
 #[test]
 fn a_mark_left_by_an_earlier_run_holds_whichever_comes_first() {
     let mut marked_first = TargetReports::default();
@@ -72,7 +123,13 @@
         for (instance, kind, sequence) in steps {
             let before = open(&reports).map(str::to_owned);
             match kind {
-                0 | 1 => drop(reports.take(report(instance, ReportedState::Ready, Some(sequence)))),
+                0 | 1 => {
+                    let taken = reports.take(report(instance, ReportedState::Ready, Some(sequence)));
+                    if taken == ReportEffect::Rival {
+                        // It stands at the address.
+                        reports.settle_rival(Some(&format!("i-{instance}")));
+                    }
+                }
                 2 => drop(reports.take(report(instance, ReportedState::Gone, None))),
                 _ => drop(reports.mark_replaced(&format!("i-{instance}"))),
             }
