A call counts against a cold target's bound from when it is sent

Calls were counted when they were let through; a daemon that starts has little processor time, and sent a second's first calls up to 0.2 s later, closer to the next second's. Change: a call takes room when it is let through and counts from when it is sent.

--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -62,9 +62,14 @@
 type HttpRequest = hyper::Request<Full<Bytes>>;
 
 impl Pool {
-    /// Writes a request and reads the whole answer. If the future is dropped,
-    /// the connection is closed.
-    pub(super) async fn exchange(&self, dialect: &Dialect, request: Request) -> Exchange {
+    /// Writes a request and reads the whole answer; `sends` hears when it is written. If the
+    /// future is dropped, the connection is closed.
+    pub(super) async fn exchange(
+        &self,
+        dialect: &Dialect,
+        request: Request,
+        sends: impl Fn(),
+    ) -> Exchange {
         let body_limit = request.body_limit;
         let is_head = request.head.method == "HEAD";
         let call = request.call.clone();
@@ -79,6 +84,7 @@
                     return Exchange::NotWritten;
                 }
             };
+            sends();
             match sender.try_send_request(http).await {
                 Ok(response) => {
                     if answers_another(dialect, &response, &call) {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -373,7 +373,8 @@
             None => self.deadline,
         };
         let over = tokio::time::sleep_until(self.core.clock.instant(wait_us));
-        let exchange = self.half.pool.exchange(&self.core.dialect, request);
+        let sends = || self.half.admit(AdmitEvent::Sent { call: self.id });
+        let exchange = self.half.pool.exchange(&self.core.dialect, request, sends);
         if op.is_some() {
             return tokio::select! {
                 exchange = exchange => exchange,
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -63,6 +63,11 @@
         /// What else it asks for.
         terms: CallTerms,
     },
+    /// A delivered call is sent to the target now.
+    Sent {
+        /// The call.
+        call: CallId,
+    },
     /// A delivered call ended.
     Done {
         /// The call.
@@ -151,6 +156,8 @@
     running: u32,
     /// Slowness known when it was delivered.
     slowness: Option<f64>,
+    nested: bool,
+    sent: bool,
 }
 
 /// Admission of one target.
@@ -208,6 +215,7 @@
                 let held = self.hold.candidate(now, call, deadline, terms);
                 actions.extend(self.offer(now, held));
             }
+            AdmitEvent::Sent { call } => self.sent(now, call),
             AdmitEvent::Done {
                 call,
                 service_us,
@@ -413,8 +421,10 @@
             kind: held.terms.kind,
             running: self.in_flight.len() as u32 + 1,
             slowness: self.expected_slowness(now),
+            nested: held.terms.nested,
+            sent: false,
         };
-        self.cold.delivered(now, held.terms.nested);
+        self.cold.let_through(held.terms.nested);
         self.in_flight.insert(call, in_flight);
         AdmitAction::Deliver { call }
     }
@@ -546,6 +556,15 @@
         }
     }
 
+    fn sent(&mut self, now: Micros, call: CallId) {
+        let Some(delivered) = self.in_flight.get_mut(&call) else {
+            return;
+        };
+        if !std::mem::replace(&mut delivered.sent, true) {
+            self.cold.sent(now, delivered.nested);
+        }
+    }
+
     fn done(
         &mut self,
         now: Micros,
@@ -554,6 +573,9 @@
         slowness_percent: Option<u32>,
     ) {
         let ended = self.in_flight.remove(&call);
+        if let Some(unsent) = ended.filter(|ended| !ended.sent) {
+            self.cold.not_sent(unsent.nested);
+        }
         let factor = slowness_percent.map(|percent| self.learn_slowness(now, percent));
         let Some(service_us) = service_us else { return };
         self.learn_service(now, service_us);
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -5,7 +5,8 @@
 //! in every second, however a second is laid, so the deliveries of the last one are kept,
 //! also while the target is warm: it may have turned cold under them. Within that second
 //! callers' calls are spread evenly, since a call that came after a burst would find the
-//! bound used up for longer than it can wait. Room is kept for nested calls: another call
+//! bound used up for longer than it can wait. A call counts from when it is sent, and takes
+//! room already when it is let through: a busy daemon may send it later. Room is kept for nested calls: another call
 //! has done its work already and fails without them.
 
 use std::collections::VecDeque;
@@ -43,6 +44,9 @@
     nested_offers: Recent,
     /// Callers' calls among the deliveries.
     callers: Recent,
+    /// Calls that were let through and are not sent yet, callers' calls and all.
+    unsent_callers: u32,
+    unsent: u32,
     /// Until then the deliveries of an earlier run of the daemon may count.
     past_unknown_until: Micros,
     /// Deliveries since the target told for how long it is cold.
@@ -57,6 +61,8 @@
             delivered: Recent::default(),
             nested_offers: Recent::default(),
             callers: Recent::default(),
+            unsent_callers: 0,
+            unsent: 0,
             past_unknown_until: 0,
             since_told: 0,
         }
@@ -80,6 +86,8 @@
     pub fn replace(&mut self) {
         *self = ColdBound {
             calls_per_s: self.calls_per_s,
+            unsent_callers: self.unsent_callers,
+            unsent: self.unsent,
             ..ColdBound::default()
         };
     }
@@ -119,18 +127,31 @@
         }
     }
 
-    /// A call was delivered.
-    pub fn delivered(&mut self, now: Micros, nested: bool) {
+    /// A call is let through.
+    pub fn let_through(&mut self, nested: bool) {
+        self.since_told = self.since_told.saturating_add(1);
+        self.unsent += 1;
+        self.unsent_callers += u32::from(!nested);
+    }
+
+    /// A call that was let through is sent.
+    pub fn sent(&mut self, now: Micros, nested: bool) {
+        self.not_sent(nested);
         if self.calls_per_s == 0 {
             return;
         }
-        self.since_told = self.since_told.saturating_add(1);
         self.delivered.push(now);
         if !nested {
             self.callers.push(now);
         }
     }
 
+    /// A call that was let through is not sent any more.
+    pub fn not_sent(&mut self, nested: bool) {
+        self.unsent = self.unsent.saturating_sub(1);
+        self.unsent_callers = self.unsent_callers.saturating_sub(u32::from(!nested));
+    }
+
     /// Whether a call may be delivered now.
     pub fn has_room(&self, now: Micros, nested: bool) -> bool {
         !self.is_cold(now) || self.room_at(now, nested) <= now
@@ -143,7 +164,8 @@
             return now;
         }
         let bound = self.calls_per_s;
-        let all = self.delivered.room_at(now, WINDOW_US, bound);
+        let left = bound.saturating_sub(self.unsent);
+        let all = self.delivered.room_at(now, WINDOW_US, left);
         let any = all.max(self.past_unknown_until);
         if nested {
             return any;
@@ -151,8 +173,9 @@
         let callers = bound - self.reserve(now);
         let step = callers.div_ceil(STEPS).max(1);
         let step_us = WINDOW_US / Micros::from(STEPS);
-        any.max(self.callers.room_at(now, WINDOW_US, callers))
-            .max(self.callers.room_at(now, step_us, step))
+        let left = |limit: u32| limit.saturating_sub(self.unsent_callers);
+        any.max(self.callers.room_at(now, WINDOW_US, left(callers)))
+            .max(self.callers.room_at(now, step_us, left(step)))
     }
 
     /// Calls that the target runs at once while it is cold, where one takes `service_us`:
@@ -198,10 +221,11 @@
         recent.take_while(|at| *at + window_us > now).count() as u32
     }
 
-    /// When fewer than `limit` lie within a window that ends then.
+    /// When fewer than `limit` lie within a window that ends then; after the window where
+    /// there is none, as far as is known now.
     fn room_at(&self, now: Micros, window_us: Micros, limit: u32) -> Micros {
         let Some(limit) = (limit as usize).checked_sub(1) else {
-            return Micros::MAX;
+            return now + window_us;
         };
         let newest_too_many = self.times.iter().rev().nth(limit);
         newest_too_many.map_or(now, |at| (at + window_us).max(now))
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -23,7 +23,8 @@
     for at in (from..from + over).step_by(step_us as usize) {
         bound.offered(at, nested);
         if bound.has_room(at, nested) {
-            bound.delivered(at, nested);
+            bound.let_through(nested);
+            bound.sent(at, nested);
             count += 1;
         }
     }
@@ -129,6 +130,27 @@
     assert!(bound.wants_reading(), "a third of the bound since it told");
 }
 
+#[test]
+fn calls_that_are_sent_late_count_from_when_they_are_sent() {
+    let mut bound = cold_bound();
+    bound.told(0, 9 * SECOND);
+    for _ in 0..BOUND {
+        assert!(bound.has_room(0, true));
+        bound.let_through(true);
+    }
+    assert!(
+        !bound.has_room(5 * SECOND, true),
+        "none of them is sent yet"
+    );
+    for _ in 1..BOUND {
+        bound.sent(5 * SECOND, true);
+    }
+    bound.not_sent(true);
+    assert!(bound.has_room(5 * SECOND, true), "one will not be");
+    bound.let_through(true);
+    assert!(!bound.has_room(6 * SECOND, true));
+}
+
 fn admit() -> Admit {
     let mut admit = Admit::new(AdmitLimits {
         slots: 100,
@@ -175,7 +197,9 @@
     let refusal = loop {
         call += 1;
         match admit.on(0, offer(call, Elsewhere::Near)).as_slice() {
-            [AdmitAction::Deliver { .. }] => {}
+            [AdmitAction::Deliver { call }] => {
+                assert!(admit.on(0, AdmitEvent::Sent { call: *call }).is_empty());
+            }
             [AdmitAction::Refuse { refusal, .. }] => break *refusal,
             other => panic!("{other:?}"),
         }
@@ -224,6 +248,7 @@
     ) {
         let mut bound = cold_bound();
         let mut log: Vec<u64> = Vec::new();
+        let mut unsent: Vec<bool> = Vec::new();
         let mut now = 0;
         for (step, passed) in steps {
             now += passed;
@@ -231,15 +256,23 @@
                 0 => bound.told(now, 0),
                 1 => bound.told(now, 2 * SECOND),
                 2 => bound.doubt(),
+                // Calls that were let through are sent later, all at once.
+                3 => {
+                    for nested in unsent.drain(..) {
+                        bound.sent(now, nested);
+                        log.push(now);
+                    }
+                }
                 _ => {
-                    let nested = step < 5;
+                    let nested = step < 6;
                     bound.offered(now, nested);
                     if bound.has_room(now, nested) {
-                        bound.delivered(now, nested);
-                        log.push(now);
+                        bound.let_through(nested);
+                        unsent.push(nested);
                         let in_second = log.iter().filter(|at| **at + SECOND > now).count();
                         let cold = bound.is_cold(now);
-                        prop_assert!(!cold || in_second <= BOUND as usize, "{in_second}");
+                        let with_unsent = in_second + unsent.len();
+                        prop_assert!(!cold || with_unsent <= BOUND as usize, "{with_unsent}");
                     } else {
                         prop_assert!(bound.room_at(now, nested) > now);
                     }
