Calls count against a cold target's bound from when they are written

And a restart of the daemon alone forgot that its earlier run may have used up the second: the first report of a target counted as that of another incarnation. Change: connections to the target tell when they write (Watched), and a call counts from then; one that ends without a word counts as sent. The first report after a start is taken as of a fresh target only if its number and its cold time say so.

--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -2,6 +2,7 @@
 
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::{Method, Response, Uri};
 use lynxcleat_policy::Micros;
@@ -62,7 +63,7 @@
 type HttpRequest = hyper::Request<Full<Bytes>>;
 
 impl Pool {
-    /// Writes a request and reads the whole answer; `sends` hears when it is written. If the
+    /// Writes a request and reads the whole answer; `sends` is called once it is written. If the
     /// future is dropped, the connection is closed.
     pub(super) async fn exchange(
         &self,
@@ -84,8 +85,7 @@
                     return Exchange::NotWritten;
                 }
             };
-            sends();
-            match sender.try_send_request(http).await {
+            match send(&mut sender, http, &sends).await {
                 Ok(response) => {
                     if answers_another(dialect, &response, &call) {
                         return Exchange::Lost;
@@ -111,7 +111,7 @@
             .body(Full::default())
             .ok()?;
         let mut sender = self.take().await.ok()?;
-        let response = sender.try_send_request(request).await.ok()?;
+        let response = sender.http.try_send_request(request).await.ok()?;
         let headers = response.headers();
         let told = Told {
             load: dialect.load(headers),
@@ -163,6 +163,27 @@
     }
 }
 
+/// Sends a request, says when it is written, and waits for the head of the answer.
+async fn send(
+    sender: &mut Sender,
+    request: HttpRequest,
+    sends: impl Fn(),
+) -> Result<Response<Incoming>, TrySendError<HttpRequest>> {
+    sender.written.mark_unchanged();
+    let answered = sender.http.try_send_request(request);
+    tokio::pin!(answered);
+    tokio::select! {
+        biased;
+        response = &mut answered => {
+            sends();
+            return response;
+        }
+        // The connection's end is told by the answer that does not come.
+        _ = sender.written.changed() => sends(),
+    }
+    answered.await
+}
+
 fn build(dialect: &Dialect, request: Request) -> Option<HttpRequest> {
     let Request {
         call,
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod pool;
 mod serve;
+mod watched;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -16,7 +17,7 @@
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallTerms, Cost, Figures,
-    Micros, NextLook, Origins, Refusal, ReportEffect, TargetReport, TargetReports,
+    FirstReport, Micros, NextLook, Origins, Refusal, ReportEffect, TargetReport, TargetReports,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
@@ -104,6 +105,7 @@
             far_price_percent: 0,
             ask_price_permille: 0,
             cold_calls_per_s: 0,
+            cold_ms: 0,
         };
         let limits = FenceLimits {
             retention_ms: 0,
@@ -158,6 +160,7 @@
             far_price_percent: own.far_price_percent,
             ask_price_permille: own.ask_price_permille,
             cold_calls_per_s: own.cold_calls_per_s,
+            cold_ms: own.cold_ms,
         }));
     }
 
@@ -294,7 +297,15 @@
     pub async fn take_report(&self, core: &Core, report: TargetReport) -> ReportEffect {
         let reported = report.instance.clone();
         let left_us = report.cold_ms * 1_000;
+        let first = FirstReport {
+            left_us,
+            sequence: report.sequence.unwrap_or(u64::MAX),
+        };
+        let is_first = self.with_reports(|reports| reports.in_place().is_none()) == Some(true);
         let mut effect = self.change_reports(|reports| reports.take(report));
+        if is_first {
+            self.admit(AdmitEvent::FirstReport(first));
+        }
         if effect == ReportEffect::Rival {
             let at_address = self.ask_instance(core).await;
             log::info!(reported = reported.as_str(), at_address:? = at_address; "another target reported");
@@ -318,7 +329,7 @@
         let changed = self.with_reports(|reports| {
             let before = name(reports);
             let effect = change(reports);
-            (effect, before != name(reports))
+            (effect, before.is_some() && before != name(reports))
         });
         let Some((effect, is_other)) = changed else {
             return ReportEffect::Nothing;
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -19,8 +19,9 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
+use super::watched::Watched;
 use crate::sync::lock;
 
 /// Longest time to open a connection to the target, which is on this host.
@@ -31,7 +32,13 @@
 /// Time that a connection rests after an answer before it is used again.
 const REST: Duration = Duration::from_millis(3);
 
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+/// A connection that takes one request at a time.
+pub(super) struct Sender {
+    /// Takes the request.
+    pub http: SendRequest<Full<Bytes>>,
+    /// Hears when something is written on the connection.
+    pub written: watch::Receiver<u64>,
+}
 
 /// Why there is no connection to the target. Nothing was written.
 #[derive(Debug, Error)]
@@ -116,7 +123,7 @@
         loop {
             while let Some(mut idle) = self.pop_rested() {
                 let fresh = idle.since.elapsed() < IDLE_LIMIT;
-                if fresh && idle.sender.ready().await.is_ok() {
+                if fresh && idle.sender.http.ready().await.is_ok() {
                     return Ok(idle.sender);
                 }
             }
@@ -130,7 +137,7 @@
 
     /// Keeps a connection whose last exchange ended cleanly.
     pub(super) fn put_back(&self, sender: Sender) {
-        if !sender.is_closed() {
+        if !sender.http.is_closed() {
             let since = Instant::now();
             lock(&self.idle).push_back(Idle { sender, since });
         }
@@ -145,14 +152,15 @@
     async fn connect(&self, place: OpenPlace) -> Result<Sender, PoolError> {
         let stream = TcpStream::connect(self.target).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (stream, written) = Watched::new(stream);
+        let (http, connection) = http1::handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to the target: {error}");
             }
             drop(place);
         });
-        Ok(sender)
+        Ok(Sender { http, written })
     }
 
     /// Counts one more open connection, if the limit allows it.
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -216,6 +216,7 @@
             far_price_percent: 0,
             ask_price_permille: 10,
             cold_calls_per_s: 0,
+            cold_ms: 0,
         },
         service_us: SERVICE_US,
         params: RouterParams {
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -203,6 +203,7 @@
             far_price_percent: 0,
             ask_price_permille: 10,
             cold_calls_per_s: 0,
+            cold_ms: 0,
         };
         let targets: Vec<Target> = options
             .targets
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -88,6 +88,7 @@
             far_price_percent: 0,
             ask_price_permille: 10,
             cold_calls_per_s: 0,
+            cold_ms: 0,
         };
         let mut admit = Admit::new(limits);
         let mut now = 0;
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -10,7 +10,7 @@
 
 use crate::begin::{Begin, Choice, Outlook};
 use crate::chance::{Need, left_us};
-use crate::cold::ColdBound;
+use crate::cold::{ColdBound, FirstReport};
 use crate::elsewhere::Elsewhere;
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
@@ -49,6 +49,8 @@
     pub ask_price_permille: u32,
     /// Calls that a cold target is given in any second at most; 0 for no bound.
     pub cold_calls_per_s: u32,
+    /// Time for which a target is cold after its start, in milliseconds; 0 if not known.
+    pub cold_ms: u64,
 }
 
 /// What happens at a target.
@@ -63,7 +65,7 @@
         /// What else it asks for.
         terms: CallTerms,
     },
-    /// A delivered call is sent to the target now.
+    /// A delivered call was sent to the target by now.
     Sent {
         /// The call.
         call: CallId,
@@ -96,6 +98,8 @@
     SetLimits(AdmitLimits),
     /// The daemon starts; what an earlier run of it delivered is not known.
     Start,
+    /// The first report of the target arrived since the daemon started.
+    FirstReport(FirstReport),
     /// Another incarnation of the target is in place.
     Replaced,
     /// The target told how much longer it is cold.
@@ -231,9 +235,11 @@
             AdmitEvent::Return => self.leaving = false,
             AdmitEvent::SetLimits(limits) => {
                 self.limits = limits;
-                self.cold.set_limit(limits.cold_calls_per_s);
+                self.cold
+                    .set_limit(limits.cold_calls_per_s, limits.cold_ms * 1_000);
             }
             AdmitEvent::Start => self.cold.start(now),
+            AdmitEvent::FirstReport(first) => self.cold.first_report(first),
             AdmitEvent::Replaced => self.cold.replace(),
             AdmitEvent::ColdTold { left_us } => self.cold.told(now, left_us),
             AdmitEvent::ColdDoubted => self.cold.doubt(),
@@ -572,10 +578,8 @@
         service_us: Option<u32>,
         slowness_percent: Option<u32>,
     ) {
+        self.sent(now, call);
         let ended = self.in_flight.remove(&call);
-        if let Some(unsent) = ended.filter(|ended| !ended.sent) {
-            self.cold.not_sent(unsent.nested);
-        }
         let factor = slowness_percent.map(|percent| self.learn_slowness(now, percent));
         let Some(service_us) = service_us else { return };
         self.learn_service(now, service_us);
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -21,6 +21,12 @@
 /// Part of the bound that is kept for nested calls at most, so that callers' calls, which
 /// make the nested ones, go on.
 const RESERVE_PART: f64 = 0.75;
+/// Reports that a target sends in its first moments at most: while nobody listens it sends
+/// another at once.
+const FIRST_REPORTS: u64 = 5;
+/// Age up to which a target is taken to have been given nothing by an earlier run of the
+/// daemon, in microseconds: a daemon takes longer to start again.
+const FRESH_US: Micros = 100_000;
 /// Part of the bound after which the target is asked whether it is still warm.
 const ASK_PART: u32 = 3;
 
@@ -33,6 +39,15 @@
     Doubted,
 }
 
+/// The first report of a target that a run of the daemon heard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FirstReport {
+    /// How much longer the target was cold, in microseconds.
+    pub left_us: Micros,
+    /// Number of the report among those of its sender.
+    pub sequence: u64,
+}
+
 /// The bound of one target.
 #[derive(Debug)]
 pub struct ColdBound {
@@ -49,6 +64,10 @@
     unsent: u32,
     /// Until then the deliveries of an earlier run of the daemon may count.
     past_unknown_until: Micros,
+    /// What the first report said that this run of the daemon heard.
+    first: Option<FirstReport>,
+    /// Time for which a target is cold after its start, in microseconds; 0 if not known.
+    cold_us: Micros,
     /// Deliveries since the target told for how long it is cold.
     since_told: u32,
 }
@@ -64,15 +83,19 @@
             unsent_callers: 0,
             unsent: 0,
             past_unknown_until: 0,
+            first: None,
+            cold_us: 0,
             since_told: 0,
         }
     }
 }
 
 impl ColdBound {
-    /// Sets the calls that a cold target is given in any second at most; 0 for no bound.
-    pub fn set_limit(&mut self, calls_per_s: u32) {
+    /// Sets the calls that a cold target is given in any second at most, 0 for no bound, and
+    /// the time for which a target is cold after its start, 0 where that is not known.
+    pub fn set_limit(&mut self, calls_per_s: u32, cold_us: Micros) {
         self.calls_per_s = calls_per_s;
+        self.cold_us = cold_us;
     }
 
     /// The daemon starts: what an earlier run delivered in the last second is not known, and
@@ -81,11 +104,26 @@
         self.past_unknown_until = now + WINDOW_US;
     }
 
+    /// The daemon heard the first report of its target.
+    pub fn first_report(&mut self, first: FirstReport) {
+        self.first = Some(first);
+    }
+
+    /// Whether the target had just started when this run of the daemon heard of it, so that
+    /// no earlier run gave it calls.
+    fn was_fresh(&self) -> bool {
+        let just_started = |first: FirstReport| {
+            first.sequence <= FIRST_REPORTS && first.left_us + FRESH_US >= self.cold_us
+        };
+        self.cold_us > 0 && self.first.is_some_and(just_started)
+    }
+
     /// Another incarnation of the target is in place, which was given nothing yet and whose
     /// first report tells whether it is cold.
     pub fn replace(&mut self) {
         *self = ColdBound {
             calls_per_s: self.calls_per_s,
+            cold_us: self.cold_us,
             unsent_callers: self.unsent_callers,
             unsent: self.unsent,
             ..ColdBound::default()
@@ -134,9 +172,10 @@
         self.unsent_callers += u32::from(!nested);
     }
 
-    /// A call that was let through is sent.
+    /// A call that was let through was sent by now, or may have been.
     pub fn sent(&mut self, now: Micros, nested: bool) {
-        self.not_sent(nested);
+        self.unsent = self.unsent.saturating_sub(1);
+        self.unsent_callers = self.unsent_callers.saturating_sub(u32::from(!nested));
         if self.calls_per_s == 0 {
             return;
         }
@@ -146,12 +185,6 @@
         }
     }
 
-    /// A call that was let through is not sent any more.
-    pub fn not_sent(&mut self, nested: bool) {
-        self.unsent = self.unsent.saturating_sub(1);
-        self.unsent_callers = self.unsent_callers.saturating_sub(u32::from(!nested));
-    }
-
     /// Whether a call may be delivered now.
     pub fn has_room(&self, now: Micros, nested: bool) -> bool {
         !self.is_cold(now) || self.room_at(now, nested) <= now
@@ -166,7 +199,10 @@
         let bound = self.calls_per_s;
         let left = bound.saturating_sub(self.unsent);
         let all = self.delivered.room_at(now, WINDOW_US, left);
-        let any = all.max(self.past_unknown_until);
+        let any = match self.was_fresh() {
+            true => all,
+            false => all.max(self.past_unknown_until),
+        };
         if nested {
             return any;
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,7 +40,7 @@
 pub use budget::{Budget, Cost, Limits};
 pub use chance::Need;
 pub use chooser::{ChooseParams, Chooser, Considered};
-pub use cold::ColdBound;
+pub use cold::{ColdBound, FirstReport};
 pub use elsewhere::Elsewhere;
 pub use evacuation::{Evacuations, ZoneNews};
 pub use event::{
--- a/crates/policy/tests/admit.rs
+++ b/crates/policy/tests/admit.rs
@@ -14,6 +14,7 @@
     far_price_percent: 0,
     ask_price_permille: 10,
     cold_calls_per_s: 0,
+    cold_ms: 0,
 };
 
 fn offer(call: u64, deadline: u64) -> AdmitEvent {
--- a/crates/policy/tests/first_calls.rs
+++ b/crates/policy/tests/first_calls.rs
@@ -11,6 +11,7 @@
         far_price_percent: 20,
         ask_price_permille: 10,
         cold_calls_per_s: 0,
+        cold_ms: 0,
     })
 }
 
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -178,6 +178,7 @@
     far_price_percent: 20,
     ask_price_permille: 10,
     cold_calls_per_s: 0,
+    cold_ms: 0,
 };
 
 /// An admission that has learned that calls take 100 ms, also beside three others.
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -60,6 +60,7 @@
     pub far_price_percent: u32,
     pub ask_price_permille: u32,
     pub cold_calls_per_s: u32,
+    pub cold_ms: u64,
     pub subset_size: usize,
     pub eject_failures: u32,
     pub eject_ms: u64,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -95,6 +95,7 @@
     whole("far_price_percent", "%", (0, 100), 0, "price of sending a call to another place, as a share of what the call is worth"),
     whole("ask_price_permille", "1/1000", (0, 1_000), 10, "price of asking the target for its load, as a share of what a call is worth"),
     whole("cold_calls_per_s", "calls/s", (0, 1_000_000), 0, "calls a cold target is given in any second at most, of all daemons together; 0 for no bound"),
+    whole("cold_ms", "ms", (0, 600_000), 0, "time for which a target is cold after its start; 0 where that is not known"),
     whole("subset_size", "targets", (1, 1024), 16, "targets of a service one daemon keeps links to"),
     whole("eject_failures", "failures", (1, 1000), 5, "failures in a row that eject a target"),
     whole("eject_ms", "ms", (1, 600_000), 1_000, "time a target stays ejected before one trial call"),
