A stopping daemon's target takes calls for longer, those that end in time

Change: the target takes calls for 0.9 of the lingering in place of 0.5, and of them only those whose deadline lies before the limit of the stop; the others go elsewhere. Ruled out: 0.9 for all calls, since some sites have deadlines of 4 s and more.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -33,9 +33,9 @@
 const PLATFORM_LIMIT_S: u64 = 2;
 /// Requests sent for one read; the control tasks come back anyway.
 const PLATFORM_TRIES: usize = 1;
-/// Part of the lingering of a stop during which the target still takes calls: the rest
-/// leaves them the time that most calls need.
-const STOP_SERVING_PART: f64 = 0.5;
+/// Part of the lingering of a stop during which the target still takes calls that must end
+/// before the limit of the stop. In the rest the routers hear that it takes none.
+const STOP_SERVING_PART: f64 = 0.9;
 /// Times for a stop before settings are in force, in milliseconds.
 const STOP_LINGER_MS: u64 = 100;
 const STOP_LIMIT_MS: u64 = 5_000;
@@ -184,6 +184,8 @@
         let core = &self.core;
         let (linger, limit) = stop_times(core);
         log::info!("stopping");
+        core.life
+            .stop_by(core.clock.now() + limit.as_micros() as u64);
         core.life.enter(Phase::Lingering);
         let finished = tokio::time::timeout(limit, finish(core, linger, self.callers)).await;
         core.life.enter(Phase::Closing);
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -23,6 +23,8 @@
 const ONCE_RETRY_AFTER_US: Micros = 500_000;
 /// Hint for callers while the target cannot be reached.
 const DOWN_RETRY_AFTER_US: Micros = 250_000;
+/// Hint for callers whose call could outlast the daemon, which stops.
+const STOPPING_RETRY_AFTER_US: Micros = 250_000;
 /// Hint for callers before settings are in force.
 const NOT_READY_RETRY_AFTER_US: Micros = 500_000;
 /// Time past the deadline for which the answer of an operation is awaited, so
@@ -189,11 +191,15 @@
     let Some(settings) = half.settings() else {
         return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
     };
+    let deadline = core.clock.now() + call.left_us;
+    if !core.life.outlasts(deadline) {
+        return refused(RefusalReason::Busy, STOPPING_RETRY_AFTER_US);
+    }
     let incoming = Incoming {
         core,
         half,
         id: half.new_call(),
-        deadline: core.clock.now() + call.left_us,
+        deadline,
         settings,
         cancelled,
         link,
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -6,8 +6,9 @@
 //! lingering the listener is drained and closed, and what is in hand is finished.
 
 use std::collections::HashSet;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
+use lynxcleat_policy::Micros;
 use tokio::sync::watch;
 
 use crate::sync::{Busy, lock};
@@ -53,6 +54,8 @@
 /// Phase and work in hand.
 pub struct Life {
     phase: watch::Sender<Phase>,
+    /// When a stop that goes on ends at the latest, by the daemon's clock.
+    stop_by: OnceLock<Micros>,
     causes: Mutex<HashSet<LeaveCause>>,
     /// Callers' calls in hand, those passed on by other daemons included.
     pub calls: Arc<Busy>,
@@ -68,6 +71,7 @@
     fn default() -> Self {
         Life {
             phase: watch::Sender::new(Phase::Serving),
+            stop_by: OnceLock::new(),
             causes: Mutex::default(),
             calls: Arc::default(),
             connections: Arc::default(),
@@ -83,6 +87,16 @@
         *self.phase.borrow()
     }
 
+    /// A stop begins that ends at this time at the latest; a second one changes nothing.
+    pub fn stop_by(&self, limit: Micros) {
+        let _ = self.stop_by.set(limit);
+    }
+
+    /// Whether a call that may take until `deadline` ends before the daemon does.
+    pub fn outlasts(&self, deadline: Micros) -> bool {
+        self.stop_by.get().is_none_or(|limit| deadline <= *limit)
+    }
+
     /// Moves on to a later phase.
     pub fn enter(&self, phase: Phase) {
         self.phase.send_if_modified(|current| {
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -280,6 +280,27 @@
     assert!(child.wait().expect("its end").success(), "nothing was cut");
 }
 
+/// What a stopping daemon takes must end before it does, or the stop would cut it off.
+#[test]
+fn a_call_that_could_outlast_a_stop_is_not_taken_any_more() {
+    let mut plan = Plan::new("stop-outlasted");
+    plan.processes = true;
+    plan.workers = 1;
+    plan.tree = tree(json!({"stop_linger_ms": 6_000, "stop_limit_ms": 12_000}));
+    let mut fleet = plan.start();
+    let ask = |fleet: &Fleet, deadline_ms| {
+        let headers = [("Lynxcleat-Deadline-Ms", deadline_ms)];
+        fleet.workers[0].get("/items/1", &headers).status
+    };
+    assert_eq!(ask(&fleet, "29000"), 200);
+    fleet.signal(0, "-TERM");
+    let stopping = || fleet.workers[0].status().is_some_and(|s| s.stopping);
+    assert!(wait_until(PATIENCE, stopping));
+    assert_eq!(ask(&fleet, "29000"), 503, "it could take longer");
+    assert_eq!(ask(&fleet, "500"), 200, "this one ends before");
+    fleet.signal(0, "-KILL");
+}
+
 #[test]
 fn a_second_signal_ends_a_stop_at_once_and_says_what_was_cut() {
     let mut plan = Plan::new("stop-twice");
