A restarted daemon asks its target who it is instead of waiting for its report

Cause: a target reports every second and a half, and its daemon gives it no calls before it has heard one; where daemons restart in turn each target lost that time. Change: the daemon's own row names the incarnation that took calls last. If the target at the address says that it is that one, and well, it is taken as in place. What ended, reported meanwhile, is another or unwell has to report first; how long it is cold is told with the answer.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -19,6 +19,8 @@
     pub running: u32,
     /// Calls that wait in it.
     pub waiting: u32,
+    /// Calls that it runs at once.
+    pub slots: u32,
     /// How long work takes there now, in percent of what is usual.
     pub slowness_percent: u32,
 }
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use lynxcleat_policy::{ReportEffect, ReportedState};
+use lynxcleat_policy::{ReportEffect, ReportedState, TargetReports};
 use lynxcleat_store::{HostEntry, HostState, OwnRow, StoredRow};
 use serde::{Deserialize, Serialize};
 
-use super::{DirectoryState, TABLE};
+use super::{DirectoryState, TABLE, confirm};
 use crate::core::Core;
 use crate::sync::lock;
 
@@ -82,7 +82,7 @@
 /// Puts what the rows of the news say now into the host table. They are taken from the copy
 /// while it is locked: news come from the store and from neighbours at the same time, and
 /// the later ones must stand. Returns the services of hosts that are gone.
-fn put_entries(core: &Core, directory: &DirectoryState, news: &[StoredRow]) -> Vec<String> {
+fn put_entries(core: &Arc<Core>, directory: &DirectoryState, news: &[StoredRow]) -> Vec<String> {
     let members = lock(&directory.members);
     let mut entries = Vec::new();
     for row in news.iter().filter_map(|row| members.copy().row(&row.key)) {
@@ -133,8 +133,18 @@
     })
 }
 
+/// An earlier run of this daemon left word that its target takes calls. Nothing is known of
+/// it here before it reports, so it is asked.
+fn confirm_own(core: &Arc<Core>, member: Member) {
+    let knows_none = |reports: &mut TargetReports| reports.in_place().is_none();
+    if core.half.with_reports(knows_none) == Some(true) {
+        let core = Arc::clone(core);
+        tokio::spawn(confirm::target(core, member.instance, member.entry.service));
+    }
+}
+
 /// An earlier run of this daemon may have left word that its target ended.
-fn take_own(core: &Core, directory: &DirectoryState, row: &StoredRow) {
+fn take_own(core: &Arc<Core>, directory: &DirectoryState, row: &StoredRow) {
     let mut own = lock(&directory.own);
     own.get_or_insert_with(|| own_row(core)).seen(row);
     drop(own);
@@ -147,7 +157,10 @@
         return;
     };
     let ended = match member.entry.state {
-        HostState::Live => return,
+        HostState::Live => {
+            confirm_own(core, member);
+            return;
+        }
         HostState::Leaving => ReportedState::Draining,
         HostState::Gone => ReportedState::Gone,
     };
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -4,6 +4,7 @@
 //! Nothing in the store runs out by itself, so rows say who there may be and links
 //! say who lives. A row is written on a change only.
 
+mod confirm;
 mod follow;
 mod member;
 mod neighbours;
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -51,6 +51,8 @@
     pub cold_left_us: Option<Micros>,
     /// Its incarnation, where it tells it.
     pub instance: Option<String>,
+    /// Whether it says that it is well and takes calls.
+    pub well: bool,
 }
 
 impl Told {
@@ -120,6 +122,7 @@
                 None
             }),
             instance: dialect.told_instance(headers),
+            well: response.status().is_success(),
         };
         Limited::new(response.into_body(), LOAD_ANSWER_BYTES)
             .collect()
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -17,7 +17,8 @@
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, OpId, Operation};
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallTerms, Cost, Figures,
-    FirstReport, Micros, NextLook, Origins, Refusal, ReportEffect, TargetReport, TargetReports,
+    FirstReport, Micros, NextLook, Origins, Refusal, ReportEffect, ReportedState, TargetReport,
+    TargetReports,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
@@ -342,13 +343,49 @@
 
     /// Which incarnation stands at the target's address, as it says itself.
     async fn ask_instance(&self, core: &Core) -> Option<String> {
+        self.ask_itself(core).await?.instance
+    }
+
+    /// An earlier run of this daemon left word that an incarnation of the target takes calls.
+    /// If the target says that it is that one, and well, it is taken as in place, and need
+    /// not report first.
+    pub async fn confirm(&self, core: &Core, instance: &str, service: &str) -> ReportEffect {
+        let Some(told) = self.ask_itself(core).await else {
+            return ReportEffect::Nothing;
+        };
+        if !told.well || told.instance.as_deref() != Some(instance) {
+            return ReportEffect::Nothing;
+        }
+        let report = TargetReport {
+            instance: instance.to_owned(),
+            service: Some(service.to_owned()),
+            state: ReportedState::Ready,
+            sequence: None,
+            slots: told.load.map(|load| load.slots),
+            cold_ms: told.cold_left_us.unwrap_or(0) / 1_000,
+        };
+        let cold_left_us = told.cold_left_us;
+        let effect = self.change_reports(|reports| reports.confirm(report));
+        if effect == ReportEffect::Changed {
+            match cold_left_us {
+                Some(left_us) => self.learn_cold(left_us),
+                None => self.doubt_warmth(),
+            }
+        }
+        effect
+    }
+
+    /// What the target says of itself when it is asked now.
+    async fn ask_itself(&self, core: &Core) -> Option<Told> {
         let settings = self.settings()?;
         if settings.load_path.is_empty() {
             return None;
         }
         let asked = self.pool.ask_load(&core.dialect, &settings.load_path);
-        let told = tokio::time::timeout(INSTANCE_LIMIT, asked).await;
-        told.ok().flatten()?.instance
+        tokio::time::timeout(INSTANCE_LIMIT, asked)
+            .await
+            .ok()
+            .flatten()
     }
 
     /// The target told how much longer it is cold.
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -287,7 +287,7 @@
     plan.processes = true;
     plan.workers = 1;
     plan.tree = tree(json!({"stop_linger_ms": 6_000, "stop_limit_ms": 12_000}));
-    let mut fleet = plan.start();
+    let fleet = plan.start();
     let ask = |fleet: &Fleet, deadline_ms| {
         let headers = [("Lynxcleat-Deadline-Ms", deadline_ms)];
         fleet.workers[0].get("/items/1", &headers).status
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -170,6 +170,16 @@
         self.place(report, ended)
     }
 
+    /// The target at the address said that it is the incarnation that an earlier run of this
+    /// daemon left word of, and that it is well. It is taken as in place before it reports
+    /// again.
+    pub fn confirm(&mut self, report: TargetReport) -> ReportEffect {
+        if self.in_place.is_some() || self.ended.contains_key(&report.instance) {
+            return ReportEffect::Nothing;
+        }
+        self.place(report, None)
+    }
+
     /// The target at the address said which incarnation it is, or gave no answer; that
     /// decides whether the one whose report came last takes the place. Without an answer it
     /// does, since the one in place does not show that it is there, but the latter may come
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -96,6 +96,23 @@
     assert_eq!(open(&reports), Some("i-1"));
 }
 
+#[test]
+fn a_target_that_says_itself_who_it_is_is_taken_unless_it_ended_or_another_reported() {
+    let well = || report(1, ReportedState::Ready, None);
+    let mut reports = TargetReports::default();
+    assert_eq!(reports.confirm(well()), ReportEffect::Changed);
+    assert_eq!(open(&reports), Some("i-1"));
+    reports.take(report(1, ReportedState::Draining, Some(1)));
+    assert_eq!(open(&reports), None, "its reports count as before");
+    let mut marked = TargetReports::default();
+    marked.mark_ended("i-1", ReportedState::Draining);
+    assert_eq!(marked.confirm(well()), ReportEffect::Nothing);
+    let mut reported = TargetReports::default();
+    reported.take(report(2, ReportedState::Draining, Some(1)));
+    assert_eq!(reported.confirm(well()), ReportEffect::Nothing);
+    assert_eq!(open(&reported), None);
+}
+
 #[test]
 fn a_mark_left_by_an_earlier_run_holds_whichever_comes_first() {
     let mut marked_first = TargetReports::default();
