Calls to a cold target are noted a moment after they are written

A process that has used up its share of a processor works through a backlog while its clock stands still, so a write that was noted at once could leave later. Ruled out by the logs: other incarnations, reports of rivals, a cold time that was counted too short (it was shortened by the time of the question, which is mended too; it matters at the end of a cold time only). Change: the time of a write is read after a pause of 1 ms.

--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -1,5 +1,7 @@
 //! One request to the target and its whole answer.
 
+use std::time::Duration;
+
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::TrySendError;
@@ -15,6 +17,10 @@
 
 /// Largest answer to the question for the load, in bytes.
 const LOAD_ANSWER_BYTES: usize = 16 << 10;
+/// Pause between a write and the time that is noted for it. On a host that has used up its
+/// share of a processor, bytes leave and clocks move on only when it runs again; after a pause
+/// both have. A call that is noted late keeps its room for longer, which does no harm.
+const WRITTEN_PAUSE: Duration = Duration::from_millis(1);
 /// Hint for callers where a target that sheds gives none.
 const SHED_RETRY_AFTER_US: Micros = 100_000;
 
@@ -175,14 +181,18 @@
     sender.written.mark_unchanged();
     let answered = sender.http.try_send_request(request);
     tokio::pin!(answered);
+    let written = async {
+        // The connection's end is told by the answer that does not come.
+        let _ = sender.written.changed().await;
+        tokio::time::sleep(WRITTEN_PAUSE).await;
+    };
     tokio::select! {
         biased;
         response = &mut answered => {
             sends();
             return response;
         }
-        // The connection's end is told by the answer that does not come.
-        _ = sender.written.changed() => sends(),
+        () = written => sends(),
     }
     answered.await
 }
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -257,25 +257,24 @@
             return;
         }
         let asked = self.pool.ask_load(&core.dialect, path);
-        let asked_at = self.clock.now();
         match tokio::time::timeout(limit, asked).await {
             Ok(Some(told)) if told.is_empty() => {
                 let until = self.clock.now() + ASK_PAUSE_US;
                 self.ask_again_at.store(until, Ordering::Relaxed);
                 self.load_readings.store(TELLS_NO_LOAD, Ordering::Relaxed);
             }
-            Ok(Some(told)) => self.take_told(core, told, asked_at),
+            Ok(Some(told)) => self.take_told(core, told),
             Ok(None) | Err(_) => log::debug!("the target did not tell its load"),
         }
     }
 
-    /// Takes what the target told that was asked at some time.
-    fn take_told(&self, core: &Core, told: Told, asked_at: Micros) {
+    /// Takes what the target told that was asked. How much longer it is cold counts from now,
+    /// since the answer may be old by a little.
+    fn take_told(&self, core: &Core, told: Told) {
         if let Some(left_us) = told.cold_left_us
             && self.is_in_place(told.instance.as_deref())
         {
-            let passed = self.clock.now().saturating_sub(asked_at);
-            self.learn_cold(left_us.saturating_sub(passed));
+            self.learn_cold(left_us);
         }
         if let Some(load) = told.load {
             self.count_reading();
