--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -29,15 +29,6 @@
 /// Least time between two trials of all links.
 const TRY_PAUSE_US: Micros = 500_000;
 
-fn links_limit_us(
-    silence: &Mutex<HashMap<String, SilenceLimit>>,
-    mesh: &str,
-    now: Micros,
-) -> Micros {
-    let known = lock(silence).get(mesh).copied();
-    known.unwrap_or_default().limit_us(now)
-}
-
 /// The links of one daemon.
 #[derive(Default)]
 pub struct Links {
@@ -150,8 +141,8 @@
         side: Side,
     ) -> Arc<Link> {
         let (link, queue) = self.add(core, peer, side);
-        let limit_us = links_limit_us(&self.silence, &link.peer.mesh, core.clock.now());
-        handshake::limit_silence(&socket, Duration::from_micros(limit_us));
+        let limit = self.silence_limit(&link.peer.mesh, core.clock.now());
+        handshake::limit_silence(&socket, limit);
         directory::greet(core, &link);
         pump::start(core, &link, socket, queue);
         link
@@ -177,6 +168,12 @@
         core.half.pool.drop_idle();
     }
 
+    /// How long a link to an address may leave sent bytes unacknowledged.
+    fn silence_limit(&self, mesh: &str, now: Micros) -> Duration {
+        let known = lock(&self.silence).get(mesh).copied();
+        Duration::from_micros(known.unwrap_or_default().limit_us(now))
+    }
+
     /// Sends something on a link that may be silent, and has calls go elsewhere until
     /// something comes back on it. An acceptor's end carries no calls of this daemon.
     fn doubt(&self, core: &Core, link: &Link) {
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -8,9 +8,10 @@
 
 use std::collections::HashMap;
 
+use crate::admit_event::{AdmitAction, AdmitEvent, AdmitLimits, NextLook};
 use crate::begin::{Begin, Choice, Outlook};
 use crate::chance::{Need, left_us};
-use crate::cold::{ColdBound, FirstReport};
+use crate::cold::ColdBound;
 use crate::elsewhere::Elsewhere;
 use crate::event::{Refusal, RefusalReason};
 use crate::figures::Figures;
@@ -36,107 +37,6 @@
 /// Hint for callers refused because the target leaves.
 const LEAVING_RETRY_AFTER_US: Micros = 1_000_000;
 
-/// Limits of one target, from the settings.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AdmitLimits {
-    /// Calls served at once.
-    pub slots: u32,
-    /// Calls held for a slot.
-    pub hold_limit: u32,
-    /// Price of sending a call to a far target, in percent of what the call is worth.
-    pub far_price_percent: u32,
-    /// Price of asking the target for its load, in thousandths of what a call is worth.
-    pub ask_price_permille: u32,
-    /// Calls that a cold target is given in any second at most; 0 for no bound.
-    pub cold_calls_per_s: u32,
-    /// Time for which a target is cold after its start, in milliseconds; 0 if not known.
-    pub cold_ms: u64,
-}
-
-/// What happens at a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum AdmitEvent {
-    /// A call is offered, to be answered before `deadline`.
-    Offer {
-        /// The call.
-        call: CallId,
-        /// Latest useful time of its answer.
-        deadline: Micros,
-        /// What else it asks for.
-        terms: CallTerms,
-    },
-    /// A delivered call was sent to the target by now.
-    Sent {
-        /// The call.
-        call: CallId,
-    },
-    /// A delivered call ended.
-    Done {
-        /// The call.
-        call: CallId,
-        /// Service time where the target served it; absent where it failed.
-        service_us: Option<u32>,
-        /// How slow the target said it is, in percent; absent where it did not say.
-        slowness_percent: Option<u32>,
-    },
-    /// The target said how slow it is, in percent, apart from an answer to a call.
-    Slowness(u32),
-    /// The time at which held calls are to be looked at again has come.
-    Look,
-    /// Another target of the service said how slow it is.
-    PeerSlowness(SlownessReading),
-    /// The router no longer wants the call.
-    Withdraw {
-        /// The call.
-        call: CallId,
-    },
-    /// The target takes no new calls from now on.
-    Leave,
-    /// The target takes calls again.
-    Return,
-    /// The settings changed.
-    SetLimits(AdmitLimits),
-    /// The daemon starts; what an earlier run of it delivered is not known.
-    Start,
-    /// The first report of the target arrived since the daemon started.
-    FirstReport(FirstReport),
-    /// Another incarnation of the target is in place.
-    Replaced,
-    /// The target told how much longer it is cold.
-    ColdTold {
-        /// That time in microseconds; 0 if it is warm.
-        left_us: Micros,
-    },
-    /// The target may have turned cold while it was given no calls.
-    ColdDoubted,
-}
-
-/// What the shell has to do.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AdmitAction {
-    /// Deliver the call to the target now.
-    Deliver {
-        /// The call.
-        call: CallId,
-    },
-    /// Answer that the call was not run.
-    Refuse {
-        /// The call.
-        call: CallId,
-        /// Why, and when to come back.
-        refusal: Refusal,
-    },
-}
-
-/// When held calls are to be looked at again though nothing happened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NextLook {
-    /// When.
-    pub at: Micros,
-    /// Whether a new reading of the target's load is of use then.
-    pub needs_reading: bool,
-}
-
 /// Looks at a target in a spell of mean length: a spell is noticed to be over within an
 /// eighth of it.
 const LOOKS_PER_SPELL: f64 = 8.0;
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -6,16 +6,17 @@
 //! also while the target is warm: it may have turned cold under them. Within that second
 //! callers' calls are spread evenly, since a call that came after a burst would find the
 //! bound used up for longer than it can wait. A call counts from when it is sent, and takes
-//! room already when it is let through: a busy daemon may send it later. Room is kept for nested calls: another call
-//! has done its work already and fails without them.
+//! room already when it is let through: a busy daemon may send it later. Room is kept for
+//! nested calls: another call has done its work already and fails without them.
 
 use std::collections::VecDeque;
 
 use crate::ids::Micros;
 
 /// Time in which the bound holds, in microseconds: a second, and the time by which calls
-/// that were delivered apart may reach the target closer together.
-const WINDOW_US: Micros = 1_100_000;
+/// that were sent apart may reach the target closer together, where its host has used up
+/// its share of a processor.
+const WINDOW_US: Micros = 1_200_000;
 /// Parts of that time over which callers' calls are spread.
 const STEPS: u32 = 8;
 /// Part of the bound that is kept for nested calls at most, so that callers' calls, which
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! code from virtual time.
 
 mod admit;
+mod admit_event;
 mod begin;
 mod budget;
 mod chance;
@@ -35,7 +36,8 @@
 mod target;
 mod work;
 
-pub use admit::{Admit, AdmitAction, AdmitEvent, AdmitLimits, NextLook};
+pub use admit::Admit;
+pub use admit_event::{AdmitAction, AdmitEvent, AdmitLimits, NextLook};
 pub use begin::{Begin, Choice, Outlook};
 pub use budget::{Budget, Cost, Limits};
 pub use chance::Need;
