--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -164,6 +164,7 @@
         host,
         place: place.to_owned(),
         zone: place.to_owned(),
+        region: String::new(),
         service: service.to_owned(),
         callers: ANY_PORT.to_owned(),
         mesh: ANY_PORT.to_owned(),
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -28,6 +28,9 @@
     pub place: String,
     /// Availability zone of this host.
     pub zone: String,
+    /// Region of this host; the deployment has one unnamed region where it is left out.
+    #[serde(default)]
+    pub region: String,
     /// Service of the target on this host.
     pub service: String,
     /// Address for callers.
@@ -69,6 +72,7 @@
     pub host: String,
     pub place: String,
     pub zone: String,
+    pub region: String,
     pub service: String,
     pub callers: SocketAddr,
     pub mesh: SocketAddr,
@@ -189,6 +193,7 @@
             host: raw.host,
             place: raw.place,
             zone: raw.zone,
+            region: raw.region,
             service: raw.service,
             seeds: raw.seeds,
             first_start: raw.first_start,
--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -103,6 +103,7 @@
         host: entry.host.clone(),
         place: entry.place.clone(),
         zone: entry.zone.clone(),
+        region: entry.region.clone(),
         evacuated: false,
     }
 }
--- a/crates/daemon/src/directory/confirm.rs
+++ b/crates/daemon/src/directory/confirm.rs
@@ -11,6 +11,7 @@
 use lynxcleat_policy::ReportEffect;
 
 use crate::core::Core;
+use crate::half::EarlierTarget;
 
 /// Pause between two questions, and how many are asked: for as long as targets take between
 /// two reports.
@@ -18,7 +19,7 @@
 const QUESTIONS: usize = 15;
 
 /// Asks until the target answers as that incarnation, or it reported meanwhile.
-pub(super) async fn target(core: Arc<Core>, instance: String, service: String) {
+pub(super) async fn target(core: Arc<Core>, earlier: EarlierTarget) {
     for _ in 0..QUESTIONS {
         let is_known = core
             .half
@@ -26,9 +27,9 @@
         if is_known != Some(false) {
             return;
         }
-        let confirmed = core.half.confirm(&core, &instance, &service).await;
+        let confirmed = core.half.confirm(&core, &earlier).await;
         if confirmed == ReportEffect::Changed {
-            log::info!(instance = instance.as_str(); "target confirmed");
+            log::info!(instance = earlier.instance.as_str(); "target confirmed");
             core.apply_target();
             return;
         }
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -9,6 +9,7 @@
 
 use super::{DirectoryState, TABLE, confirm};
 use crate::core::Core;
+use crate::half::EarlierTarget;
 use crate::sync::lock;
 
 /// Keys of member rows, before the host's name.
@@ -44,20 +45,24 @@
 }
 
 fn own_member(core: &Core) -> Option<Member> {
-    let (instance, state) = core.half.with_reports(|reports| {
-        let target = reports.in_place()?;
-        Some((target.instance.clone(), target.state))
-    })??;
+    let target = core
+        .half
+        .with_reports(|reports| reports.in_place().cloned())??;
     let entry = HostEntry {
         host: core.config.host.clone(),
         place: core.config.place.clone(),
         zone: core.config.zone.clone(),
+        region: core.config.region.clone(),
         service: core.half.service(core),
+        version: target.version.unwrap_or_default(),
         mesh: core.me.mesh.to_string(),
         ops: core.me.ops.to_string(),
-        state: host_state(state),
+        state: host_state(target.state),
     };
-    Some(Member { entry, instance })
+    Some(Member {
+        entry,
+        instance: target.instance,
+    })
 }
 
 fn host_state(state: ReportedState) -> HostState {
@@ -139,7 +144,12 @@
     let knows_none = |reports: &mut TargetReports| reports.in_place().is_none();
     if core.half.with_reports(knows_none) == Some(true) {
         let core = Arc::clone(core);
-        tokio::spawn(confirm::target(core, member.instance, member.entry.service));
+        let earlier = EarlierTarget {
+            instance: member.instance,
+            service: member.entry.service,
+            version: member.entry.version,
+        };
+        tokio::spawn(confirm::target(core, earlier));
     }
 }
 
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -142,6 +142,7 @@
         host: &core.config.host,
         place: &core.config.place,
         zone: &core.config.zone,
+        region: &core.config.region,
     };
     let order = neighbours(here, &candidates);
     let entries = |targets: Vec<TargetId>| {
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -68,6 +68,16 @@
     Refuse(Refusal),
 }
 
+/// The target as an earlier run of this daemon left word of it.
+pub struct EarlierTarget {
+    /// Its incarnation.
+    pub instance: String,
+    /// Its service.
+    pub service: String,
+    /// Version of its software; empty where that is not known.
+    pub version: String,
+}
+
 /// State of the target half.
 pub struct Half {
     clock: Clock,
@@ -348,16 +358,17 @@
     /// An earlier run of this daemon left word that an incarnation of the target takes calls.
     /// If the target says that it is that one, and well, it is taken as in place, and need
     /// not report first.
-    pub async fn confirm(&self, core: &Core, instance: &str, service: &str) -> ReportEffect {
+    pub async fn confirm(&self, core: &Core, earlier: &EarlierTarget) -> ReportEffect {
         let Some(told) = self.ask_itself(core).await else {
             return ReportEffect::Nothing;
         };
-        if !told.well || told.instance.as_deref() != Some(instance) {
+        if !told.well || told.instance.as_ref() != Some(&earlier.instance) {
             return ReportEffect::Nothing;
         }
         let report = TargetReport {
-            instance: instance.to_owned(),
-            service: Some(service.to_owned()),
+            instance: earlier.instance.clone(),
+            service: Some(earlier.service.clone()),
+            version: Some(earlier.version.clone()),
             state: ReportedState::Ready,
             sequence: None,
             slots: told.load.map(|load| load.slots),
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -35,6 +35,8 @@
     pub place: String,
     /// Its availability zone.
     pub zone: String,
+    /// Region of the host; empty where the deployment names none.
+    pub region: String,
     /// Service of its target.
     pub service: String,
     /// Its incarnation, in hexadecimal.
@@ -131,6 +133,7 @@
         host: core.config.host.clone(),
         place: core.config.place.clone(),
         zone: core.config.zone.clone(),
+        region: core.config.region.clone(),
         service: core.config.service.clone(),
         incarnation: core.me.incarnation.to_string(),
         started_ms: core.me.started_ms,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -243,6 +243,7 @@
             host: &core.config.host,
             place: &core.config.place,
             zone: &core.config.zone,
+            region: &core.config.region,
         };
         let wanted = subset(here, &candidates, effective.subset_size);
         let mut entries: HashMap<TargetId, HostEntry> = candidates
--- a/crates/load/src/spread.rs
+++ b/crates/load/src/spread.rs
@@ -282,6 +282,7 @@
         host: format!("host-{seed}-{number}"),
         place: format!("zone-{}", number % ZONES),
         zone: format!("zone-{}", number % ZONES),
+        region: String::new(),
     };
     (0..count).map(one).collect()
 }
@@ -292,6 +293,7 @@
             host: &one.host,
             place: &one.place,
             zone: &one.zone,
+            region: &one.region,
         };
         let order = neighbours(here, left);
         let near = order.near.iter().take(NEAR_NEIGHBOURS);
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -37,6 +37,8 @@
     pub instance: String,
     /// Service that it runs; absent where the report does not say.
     pub service: Option<String>,
+    /// Version of its software; absent where the report does not say.
+    pub version: Option<String>,
     /// What it is doing.
     pub state: ReportedState,
     /// Order of its reports; absent where the report has no place in the order.
@@ -69,6 +71,8 @@
     pub instance: String,
     /// Its service; absent where it never said.
     pub service: Option<String>,
+    /// Version of its software; absent where it never said.
+    pub version: Option<String>,
     /// What it is doing.
     pub state: ReportedState,
     /// Calls it serves at once; absent where it does not say.
@@ -212,6 +216,7 @@
         self.in_place = Some(InPlace {
             instance: report.instance,
             service: report.service,
+            version: report.version,
             state,
             slots: report.slots,
             sequence: report.sequence.unwrap_or(0),
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -20,6 +20,8 @@
     pub place: &'a str,
     /// The router's availability zone.
     pub zone: &'a str,
+    /// The router's region.
+    pub region: &'a str,
 }
 
 /// One target of a service.
@@ -33,6 +35,8 @@
     pub place: String,
     /// Its availability zone.
     pub zone: String,
+    /// Its region.
+    pub region: String,
     /// Whether its zone is evacuated, so that it is taken only where there are no others.
     pub evacuated: bool,
 }
@@ -57,8 +61,10 @@
         0
     } else if candidate.place == here.place {
         1
-    } else {
+    } else if candidate.region == here.region {
         2
+    } else {
+        3
     }
 }
 
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -54,12 +54,14 @@
         host: format!("host-{number}"),
         place: ["near", "far"][number as usize % 2].to_owned(),
         zone: ["near", "far"][number as usize % 2].to_owned(),
+        region: String::new(),
         evacuated: number.is_multiple_of(2),
     };
     let here = Here {
         host: "host-0",
         place: "near",
         zone: "near",
+        region: "",
     };
     let candidates: Vec<Candidate> = (0..8).map(candidate).collect();
     let four = subset(here, &candidates, 4);
--- a/crates/policy/tests/neighbours.rs
+++ b/crates/policy/tests/neighbours.rs
@@ -13,6 +13,7 @@
             host: format!("host-{seed}-{number}"),
             place: format!("zone-{}", number % zones),
             zone: format!("zone-{}", number % zones),
+            region: String::new(),
         })
         .collect()
 }
@@ -25,6 +26,7 @@
             host: &member.host,
             place: &member.place,
             zone: &member.zone,
+            region: &member.region,
         };
         let order = neighbours(here, members);
         let near = order.near.iter().take(NEAR_NEIGHBOURS);
@@ -76,6 +78,7 @@
             host: &member.host,
             place: &member.place,
             zone: &member.zone,
+            region: &member.region,
         };
         !neighbours(here, &members).far.is_empty()
     };
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -10,6 +10,7 @@
 fn report(instance: u8, state: ReportedState, sequence: Option<u64>) -> TargetReport {
     TargetReport {
         instance: format!("i-{instance}"),
+        version: None,
         service: Some("stock".to_owned()),
         state,
         sequence,
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -343,12 +343,14 @@
             host: format!("host-{n}"),
             place: format!("place-{}", n % 3),
             zone: format!("zone-{}", n % 6),
+            region: String::new(),
         })
         .collect();
     let here = |host| Here {
         host,
         place: "place-0",
         zone: "zone-0",
+        region: "",
     };
     let first = subset(here("router-1"), &candidates, 15);
     assert_eq!(first.len(), 15);
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -59,6 +59,12 @@
     pub priority: u32,
     /// Where its traffic goes.
     pub parts: Vec<RoutePart>,
+    /// The only regions in which its calls may be served; anywhere where there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<String>,
+    /// Whether bodies may be so large that they are passed on in pieces.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub large_bodies: bool,
 }
 
 impl Route {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -159,9 +159,11 @@
             host: name,
             place: place.to_owned(),
             zone: format!("{place}-1"),
+            region: String::new(),
             service: "stock".to_owned(),
             mesh: mesh_proxy.address.to_string(),
             ops: address(2).to_string(),
+            version: String::new(),
             state: HostState::Live,
         });
         Ok(Host {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -106,8 +106,14 @@
     pub place: String,
     /// Its availability zone.
     pub zone: String,
+    /// Its region; empty where the deployment names none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub region: String,
     /// Service of its target.
     pub service: String,
+    /// Version of the software that its target runs; empty where that is not known.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
     /// Address of its daemon's mesh.
     pub mesh: String,
     /// Address of its daemon's operators' endpoint.
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -104,6 +104,8 @@
         host: format!("h{n}"),
         place: "east".to_owned(),
         zone: "east-1".to_owned(),
+        region: String::new(),
+        version: String::new(),
         service: "stock".to_owned(),
         mesh: "127.0.0.1:1".to_owned(),
         ops: "127.0.0.1:2".to_owned(),
