Order of pipelined calls, framing of requests, and the type of their bodies

Calls that are sent on one connection before the first is answered run one after the other. The pure part of answering them side by side: which call begins, which answer goes out, where reading stops. Requests are taken apart by httparse and a chunk reader without I/O; a body is fed by its connection with backpressure (http1::RequestBody). Nothing uses them yet.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod half;
 mod headers;
+pub mod http1;
 mod life;
 pub mod logging;
 mod mesh;
