Callers' connections run pipelined calls side by side

hyper reads the next request of a connection when the last answer is out, so calls sent ahead waited for each other. Connections are now served by our own task: requests without effects begin side by side, those with effects wait for all before them, answers go out in order, and only the last of those begun says that the connection closes. It ends by closing the sending side and throwing away what still comes, so that no answer is lost to a reset.

--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -1,9 +1,8 @@
 //! Answers to callers: targets' answers passed on, and problems told in the form
 //! of RFC 9457 with a machine-readable outcome.
 
-use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use lynxcleat_policy::{Micros, NotRunReason};
 use lynxcleat_wire::{Answer, Header};
@@ -13,7 +12,7 @@
 use crate::dialect::Dialect;
 use crate::headers::{OUTCOME, REPLAYED, RETRY_AFTER_MS, TICKET};
 
-pub(super) type HttpAnswer = Response<Full<Bytes>>;
+pub(super) type HttpAnswer = Response<Bytes>;
 
 const PROBLEM_JSON: &str = "application/problem+json";
 const JSON: &str = "application/json";
@@ -241,7 +240,7 @@
 /// A target's answer, passed on unchanged but for our own headers.
 pub(super) fn pass_on(dialect: &Dialect, answer: Answer, replayed: bool) -> HttpAnswer {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut http = Response::new(Full::new(Bytes::from(answer.body.into_vec())));
+    let mut http = Response::new(Bytes::from(answer.body.into_vec()));
     *http.status_mut() = status;
     let headers = http.headers_mut();
     for Header(name, value) in answer.headers {
@@ -266,13 +265,7 @@
 }
 
 /// Adds what every answer carries.
-pub(super) fn stamp(
-    dialect: &Dialect,
-    answer: &mut HttpAnswer,
-    call: &str,
-    ticket: Option<&str>,
-    closing: bool,
-) {
+pub(super) fn stamp(dialect: &Dialect, answer: &mut HttpAnswer, call: &str, ticket: Option<&str>) {
     let headers = answer.headers_mut();
     if let Ok(value) = HeaderValue::from_str(call) {
         headers.insert(&dialect.call, value);
@@ -280,14 +273,11 @@
     if let Some(value) = ticket.and_then(|text| HeaderValue::from_str(text).ok()) {
         headers.insert(TICKET, value);
     }
-    if closing {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
 }
 
 fn build(status: StatusCode, content_type: &'static str, body: String) -> HttpAnswer {
     let length = body.len();
-    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let mut answer = Response::new(Bytes::from(body));
     *answer.status_mut() = status;
     let headers = answer.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
--- a/crates/daemon/src/callers/body.rs
+++ b/crates/daemon/src/callers/body.rs
@@ -3,17 +3,18 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use lynxcleat_settings::Effective;
 use serde_bytes::ByteBuf;
 
 use super::answer::Problem;
 use super::room::Taken;
+use crate::http1::RequestBody;
 
 /// Reads a body whole. `room` holds the room for its stated length; what comes of a body
 /// without one takes more.
 pub(super) async fn read(
-    body: Incoming,
+    body: RequestBody,
     effective: &Effective,
     room: &mut Taken<'_>,
 ) -> Result<ByteBuf, Problem> {
@@ -23,7 +24,7 @@
 }
 
 async fn read_frames(
-    mut body: Incoming,
+    mut body: RequestBody,
     effective: &Effective,
     room: &mut Taken<'_>,
 ) -> Result<ByteBuf, Problem> {
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -80,9 +80,9 @@
 }
 
 /// Refuses what could be read in two ways by us and a target. A request with both
-/// Content-Length and Transfer-Encoding never shows both here: hyper goes by the
-/// chunks, drops the length and closes the connection after the answer (RFC 9112,
-/// section 6.3), and we frame what we send on anew.
+/// Content-Length and Transfer-Encoding was read by its chunks and ends its connection
+/// (RFC 9112, section 6.3), its length counts for nothing, and we frame what we send on
+/// anew.
 fn check_form(parts: &Parts) -> Result<(), Problem> {
     if !parts.uri.path().starts_with('/') {
         return Err(Problem::Bad("the target of the request must be a path"));
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,31 +1,32 @@
 //! The side towards callers: connections, requests, answers.
 //!
-//! HTTP is by hyper rather than tiny_http here, and the docs say why: a caller's
-//! slow request must be bounded in time, a caller that goes away must cancel its
-//! call, and a stop must not cut a connection under a request. tiny_http offers
-//! none of the three. It serves the operators' endpoint.
+//! HTTP is by [`crate::http1`] rather than by hyper or tiny_http, and the docs say why:
+//! calls that are sent before the first is answered run side by side, a caller's slow
+//! request must be bounded in time, a caller that goes away must cancel its calls, and a
+//! stop must not cut a connection under a request. hyper offers all but the first,
+//! tiny_http none. It serves the operators' endpoint.
 
 mod answer;
 mod body;
+mod calls;
 mod classify;
 mod room;
 mod serve;
 mod stall;
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 pub use room::BodyRoom;
 
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use lynxcleat_policy::PipelineLimits;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::core::Core;
+use crate::http1::{self, ConnectionLimits};
 use crate::life::Phase;
+use calls::Calls;
 
 /// Whether the other end is on this host: the target, which calls on while it runs a
 /// call.
@@ -40,10 +41,12 @@
 const FIRST_CALLER_LIMIT: Duration = Duration::from_secs(15);
 /// Time for the first request of a connection that was made as the daemon closes.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
-/// Largest head of a request, in bytes.
-const HEAD_BYTES: usize = 32 << 10;
-/// Headers of a request at most.
-const HEADERS_LIMIT: usize = 100;
+/// Calls in hand on a connection, and bytes of answers held, before settings are in force:
+/// there is nothing yet that could run.
+const FIRST_PIPELINE: PipelineLimits = PipelineLimits {
+    calls: 1,
+    bytes: 4 << 10,
+};
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -98,48 +101,39 @@
     });
 }
 
-/// Serves one connection. On a stop, the request in hand is finished first, and a
+/// Serves one connection. On a stop, the requests in hand are finished first, and a
 /// connection that was just made may still send its first.
 async fn connection(core: &Arc<Core>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let limit = caller_limit(core);
-    let nested = is_from_own_host(&stream);
-    let first = Notify::new();
-    let service = service_fn(|request| {
-        first.notify_one();
-        let core = Arc::clone(core);
-        async move { Ok::<_, Infallible>(serve::serve(&core, request, nested).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limit)
-        .max_header_size(HEAD_BYTES)
-        .max_headers(HEADERS_LIMIT)
-        .serve_connection(TokioIo::new(stall::Stall::new(stream, limit)), service);
-    tokio::pin!(connection);
+    let limits = limits(core);
+    let calls = Calls::new(Arc::clone(core), is_from_own_host(&stream));
     let closing = async {
         core.life.reached(Phase::Closing).await;
-        let _ = tokio::time::timeout(FIRST_REQUEST_GRACE, first.notified()).await;
-    };
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        let _ = tokio::time::timeout(FIRST_REQUEST_GRACE, calls.first()).await;
     };
-    if let Err(error) = ended {
+    let stream = stall::Stall::new(stream, limits.idle);
+    if let Err(error) = http1::serve(stream, &calls, limits, closing).await {
         log::debug!("caller's connection: {error}");
     }
 }
 
-/// Longest time for the head of a request, between two, and for a caller to take
-/// some of its answer.
-fn caller_limit(core: &Core) -> Duration {
-    let in_force = core.settings.current();
-    in_force.map_or(FIRST_CALLER_LIMIT, |in_force| {
-        Duration::from_millis(in_force.own.caller_limit_ms)
-    })
+/// Bounds of a connection. Its time limit is the longest for the head of a request, between
+/// two, and for a caller to take some of its answer.
+fn limits(core: &Core) -> ConnectionLimits {
+    let Some(in_force) = core.settings.current() else {
+        return ConnectionLimits {
+            pipeline: FIRST_PIPELINE,
+            idle: FIRST_CALLER_LIMIT,
+        };
+    };
+    let own = &in_force.own;
+    ConnectionLimits {
+        pipeline: PipelineLimits {
+            calls: own.pipeline_limit,
+            bytes: own.pipeline_bytes,
+        },
+        idle: Duration::from_millis(own.caller_limit_ms),
+    }
 }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use hyper::Request;
-use hyper::body::{Body, Incoming};
-use lynxcleat_policy::{CallId, CallKind};
+use hyper::body::Body;
+use hyper::http::request::Parts;
+use lynxcleat_policy::{CallId, CallKind, Micros};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
 use rand::RngExt;
 use serde::Serialize;
@@ -14,7 +14,7 @@
 use super::classify::{self, Classified, Effects};
 use super::room::Taken;
 use crate::core::Core;
-use crate::life::Phase;
+use crate::http1::RequestBody;
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
 use crate::route::{self, Outbound, RouteVerdict, ServiceRouter};
@@ -26,6 +26,32 @@
 /// Tickets handed out at once.
 const TICKETS_LIMIT: usize = 100;
 
+/// A request whose head was checked.
+pub(super) struct Checked {
+    id: CallId,
+    name: String,
+    began: Micros,
+    asked: Asked,
+}
+
+/// What a request asks for.
+enum Asked {
+    /// Something of the daemon itself, which is answered already.
+    Own(HttpAnswer),
+    /// A call, or why there is none.
+    Call(Result<Box<Pinned>, Problem>),
+}
+
+impl Checked {
+    /// Whether it is a call with effects, by its route and by its ticket or key.
+    pub(super) fn has_effects(&self) -> bool {
+        match &self.asked {
+            Asked::Call(Ok(pinned)) => pinned.terms.effects != Effects::None,
+            Asked::Call(Err(_)) | Asked::Own(_) => false,
+        }
+    }
+}
+
 /// A call with the settings that govern it.
 struct Pinned {
     call: Classified,
@@ -50,23 +76,57 @@
     tickets: Vec<String>,
 }
 
-/// Answers one request. A nested one is made by a target that runs a call itself.
-pub(super) async fn serve(
-    core: &Arc<Core>,
-    request: Request<Incoming>,
-    nested: bool,
-) -> HttpAnswer {
-    let busy = core.life.calls.enter();
+/// Checks a request's head, and pins the call to the settings in force.
+pub(super) fn check(core: &Arc<Core>, parts: &Parts) -> Checked {
     let began = core.clock.now();
     let id = core.new_call_id();
-    let (parts, body) = request.into_parts();
     let named = core.dialect.caller_call(&parts.headers);
     let name = named.unwrap_or_else(|| core.call_name(id));
-    if core.dialect.own_interface && parts.uri.path().starts_with(OWN_PREFIX) {
-        return own(core, &parts, &name);
+    let is_own = core.dialect.own_interface && parts.uri.path().starts_with(OWN_PREFIX);
+    let asked = match is_own {
+        true => Asked::Own(own(core, parts, &name)),
+        false => Asked::Call(classify_and_pin(core, parts)),
+    };
+    Checked {
+        id,
+        name,
+        began,
+        asked,
     }
-    let mut service = String::new();
-    let outcome = pipeline(core, (id, &name, nested), &parts, body, &mut service).await;
+}
+
+fn classify_and_pin(core: &Arc<Core>, parts: &Parts) -> Result<Box<Pinned>, Problem> {
+    let classified = classify::classify(core, parts)?;
+    pin(core, classified).map(Box::new)
+}
+
+/// Answers one request. A nested one is made by a target that runs a call itself.
+pub(super) async fn serve(
+    core: Arc<Core>,
+    checked: Checked,
+    body: RequestBody,
+    nested: bool,
+) -> HttpAnswer {
+    let core = &core;
+    let busy = core.life.calls.enter();
+    let Checked {
+        id,
+        name,
+        began,
+        asked,
+    } = checked;
+    let pinned = match asked {
+        Asked::Own(answer) => return answer,
+        Asked::Call(pinned) => pinned,
+    };
+    let service = match &pinned {
+        Ok(pinned) => pinned.service.name.clone(),
+        Err(_) => String::new(),
+    };
+    let outcome = match pinned {
+        Ok(pinned) => serve_pinned(core, (id, &name, nested), *pinned, body).await,
+        Err(problem) => Err(problem),
+    };
     let (mut http, label) = match outcome {
         Ok(http) => (http, Outcome::Run),
         Err(problem) => {
@@ -75,23 +135,18 @@
         }
     };
     let ticket = core.dialect.own_interface.then(|| core.once.mint_text());
-    let closing = core.life.phase() > Phase::Serving;
-    answer::stamp(&core.dialect, &mut http, &name, ticket.as_deref(), closing);
+    answer::stamp(&core.dialect, &mut http, &name, ticket.as_deref());
     count(core, service, label, core.clock.now() - began);
     drop(busy);
     http
 }
 
-async fn pipeline(
+async fn serve_pinned(
     core: &Arc<Core>,
     (id, name, nested): (CallId, &str, bool),
-    parts: &hyper::http::request::Parts,
-    body: Incoming,
-    service: &mut String,
+    pinned: Pinned,
+    body: RequestBody,
 ) -> Result<HttpAnswer, Problem> {
-    let classified = classify::classify(core, parts)?;
-    let pinned = pin(core, classified)?;
-    service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
     let mut room = take_room(core, &pinned.effective, &body)?;
     let body = body::read(body, &pinned.effective, &mut room).await?;
@@ -144,7 +199,7 @@
 fn take_room<'a>(
     core: &'a Core,
     effective: &Effective,
-    body: &Incoming,
+    body: &RequestBody,
 ) -> Result<Taken<'a>, Problem> {
     let stated = body.size_hint().exact();
     let bytes = stated.map_or(0, |length| length as usize);
@@ -314,7 +369,7 @@
 }
 
 /// Requests to the daemon itself: a batch of tickets.
-fn own(core: &Core, parts: &hyper::http::request::Parts, name: &str) -> HttpAnswer {
+fn own(core: &Core, parts: &Parts, name: &str) -> HttpAnswer {
     if parts.uri.path() != TICKETS_PATH {
         return Problem::Bad("no such path of the daemon").answer(&core.dialect, name);
     }
--- a/crates/daemon/src/callers/stall.rs
+++ b/crates/daemon/src/callers/stall.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Sleep, sleep};
 
+use crate::http1::CallerStream;
+
 /// A stream whose writes fail after waiting for too long.
 pub(super) struct Stall<S> {
     stream: S,
@@ -46,6 +48,12 @@
     }
 }
 
+impl<S: CallerStream> CallerStream for Stall<S> {
+    fn has_left(&self) -> bool {
+        self.stream.has_left()
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Stall<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/daemon/src/http1/head.rs
+++ b/crates/daemon/src/http1/head.rs
@@ -89,10 +89,13 @@
     };
     let kept = Bytes::copy_from_slice(bytes);
     let target = Uri::from_maybe_shared(kept.slice_ref(within(&kept, bytes, target.as_bytes())));
-    let headers = headers(&kept, bytes, parsed.headers)?;
+    let mut headers = headers(&kept, bytes, parsed.headers)?;
     let is_new = minor == 1;
     let framing = framing(&headers, is_new)?;
     let persists = persists(&headers, is_new);
+    if framing == Framing::Chunked {
+        headers.remove(CONTENT_LENGTH);
+    }
     let expects = headers.get(EXPECT);
     let expects_continue = is_new
         && expects.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
--- a/crates/daemon/src/http1/requests.rs
+++ b/crates/daemon/src/http1/requests.rs
@@ -83,9 +83,19 @@
         !matches!(self.state, State::Head)
     }
 
-    /// Throws away all that was read.
-    pub fn discard(&mut self) {
-        (self.begin, self.end) = (0, 0);
+    /// Whether the body that has begun was read whole.
+    pub fn has_whole_body(&self) -> bool {
+        let read = (self.end - self.begin) as u64;
+        self.left_of_body().is_some_and(|left| left <= read)
+    }
+
+    /// Bytes of the body that were not taken apart yet, where its length is stated.
+    pub fn left_of_body(&self) -> Option<u64> {
+        match self.state {
+            State::Head => Some(0),
+            State::Length(left) => Some(left),
+            State::Chunks(_) => None,
+        }
     }
 
     /// The next item, with at most `room` bytes of a body; `None` until more was read.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,9 @@
     registry: Mutex<Registry>,
     pub calls: Family<CallLabels, Counter>,
     pub call_seconds: Histogram,
+    pub pipelined_calls: Counter,
+    pub pipelines_at_bound: Counter,
+    pub malformed_requests: Kinds,
     pub retries: Counter,
     pub target_refusals: Kinds,
     pub dropped_answers: Kinds,
@@ -72,6 +75,9 @@
             registry: Mutex::default(),
             calls: Family::default(),
             call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            pipelined_calls: Counter::default(),
+            pipelines_at_bound: Counter::default(),
+            malformed_requests: Family::default(),
             retries: Counter::default(),
             target_refusals: Family::default(),
             dropped_answers: Family::default(),
@@ -107,6 +113,9 @@
         let registry = root.sub_registry_with_prefix("lynxcleat");
         registry.register("calls", "Callers' calls by service and outcome", self.calls.clone());
         registry.register_with_unit("call", "Time from a call's arrival to its answer", Unit::Seconds, self.call_seconds.clone());
+        registry.register("pipelined_calls", "Callers' calls begun while others before them on their connection ran", self.pipelined_calls.clone());
+        registry.register("pipelines_at_bound", "Times that a connection was not read since as much was in hand as may be", self.pipelines_at_bound.clone());
+        registry.register("malformed_requests", "Requests refused since they could not be framed", self.malformed_requests.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
