--- a/crates/daemon/src/http1/connection.rs
+++ b/crates/daemon/src/http1/connection.rs
@@ -197,12 +197,14 @@
             if !self.is_stopping && self.service.is_stopping() {
                 self.stop();
             }
-            let mut moved = self.take_in(cx);
-            moved |= self.poll_running(cx);
-            moved |= self.put_out();
-            moved |= self.write(stream, cx)?;
-            moved |= self.read(stream, cx)?;
-            if !moved {
+            let came = self.read(stream, cx)?;
+            self.take_in(cx);
+            let is_answered = self.poll_running(cx);
+            let is_out = self.put_out();
+            let is_relieved = self.write(stream, cx)?;
+            let has_more = is_answered || is_out || is_relieved;
+            let goes_on = came || has_more && self.has_unbegun();
+            if !goes_on {
                 break;
             }
         }
@@ -225,6 +227,11 @@
         Ok(self.is_at_bound && self.output.unsent() < before)
     }
 
+    /// Whether something was read that is not begun, or not handed on.
+    fn has_unbegun(&self) -> bool {
+        self.waiting.is_some() || self.body.is_some() || self.requests.has_input()
+    }
+
     fn ended(&self) -> Option<Ended> {
         let is_idle = self.pipeline.is_idle() && self.output.unsent() == 0;
         let is_over = self.pipeline.is_closed() || self.is_closing || self.is_at_end;
@@ -273,10 +280,9 @@
         Ok(())
     }
 
-    /// Takes apart what was read, as far as it may be. True where something may have been
-    /// begun.
-    fn take_in(&mut self, cx: &mut Context<'_>) -> bool {
-        let mut moved = self.begin_waiting();
+    /// Takes apart what was read, as far as it may be, and begins what may begin.
+    fn take_in(&mut self, cx: &mut Context<'_>) {
+        self.begin_waiting();
         while !self.is_cut {
             let taken = match self.requests.is_in_body() {
                 true => self.take_body(cx),
@@ -285,9 +291,7 @@
             if !taken {
                 break;
             }
-            moved = true;
         }
-        moved
     }
 
     fn take_request(&mut self) -> bool {
@@ -423,12 +427,12 @@
         self.pipeline.end();
     }
 
-    fn begin_waiting(&mut self) -> bool {
+    fn begin_waiting(&mut self) {
         if self.waiting.is_none() || self.pipeline.begin().is_none() {
-            return false;
+            return;
         }
         let Some(Waiting { number, request }) = self.waiting.take() else {
-            return false;
+            return;
         };
         let is_behind = !self.running.is_empty();
         let answering = match request {
@@ -436,7 +440,6 @@
             Read::Malformed(malformed) => self.service.refuse(malformed),
         };
         self.running.push(Running { number, answering });
-        true
     }
 
     /// Lets the calls in hand go on. True where one was answered.
--- a/crates/daemon/src/http1/head.rs
+++ b/crates/daemon/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! The head of a request: where it ends, and what it says.
 
+use std::mem::MaybeUninit;
+
 use hyper::body::Bytes;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
@@ -76,9 +78,9 @@
 /// # Errors
 /// What makes it doubtful what the head says or where the request ends.
 pub(super) fn read(bytes: &[u8]) -> Result<Head, Malformed> {
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS_LIMIT];
-    let mut parsed = httparse::Request::new(&mut fields);
-    match parsed.parse(bytes) {
+    let mut fields = [const { MaybeUninit::uninit() }; FIELDS_LIMIT];
+    let mut parsed = httparse::Request::new(&mut []);
+    match parsed.parse_with_uninit_headers(bytes, &mut fields) {
         Ok(httparse::Status::Complete(length)) if length == bytes.len() => {}
         Ok(_) => return Err(Malformed::RequestLine),
         Err(error) => return Err(malformed(error)),
@@ -92,10 +94,9 @@
     let mut headers = headers(&kept, bytes, parsed.headers)?;
     let is_new = minor == 1;
     let framing = framing(&headers, is_new)?;
-    let persists = persists(&headers, is_new);
-    if framing == Framing::Chunked {
-        headers.remove(CONTENT_LENGTH);
-    }
+    // With a length and chunks the two sides may see different ends.
+    let is_doubtful = framing == Framing::Chunked && headers.remove(CONTENT_LENGTH).is_some();
+    let persists = !is_doubtful && persists(&headers, is_new);
     let expects = headers.get(EXPECT);
     let expects_continue = is_new
         && expects.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"));
