A call's wait for its turn counts, and is told

The wait behind other calls on a connection is part of the time of a call: its deadline and goal count from its head. A line and a histogram tell of waits. 1xx answers of targets are told as 502.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -41,11 +41,11 @@
 const FIRST_CALLER_LIMIT: Duration = Duration::from_secs(15);
 /// Time for the first request of a connection that was made as the daemon closes.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
-/// Calls in hand on a connection, and bytes of answers held, before settings are in force:
-/// there is nothing yet that could run.
+/// Calls in hand on a connection, and bytes of answers held, of those that were made before
+/// settings were in force: as the settings have it by default.
 const FIRST_PIPELINE: PipelineLimits = PipelineLimits {
-    calls: 1,
-    bytes: 4 << 10,
+    calls: 8,
+    bytes: 1 << 20,
 };
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -26,6 +26,9 @@
 /// Tickets handed out at once.
 const TICKETS_LIMIT: usize = 100;
 
+/// Shortest wait for a turn that is told: a call that need not wait begins in less.
+const WAIT_US: Micros = 1_000;
+
 /// A request whose head was checked.
 pub(super) struct Checked {
     id: CallId,
@@ -119,12 +122,14 @@
         Asked::Own(answer) => return answer,
         Asked::Call(pinned) => pinned,
     };
+    let waited_us = core.clock.now() - began;
+    note_wait(core, &name, waited_us);
     let service = match &pinned {
         Ok(pinned) => pinned.service.name.clone(),
         Err(_) => String::new(),
     };
     let outcome = match pinned {
-        Ok(pinned) => serve_pinned(core, (id, &name, nested), *pinned, body).await,
+        Ok(pinned) => serve_pinned(core, (id, &name, nested), *pinned, waited_us, body).await,
         Err(problem) => Err(problem),
     };
     let (mut http, label) = match outcome {
@@ -141,10 +146,12 @@
     http
 }
 
+/// The time for which the call waited for its turn on its connection is part of its own.
 async fn serve_pinned(
     core: &Arc<Core>,
     (id, name, nested): (CallId, &str, bool),
     pinned: Pinned,
+    waited_us: Micros,
     body: RequestBody,
 ) -> Result<HttpAnswer, Problem> {
     classify::check_settings(&pinned.call, &pinned.effective)?;
@@ -164,13 +171,13 @@
     let outbound = Outbound {
         id,
         name: name.to_owned(),
-        deadline: core.clock.now() + deadline_ms * 1_000,
+        deadline: (core.clock.now() + deadline_ms * 1_000).saturating_sub(waited_us),
         operation: None,
         may_retry: call.may_retry,
         attempt_limit: terms.attempts,
         goal: terms
             .goal_ms
-            .map(|goal_ms| core.clock.now() + goal_ms * 1_000),
+            .map(|goal_ms| (core.clock.now() + goal_ms * 1_000).saturating_sub(waited_us)),
         kind: terms.kind,
         priority: terms.priority,
         nested,
@@ -184,6 +191,17 @@
     answered
 }
 
+/// Tells of a call that waited for its turn on its connection.
+fn note_wait(core: &Core, name: &str, waited_us: Micros) {
+    if waited_us < WAIT_US {
+        return;
+    }
+    core.metrics.turn_waits.observe(waited_us as f64 / 1e6);
+    if core.explain.logs(core.clock.now(), true) {
+        log::info!(call = name, waited_us; "call waited for its turn");
+    }
+}
+
 /// One line for a call that was answered before it was routed; the others are logged
 /// with their attempts.
 fn log_unrouted(core: &Core, name: &str, problem: &Problem) {
--- a/crates/daemon/src/http1/encode.rs
+++ b/crates/daemon/src/http1/encode.rs
@@ -33,7 +33,11 @@
 
 /// Encodes an answer. Where `closes`, it says that the connection ends with it.
 pub(super) fn encode(answer: Response<Bytes>, form: Form, closes: bool) -> Encoded {
-    let (parts, body) = answer.into_parts();
+    let (mut parts, body) = answer.into_parts();
+    if parts.status.is_informational() {
+        // It would be taken for the announcement of an answer that never comes.
+        parts.status = StatusCode::BAD_GATEWAY;
+    }
     let has_body = !form.is_head && may_have_body(parts.status);
     let copied = has_body && body.len() <= COPIED_BYTES;
     let fields = parts.headers.len() * FIELD_BYTES;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,6 +44,7 @@
     pub call_seconds: Histogram,
     pub pipelined_calls: Counter,
     pub pipelines_at_bound: Counter,
+    pub turn_waits: Histogram,
     pub malformed_requests: Kinds,
     pub retries: Counter,
     pub target_refusals: Kinds,
@@ -77,6 +78,7 @@
             call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             pipelined_calls: Counter::default(),
             pipelines_at_bound: Counter::default(),
+            turn_waits: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
             malformed_requests: Family::default(),
             retries: Counter::default(),
             target_refusals: Family::default(),
@@ -115,6 +117,7 @@
         registry.register_with_unit("call", "Time from a call's arrival to its answer", Unit::Seconds, self.call_seconds.clone());
         registry.register("pipelined_calls", "Callers' calls begun while others before them on their connection ran", self.pipelined_calls.clone());
         registry.register("pipelines_at_bound", "Times that a connection was not read since as much was in hand as may be", self.pipelines_at_bound.clone());
+        registry.register_with_unit("turn_wait", "Time for which calls waited for others before them on their connection", Unit::Seconds, self.turn_waits.clone());
         registry.register("malformed_requests", "Requests refused since they could not be framed", self.malformed_requests.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -157,6 +157,29 @@
     assert_eq!(*events, expected);
 }
 
+#[test]
+fn the_wait_for_its_turn_is_part_of_the_time_of_a_call() {
+    static EVENTS: Events = Mutex::new(Vec::new());
+    let target = odd_target(|mut stream, _| {
+        while let Some(path) = read_path(&mut stream) {
+            log(&EVENTS, "begin", &path);
+            thread::sleep(HELD);
+            answer(&mut stream, &path);
+        }
+    });
+    let fleet = Plan::new("pipelining-wait").start_with_target(&target);
+    let worker = &fleet.workers[0];
+    let mut stream = connect(worker);
+    let late = post("/late", "").replace("30000", &(HELD.as_millis() / 2).to_string());
+    let sent = [get("/before"), late].concat();
+    stream.write_all(sent.as_bytes()).expect("written");
+    assert_eq!(read_answer(&mut stream).status, 200);
+    let reply = read_answer(&mut stream);
+    assert_eq!((reply.status, &*reply.outcome()), (503, "not-run"));
+    assert_eq!(*EVENTS.lock().expect("events"), ["begin /before"]);
+    assert_eq!(worker.metric("lynxcleat_turn_wait_seconds_count"), 1.0);
+}
+
 /// The route in force says what has effects, whatever the method says.
 #[test]
 fn the_route_decides_what_runs_alone() {
