Home regions: settings, choice, both ends of a call

Calls whose route or service names home regions could be served anywhere. The lists are now checked and inherited, the router passes targets outside over, and the target half refuses what came from a router that is behind. A tree whose homes cannot be kept is refused with its path.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -48,6 +48,9 @@
         "call {} service {} generation {}: {} after {} us",
         trace.call, trace.service, trace.generation, trace.verdict, trace.took_us
     );
+    if !trace.homes.is_empty() {
+        println!("  home regions {}", trace.homes.join(", "));
+    }
     for (nth, attempt) in trace.attempts.iter().enumerate() {
         let result = attempt.result.as_deref().unwrap_or("no reply");
         println!(
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use lynxcleat_settings::{FIELDS, Kind, Origin, Resolved, Tree, diff};
+use lynxcleat_settings::{FIELDS, Kind, Origin, Resolved, Tree, diff, field};
 use lynxcleat_store::{Platform, accepted_change, history, read_tree as read_in_force};
 use serde_json::{Value, json};
 
@@ -53,6 +53,8 @@
             }
             Kind::Choice(words) => format!("{}, default {}", words.join(" | "), words[0]),
             Kind::Path => "a path that starts with /, default none".to_owned(),
+            Kind::Name => "a name, default none".to_owned(),
+            Kind::Names => "names joined by commas, default none".to_owned(),
         };
         println!("{:24} {}\n{:24}   {values}", spec.name, spec.help, "");
     }
@@ -122,6 +124,7 @@
     for field in resolved {
         let value = match &field.value {
             Value::String(word) => word.clone(),
+            Value::Array(names) => joined(names),
             other => other.to_string(),
         };
         let level = match &field.origin {
@@ -136,8 +139,23 @@
     }
 }
 
-/// A value on the command line: a whole number, or a word.
-fn parse_value(text: &str) -> Value {
+/// A list as it is written on the command line.
+fn joined(names: &[Value]) -> String {
+    let names: Vec<&str> = names.iter().filter_map(Value::as_str).collect();
+    names.join(",")
+}
+
+/// A value on the command line: a whole number, a word, or names joined by commas.
+fn parse_value(path: &str, text: &str) -> Value {
+    let name = path.rsplit('.').next().unwrap_or_default();
+    match field(name).map(|spec| spec.kind) {
+        Some(Kind::Names) => text.split(',').filter(|one| !one.is_empty()).collect(),
+        Some(Kind::Name) => text.into(),
+        _ => parse_plain(text),
+    }
+}
+
+fn parse_plain(text: &str) -> Value {
     text.parse::<u64>()
         .map_or_else(|_| text.into(), Value::from)
 }
@@ -145,7 +163,7 @@
 fn set(file: &Path, path: &str, value: &str) -> Done {
     let mut working = Working::read(file)?;
     let before = working.tree.clone();
-    working.tree.set(path, parse_value(value))?;
+    working.tree.set(path, parse_value(path, value))?;
     working.write(file)?;
     for change in diff(&before, &working.tree) {
         println!("{change}");
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -232,6 +232,7 @@
 fn reason_kind(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::NoTarget => "no-target",
+        NotRunReason::NoHomeTarget => "no-home-target",
         NotRunReason::Refused(_) => "refused",
         NotRunReason::Deadline => "deadline",
         NotRunReason::NoLink => "no-link",
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -4,7 +4,7 @@
 
 use hyper::Request;
 use hyper::body::{Body, Incoming};
-use lynxcleat_policy::{CallId, CallKind};
+use lynxcleat_policy::{CallId, CallKind, Homes};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
 use rand::RngExt;
 use serde::Serialize;
@@ -43,6 +43,7 @@
     kind: CallKind,
     priority: u32,
     effects: Effects,
+    homes: Homes,
 }
 
 #[derive(Serialize)]
@@ -118,6 +119,7 @@
             .map(|goal_ms| core.clock.now() + goal_ms * 1_000),
         kind: terms.kind,
         priority: terms.priority,
+        homes: terms.homes,
         nested,
         caller_service: caller_service(core),
         generation,
@@ -171,6 +173,7 @@
             kind: CallKind(named.kind),
             priority: named.route.priority,
             effects: route_effects(named.route.effects, &call.effects),
+            homes: in_force.homes(CallKind(named.kind), name),
         },
         None => Terms {
             timeout_ms: effective.deadline_max_ms,
@@ -179,6 +182,7 @@
             kind: CallKind::default(),
             priority: 0,
             effects: call.effects.clone(),
+            homes: in_force.homes(CallKind::default(), name),
         },
     };
     Ok(Pinned {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -17,6 +17,7 @@
 use crate::directory::DirectoryState;
 use crate::explain::Explain;
 use crate::half::Half;
+use crate::homes;
 use crate::life::{LeaveCause, Life};
 use crate::mesh::Links;
 use crate::metrics::Metrics;
@@ -137,6 +138,7 @@
         let Some(in_force) = self.settings.current() else {
             return;
         };
+        homes::check_own_region(self, &in_force);
         self.half.apply(&in_force.own);
         self.once.apply(&in_force.own);
         self.budget.apply(&in_force.own);
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -51,6 +51,9 @@
     pub service: String,
     /// Generation of settings the call was pinned to.
     pub generation: u64,
+    /// The only regions in which it may be served; none for any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<String>,
     /// Its attempts.
     pub attempts: Vec<AttemptTrace>,
     /// Whether it ran and its answer is no failure.
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -13,6 +13,7 @@
 use crate::control::asks_for_load;
 use crate::core::Core;
 use crate::dialect::TargetLoad;
+use crate::homes;
 use crate::mesh::Link;
 use crate::metrics::count;
 use crate::sync::lock;
@@ -27,6 +28,9 @@
 const STOPPING_RETRY_AFTER_US: Micros = 250_000;
 /// Hint for callers before settings are in force.
 const NOT_READY_RETRY_AFTER_US: Micros = 500_000;
+/// Hint for callers whose call came to a target outside its home regions: its router hears
+/// of the change by then.
+const OUTSIDE_RETRY_AFTER_US: Micros = 500_000;
 /// Time past the deadline for which the answer of an operation is awaited, so
 /// that its outcome can still be told later.
 const OUTCOME_WAIT_US: Micros = 30_000_000;
@@ -141,7 +145,7 @@
         Ended::Refused(refusal) => format!("refused: {:?}", refusal.reason),
         Ended::Lost => "answer lost".to_owned(),
     };
-    if !core.explain.logs(core.clock.now(), is_ordinary(ended)) {
+    if is_told(ended) || !core.explain.logs(core.clock.now(), is_ordinary(ended)) {
         return;
     }
     let figures = core.half.figures();
@@ -168,6 +172,11 @@
     matches!(refusal.reason, RefusalReason::Busy | RefusalReason::Cold)
 }
 
+/// Whether a line of its own told of it.
+fn is_told(ended: &Ended) -> bool {
+    matches!(ended, Ended::Refused(refusal) if refusal.reason == RefusalReason::OutsideHome)
+}
+
 fn count_refusal(core: &Core, reason: RefusalReason) {
     let kind = match reason {
         RefusalReason::Full => "full",
@@ -179,6 +188,7 @@
         RefusalReason::Shed => "shed",
         RefusalReason::Once => "once",
         RefusalReason::WrongService => "wrong-service",
+        RefusalReason::OutsideHome => "outside-home",
     };
     count(&core.metrics.target_refusals, kind);
 }
@@ -187,6 +197,9 @@
     if call.service != core.half.service(core) {
         return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
     }
+    if !homes::may_serve(core, link, &call) {
+        return refused_outside(core, link, &call);
+    }
     let half = &core.half;
     let Some(settings) = half.settings() else {
         return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
@@ -210,6 +223,12 @@
     }
 }
 
+/// A call that may not be served here, or no more.
+fn refused_outside(core: &Core, link: &Link, call: &CallFrame) -> Ended {
+    homes::log_refused(core, link, call);
+    refused(RefusalReason::OutsideHome, OUTSIDE_RETRY_AFTER_US)
+}
+
 fn refused(reason: RefusalReason, retry_after_us: Micros) -> Ended {
     Ended::Refused(Refusal {
         reason,
@@ -247,7 +266,15 @@
     }
 
     async fn take_slot_and_run(&self, call: CallFrame) -> Ended {
-        match self.take_slot(&call).await {
+        let go = self.take_slot(&call).await;
+        // Its home regions may have changed while it was held.
+        if !homes::may_serve(self.core, self.link, &call) {
+            if let Go::Deliver = go {
+                self.done(None);
+            }
+            return refused_outside(self.core, self.link, &call);
+        }
+        match go {
             Go::Refuse(refusal) => Ended::Refused(refusal),
             Go::Deliver => self.deliver(call).await,
         }
@@ -277,6 +304,7 @@
             Ok(go) = receiver.recv_async() => return go,
             _ = self.cancelled.recv_async() => {}
             () = self.link.closed() => {}
+            () = homes::left(self.core, self.link, call) => {}
             () = tokio::time::sleep_until(self.core.clock.instant(held_until)) => {}
         }
         self.withdraw(&receiver)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod half;
 mod headers;
+mod homes;
 mod life;
 pub mod logging;
 mod mesh;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,6 +44,7 @@
     pub call_seconds: Histogram,
     pub retries: Counter,
     pub target_refusals: Kinds,
+    pub home_refusals: Kinds,
     pub dropped_answers: Kinds,
     pub links: Gauge,
     pub links_refused: Kinds,
@@ -74,6 +75,7 @@
             call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             retries: Counter::default(),
             target_refusals: Family::default(),
+            home_refusals: Family::default(),
             dropped_answers: Family::default(),
             links: Gauge::default(),
             links_refused: Family::default(),
@@ -109,6 +111,7 @@
         registry.register_with_unit("call", "Time from a call's arrival to its answer", Unit::Seconds, self.call_seconds.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("home_refusals", "Calls refused for want of a target in their home regions, and at one outside", self.home_refusals.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -11,8 +11,9 @@
 
 use super::run::{OnceCall, OnceVerdict};
 use crate::core::Core;
+use crate::homes;
 use crate::metrics::count;
-use crate::route::fence_at;
+use crate::route::{Outbound, fence_at};
 use crate::sync::lock;
 
 /// Hint for callers whose operation could not be settled yet.
@@ -51,9 +52,11 @@
 /// Our own record says "unknown": the halves may know by now.
 pub async fn settle_own(core: &Arc<Core>, ticket: &Ticket, call: &OnceCall) -> OnceVerdict {
     let verdict = recover(core, ticket, call).await;
+    let Outbound { kind, homes, .. } = &call.call;
+    let keeps = homes::may_keep(core, *kind, &call.service.name, homes);
     let mut guard = lock(&core.once.guard);
     match &verdict {
-        OnceVerdict::Ran { answer, .. } => {
+        OnceVerdict::Ran { answer, .. } if keeps => {
             let size = answer.size();
             guard.settled(ticket.op, Outcome::Ran(answer.clone()), size);
         }
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -9,6 +9,7 @@
 use super::claims::{self, ClaimError, Claimed};
 use super::recover;
 use crate::core::Core;
+use crate::homes;
 use crate::mesh::{Link, Links};
 use crate::route::{Outbound, RouteVerdict, ServiceRouter, run as route};
 use crate::sync::lock;
@@ -148,23 +149,31 @@
     outbound.operation = Some(core.once.operation(ticket));
     let busy = core.life.calls.enter();
     tokio::spawn(async move {
+        let (kind, homes) = (outbound.kind, outbound.homes.clone());
         let verdict = route(&core, &service, outbound).await;
-        finish(&core, op, verdict);
+        let keeps = homes::may_keep(&core, kind, &service.name, &homes);
+        finish(&core, op, verdict, keeps);
         drop(busy);
     });
 }
 
 /// Records the outcome and tells everyone who waits for it. The first waiter is
-/// the one for whom it ran.
-fn finish(core: &Core, op: OpId, verdict: RouteVerdict) {
+/// the one for whom it ran. A guard that must not keep the answer asks the targets'
+/// daemons when the operation is repeated.
+fn finish(core: &Core, op: OpId, verdict: RouteVerdict, keeps: bool) {
     let (outcome, size, told) = match verdict {
         RouteVerdict::Answer(answer) => {
             let told = OnceVerdict::Ran {
                 answer: answer.clone(),
                 replayed: false,
             };
-            let size = answer.size();
-            (Outcome::Ran(answer), size, told)
+            match keeps {
+                true => {
+                    let size = answer.size();
+                    (Outcome::Ran(answer), size, told)
+                }
+                false => (Outcome::Unknown, 0, told),
+            }
         }
         RouteVerdict::NotRun {
             reason,
@@ -260,6 +269,7 @@
         kind: outbound.kind,
         priority: outbound.priority,
         nested: outbound.nested,
+        homes: outbound.homes.clone(),
         elsewhere: Elsewhere::Nowhere,
         goal_left_us: None,
         left_us: outbound.deadline.saturating_sub(core.clock.now()),
@@ -312,6 +322,7 @@
             goal: None,
             kind: frame.kind,
             priority: frame.priority,
+            homes: in_force.homes(frame.kind, &frame.service).and(&frame.homes),
             nested: frame.nested,
             caller_service: None,
             generation: in_force.generation.number,
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -9,8 +9,8 @@
 
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
-    Action, AttemptId, CallId, CallKind, Elsewhere, Event, Figures, Micros, NotRunReason, Source,
-    TargetId, UnknownReason, Verdict,
+    Action, AttemptId, CallId, CallKind, Elsewhere, Event, Figures, Homes, Micros, NotRunReason,
+    Source, TargetId, UnknownReason, Verdict,
 };
 use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
 use serde_bytes::ByteBuf;
@@ -20,6 +20,7 @@
 use crate::core::Core;
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
 use crate::mesh::{Signal, SignalKind};
+use crate::metrics::count;
 
 /// Time past the deadline for a target's daemon to say that a call was not run.
 const DEADLINE_GRACE_US: Micros = 5_000;
@@ -45,6 +46,8 @@
     pub kind: CallKind,
     /// Its rank; 0 is the highest.
     pub priority: u32,
+    /// Where it may be served, as the generation says that it is pinned to.
+    pub homes: Homes,
     /// Whether a target makes it while it runs a call of its own.
     pub nested: bool,
     /// Service of the host where it began, where targets want to know it.
@@ -90,7 +93,7 @@
     gone: impl Future<Output = ()>,
 ) -> RouteVerdict {
     let deadline = core.clock.instant(call.deadline);
-    let _ = tokio::time::timeout_at(deadline, service.ready(core)).await;
+    let _ = tokio::time::timeout_at(deadline, service.ready(core, &call.homes)).await;
     let (sender, signals) = flume::unbounded();
     let mut in_hand = InHand {
         core,
@@ -99,9 +102,11 @@
             call: call.name.clone(),
             service: service.name.clone(),
             generation: call.generation,
+            homes: call.homes.names().to_vec(),
             ..Trace::default()
         },
         began: core.clock.now(),
+        homes_of: call.generation,
         call,
         sender,
         attempts: Vec::new(),
@@ -127,6 +132,8 @@
     service: &'a Arc<ServiceRouter>,
     call: Outbound,
     began: Micros,
+    /// Generation of settings that its home regions are of.
+    homes_of: u64,
     sender: flume::Sender<Signal>,
     attempts: Vec<OutAttempt>,
     answer: Option<(AttemptId, Answer)>,
@@ -149,6 +156,9 @@
             goal: self.call.goal,
             kind: self.call.kind,
         };
+        if !self.call.homes.is_anywhere() {
+            self.bind();
+        }
         if let Some(verdict) = self.feed(arrived) {
             return verdict;
         }
@@ -177,6 +187,7 @@
     fn feed(&mut self, event: Event) -> Option<RouteVerdict> {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
+            self.follow_homes();
             for action in self.decide(event) {
                 match action {
                     Action::Send {
@@ -197,6 +208,30 @@
         None
     }
 
+    /// A change of the settings binds a call that moves on.
+    fn follow_homes(&mut self) {
+        if self.core.settings.number() == self.homes_of {
+            return;
+        }
+        let Some(in_force) = self.core.settings.current() else {
+            return;
+        };
+        self.homes_of = in_force.generation.number;
+        let (kind, service) = (self.call.kind, &self.service.name);
+        let homes = in_force.homes_since(kind, service, &self.call.homes);
+        if homes != self.call.homes {
+            self.trace.homes = homes.names().to_vec();
+            self.call.homes = homes;
+            self.bind();
+        }
+    }
+
+    /// Tells the decisions where the call may be served.
+    fn bind(&mut self) {
+        let (call, homes) = (self.call.id, self.call.homes.clone());
+        self.decide(Event::Bound { call, homes });
+    }
+
     /// Asks the decisions, and notes what a choice was based on.
     fn decide(&mut self, event: Event) -> Vec<Action> {
         let now = self.core.clock.now();
@@ -271,6 +306,7 @@
             kind: self.call.kind,
             priority: self.call.priority,
             nested: self.call.nested,
+            homes: self.call.homes.clone(),
             elsewhere,
             goal_left_us: self
                 .call
@@ -416,6 +452,7 @@
             call = trace.call.as_str(),
             service = trace.service.as_str(),
             generation = trace.generation,
+            homes = trace.homes.join(",").as_str(),
             effect = self.call.operation.is_some(),
             verdict = trace.verdict.as_str(),
             took_us = trace.took_us,
@@ -433,6 +470,11 @@
         };
         trace.success = matches!(verdict, RouteVerdict::Answer(answer) if answer.status < 500);
         trace.took_us = self.core.clock.now().saturating_sub(self.began);
+        if let RouteVerdict::NotRun { reason, .. } = verdict
+            && *reason == NotRunReason::NoHomeTarget
+        {
+            count(&self.core.metrics.home_refusals, "router");
+        }
         self.log(&trace);
         self.core.explain.keep(trace);
     }
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,7 +11,8 @@
 use log::Level;
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, Cost, Event, Figures, Here, Redial, RedialEvent, Router, TargetId, subset,
+    Candidate, Cost, Event, Figures, Here, Homes, Redial, RedialEvent, Router, TargetId,
+    subset_with_homes,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -21,6 +22,7 @@
 use super::params::params;
 use crate::control::{Purpose, candidate};
 use crate::core::Core;
+use crate::homes;
 use crate::mesh::{Link, Links};
 use crate::settings_state::InForce;
 use crate::sync::lock;
@@ -191,15 +193,16 @@
         known.unwrap_or_else(|| format!("target {}", target.0))
     }
 
-    /// Waits until some target is open for calls. Returns at once where one is, or
+    /// Waits until some target in a call's home regions is open for calls. Returns at once where one is, or
     /// where there is nothing to wait for: every link was tried.
-    pub async fn ready(&self, core: &Core) {
+    pub async fn ready(&self, core: &Core, homes: &Homes) {
         loop {
             let linked = self.linked.notified();
             tokio::pin!(linked);
             linked.as_mut().enable();
-            let any_open = lock(&self.router).chooser().any_open(core.clock.now());
-            let all_tried = lock(&self.peers).values().all(|peer| peer.tried);
+            let any_open = lock(&self.router).any_open(core.clock.now(), homes);
+            let is_tried = |peer: &Peer| peer.tried || !homes.allow(&peer.entry.region);
+            let all_tried = lock(&self.peers).values().all(is_tried);
             if any_open || all_tried {
                 return;
             }
@@ -230,7 +233,7 @@
 
     /// Makes the subset of the listed targets the router's targets.
     fn refresh(self: &Arc<Self>, core: &Arc<Core>, effective: &Effective) {
-        let listed = core.hosts.of_service(&self.name);
+        let listed = homes::hosts_of_service(core, &self.name);
         let evacuated = core.evacuated_zones();
         let candidates: Vec<Candidate> = listed
             .iter()
@@ -239,13 +242,19 @@
                 ..candidate(core.routers.id(&entry.host), entry)
             })
             .collect();
+        let in_force = core.settings.current();
+        let own_region = in_force
+            .as_ref()
+            .map_or_else(String::new, |in_force| homes::own_region(core, in_force));
+        let regions =
+            in_force.map_or_else(Vec::new, |in_force| in_force.wanted_regions(&self.name));
         let here = Here {
             host: &core.config.host,
             place: &core.config.place,
             zone: &core.config.zone,
-            region: &core.config.region,
+            region: &own_region,
         };
-        let wanted = subset(here, &candidates, effective.subset_size);
+        let wanted = subset_with_homes(here, &candidates, effective.subset_size, &regions);
         let mut entries: HashMap<TargetId, HostEntry> = candidates
             .iter()
             .map(|candidate| candidate.target)
@@ -258,10 +267,13 @@
             .collect();
         let is_far = |target: &&TargetId| entries[*target].place != core.config.place;
         let far: Vec<TargetId> = wanted.iter().filter(is_far).copied().collect();
+        let region = |target: &TargetId| (*target, entries[target].region.clone());
+        let stands = wanted.iter().map(region).collect();
         let mut peers = lock(&self.peers);
         let mut router = lock(&self.router);
         router.set_targets(core.clock.now(), &targets);
         router.set_far(&far);
+        router.set_regions(stands);
         drop(router);
         peers.retain(|target, peer| {
             entries
--- a/crates/daemon/src/settings_state.rs
+++ b/crates/daemon/src/settings_state.rs
@@ -17,6 +17,8 @@
     pub own: Arc<Effective>,
     /// Its routes.
     pub routes: RouteTable,
+    /// Whether it names home regions anywhere.
+    pub has_homes: bool,
     place: String,
     services: Mutex<HashMap<String, Arc<Effective>>>,
 }
@@ -26,6 +28,7 @@
         InForce {
             own: Arc::new(Effective::of(&generation.tree, place, service)),
             routes: RouteTable::of(&generation.tree),
+            has_homes: generation.tree.has_home_regions(),
             place: place.to_owned(),
             services: Mutex::default(),
             generation,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -5,6 +5,7 @@
 
 use crate::elsewhere::Elsewhere;
 use crate::figures::Figures;
+use crate::homes::Homes;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::work::CallKind;
 
@@ -30,6 +31,8 @@
     Once,
     /// The target belongs to another service.
     WrongService,
+    /// The target stands outside the call's home regions.
+    OutsideHome,
 }
 
 /// A definite statement that a call was not run, with when to come back.
@@ -47,6 +50,8 @@
 pub enum NotRunReason {
     /// No target of the service is known, open or left to try.
     NoTarget,
+    /// No target in the call's home regions is known, open or left to try.
+    NoHomeTarget,
     /// Targets refused and no further attempt is allowed.
     Refused(RefusalReason),
     /// The call was never sent before its deadline.
@@ -112,6 +117,14 @@
 /// What happens to a router.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// Says where a call may be served: before it arrives, where that is not anywhere, and
+    /// whenever it changes.
+    Bound {
+        /// The call.
+        call: CallId,
+        /// Its home regions.
+        homes: Homes,
+    },
     /// A caller's call arrived.
     Arrived {
         /// The call.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod fair_budget;
 mod figures;
 mod hold;
+mod homes;
 mod ids;
 mod limit;
 mod neighbours;
@@ -51,6 +52,7 @@
 pub use fair_budget::FairBudget;
 pub use figures::Figures;
 pub use hold::{CallTerms, Held, Hold};
+pub use homes::{Homes, subset_with_homes};
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use limit::LearnedLimit;
 pub use neighbours::{FAR_NEIGHBOURS, NEAR_NEIGHBOURS, NeighbourOrder, neighbours, rank};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -14,6 +14,7 @@
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
 };
 use crate::figures::Figures;
+use crate::homes::{BoundCalls, Homes};
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::retry::{FurtherAttempts, FurtherParams};
 use crate::target::TargetState;
@@ -71,6 +72,7 @@
     reroute_limit: u32,
     further: FurtherAttempts,
     calls: HashMap<CallId, Call>,
+    bound: BoundCalls,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
     considered: Vec<Considered>,
@@ -87,6 +89,7 @@
             reroute_limit: params.reroute_limit,
             further: FurtherAttempts::new(params.further),
             calls: HashMap::new(),
+            bound: BoundCalls::default(),
             attempts: HashMap::new(),
             next_attempt: first_attempt,
             considered: Vec::new(),
@@ -112,6 +115,20 @@
         self.chooser.set_targets(now, targets);
     }
 
+    /// Says in which regions the targets stand, for calls with home regions.
+    pub fn set_regions(&mut self, regions: Vec<(TargetId, String)>) {
+        self.bound.set_regions(regions);
+    }
+
+    /// Whether a call with these home regions may be sent somewhere now.
+    pub fn any_open(&self, now: Micros, homes: &Homes) -> bool {
+        if homes.is_anywhere() {
+            return self.chooser.any_open(now);
+        }
+        let outside = self.bound.outside(homes, self.chooser.targets());
+        self.chooser.elsewhere(now, &outside) != Elsewhere::Nowhere
+    }
+
     /// Says which targets are far, so that sending a call there has a price.
     pub fn set_far(&mut self, far: &[TargetId]) {
         self.chooser.set_far(far);
@@ -135,6 +152,10 @@
     /// Takes one event and says what to do.
     pub fn on(&mut self, now: Micros, event: Event) -> Vec<Action> {
         match event {
+            Event::Bound { call, homes } => {
+                self.bound.bind(call, homes);
+                Vec::new()
+            }
             Event::Arrived {
                 call,
                 deadline,
@@ -215,8 +236,10 @@
             call.last_refusal = NotRunReason::Deadline;
             return self.give_up(id);
         }
+        let targets = self.chooser.targets();
+        let passed_over = self.bound.passed_over(id, &call.tried, targets);
         let wanted = Wanted {
-            tried: &call.tried,
+            tried: &passed_over,
             goal: call.goal,
             deadline: call.deadline,
             kind: call.kind,
@@ -227,6 +250,7 @@
         };
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
+        drop(passed_over);
         call.tried.push(target);
         call.current = Some(attempt);
         self.attempts.insert(
@@ -239,7 +263,11 @@
         );
         let can_move = call.may_retry && call.refusals < self.reroute_limit;
         let elsewhere = match can_move {
-            true => self.chooser.elsewhere(now, &call.tried),
+            true => {
+                let targets = self.chooser.targets();
+                let passed_over = self.bound.passed_over(id, &call.tried, targets);
+                self.chooser.elsewhere(now, &passed_over)
+            }
             false => Elsewhere::Nowhere,
         };
         vec![Action::Send {
@@ -284,9 +312,13 @@
 
     /// Answers a call that no attempt is out for.
     fn give_up(&mut self, id: CallId) -> Vec<Action> {
-        let Some(call) = self.calls.remove(&id) else {
+        let is_bound = self.bound.forget(id);
+        let Some(mut call) = self.calls.remove(&id) else {
             return Vec::new();
         };
+        if is_bound && call.last_refusal == NotRunReason::NoTarget {
+            call.last_refusal = NotRunReason::NoHomeTarget;
+        }
         let verdict = match (call.failed, call.may_have_run) {
             (Some(attempt), _) => Verdict::Answer { attempt },
             (None, Some(reason)) => Verdict::Unknown { reason },
@@ -299,6 +331,7 @@
     }
 
     fn finish(&mut self, call: CallId, verdict: Verdict) -> Vec<Action> {
+        self.bound.forget(call);
         match self.calls.remove(&call) {
             Some(_) => vec![Action::Finish { call, verdict }],
             None => Vec::new(),
@@ -395,7 +428,10 @@
                     state.trial_told_nothing();
                 });
             }
-            RefusalReason::Busy | RefusalReason::TooLate | RefusalReason::Once => {
+            RefusalReason::Busy
+            | RefusalReason::TooLate
+            | RefusalReason::Once
+            | RefusalReason::OutsideHome => {
                 self.with_target(target, |state| state.trial_told_nothing());
             }
         }
@@ -492,6 +528,7 @@
             return self.withdraw_current(id);
         }
         let cancelled = self.cancel_current(id);
+        self.bound.forget(id);
         self.calls.remove(&id);
         let Some((attempt, target)) = cancelled else {
             return Vec::new();
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -86,6 +86,8 @@
     pub poll_ms: u64,
     pub host_list_ms: u64,
     pub health_ms: u64,
+    pub region: String,
+    pub home_regions: Vec<String>,
     pub load_path: String,
     pub load_poll_ms: u64,
     pub load_asks_per_s: u64,
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -48,6 +48,33 @@
     /// A route does not have the form of one.
     #[error("not a route: {0}")]
     BadRoute(String),
+    /// The name of a region is empty, too long, or holds white space.
+    #[error("a region's name has 1 to 63 characters without white space")]
+    BadRegion,
+    /// A region is named in which no place stands.
+    #[error("no place stands in region {found:?}; places stand in {known}")]
+    UnknownRegion {
+        /// The region named.
+        found: String,
+        /// The regions of the places, joined by commas.
+        known: String,
+    },
+    /// A route's home regions and those of its service have none in common.
+    #[error("home regions {route} have none in common with {inherited}, in force at {level}")]
+    NoCommonHome {
+        /// Home regions of the route, joined by commas.
+        route: String,
+        /// Home regions in force for the service, joined by commas.
+        inherited: String,
+        /// Path of the service at the place where they are.
+        level: String,
+    },
+    /// No service of a route is at a place in its home regions.
+    #[error("no place in the home regions {homes} has a service of the route")]
+    NowhereServed {
+        /// The home regions in force for the route, joined by commas.
+        homes: String,
+    },
     /// Two fields that depend on each other contradict.
     #[error("{0}")]
     Inconsistent(&'static str),
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use crate::error::Fault;
+use crate::homes::names_region;
 
 /// The values that a field takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -21,6 +22,10 @@
     Choice(&'static [&'static str]),
     /// A path that starts with a slash, or nothing, which is the default.
     Path,
+    /// A name, or nothing, which is the default.
+    Name,
+    /// A list of names; empty by default. It is kept sorted and without repetitions.
+    Names,
 }
 
 /// One row of the table of fields.
@@ -75,6 +80,24 @@
     }
 }
 
+const fn name(name: &'static str, help: &'static str) -> FieldSpec {
+    FieldSpec {
+        name,
+        unit: "",
+        kind: Kind::Name,
+        help,
+    }
+}
+
+const fn names(name: &'static str, help: &'static str) -> FieldSpec {
+    FieldSpec {
+        name,
+        unit: "",
+        kind: Kind::Names,
+        help,
+    }
+}
+
 /// Every field, in the order in which help lists them.
 #[rustfmt::skip]
 pub const FIELDS: &[FieldSpec] = &[
@@ -121,6 +144,8 @@
     whole("poll_ms", "ms", (50, 60_000), 1_000, "interval between reads of the accepted generation"),
     whole("host_list_ms", "ms", (50, 60_000), 1_000, "interval between reads of the host list"),
     whole("health_ms", "ms", (50, 60_000), 500, "interval between reads of the target's health endpoint"),
+    name("region", "region in which a place stands; empty where the deployment has only one"),
+    names("home_regions", "the only regions in which calls may be served; none for any"),
     path("load_path", "path at which the target tells its load at once; empty where there is none"),
     whole("load_poll_ms", "ms", (0, 60_000), 0, "silence of a target's answers after which it is asked for its load while calls come; 0 for never"),
     whole("load_asks_per_s", "questions/s", (0, 10_000), 40, "questions to the target for its load in any second, at most"),
@@ -142,6 +167,8 @@
             Kind::Whole { min, max, .. } => self.check_whole(value, min, max),
             Kind::Choice(words) => check_choice(value, words),
             Kind::Path => check_path(value),
+            Kind::Name => check_name(value),
+            Kind::Names => check_names(value),
         }
     }
 
@@ -150,7 +177,20 @@
         match self.kind {
             Kind::Whole { default, .. } => Value::from(default),
             Kind::Choice(words) => Value::from(words[0]),
-            Kind::Path => Value::from(""),
+            Kind::Path | Kind::Name => Value::from(""),
+            Kind::Names => Value::Array(Vec::new()),
+        }
+    }
+
+    /// The one form in which a checked value is kept, so that equal lists are equal values.
+    pub(crate) fn normal(&self, value: Value) -> Value {
+        match (self.kind, value) {
+            (Kind::Names, Value::Array(mut names)) => {
+                names.sort_by(|a, b| a.as_str().cmp(&b.as_str()));
+                names.dedup();
+                Value::Array(names)
+            }
+            (_, value) => value,
         }
     }
 
@@ -186,6 +226,29 @@
     })
 }
 
+fn check_name(value: &Value) -> Result<(), Fault> {
+    match value.as_str() {
+        Some("") => Ok(()),
+        Some(found) if names_region(found) => Ok(()),
+        Some(_) => Err(Fault::BadRegion),
+        None => Err(wrong_type("a name", value)),
+    }
+}
+
+fn check_names(value: &Value) -> Result<(), Fault> {
+    let Some(found) = value.as_array() else {
+        return Err(wrong_type("a list of names", value));
+    };
+    for one in found {
+        match one.as_str() {
+            Some(name) if names_region(name) => {}
+            Some(_) => return Err(Fault::BadRegion),
+            None => return Err(wrong_type("a name", one)),
+        }
+    }
+    Ok(())
+}
+
 fn check_choice(value: &Value, words: &[&str]) -> Result<(), Fault> {
     let Some(found) = value.as_str() else {
         return Err(wrong_type(format!("one of {}", words.join(", ")), value));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod field;
 mod generations;
+mod homes;
 mod route;
 mod tree;
 
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use crate::error::{Fault, SettingsError};
+use crate::homes::names_region;
 use crate::tree::Tree;
 
 /// Path of a route in a tree, before its name.
@@ -97,6 +98,9 @@
             let text = "a route's prefix starts and ends with a slash";
             return Some(Fault::Inconsistent(text));
         }
+        if !self.home_regions.iter().all(|name| names_region(name)) {
+            return Some(Fault::BadRegion);
+        }
         if self.parts.iter().all(|part| part.weight == 0) {
             let text = "a route needs a part with a weight above 0";
             return Some(Fault::Inconsistent(text));
@@ -122,12 +126,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<String, Vec<Arc<NamedRoute>>>,
+    kinds: HashMap<u32, Vec<Arc<NamedRoute>>>,
 }
 
 impl RouteTable {
     /// The routes of a tree.
     pub fn of(tree: &Tree) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<NamedRoute>>> = HashMap::new();
+        let mut kinds: HashMap<u32, Vec<Arc<NamedRoute>>> = HashMap::new();
         for (path, value) in tree.entries() {
             let Some(name) = path.strip_prefix(ROUTES) else {
                 continue;
@@ -137,12 +143,13 @@
             let name = name.to_owned();
             let kind = kind_of(&name);
             let named = Arc::new(NamedRoute { name, kind, route });
+            kinds.entry(kind).or_default().push(Arc::clone(&named));
             hosts.entry(host).or_default().push(named);
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|named| std::cmp::Reverse(named.route.prefix.len()));
         }
-        RouteTable { hosts }
+        RouteTable { hosts, kinds }
     }
 
     /// Whether the tree has no routes.
@@ -150,6 +157,17 @@
         self.hosts.is_empty()
     }
 
+    /// The routes whose calls have a number; more than one where names share it.
+    pub fn of_kind(&self, kind: u32) -> &[Arc<NamedRoute>] {
+        self.kinds.get(&kind).map_or(&[], Vec::as_slice)
+    }
+
+    /// The routes that send a part of their traffic to a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Route> {
+        let all = self.kinds.values().flatten().map(|named| &named.route);
+        all.filter(move |route| route.parts.iter().any(|part| part.service == service))
+    }
+
     /// The route of a request: of its host's routes, the one with the longest
     /// prefix of `path`. `host` is in lower case and without a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<NamedRoute>> {
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -9,6 +9,7 @@
 use crate::effective::Effective;
 use crate::error::{Fault, SettingsError};
 use crate::field::{field, wrong_type};
+use crate::homes;
 use crate::route::{ROUTES, Route};
 
 const ROOT: &str = "root";
@@ -150,7 +151,6 @@
             .keys()
             .filter_map(|path| path.strip_prefix(prefix))
             .filter(|rest| !rest.contains('.'))
-            .filter(|rest| field(rest).is_none())
             .collect()
     }
 
@@ -192,7 +192,7 @@
         spec.check(&value)
             .map_err(|fault| SettingsError::at(path, fault))?;
         self.add_level(level)?;
-        self.entries.insert(path.to_owned(), value);
+        self.entries.insert(path.to_owned(), spec.normal(value));
         Ok(())
     }
 
@@ -235,7 +235,7 @@
         for (place, service) in levels {
             Effective::of(self, &place, &service).check(&place, &service)?;
         }
-        Ok(())
+        homes::check(self)
     }
 }
 
@@ -248,7 +248,7 @@
     starts_well && chars_fit && name.len() <= NAME_LIMIT
 }
 
-fn service_path(place: &str, service: &str) -> String {
+pub(crate) fn service_path(place: &str, service: &str) -> String {
     format!("places.{place}.services.{service}")
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,9 @@
 //! The messages.
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
-use lynxcleat_policy::{AttemptId, CallKind, Elsewhere, Figures, NotRunReason, Refusal, ZoneNews};
+use lynxcleat_policy::{
+    AttemptId, CallKind, Elsewhere, Figures, Homes, NotRunReason, Refusal, ZoneNews,
+};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -57,6 +59,9 @@
     /// Whether a target makes it while it runs a call of its own.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub nested: bool,
+    /// The only regions in which it may be served.
+    #[serde(rename = "r", default, skip_serializing_if = "Homes::is_anywhere")]
+    pub homes: Homes,
     /// Where the sender can offer it if it is refused.
     #[serde(rename = "m", default, skip_serializing_if = "Elsewhere::is_nowhere")]
     pub elsewhere: Elsewhere,
