--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod http;
 mod odd;
+mod peer;
 
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
@@ -21,6 +22,7 @@
 
 pub use http::{Reply, call, parse, raw, try_call};
 pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_path};
+pub use peer::Peer;
 
 pub const KEY: &str = "a key for the tests only";
 pub const PATIENCE: Duration = Duration::from_secs(15);
