Answers are forgotten where they may be kept no more

A daemon whose region stops being a call's home kept the answer of a once-only operation until its retention ended. Guard and half now drop such answers and still know that the operation ran.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -18,6 +18,7 @@
 use crate::explain::Explain;
 use crate::half::Half;
 use crate::homes;
+use crate::kept;
 use crate::life::{LeaveCause, Life};
 use crate::mesh::Links;
 use crate::metrics::Metrics;
@@ -139,6 +140,7 @@
             return;
         };
         homes::check_own_region(self, &in_force);
+        kept::forget_outside(self, &in_force);
         self.half.apply(&in_force.own);
         self.once.apply(&in_force.own);
         self.budget.apply(&in_force.own);
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
+use crate::kept::{Keeping, Kept};
 use crate::mesh::Link;
 use crate::sync::lock;
 
@@ -83,7 +84,7 @@
     clock: Clock,
     admit: Mutex<Admit>,
     waiting: Mutex<HashMap<CallId, flume::Sender<Go>>>,
-    fence: Mutex<Fence<Answer>>,
+    fence: Mutex<Fence<Kept>>,
     ended: watch::Sender<u64>,
     cancels: Mutex<HashMap<(u64, AttemptId), flume::Sender<()>>>,
     next_call: AtomicU64,
@@ -533,11 +534,22 @@
     }
 
     fn fence_now(&self, operation: Operation) -> FenceReply<Answer> {
-        lock(&self.fence).fence(self.clock.wall_ms(), operation)
+        let reply = lock(&self.fence).fence(self.clock.wall_ms(), operation);
+        reply.map(|kept| kept.answer)
     }
 
-    fn record_ran(&self, op: OpId, answer: &Answer) {
-        lock(&self.fence).ran(op, answer.clone(), answer.size());
+    /// Remembers that an operation ran, and its answer where that may be kept.
+    fn record_ran(&self, core: &Core, op: OpId, answer: &Answer, keeping: &Keeping) {
+        let mut fence = lock(&self.fence);
+        match keeping.is_allowed(core) {
+            true => fence.ran(op, keeping.keep(answer.clone()), answer.size()),
+            false => fence.lost(op),
+        }
+    }
+
+    /// Forgets the answers that may not be kept any more.
+    pub fn forget_answers(&self, may_keep: impl FnMut(&Kept) -> bool) {
+        lock(&self.fence).forget_answers(may_keep);
     }
 }
 
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -14,6 +14,7 @@
 use crate::core::Core;
 use crate::dialect::TargetLoad;
 use crate::homes;
+use crate::kept::Keeping;
 use crate::mesh::Link;
 use crate::metrics::count;
 use crate::sync::lock;
@@ -246,9 +247,14 @@
             return self.refuse_once(why, &call);
         }
         let op = operation.op;
+        let keeping = Keeping {
+            kind: call.kind,
+            service: call.service.clone(),
+            homes: call.homes.clone(),
+        };
         let ended = self.take_slot_and_run(call).await;
         match &ended {
-            Ended::Answer(answer, _) => self.half.record_ran(op, answer),
+            Ended::Answer(answer, _) => self.half.record_ran(self.core, op, answer, &keeping),
             Ended::Refused(_) | Ended::Unwanted => lock(&self.half.fence).not_run(op),
             Ended::Lost => lock(&self.half.fence).lost(op),
         }
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -139,15 +139,6 @@
     }
 }
 
-/// Whether a daemon here may keep the answer of a call with these home regions.
-pub fn may_keep(core: &Core, kind: CallKind, service: &str, homes: &Homes) -> bool {
-    let Some(in_force) = core.settings.current() else {
-        return homes.is_anywhere();
-    };
-    let homes = in_force.homes_since(kind, service, homes);
-    homes.is_anywhere() || homes.allow(&own_region(core, &in_force))
-}
-
 /// Counts and logs a call that the target half refuses.
 pub fn log_refused(core: &Core, link: &Link, call: &CallFrame) {
     count(&core.metrics.home_refusals, "half");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod half;
 mod headers;
 mod homes;
+mod kept;
 mod life;
 pub mod logging;
 mod mesh;
--- a/crates/daemon/src/once/mod.rs
+++ b/crates/daemon/src/once/mod.rs
@@ -11,9 +11,10 @@
     Guard, GuardLimits, Incarnation, OpId, Operation, Roster, Ticket, TicketError, TicketKey,
 };
 use lynxcleat_settings::Effective;
-use lynxcleat_wire::{Answer, SharedKey};
+use lynxcleat_wire::SharedKey;
 
 use crate::clock::Clock;
+use crate::kept::Kept;
 use crate::sync::lock;
 
 pub use claims::start as start_claims;
@@ -39,7 +40,7 @@
 pub struct Once {
     clock: Clock,
     key: TicketKey,
-    guard: Mutex<Guard<Answer>>,
+    guard: Mutex<Guard<Kept>>,
     waiting: Mutex<HashMap<OpId, Vec<flume::Sender<OnceVerdict>>>>,
     roster: Mutex<Roster>,
     claims: claims::Claims,
@@ -82,6 +83,11 @@
         *lock(&self.settings) = Some(Arc::clone(own));
     }
 
+    /// Forgets the answers that may not be kept any more.
+    pub fn forget_answers(&self, may_keep: impl FnMut(&Kept) -> bool) {
+        lock(&self.guard).forget_answers(may_keep);
+    }
+
     /// Mints a ticket, as text.
     pub fn mint_text(&self) -> String {
         self.key.seal(&self.mint())
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -9,11 +9,10 @@
 use lynxcleat_wire::Answer;
 use serde_json::json;
 
-use super::run::{OnceCall, OnceVerdict};
+use super::run::{OnceCall, OnceVerdict, call_keeping};
 use crate::core::Core;
-use crate::homes;
 use crate::metrics::count;
-use crate::route::{Outbound, fence_at};
+use crate::route::fence_at;
 use crate::sync::lock;
 
 /// Hint for callers whose operation could not be settled yet.
@@ -52,13 +51,12 @@
 /// Our own record says "unknown": the halves may know by now.
 pub async fn settle_own(core: &Arc<Core>, ticket: &Ticket, call: &OnceCall) -> OnceVerdict {
     let verdict = recover(core, ticket, call).await;
-    let Outbound { kind, homes, .. } = &call.call;
-    let keeps = homes::may_keep(core, *kind, &call.service.name, homes);
+    let keeping = call_keeping(&call.call, &call.service);
     let mut guard = lock(&core.once.guard);
     match &verdict {
-        OnceVerdict::Ran { answer, .. } if keeps => {
-            let size = answer.size();
-            guard.settled(ticket.op, Outcome::Ran(answer.clone()), size);
+        OnceVerdict::Ran { answer, .. } if keeping.is_allowed(core) => {
+            let kept = keeping.keep(answer.clone());
+            guard.settled(ticket.op, Outcome::Ran(kept), answer.size());
         }
         OnceVerdict::Fenced { .. } => guard.settled(ticket.op, Outcome::NotRun, 0),
         _ => {}
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -9,7 +9,7 @@
 use super::claims::{self, ClaimError, Claimed};
 use super::recover;
 use crate::core::Core;
-use crate::homes;
+use crate::kept::Keeping;
 use crate::mesh::{Link, Links};
 use crate::route::{Outbound, RouteVerdict, ServiceRouter, run as route};
 use crate::sync::lock;
@@ -125,8 +125,8 @@
             wait_for_end(core, &call, ended).await
         }
         Begin::Running => wait_for_end(core, &call, ended).await,
-        Begin::Ran(answer) => OnceVerdict::Ran {
-            answer,
+        Begin::Ran(kept) => OnceVerdict::Ran {
+            answer: kept.answer,
             replayed: true,
         },
         Begin::Unknown => recover::settle_own(core, &ticket, &call).await,
@@ -149,31 +149,34 @@
     outbound.operation = Some(core.once.operation(ticket));
     let busy = core.life.calls.enter();
     tokio::spawn(async move {
-        let (kind, homes) = (outbound.kind, outbound.homes.clone());
+        let keeping = call_keeping(&outbound, &service);
         let verdict = route(&core, &service, outbound).await;
-        let keeps = homes::may_keep(&core, kind, &service.name, &homes);
-        finish(&core, op, verdict, keeps);
+        finish(&core, op, verdict, &keeping);
         drop(busy);
     });
 }
 
+/// What decides whether a call's answer may be kept.
+pub(super) fn call_keeping(call: &Outbound, service: &ServiceRouter) -> Keeping {
+    Keeping {
+        kind: call.kind,
+        service: service.name.clone(),
+        homes: call.homes.clone(),
+    }
+}
+
 /// Records the outcome and tells everyone who waits for it. The first waiter is
 /// the one for whom it ran. A guard that must not keep the answer asks the targets'
 /// daemons when the operation is repeated.
-fn finish(core: &Core, op: OpId, verdict: RouteVerdict, keeps: bool) {
+fn finish(core: &Core, op: OpId, verdict: RouteVerdict, keeping: &Keeping) {
     let (outcome, size, told) = match verdict {
         RouteVerdict::Answer(answer) => {
             let told = OnceVerdict::Ran {
                 answer: answer.clone(),
                 replayed: false,
             };
-            match keeps {
-                true => {
-                    let size = answer.size();
-                    (Outcome::Ran(answer), size, told)
-                }
-                false => (Outcome::Unknown, 0, told),
-            }
+            let size = answer.size();
+            (Outcome::Ran(keeping.keep(answer)), size, told)
         }
         RouteVerdict::NotRun {
             reason,
@@ -191,7 +194,12 @@
         }
     };
     let mut waiting = lock(&core.once.waiting);
-    lock(&core.once.guard).finished(op, outcome, size);
+    let mut guard = lock(&core.once.guard);
+    match outcome {
+        Outcome::Ran(_) if !keeping.is_allowed(core) => guard.finished(op, Outcome::Unknown, 0),
+        outcome => guard.finished(op, outcome, size),
+    }
+    drop(guard);
     for (nth, waiter) in waiting.remove(&op).into_iter().flatten().enumerate() {
         let _ = waiter.send(told.clone().for_waiter(nth));
     }
--- a/crates/daemon/tests/home_regions.rs
+++ b/crates/daemon/tests/home_regions.rs
@@ -406,3 +406,20 @@
     assert_eq!(fleet.ledger()["k"], 1);
     assert_eq!(ran_in_west(&fleet), Vec::<String>::new());
 }
+
+/// The guard is at home, and so is the half, until the home is another region.
+#[test]
+fn answers_are_forgotten_where_they_may_be_kept_no_more() {
+    let fleet = plan("homes-forgotten", 2, json!({})).start();
+    let ticket = fleet.workers[0].ticket();
+    let more = [("lynxcleat-ticket", ticket.as_str())];
+    let first = done(post(&fleet, 0, "op.example", "f", &more));
+    assert_eq!((first.status, &*first.outcome()), (200, "run"));
+    let again = done(post(&fleet, 0, "op.example", "f", &more));
+    assert_eq!(again.body, first.body);
+    fleet.accept(1, homes_tree(&["r2"], json!({})), "moved");
+    in_force(&fleet, 2);
+    let gone = || done(post(&fleet, 0, "op.example", "f", &more)).outcome() == "unknown";
+    assert!(wait_until(PATIENCE, gone), "neither guard nor half has it");
+    assert_eq!(fleet.ledger()["f"], 1);
+}
--- a/crates/once/src/fence.rs
+++ b/crates/once/src/fence.rs
@@ -65,6 +65,19 @@
     Unknown,
 }
 
+impl<A> FenceReply<A> {
+    /// The same with another form of the answer.
+    pub fn map<B>(self, form: impl FnOnce(A) -> B) -> FenceReply<B> {
+        match self {
+            FenceReply::Never => FenceReply::Never,
+            FenceReply::NeverSinceStart => FenceReply::NeverSinceStart,
+            FenceReply::Ran(answer) => FenceReply::Ran(form(answer)),
+            FenceReply::Running => FenceReply::Running,
+            FenceReply::Unknown => FenceReply::Unknown,
+        }
+    }
+}
+
 /// Bounds of a half's memory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FenceLimits {
@@ -174,6 +187,19 @@
         }
     }
 
+    /// Forgets the answers that may not be kept any more. That their operations were
+    /// delivered is still known, so that none runs again.
+    pub fn forget_answers(&mut self, mut may_keep: impl FnMut(&A) -> bool) {
+        for record in self.ops.values_mut() {
+            if let State::Ran(answer, size) = &record.state
+                && !may_keep(answer)
+            {
+                self.bytes -= size;
+                record.state = State::Lost;
+            }
+        }
+    }
+
     /// Fences an operation and says what became of it here.
     pub fn fence(&mut self, now_ms: u64, operation: Operation) -> FenceReply<A> {
         let Operation { op, minted_ms, .. } = operation;
--- a/crates/once/src/guard.rs
+++ b/crates/once/src/guard.rs
@@ -163,6 +163,19 @@
         }
     }
 
+    /// Forgets the answers that may not be kept any more. That their operations ran is
+    /// still known, so that none runs again.
+    pub fn forget_answers(&mut self, mut may_keep: impl FnMut(&A) -> bool) {
+        for record in self.records.values_mut() {
+            if let State::Ran(answer, size) = &record.state
+                && !may_keep(answer)
+            {
+                self.bytes -= size;
+                record.state = State::Unknown;
+            }
+        }
+    }
+
     /// Records kept.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/once/tests/memory.rs
+++ b/crates/once/tests/memory.rs
@@ -127,3 +127,38 @@
     let reply = fence.fence(600, operation(3, 505));
     assert_eq!(reply, FenceReply::NeverSinceStart);
 }
+
+#[test]
+fn a_guard_that_forgets_an_answer_knows_that_its_operation_ran() {
+    let mut guard = guard(100, 10);
+    let tickets: Vec<_> = (0..3).map(|_| guard.mint(50)).collect();
+    for (ticket, answer) in tickets.iter().zip([4, 5]) {
+        assert_eq!(guard.begin(60, ticket), Begin::Run);
+        guard.finished(ticket.op, Outcome::Ran(answer), 5);
+    }
+    let full = Begin::Refused(GuardRefusal::MemoryFull);
+    assert_eq!(guard.begin(60, &tickets[2]), full);
+    guard.forget_answers(|answer| *answer == 5);
+    assert_eq!(guard.begin(60, &tickets[0]), Begin::Unknown);
+    assert_eq!(guard.begin(60, &tickets[1]), Begin::Ran(5));
+    assert_eq!(guard.begin(60, &tickets[2]), Begin::Run, "there is room");
+}
+
+#[test]
+fn a_half_that_forgets_an_answer_runs_its_operation_no_more() {
+    let mut fence = fence(10);
+    let operations: Vec<_> = (1..3).map(|seq| operation(seq, 50)).collect();
+    for (operation, answer) in operations.iter().zip([4, 5]) {
+        assert_eq!(fence.admit(60, *operation), Admission::Pass);
+        assert!(fence.deliver(operation.op));
+        fence.ran(operation.op, answer, 50);
+    }
+    let full = Admission::Refused(RefusedOnce::MemoryFull);
+    assert_eq!(fence.admit(60, operation(3, 50)), full);
+    fence.forget_answers(|answer| *answer == 5);
+    let again = Admission::Refused(RefusedOnce::Duplicate);
+    assert_eq!(fence.admit(60, operations[0]), again);
+    assert_eq!(fence.fence(60, operations[0]), FenceReply::Unknown);
+    assert_eq!(fence.fence(60, operations[1]), FenceReply::Ran(5));
+    assert_eq!(fence.admit(60, operation(3, 50)), Admission::Pass);
+}
