--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -367,7 +367,6 @@
                 return;
             };
             peer.link = Some(Arc::clone(link));
-            peer.tried = true;
             let incarnation = link.peer.incarnation;
             let last = peer.last_incarnation.replace(incarnation);
             last.is_some_and(|last| last != incarnation)
@@ -386,10 +385,16 @@
                 linked: true,
             },
         );
-        self.linked.notify_waiters();
+        // Only now: a call that waits for the last link must not find it tried and closed.
+        self.mark_tried(target);
     }
 
     fn link_failed(&self, target: TargetId) {
+        self.mark_tried(target);
+    }
+
+    /// A link was made or failed to be made; calls may wait for that.
+    fn mark_tried(&self, target: TargetId) {
         if let Some(peer) = lock(&self.peers).get_mut(&target) {
             peer.tried = true;
         }
--- a/crates/daemon/tests/home_regions.rs
+++ b/crates/daemon/tests/home_regions.rs
@@ -288,6 +288,34 @@
     assert_eq!(fleet.ledger().get("held"), None);
 }
 
+#[test]
+fn a_half_looks_at_held_calls_again_when_their_home_changes() {
+    let fleet = plan("homes-held", 1, one_slot()).start();
+    let east = &fleet.workers[0];
+    east.target.set_faults(TargetFaults {
+        frozen: true,
+        ..TargetFaults::default()
+    });
+    let served = post(&fleet, 0, "op.example", "served", &[]);
+    let runs = || fleet.ledger().contains_key("served");
+    assert!(wait_until(PATIENCE, runs));
+    let held = fleet.runtime.block_on(Peer::dial(east, 0));
+    let held = fleet.runtime.spawn(async move {
+        let mut peer = held;
+        peer.offer(1, home_kind(), Homes::Anywhere).await
+    });
+    let is_held = || east.status().is_some_and(|status| status.held == 1);
+    assert!(wait_until(PATIENCE, is_held), "{}", fleet.describe());
+    fleet.accept(1, homes_tree(&["r2"], one_slot()), "moved");
+    let told = async { tokio::time::timeout(PATIENCE, held).await };
+    let told = fleet.runtime.block_on(told);
+    let told = told.expect("long before its deadline").expect("a frame");
+    assert!(is_outside(&told), "{told:?}");
+    thaw(&fleet);
+    done(served);
+    assert_eq!(fleet.ledger().get("by-hand-1"), None);
+}
+
 #[rstest]
 #[case::lookup("GET", HOME)]
 #[case::operation("POST", "op.example")]
--- a/scripts/take-out.sh
+++ b/scripts/take-out.sh
@@ -31,5 +31,7 @@
     echo "$name: fails as it should ($package $test $only)"
   fi
   mv "$file.kept" "$file"
+  # Cargo goes by times: what was built without the mechanism must not pass for the whole.
+  touch "$file" "$root/$file"
 done < scripts/take-out.list
 exit $failed
