--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Body;
 use hyper::http::request::Parts;
-use lynxcleat_policy::{CallId, CallKind, Micros};
+use lynxcleat_policy::{CallId, CallKind, Homes, Micros};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
 use rand::RngExt;
 use serde::Serialize;
@@ -72,6 +72,7 @@
     kind: CallKind,
     priority: u32,
     effects: Effects,
+    homes: Homes,
 }
 
 #[derive(Serialize)]
@@ -180,6 +181,7 @@
             .map(|goal_ms| (core.clock.now() + goal_ms * 1_000).saturating_sub(waited_us)),
         kind: terms.kind,
         priority: terms.priority,
+        homes: terms.homes,
         nested,
         caller_service: caller_service(core),
         generation,
@@ -244,6 +246,7 @@
             kind: CallKind(named.kind),
             priority: named.route.priority,
             effects: route_effects(named.route.effects, &call.effects),
+            homes: in_force.homes(CallKind(named.kind), name),
         },
         None => Terms {
             timeout_ms: effective.deadline_max_ms,
@@ -252,6 +255,7 @@
             kind: CallKind::default(),
             priority: 0,
             effects: call.effects.clone(),
+            homes: in_force.homes(CallKind::default(), name),
         },
     };
     Ok(Pinned {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,8 @@
 mod half;
 mod headers;
 pub mod http1;
+mod homes;
+mod kept;
 mod life;
 pub mod logging;
 mod mesh;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -48,6 +48,7 @@
     pub malformed_requests: Kinds,
     pub retries: Counter,
     pub target_refusals: Kinds,
+    pub home_refusals: Kinds,
     pub dropped_answers: Kinds,
     pub links: Gauge,
     pub links_refused: Kinds,
@@ -82,6 +83,7 @@
             malformed_requests: Family::default(),
             retries: Counter::default(),
             target_refusals: Family::default(),
+            home_refusals: Family::default(),
             dropped_answers: Family::default(),
             links: Gauge::default(),
             links_refused: Family::default(),
@@ -121,6 +123,7 @@
         registry.register("malformed_requests", "Requests refused since they could not be framed", self.malformed_requests.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("home_refusals", "Calls refused for want of a target in their home regions, and at one outside", self.home_refusals.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
