Regions: distance is a type, ways to other regions have a price, news cross in a ring

A way knew one step, far or near, so another region cost as much as another zone, and neighbours in other regions were never looked for. Distance has four steps now; calls, subsets and neighbours follow it; mesh metrics tell it. Policy tests pass; the other crates compile and are not run yet.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use lynxcleat_once::Incarnation;
-use lynxcleat_policy::CallId;
+use lynxcleat_policy::{CallId, Distance, Here};
 use lynxcleat_store::Platform;
 use lynxcleat_wire::{Frame, Hello, PROTOCOL_VERSION, SharedKey};
 
@@ -18,7 +18,7 @@
 use crate::explain::Explain;
 use crate::half::Half;
 use crate::life::{LeaveCause, Life};
-use crate::mesh::Links;
+use crate::mesh::{Link, Links};
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::route::Routers;
@@ -88,6 +88,7 @@
             host: self.config.host.clone(),
             place: self.config.place.clone(),
             zone: self.config.zone.clone(),
+            region: self.config.region.clone(),
             service: self.half.service(self),
             mesh: self.me.mesh.to_string(),
             incarnation: self.me.incarnation,
@@ -112,6 +113,18 @@
         directory.map_or_else(Vec::new, DirectoryState::evacuated_zones)
     }
 
+    /// Links over which news of settings and zones go out: all within the region, and those to
+    /// neighbours in others, so that news cross a few times only. Without neighbours, all.
+    pub fn links_for_news(&self) -> Vec<Arc<Link>> {
+        let mut links = self.links.all();
+        if let Some(directory) = &self.directory {
+            links.retain(|link| {
+                link.distance < Distance::OtherRegion || directory.is_neighbour(link)
+            });
+        }
+        links
+    }
+
     /// A number for a new call.
     pub fn new_call_id(&self) -> CallId {
         CallId(self.calls.fetch_add(1, Ordering::Relaxed))
@@ -122,6 +135,16 @@
         format!("{}-{:x}", self.me.incarnation, id.0)
     }
 
+    /// Where this daemon stands.
+    pub fn here(&self) -> Here<'_> {
+        Here {
+            host: &self.config.host,
+            place: &self.config.place,
+            zone: &self.config.zone,
+            region: &self.config.region,
+        }
+    }
+
     /// Adds or takes away a cause for this daemon's target to leave, and tells
     /// every peer where that changes something.
     pub fn set_leaving(&self, cause: LeaveCause, stands: bool) {
@@ -143,7 +166,9 @@
         self.routers.apply(self, &in_force);
         let generation = in_force.generation.number;
         self.metrics.generation.set(generation as i64);
-        self.links.announce(&Frame::Beat);
+        for link in self.links_for_news() {
+            let _ = link.send(Frame::Beat);
+        }
         log::info!(generation, digest:% = in_force.generation.digest; "settings in force");
     }
 }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -26,6 +26,7 @@
 use crate::control;
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
+use crate::mesh::Link;
 use crate::sync::lock;
 
 use neighbours::Neighbours;
@@ -152,6 +153,11 @@
         Duration::from_micros(core.clock.now().saturating_sub(heard_at))
     }
 
+    /// Whether a link is one to a neighbour, over which news pass.
+    pub fn is_neighbour(&self, link: &Link) -> bool {
+        self.neighbours.has(link)
+    }
+
     /// The store answered at some time. Returns by how much that is later than what was
     /// known.
     fn hear(&self, at: Micros) -> Duration {
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use lynxcleat_policy::{
-    Candidate, Cost, FAR_NEIGHBOURS, Here, NEAR_NEIGHBOURS, TargetId, neighbours,
+    Candidate, Cost, FAR_NEIGHBOURS, NEAR_NEIGHBOURS, REGION_NEIGHBOURS, TargetId, neighbours,
 };
 use lynxcleat_store::{HostEntry, HostState};
 
@@ -49,6 +49,11 @@
         links.values().cloned().collect()
     }
 
+    /// Whether a link is one to a neighbour.
+    pub(super) fn has(&self, link: &Link) -> bool {
+        lock(&self.links).contains_key(&link.id)
+    }
+
     /// Takes a link as one to a neighbour. Returns whether it was none before.
     pub(super) fn add(&self, link: &Arc<Link>) -> bool {
         let added = lock(&self.links).insert(link.id, Arc::clone(link));
@@ -65,9 +70,10 @@
     loop {
         if core.shared_key().is_some() {
             unreached.retain(|_, tried| tried.elapsed() < PASSED_OVER);
-            let (near, far) = wanted(&core);
-            keep_some(&core, &near, NEAR_NEIGHBOURS, &mut unreached).await;
-            keep_some(&core, &far, FAR_NEIGHBOURS, &mut unreached).await;
+            let wanted = wanted(&core);
+            keep_some(&core, &wanted.near, NEAR_NEIGHBOURS, &mut unreached).await;
+            keep_some(&core, &wanted.far, FAR_NEIGHBOURS, &mut unreached).await;
+            keep_some(&core, &wanted.regions, REGION_NEIGHBOURS, &mut unreached).await;
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
@@ -129,8 +135,17 @@
     }
 }
 
-/// The members of this zone and of others that this daemon looks for, in their order.
-fn wanted(core: &Core) -> (Vec<HostEntry>, Vec<HostEntry>) {
+/// The members that this daemon looks for, in their order.
+struct Wanted {
+    /// Of this zone.
+    near: Vec<HostEntry>,
+    /// Of other zones of this region.
+    far: Vec<HostEntry>,
+    /// Of other regions.
+    regions: Vec<HostEntry>,
+}
+
+fn wanted(core: &Core) -> Wanted {
     let mut members = core.hosts.all();
     members.retain(|entry| entry.state == HostState::Live);
     let candidates: Vec<Candidate> = members
@@ -138,18 +153,16 @@
         .enumerate()
         .map(|(number, entry)| candidate(TargetId(number as u32), entry))
         .collect();
-    let here = Here {
-        host: &core.config.host,
-        place: &core.config.place,
-        zone: &core.config.zone,
-        region: &core.config.region,
-    };
-    let order = neighbours(here, &candidates);
+    let order = neighbours(core.here(), &candidates);
     let entries = |targets: Vec<TargetId>| {
         let targets = targets.into_iter();
         targets
             .map(|target| members[target.0 as usize].clone())
             .collect()
     };
-    (entries(order.near), entries(order.far))
+    Wanted {
+        near: entries(order.near),
+        far: entries(order.far),
+        regions: entries(order.regions),
+    }
 }
--- a/crates/daemon/src/directory/zones.rs
+++ b/crates/daemon/src/directory/zones.rs
@@ -84,7 +84,7 @@
 
 fn pass_on(core: &Core, newer: &[ZoneNews], from: Option<u64>) {
     let frame = Frame::Zones(newer.to_vec());
-    let links = core.links.all();
+    let links = core.links_for_news();
     for link in links.iter().filter(|link| Some(link.id) != from) {
         let _ = link.send(frame.clone());
     }
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -18,7 +18,7 @@
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallTerms, Cost, Figures,
     FirstReport, Micros, NextLook, Origins, Refusal, ReportEffect, ReportedState, TargetReport,
-    TargetReports,
+    TargetReports, WayPrices,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
@@ -27,6 +27,7 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::mesh::Link;
+use crate::route;
 use crate::sync::lock;
 
 use exchange::Told;
@@ -113,7 +114,7 @@
         let nothing = AdmitLimits {
             slots: 1,
             hold_limit: 0,
-            far_price_percent: 0,
+            prices: WayPrices::default(),
             ask_price_permille: 0,
             cold_calls_per_s: 0,
             cold_ms: 0,
@@ -168,7 +169,7 @@
         self.admit(AdmitEvent::SetLimits(AdmitLimits {
             slots: reported.unwrap_or(own.slots).max(1),
             hold_limit: own.hold_limit,
-            far_price_percent: own.far_price_percent,
+            prices: route::way_prices(&own),
             ask_price_permille: own.ask_price_permille,
             cold_calls_per_s: own.cold_calls_per_s,
             cold_ms: own.cold_ms,
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -146,7 +146,7 @@
 async fn prove_as_dialer(core: &Core, socket: &mut Socket) -> Result<Hello, HandshakeError> {
     let ours = core.hello();
     let key = core.shared_key().ok_or(HandshakeError::NoKey)?;
-    send(core, socket, Frame::Hello(ours.clone())).await?;
+    send(core, socket, Frame::Hello(Box::new(ours.clone()))).await?;
     let theirs = receive_hello(socket).await?;
     ours.check(&theirs)?;
     let Frame::Proof(proof) = receive(socket).await? else {
@@ -163,7 +163,7 @@
     let key = core.shared_key().ok_or(HandshakeError::NoKey)?;
     let theirs = receive_hello(socket).await?;
     ours.check(&theirs)?;
-    send(core, socket, Frame::Hello(ours.clone())).await?;
+    send(core, socket, Frame::Hello(Box::new(ours.clone()))).await?;
     let proof = key.prove(Side::Acceptor, &theirs, &ours);
     send(core, socket, Frame::Proof(proof)).await?;
     let Frame::Proof(proof) = receive(socket).await? else {
@@ -175,7 +175,7 @@
 
 async fn receive_hello(socket: &mut Socket) -> Result<Hello, HandshakeError> {
     match receive(socket).await? {
-        Frame::Hello(hello) => Ok(hello),
+        Frame::Hello(hello) => Ok(*hello),
         _ => Err(HelloError::OutOfOrder.into()),
     }
 }
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use lynxcleat_policy::{AttemptId, Figures, Micros, Refusal, Settlement};
+use lynxcleat_policy::{AttemptId, Distance, Figures, Micros, Refusal, Settlement};
 use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, Side};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -79,6 +79,8 @@
     pub id: u64,
     /// The other side.
     pub peer: Hello,
+    /// How far away it is.
+    pub distance: Distance,
     side: Side,
     out: flume::Sender<Out>,
     pending: Mutex<Pending>,
@@ -94,6 +96,7 @@
     pub(super) fn new(
         id: u64,
         peer: Hello,
+        distance: Distance,
         side: Side,
         now: Micros,
     ) -> (Self, flume::Receiver<Out>) {
@@ -101,6 +104,7 @@
         let link = Link {
             id,
             peer,
+            distance,
             side,
             out,
             pending: Mutex::default(),
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use lynxcleat_policy::{Micros, SilenceLimit};
+use lynxcleat_policy::{Distance, Micros, SilenceLimit};
 use lynxcleat_wire::{Frame, Hello, Side};
 use thiserror::Error;
 
@@ -26,6 +26,12 @@
     pub error: HandshakeError,
 }
 
+/// Whether the other side is told the load of our target as it changes. Those of other
+/// regions are not: they send few calls here, whose answers tell it.
+fn is_router(link: &Link) -> bool {
+    !link.is_dialer() && link.distance < Distance::OtherRegion
+}
+
 /// Least time between two trials of all links.
 const TRY_PAUSE_US: Micros = 500_000;
 
@@ -80,18 +86,18 @@
         }
     }
 
-    /// Sends a message on every link that another daemon dialed: to those that route
-    /// to our target.
+    /// Sends a message on every link that another daemon of this region dialed: to those
+    /// that mostly route to our target.
     pub fn tell_routers(&self, frame: &Frame) {
-        for link in self.all().into_iter().filter(|link| !link.is_dialer()) {
+        for link in self.all().into_iter().filter(|link| is_router(link)) {
             let _ = link.send(frame.clone());
         }
     }
 
-    /// How many links other daemons dialed.
+    /// How many links other daemons of this region dialed.
     pub fn accepted(&self) -> usize {
         let all = lock(&self.all);
-        all.values().filter(|link| !link.is_dialer()).count()
+        all.values().filter(|link| is_router(link)).count()
     }
 
     /// The link to an address, dialed if there is none. Several callers at once
@@ -204,7 +210,9 @@
 
     fn add(&self, core: &Core, peer: Hello, side: Side) -> (Arc<Link>, flume::Receiver<Out>) {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (link, queue) = Link::new(id, peer, side, core.clock.now());
+        let here = core.here();
+        let distance = here.distance_to(&peer.zone, &peer.place, &peer.region);
+        let (link, queue) = Link::new(id, peer, distance, side, core.clock.now());
         let link = Arc::new(link);
         let mut all = lock(&self.all);
         all.insert(id, Arc::clone(&link));
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -13,7 +13,7 @@
 use super::handshake::Socket;
 use super::link::{Link, Out};
 use crate::core::Core;
-use crate::metrics::KindLabels;
+use crate::metrics::MeshLabels;
 
 /// Why a link ended, where it was not closed in order.
 #[derive(Debug, Error)]
@@ -98,7 +98,7 @@
             sink.close().await.map_err(Box::new)?;
             return Ok(());
         };
-        let bytes = encode_counted(core, frame)?;
+        let bytes = encode_counted(core, link, frame)?;
         sink.feed(Message::Binary(bytes.into()))
             .await
             .map_err(Box::new)?;
@@ -108,14 +108,17 @@
     }
 }
 
-fn encode_counted(core: &Core, frame: Frame) -> Result<Vec<u8>, PumpError> {
-    let kind = KindLabels { kind: kind(&frame) };
+fn encode_counted(core: &Core, link: &Link, frame: Frame) -> Result<Vec<u8>, PumpError> {
+    let labels = MeshLabels {
+        kind: kind(&frame),
+        distance: link.distance.name(),
+    };
     let generation = core.settings.number();
     let bytes = encode(&Envelope { generation, frame })?;
-    core.metrics.mesh_frames.get_or_create(&kind).inc();
+    core.metrics.mesh_frames.get_or_create(&labels).inc();
     core.metrics
         .mesh_bytes
-        .get_or_create(&kind)
+        .get_or_create(&labels)
         .inc_by(bytes.len() as u64);
     Ok(bytes)
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,15 @@
     pub kind: &'static str,
 }
 
+/// Labels of messages to other daemons.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct MeshLabels {
+    /// Kind of the message.
+    pub kind: &'static str,
+    /// How far away the other daemon is.
+    pub distance: &'static str,
+}
+
 /// A counter for each kind of thing.
 pub type Kinds = Family<KindLabels, Counter>;
 
@@ -48,8 +57,8 @@
     pub links: Gauge,
     pub links_refused: Kinds,
     pub links_silent: Counter,
-    pub mesh_frames: Kinds,
-    pub mesh_bytes: Kinds,
+    pub mesh_frames: Family<MeshLabels, Counter>,
+    pub mesh_bytes: Family<MeshLabels, Counter>,
     pub in_flight: Gauge,
     pub held: Gauge,
     pub generation: Gauge,
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod service;
 mod settle;
 
+pub use params::way_prices;
 pub use run::{Outbound, RouteVerdict, run, run_until_gone};
 pub use service::{Routers, ServiceRouter};
 pub use settle::fence_at;
--- a/crates/daemon/src/route/params.rs
+++ b/crates/daemon/src/route/params.rs
@@ -1,6 +1,6 @@
 //! A router's parameters, from the settings in force for its service.
 
-use lynxcleat_policy::{ChooseParams, FurtherParams, Policy, RetryBound, RouterParams};
+use lynxcleat_policy::{ChooseParams, FurtherParams, Policy, RetryBound, RouterParams, WayPrices};
 use lynxcleat_settings::Effective;
 
 /// This daemon's part of the bound that all daemons keep together. Half of the reserve
@@ -16,6 +16,14 @@
     })
 }
 
+/// What the settings say that ways cost.
+pub fn way_prices(effective: &Effective) -> WayPrices {
+    WayPrices {
+        far_percent: effective.far_price_percent,
+        region_percent: effective.region_price_percent,
+    }
+}
+
 /// What the settings in force for a service say to its router, in a fleet of `hosts`.
 pub(super) fn params(effective: &Effective, hosts: usize) -> RouterParams {
     RouterParams {
@@ -24,7 +32,7 @@
             ramp_us: effective.ramp_ms * 1_000,
             eject_failures: effective.eject_failures,
             eject_us: effective.eject_ms * 1_000,
-            far_price: f64::from(effective.far_price_percent) / 100.0,
+            prices: way_prices(effective),
         },
         attempt_limit: effective.attempt_limit,
         further: FurtherParams {
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,7 +11,7 @@
 use log::Level;
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, Cost, Event, Figures, Here, Redial, RedialEvent, Router, TargetId, subset,
+    Candidate, Cost, Distance, Event, Figures, Redial, RedialEvent, Router, TargetId, subset,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -39,6 +39,9 @@
 /// Path times assumed before any was seen, by distance, in microseconds.
 const PATH_SAME_PLACE_US: f64 = 300.0;
 const PATH_OTHER_PLACE_US: f64 = 2_500.0;
+/// Regions are some hundred kilometres apart, and light needs 10 us for a kilometre of fibre,
+/// there and back; the way of a target is learned with the first answers.
+const PATH_OTHER_REGION_US: f64 = 20_000.0;
 /// Attempt numbers are apart by service, so that they are unique in the daemon.
 const ATTEMPTS_BITS: u32 = 40;
 
@@ -239,12 +242,7 @@
                 ..candidate(core.routers.id(&entry.host), entry)
             })
             .collect();
-        let here = Here {
-            host: &core.config.host,
-            place: &core.config.place,
-            zone: &core.config.zone,
-            region: &core.config.region,
-        };
+        let here = core.here();
         let wanted = subset(here, &candidates, effective.subset_size);
         let mut entries: HashMap<TargetId, HostEntry> = candidates
             .iter()
@@ -252,16 +250,22 @@
             .zip(listed)
             .filter(|(target, _)| wanted.contains(target))
             .collect();
-        let targets: Vec<(TargetId, f64)> = wanted
+        let distance = |target: &TargetId| {
+            let entry = &entries[target];
+            here.distance_to(&entry.zone, &entry.place, &entry.region)
+        };
+        let distances: Vec<(TargetId, Distance)> = wanted
+            .iter()
+            .map(|target| (*target, distance(target)))
+            .collect();
+        let targets: Vec<(TargetId, f64)> = distances
             .iter()
-            .map(|target| (*target, path_us(core, &entries[target])))
+            .map(|(target, distance)| (*target, path_us(*distance)))
             .collect();
-        let is_far = |target: &&TargetId| entries[*target].place != core.config.place;
-        let far: Vec<TargetId> = wanted.iter().filter(is_far).copied().collect();
         let mut peers = lock(&self.peers);
         let mut router = lock(&self.router);
         router.set_targets(core.clock.now(), &targets);
-        router.set_far(&far);
+        router.set_distances(&distances);
         drop(router);
         peers.retain(|target, peer| {
             entries
@@ -414,10 +418,10 @@
     tokio::time::sleep(Duration::from_micros(redial.on(event))).await;
 }
 
-fn path_us(core: &Core, entry: &HostEntry) -> f64 {
-    if entry.place == core.config.place {
-        PATH_SAME_PLACE_US
-    } else {
-        PATH_OTHER_PLACE_US
+fn path_us(distance: Distance) -> f64 {
+    match distance {
+        Distance::OwnZone | Distance::OwnPlace => PATH_SAME_PLACE_US,
+        Distance::OwnRegion => PATH_OTHER_PLACE_US,
+        Distance::OtherRegion => PATH_OTHER_REGION_US,
     }
 }
--- a/crates/daemon/tests/stopping.rs
+++ b/crates/daemon/tests/stopping.rs
@@ -55,6 +55,7 @@
         host: "unread".to_owned(),
         place: "east".to_owned(),
         zone: "east-1".to_owned(),
+        region: String::new(),
         service: "stock".to_owned(),
         mesh: "127.0.0.1:1".to_owned(),
         incarnation: Incarnation(7),
@@ -62,7 +63,7 @@
         leaving: false,
         nonce: 7,
     };
-    send(&mut socket, Frame::Hello(ours.clone())).await;
+    send(&mut socket, Frame::Hello(Box::new(ours.clone()))).await;
     socket.flush().await.expect("sent");
     let Frame::Hello(theirs) = receive(&mut socket).await else {
         panic!("a hello");
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -10,7 +10,7 @@
 
 use lynxcleat_policy::{
     Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, CallTerms,
-    Event, Figures, Micros, Refusal, Router, RouterParams, Source, TargetId, Verdict,
+    Event, Figures, Micros, Refusal, Router, RouterParams, Source, TargetId, Verdict, WayPrices,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -200,7 +200,7 @@
             } else {
                 options.limits.hold_limit
             },
-            far_price_percent: 0,
+            prices: WayPrices::default(),
             ask_price_permille: 10,
             cold_calls_per_s: 0,
             cold_ms: 0,
--- a/crates/once/tests/world.rs
+++ b/crates/once/tests/world.rs
@@ -13,7 +13,7 @@
 };
 use lynxcleat_policy::{
     Action, AttemptId, CallId, ChooseParams, Event, Policy, Refusal, RefusalReason, Router,
-    RouterParams, Settlement, Source, TargetId, Verdict,
+    RouterParams, Settlement, Source, TargetId, Verdict, WayPrices,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -157,7 +157,7 @@
                 ramp_us: 0,
                 eject_failures: 1_000,
                 eject_us: 1,
-                far_price: 0.0,
+                prices: WayPrices::default(),
             },
             attempt_limit: 3,
             further: lynxcleat_policy::FurtherParams {
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -6,7 +6,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use lynxcleat_policy::{
     Action, Admit, AdmitEvent, AdmitLimits, Budget, CallId, CallKind, CallTerms, ChooseParams,
-    Cost, Event, Figures, Policy, Router, RouterParams, Source, TargetId,
+    Cost, Event, Figures, Policy, Router, RouterParams, Source, TargetId, WayPrices,
 };
 
 const FIGURES: Figures = Figures {
@@ -25,7 +25,7 @@
             ramp_us: 0,
             eject_failures: 5,
             eject_us: 1_000_000,
-            far_price: 0.0,
+            prices: WayPrices::default(),
         },
         attempt_limit: 3,
         further: lynxcleat_policy::FurtherParams {
@@ -85,7 +85,7 @@
         let limits = AdmitLimits {
             slots: 12,
             hold_limit: 48,
-            far_price_percent: 0,
+            prices: WayPrices::default(),
             ask_price_permille: 10,
             cold_calls_per_s: 0,
             cold_ms: 0,
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -316,7 +316,7 @@
         Some(Choice {
             need,
             elsewhere: terms.elsewhere,
-            far_price: f64::from(self.limits.far_price_percent) / 100.0,
+            prices: self.limits.prices,
             can_come_back: false,
         })
     }
--- a/crates/policy/src/admit_event.rs
+++ b/crates/policy/src/admit_event.rs
@@ -2,6 +2,7 @@
 //! and its shell share.
 
 use crate::cold::FirstReport;
+use crate::distance::WayPrices;
 use crate::event::Refusal;
 use crate::hold::CallTerms;
 use crate::ids::{CallId, Micros};
@@ -14,8 +15,8 @@
     pub slots: u32,
     /// Calls held for a slot.
     pub hold_limit: u32,
-    /// Price of sending a call to a far target, in percent of what the call is worth.
-    pub far_price_percent: u32,
+    /// What the ways to other targets cost.
+    pub prices: WayPrices,
     /// Price of asking the target for its load, in thousandths of what a call is worth.
     pub ask_price_permille: u32,
     /// Calls that a cold target is given in any second at most; 0 for no bound.
--- a/crates/policy/src/begin.rs
+++ b/crates/policy/src/begin.rs
@@ -8,6 +8,7 @@
 //! turn.
 
 use crate::chance::{Need, Prospect, worth};
+use crate::distance::WayPrices;
 use crate::elsewhere::Elsewhere;
 use crate::ids::Micros;
 use crate::slowness::{LikelySlowness, SlownessReading, UsualSlowness};
@@ -60,8 +61,8 @@
     pub need: Need,
     /// Where else it can go.
     pub elsewhere: Elsewhere,
-    /// What the way to a far target costs, as a part of a call's worth.
-    pub far_price: f64,
+    /// What the way to another target costs.
+    pub prices: WayPrices,
     /// Whether it has just arrived and is made by a caller, who can come back in time.
     pub can_come_back: bool,
 }
@@ -72,7 +73,7 @@
         let now = self.worth_now(&choice.need);
         let later = self.worth_later(&choice.need);
         let here = now.max(later);
-        if let Some(price) = choice.elsewhere.price(choice.far_price)
+        if let Some(price) = choice.elsewhere.price(choice.prices)
             && self.worth_elsewhere(&choice.need) > here + GAIN + price
         {
             return Begin::Elsewhere;
@@ -98,7 +99,7 @@
             true if self.best(choice) != Begin::Now => return 0.0,
             true => self.spells.chance_still_slow(age_us),
         };
-        let known = match choice.elsewhere.price(choice.far_price) {
+        let known = match choice.elsewhere.price(choice.prices) {
             Some(price) => self.worth_elsewhere(need) - price,
             None => 0.0,
         };
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::chance::{Need, left_us, worth};
+use crate::distance::{Distance, WayPrices};
 use crate::elsewhere::Elsewhere;
 use crate::figures::Figures;
 use crate::ids::{Micros, TargetId};
@@ -48,8 +49,8 @@
     pub eject_failures: u32,
     /// Time of a first ejection.
     pub eject_us: Micros,
-    /// Price of sending a call to a far target, as a part of its worth.
-    pub far_price: f64,
+    /// What the ways to targets cost.
+    pub prices: WayPrices,
 }
 
 /// What is asked of a choice.
@@ -78,6 +79,9 @@
     pub slowness: f64,
     /// Age of that, in microseconds.
     pub slowness_age_us: Micros,
+    /// How far away it is.
+    #[serde(default, skip_serializing_if = "Distance::is_own_zone")]
+    pub distance: Distance,
 }
 
 /// The targets of one service as one router sees them.
@@ -140,10 +144,12 @@
         self.order = targets.iter().map(|(target, _)| *target).collect();
     }
 
-    /// Says which targets are far.
-    pub fn set_far(&mut self, far: &[TargetId]) {
-        for (target, state) in &mut self.states {
-            state.set_far(far.contains(target));
+    /// Says how far away targets are.
+    pub fn set_distances(&mut self, distances: &[(TargetId, Distance)]) {
+        for (target, distance) in distances {
+            if let Some(state) = self.states.get_mut(target) {
+                state.set_distance(*distance);
+            }
         }
     }
 
@@ -167,15 +173,8 @@
     /// Where a call can go that is to go to none of `tried`.
     pub fn elsewhere(&self, now: Micros, tried: &[TargetId]) -> Elsewhere {
         let all = self.order.iter();
-        let mut open = all.filter(|target| self.is_open(now, **target, tried));
-        let Some(first) = open.next() else {
-            return Elsewhere::Nowhere;
-        };
-        let is_near = |target: &TargetId| !self.states[target].is_far();
-        match is_near(first) || open.any(is_near) {
-            true => Elsewhere::Near,
-            false => Elsewhere::Far,
-        }
+        let open = all.filter(|target| self.is_open(now, **target, tried));
+        Elsewhere::at(open.map(|target| self.states[target].distance()).min())
     }
 
     /// What is known of one target.
@@ -390,6 +389,7 @@
                 load: state.load(now, &self.usual),
                 slowness: reading.map_or(0.0, |reading| reading.factor),
                 slowness_age_us: reading.map_or(0, |reading| now.saturating_sub(reading.at)),
+                distance: state.distance(),
             }
         }));
         let scores = considered.iter().map(|one| one.score);
@@ -425,6 +425,6 @@
             ..likely
         });
         let worth = worth(&need, &prospect, slowness);
-        worth - state.far_price(self.params.far_price) - finish_us / FINISH_SCALE_US
+        worth - self.params.prices.of(state.distance()) - finish_us / FINISH_SCALE_US
     }
 }
--- a/crates/policy/src/elsewhere.rs
+++ b/crates/policy/src/elsewhere.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::distance::{Distance, WayPrices};
+
 /// Where a call can be offered if the daemon of its target refuses it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Elsewhere {
@@ -9,7 +11,10 @@
     #[default]
     #[serde(rename = "0")]
     Nowhere,
-    /// At far targets only, at the price of the way.
+    /// At targets of other regions only, at the price of the way.
+    #[serde(rename = "r")]
+    OtherRegion,
+    /// At far targets only, at the price of the way; some are in the region of its router.
     #[serde(rename = "f")]
     Far,
     /// At a near target.
@@ -18,6 +23,16 @@
 }
 
 impl Elsewhere {
+    /// Where there are targets of which the nearest is this far away.
+    pub(crate) fn at(nearest: Option<Distance>) -> Self {
+        match nearest {
+            None => Elsewhere::Nowhere,
+            Some(Distance::OwnZone | Distance::OwnPlace) => Elsewhere::Near,
+            Some(Distance::OwnRegion) => Elsewhere::Far,
+            Some(Distance::OtherRegion) => Elsewhere::OtherRegion,
+        }
+    }
+
     /// Whether there is no other target.
     pub fn is_nowhere(&self) -> bool {
         *self == Elsewhere::Nowhere
@@ -25,10 +40,11 @@
 
     /// What the way there costs, as a part of a call's worth; nothing where there is no
     /// way.
-    pub(crate) fn price(self, far_price: f64) -> Option<f64> {
+    pub(crate) fn price(self, prices: WayPrices) -> Option<f64> {
         match self {
             Elsewhere::Nowhere => None,
-            Elsewhere::Far => Some(far_price),
+            Elsewhere::OtherRegion => Some(prices.of(Distance::OtherRegion)),
+            Elsewhere::Far => Some(prices.of(Distance::OwnRegion)),
             Elsewhere::Near => Some(0.0),
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod chance;
 mod chooser;
 mod cold;
+mod distance;
 mod elsewhere;
 mod evacuation;
 mod event;
@@ -43,6 +44,7 @@
 pub use chance::Need;
 pub use chooser::{ChooseParams, Chooser, Considered};
 pub use cold::{ColdBound, FirstReport};
+pub use distance::{Distance, WayPrices};
 pub use elsewhere::Elsewhere;
 pub use evacuation::{Evacuations, ZoneNews};
 pub use event::{
@@ -53,7 +55,9 @@
 pub use hold::{CallTerms, Held, Hold};
 pub use ids::{AttemptId, CallId, Micros, TargetId};
 pub use limit::LearnedLimit;
-pub use neighbours::{FAR_NEIGHBOURS, NEAR_NEIGHBOURS, NeighbourOrder, neighbours, rank};
+pub use neighbours::{
+    FAR_NEIGHBOURS, NEAR_NEIGHBOURS, NeighbourOrder, REGION_NEIGHBOURS, neighbours, rank,
+};
 pub use origins::Origins;
 pub use policy_name::{Policy, UnknownPolicy};
 pub use redial::{Redial, RedialEvent};
@@ -64,6 +68,6 @@
 pub use silence::SilenceLimit;
 pub use slowness::{LikelySlowness, SlownessReading, UsualSlowness};
 pub use spell::Spells;
-pub use subset::{Candidate, Here, subset};
+pub use subset::{Candidate, Here, OTHER_REGIONS_MIN, subset};
 pub use target::{Health, TargetState, Usual};
 pub use work::{CallKind, Work, Works};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
+use crate::distance::Distance;
 use crate::elsewhere::Elsewhere;
 use crate::event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
@@ -112,9 +113,9 @@
         self.chooser.set_targets(now, targets);
     }
 
-    /// Says which targets are far, so that sending a call there has a price.
-    pub fn set_far(&mut self, far: &[TargetId]) {
-        self.chooser.set_far(far);
+    /// Says how far away targets are, so that sending a call there has its price.
+    pub fn set_distances(&mut self, distances: &[(TargetId, Distance)]) {
+        self.chooser.set_distances(distances);
     }
 
     /// Targets scored for the last choice, for explanations.
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -4,6 +4,7 @@
 //! halves with its age. Errors and refusals never make a target look better.
 
 use crate::chance::Prospect;
+use crate::distance::Distance;
 use crate::figures::Figures;
 use crate::ids::Micros;
 use crate::slowness::SlownessReading;
@@ -63,7 +64,7 @@
     warm_from: Micros,
     refused_until: Micros,
     slowness: Option<SlownessReading>,
-    far: bool,
+    distance: Distance,
     doubted: bool,
 }
 
@@ -127,7 +128,7 @@
             warm_from: now,
             refused_until: 0,
             slowness: None,
-            far: false,
+            distance: Distance::default(),
             doubted: false,
         }
     }
@@ -171,7 +172,7 @@
         *self = TargetState {
             outstanding: self.outstanding,
             linked: self.linked,
-            far: self.far,
+            distance: self.distance,
             ..TargetState::new(now, self.usual_path_us)
         };
     }
@@ -319,19 +320,14 @@
         (self.path_us(now) + service + spread + wait.max(refused)) * self.cold(now, ramp_us)
     }
 
-    /// Says whether the way to it has a price.
-    pub fn set_far(&mut self, far: bool) {
-        self.far = far;
+    /// Says how far away it is.
+    pub fn set_distance(&mut self, distance: Distance) {
+        self.distance = distance;
     }
 
-    /// Whether the way to it has a price.
-    pub fn is_far(&self) -> bool {
-        self.far
-    }
-
-    /// Price of the way to it.
-    pub fn far_price(&self, price: f64) -> f64 {
-        if self.far { price } else { 0.0 }
+    /// How far away it is.
+    pub fn distance(&self) -> Distance {
+        self.distance
     }
 
     /// The last reading of its slowness.
--- a/crates/policy/tests/asking.rs
+++ b/crates/policy/tests/asking.rs
@@ -2,11 +2,16 @@
 
 use lynxcleat_policy::{
     Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, CallKind, CallTerms, Elsewhere,
-    SlownessReading,
+    SlownessReading, WayPrices,
 };
 use rstest::rstest;
 
 const MS: u64 = 1_000;
+/// Ways to other places have a price.
+const PRICES: WayPrices = WayPrices {
+    far_percent: 20,
+    region_percent: 20,
+};
 const KIND: CallKind = CallKind(1);
 
 fn terms(goal: u64) -> CallTerms {
@@ -24,7 +29,7 @@
     let mut admit = Admit::new(AdmitLimits {
         slots: 8,
         hold_limit: 48,
-        far_price_percent: 20,
+        prices: PRICES,
         ask_price_permille: 10,
         cold_calls_per_s: 0,
         cold_ms: 0,
--- a/crates/policy/tests/first_calls.rs
+++ b/crates/policy/tests/first_calls.rs
@@ -1,14 +1,21 @@
 //! The first calls, before any answer told what calls take.
 
-use lynxcleat_policy::{Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, CallKind, CallTerms};
+use lynxcleat_policy::{
+    Admit, AdmitAction, AdmitEvent, AdmitLimits, CallId, CallKind, CallTerms, WayPrices,
+};
 
 const MS: u64 = 1_000;
+/// Ways to other places have a price.
+const PRICES: WayPrices = WayPrices {
+    far_percent: 20,
+    region_percent: 20,
+};
 
 fn admit() -> Admit {
     Admit::new(AdmitLimits {
         slots: 8,
         hold_limit: 48,
-        far_price_percent: 20,
+        prices: PRICES,
         ask_price_permille: 10,
         cold_calls_per_s: 0,
         cold_ms: 0,
--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -2,12 +2,17 @@
 
 use lynxcleat_policy::{
     Action, Admit, AdmitAction, AdmitEvent, AdmitLimits, AttemptId, CallId, CallKind, CallTerms,
-    ChooseParams, Elsewhere, Event, Figures, Policy, RefusalReason, Router, RouterParams,
-    SlownessReading, Source, TargetId,
+    ChooseParams, Distance, Elsewhere, Event, Figures, Policy, RefusalReason, Router, RouterParams,
+    SlownessReading, Source, TargetId, WayPrices,
 };
 use rstest::rstest;
 
 const MS: u64 = 1_000;
+/// Ways to other places have a price.
+const PRICES: WayPrices = WayPrices {
+    far_percent: 20,
+    region_percent: 20,
+};
 const KIND: CallKind = CallKind(1);
 const NEAR: TargetId = TargetId(0);
 const FAR: TargetId = TargetId(1);
@@ -28,7 +33,7 @@
             ramp_us: 0,
             eject_failures: 5,
             eject_us: 1_000 * MS,
-            far_price: 0.2,
+            prices: PRICES,
         },
         attempt_limit: 2,
         further: lynxcleat_policy::FurtherParams {
@@ -43,7 +48,7 @@
 fn router() -> Router {
     let mut router = Router::new(params(), 7, 1);
     router.set_targets(0, &[(NEAR, 300.0), (FAR, 2_000.0)]);
-    router.set_far(&[FAR]);
+    router.set_distances(&[(FAR, Distance::OwnRegion)]);
     for nth in 0..40 {
         let (attempt, _) = sent(&arrive(&mut router, nth, 0, 400 * MS));
         router.on(100 * MS, answered(attempt, 100));
@@ -175,7 +180,7 @@
 const LIMITS: AdmitLimits = AdmitLimits {
     slots: 4,
     hold_limit: 8,
-    far_price_percent: 20,
+    prices: PRICES,
     ask_price_permille: 10,
     cold_calls_per_s: 0,
     cold_ms: 0,
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -3,7 +3,7 @@
 use lynxcleat_policy::{
     Action, AttemptId, CallId, Candidate, ChooseParams, Event, Figures, Health, Here, NotRunReason,
     Policy, Refusal, RefusalReason, Router, RouterParams, Settlement, Source, TargetId,
-    UnknownReason, Verdict, subset,
+    UnknownReason, Verdict, WayPrices, subset,
 };
 use rstest::rstest;
 
@@ -21,7 +21,7 @@
             ramp_us: 0,
             eject_failures: 3,
             eject_us: 100_000,
-            far_price: 0.0,
+            prices: WayPrices::default(),
         },
         attempt_limit: 3,
         further: lynxcleat_policy::FurtherParams {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -180,7 +180,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
     /// First message of either side.
-    Hello(Hello),
+    Hello(Box<Hello>),
     /// Proof of the shared key over both hellos.
     Proof(Proof),
     /// The link is alive.
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -30,6 +30,8 @@
     pub place: String,
     /// Availability zone of the host.
     pub zone: String,
+    /// Region of the host.
+    pub region: String,
     /// Service of the host's target.
     pub service: String,
     /// Address at which the speaker accepts links.
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -17,6 +17,7 @@
         host: "h".to_owned(),
         place: "p".to_owned(),
         zone: "z".to_owned(),
+        region: String::new(),
         service: "s".to_owned(),
         mesh: "127.0.0.1:1".to_owned(),
         incarnation: Incarnation(u64::MAX),
@@ -56,7 +57,7 @@
         answer(),
         Envelope {
             generation: 0,
-            frame: Frame::Hello(hello(u128::MAX)),
+            frame: Frame::Hello(Box::new(hello(u128::MAX))),
         },
         Envelope {
             generation: u64::MAX,
