--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -58,8 +58,10 @@
         );
         for scored in &attempt.considered {
             println!(
-                "    considered {:20} score {:.0}",
-                scored.host, scored.score
+                "    considered {:20} score {:.0}{}",
+                scored.host,
+                scored.score,
+                scored.way()
             );
         }
     }
--- a/crates/cli/src/explain_log.rs
+++ b/crates/cli/src/explain_log.rs
@@ -101,12 +101,13 @@
         );
         for one in attempt.considered {
             println!(
-                "      considered {:20} score {:.3} load {:.1} slowness {:.1} told {} ms before",
+                "      considered {:20} score {:.3} load {:.1} slowness {:.1} told {} ms before{}",
                 one.host,
                 one.score,
                 one.load,
                 one.slowness,
-                one.slowness_age_us / 1_000
+                one.slowness_age_us / 1_000,
+                one.way()
             );
         }
     }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -25,6 +25,8 @@
 pub struct Standing {
     /// Its host.
     pub host: String,
+    /// Its region; empty where the deployment names none.
+    pub region: String,
     /// Its place.
     pub place: String,
     /// Its service.
@@ -69,7 +71,9 @@
             standing.extend(asked.into_iter().filter_map(|thread| thread.join().ok()));
         });
     }
-    standing.sort_by(|a: &Standing, b| (&a.place, &a.host).cmp(&(&b.place, &b.host)));
+    standing.sort_by(|a: &Standing, b| {
+        (&a.region, &a.place, &a.host).cmp(&(&b.region, &b.place, &b.host))
+    });
     standing
 }
 
@@ -81,7 +85,8 @@
             .map_or_else(|| "no answer".to_owned(), |number| number.to_string());
         let mark = if one.in_force { "in force" } else { "LACKS IT" };
         println!(
-            "{:12} {:16} {:14} {:16} {generation:>9}  {mark}",
+            "{:12} {:12} {:16} {:14} {:16} {generation:>9}  {mark}",
+            one.region,
             one.place,
             one.host,
             one.service,
@@ -99,6 +104,7 @@
     let has = status.as_ref().map(|status| status.generation);
     Standing {
         host: entry.host.clone(),
+        region: entry.region.clone(),
         place: entry.place.clone(),
         service: entry.service.clone(),
         incarnation: status.map(|status| status.incarnation),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -18,7 +18,7 @@
 use crate::explain::Explain;
 use crate::half::Half;
 use crate::life::{LeaveCause, Life};
-use crate::mesh::{Link, Links};
+use crate::mesh::{BetweenRegions, Link, Links};
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::route::Routers;
@@ -63,6 +63,8 @@
     pub half: Half,
     /// Guard, tickets and claims.
     pub once: Once,
+    /// What it sends to other regions.
+    pub between: BetweenRegions,
     /// The budget of measuring.
     pub budget: MeasureBudget,
     /// Its metrics.
@@ -163,6 +165,7 @@
         self.half.apply(&in_force.own);
         self.once.apply(&in_force.own);
         self.budget.apply(&in_force.own);
+        self.between.set_limit(in_force.own.region_send_bytes_per_s);
         self.routers.apply(self, &in_force);
         let generation = in_force.generation.number;
         self.metrics.generation.set(generation as i64);
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 
-use lynxcleat_policy::{Micros, SampleRates, Sampler};
+use lynxcleat_policy::{Distance, Micros, SampleRates, Sampler};
 use serde::{Deserialize, Serialize};
 
 use crate::sync::lock;
@@ -27,6 +27,19 @@
     /// Age of that, in microseconds.
     #[serde(default)]
     pub slowness_age_us: u64,
+    /// How far away it is.
+    #[serde(default, skip_serializing_if = "Distance::is_own_zone")]
+    pub distance: Distance,
+}
+
+impl ScoredHost {
+    /// How far away it is, in words that end a line; empty within the router's zone.
+    pub fn way(&self) -> String {
+        match self.distance {
+            Distance::OwnZone => String::new(),
+            distance => format!(", {}", distance.name()),
+        }
+    }
 }
 
 /// One attempt of a call.
--- /dev/null
+++ b/crates/daemon/src/mesh/between.rs
@@ -0,0 +1,63 @@
+//! What this daemon sends to other regions, kept to its bound.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use lynxcleat_policy::{Distance, Micros, RegionBudget};
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::sync::lock;
+
+/// Least time between two lines that say that the bytes are used up.
+const SAID_PAUSE_US: Micros = 1_000_000;
+
+/// The bytes to other regions.
+pub struct BetweenRegions {
+    clock: Clock,
+    budget: Mutex<RegionBudget>,
+    /// When a line last said that calls stay in the region.
+    said_at: AtomicU64,
+}
+
+impl BetweenRegions {
+    /// Without a bound.
+    pub fn new(clock: Clock) -> Self {
+        BetweenRegions {
+            clock,
+            budget: Mutex::default(),
+            said_at: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets the bound in bytes a second; 0 for none.
+    pub fn set_limit(&self, bytes_per_s: u64) {
+        lock(&self.budget).set_limit(self.clock.now(), bytes_per_s);
+    }
+
+    /// A message of so many bytes is written to a daemon that is this far away.
+    pub(super) fn written(&self, distance: Distance, bytes: usize) {
+        if distance == Distance::OtherRegion {
+            lock(&self.budget).charge(self.clock.now(), bytes as u64);
+        }
+    }
+
+    /// How far away a call of this rank may be sent now.
+    pub fn reach(&self, metrics: &Metrics, rank: u32) -> Distance {
+        let now = self.clock.now();
+        let reach = lock(&self.budget).reach(now, rank);
+        if reach < Distance::OtherRegion {
+            metrics.region_short.inc();
+            self.say(now, rank);
+        }
+        reach
+    }
+
+    fn say(&self, now: Micros, rank: u32) {
+        let said_at = self.said_at.load(Ordering::Relaxed);
+        if now >= said_at + SAID_PAUSE_US {
+            self.said_at.store(now, Ordering::Relaxed);
+            log::warn!(rank; "calls stay in the region: the bytes to others are used up");
+        }
+    }
+}
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -6,6 +6,7 @@
 //! link is lost.
 
 mod beat;
+mod between;
 mod dispatch;
 mod handshake;
 mod link;
@@ -13,6 +14,7 @@
 mod listener;
 mod pump;
 
+pub use between::BetweenRegions;
 pub use handshake::prepare as prepare_connection;
 pub use link::{Link, Signal, SignalKind};
 pub use links::Links;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -57,6 +57,7 @@
     pub links: Gauge,
     pub links_refused: Kinds,
     pub links_silent: Counter,
+    pub region_short: Counter,
     pub mesh_frames: Family<MeshLabels, Counter>,
     pub mesh_bytes: Family<MeshLabels, Counter>,
     pub in_flight: Gauge,
@@ -87,6 +88,7 @@
             links: Gauge::default(),
             links_refused: Family::default(),
             links_silent: Counter::default(),
+            region_short: Counter::default(),
             mesh_frames: Family::default(),
             mesh_bytes: Family::default(),
             in_flight: Gauge::default(),
@@ -122,8 +124,9 @@
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
         registry.register("links_silent", "Links lost since the other side acknowledged nothing", self.links_silent.clone());
-        registry.register("mesh_frames", "Messages sent to other daemons", self.mesh_frames.clone());
-        registry.register("mesh_bytes", "Bytes sent to other daemons", self.mesh_bytes.clone());
+        registry.register("region_short", "Choices made while the bytes to other regions were used up", self.region_short.clone());
+        registry.register("mesh_frames", "Messages sent to other daemons, by kind and distance", self.mesh_frames.clone());
+        registry.register("mesh_bytes", "Bytes sent to other daemons, by kind and distance", self.mesh_bytes.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
         registry.register("held", "Calls held for the target", self.held.clone());
         registry.register("generation", "Generation of settings in force", self.generation.clone());
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -200,7 +200,12 @@
     /// Asks the decisions, and notes what a choice was based on.
     fn decide(&mut self, event: Event) -> Vec<Action> {
         let now = self.core.clock.now();
+        let reach = self
+            .core
+            .between
+            .reach(&self.core.metrics, self.call.priority);
         let (actions, considered, retried) = self.service.with(|router| {
+            router.set_reach(reach);
             let retries = router.retries();
             let actions = router.on(now, event);
             let sends = matches!(actions.first(), Some(Action::Send { .. }));
@@ -221,6 +226,7 @@
                     load: one.load,
                     slowness: one.slowness,
                     slowness_age_us: one.slowness_age_us,
+                    distance: one.distance,
                 })
                 .collect();
             self.trace.attempts.push(AttemptTrace {
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -99,6 +99,8 @@
     picks: u64,
     /// Whether targets whose link may be silent are passed over: some other is open.
     passes_over_doubted: bool,
+    /// How far away a target may be.
+    reach: Distance,
     rng: SmallRng,
 }
 
@@ -116,6 +118,7 @@
             next: 0,
             picks: 0,
             passes_over_doubted: false,
+            reach: Distance::OtherRegion,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -153,6 +156,11 @@
         }
     }
 
+    /// Says how far away the targets of the next choices may be.
+    pub fn set_reach(&mut self, reach: Distance) {
+        self.reach = reach;
+    }
+
     /// Takes the time that a call of a kind takes at usual speed.
     pub fn learn_work(&mut self, kind: CallKind, work_us: f64) {
         self.works.learn(kind, work_us);
@@ -274,7 +282,11 @@
     fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
         let state = &self.states[&target];
         let is_passed_over = self.passes_over_doubted && state.is_doubted();
-        !is_passed_over && !tried.contains(&target) && state.available(now)
+        !is_passed_over && !tried.contains(&target) && self.is_usable(now, state)
+    }
+
+    fn is_usable(&self, now: Micros, state: &TargetState) -> bool {
+        state.distance() <= self.reach && state.available(now)
     }
 
     /// Whether an open target is linked to beyond doubt, while others are not.
@@ -284,7 +296,7 @@
             .iter()
             .map(|target| (target, &self.states[target]));
         let is_sure = |(target, state): (&TargetId, &TargetState)| {
-            !state.is_doubted() && !tried.contains(target) && state.available(now)
+            !state.is_doubted() && !tried.contains(target) && self.is_usable(now, state)
         };
         states.clone().any(|(_, state)| state.is_doubted()) && states.any(is_sure)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod origins;
 mod policy_name;
 mod redial;
+mod region_budget;
 mod report;
 mod retry;
 mod router;
@@ -61,6 +62,7 @@
 pub use origins::Origins;
 pub use policy_name::{Policy, UnknownPolicy};
 pub use redial::{Redial, RedialEvent};
+pub use region_budget::RegionBudget;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
 pub use router::{Router, RouterParams};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -118,6 +118,11 @@
         self.chooser.set_distances(distances);
     }
 
+    /// Says how far away the targets of the next choices may be.
+    pub fn set_reach(&mut self, reach: Distance) {
+        self.chooser.set_reach(reach);
+    }
+
     /// Targets scored for the last choice, for explanations.
     pub fn considered(&self) -> &[Considered] {
         &self.considered
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -63,6 +63,7 @@
     pub policy: String,
     pub far_price_percent: u32,
     pub region_price_percent: u32,
+    pub region_send_bytes_per_s: u64,
     pub ask_price_permille: u32,
     pub cold_calls_per_s: u32,
     pub cold_ms: u64,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -98,6 +98,7 @@
     choice("policy", &["expected-finish", "goal-chance", "power-of-two", "least-in-flight", "round-robin", "random"], "how a target is chosen"),
     whole("far_price_percent", "%", (0, 100), 0, "price of sending a call to another place, as a share of what the call is worth"),
     whole("region_price_percent", "%", (0, 100), 0, "price of sending a call to another region, as a share of what the call is worth"),
+    whole("region_send_bytes_per_s", "bytes/s", (0, 100_000_000_000), 0, "bytes one daemon sends to other regions before its calls stay in its own, the least urgent first; 0 for no bound"),
     whole("ask_price_permille", "1/1000", (0, 1_000), 10, "price of asking the target for its load, as a share of what a call is worth"),
     whole("cold_calls_per_s", "calls/s", (0, 1_000_000), 0, "calls a cold target is given in any second at most, of all daemons together; 0 for no bound"),
     whole("cold_ms", "ms", (0, 600_000), 0, "time for which a target is cold after its start; 0 where that is not known"),
