--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,15 @@
     pub kind: &'static str,
 }
 
+/// Labels of messages to other daemons.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct MeshLabels {
+    /// Kind of the message.
+    pub kind: &'static str,
+    /// How far away the other daemon is.
+    pub distance: &'static str,
+}
+
 /// A counter for each kind of thing.
 pub type Kinds = Family<KindLabels, Counter>;
 
@@ -53,8 +62,9 @@
     pub links: Gauge,
     pub links_refused: Kinds,
     pub links_silent: Counter,
-    pub mesh_frames: Kinds,
-    pub mesh_bytes: Kinds,
+    pub region_short: Counter,
+    pub mesh_frames: Family<MeshLabels, Counter>,
+    pub mesh_bytes: Family<MeshLabels, Counter>,
     pub in_flight: Gauge,
     pub held: Gauge,
     pub generation: Gauge,
@@ -88,6 +98,7 @@
             links: Gauge::default(),
             links_refused: Family::default(),
             links_silent: Counter::default(),
+            region_short: Counter::default(),
             mesh_frames: Family::default(),
             mesh_bytes: Family::default(),
             in_flight: Gauge::default(),
@@ -128,8 +139,9 @@
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
         registry.register("links_silent", "Links lost since the other side acknowledged nothing", self.links_silent.clone());
-        registry.register("mesh_frames", "Messages sent to other daemons", self.mesh_frames.clone());
-        registry.register("mesh_bytes", "Bytes sent to other daemons", self.mesh_bytes.clone());
+        registry.register("region_short", "Choices made while the bytes to other regions were used up", self.region_short.clone());
+        registry.register("mesh_frames", "Messages sent to other daemons, by kind and distance", self.mesh_frames.clone());
+        registry.register("mesh_bytes", "Bytes sent to other daemons, by kind and distance", self.mesh_bytes.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
         registry.register("held", "Calls held for the target", self.held.clone());
         registry.register("generation", "Generation of settings in force", self.generation.clone());
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -11,7 +11,7 @@
 use log::Level;
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Candidate, Cost, Event, Figures, Here, Homes, Redial, RedialEvent, Router, TargetId,
+    Candidate, Cost, Distance, Event, Figures, Here, Homes, Redial, RedialEvent, Router, TargetId,
     subset_with_homes,
 };
 use lynxcleat_settings::Effective;
@@ -41,6 +41,9 @@
 /// Path times assumed before any was seen, by distance, in microseconds.
 const PATH_SAME_PLACE_US: f64 = 300.0;
 const PATH_OTHER_PLACE_US: f64 = 2_500.0;
+/// Regions are some hundred kilometres apart, and light needs 10 us for a kilometre of fibre,
+/// there and back; the way of a target is learned with the first answers.
+const PATH_OTHER_REGION_US: f64 = 20_000.0;
 /// Attempt numbers are apart by service, so that they are unique in the daemon.
 const ATTEMPTS_BITS: u32 = 40;
 
@@ -249,10 +252,8 @@
         let regions =
             in_force.map_or_else(Vec::new, |in_force| in_force.wanted_regions(&self.name));
         let here = Here {
-            host: &core.config.host,
-            place: &core.config.place,
-            zone: &core.config.zone,
             region: &own_region,
+            ..core.here()
         };
         let wanted = subset_with_homes(here, &candidates, effective.subset_size, &regions);
         let mut entries: HashMap<TargetId, HostEntry> = candidates
@@ -261,18 +262,24 @@
             .zip(listed)
             .filter(|(target, _)| wanted.contains(target))
             .collect();
-        let targets: Vec<(TargetId, f64)> = wanted
+        let distance = |target: &TargetId| {
+            let entry = &entries[target];
+            here.distance_to(&entry.zone, &entry.place, &entry.region)
+        };
+        let distances: Vec<(TargetId, Distance)> = wanted
+            .iter()
+            .map(|target| (*target, distance(target)))
+            .collect();
+        let targets: Vec<(TargetId, f64)> = distances
             .iter()
-            .map(|target| (*target, path_us(core, &entries[target])))
+            .map(|(target, distance)| (*target, path_us(*distance)))
             .collect();
-        let is_far = |target: &&TargetId| entries[*target].place != core.config.place;
-        let far: Vec<TargetId> = wanted.iter().filter(is_far).copied().collect();
         let region = |target: &TargetId| (*target, entries[target].region.clone());
         let stands = wanted.iter().map(region).collect();
         let mut peers = lock(&self.peers);
         let mut router = lock(&self.router);
         router.set_targets(core.clock.now(), &targets);
-        router.set_far(&far);
+        router.set_distances(&distances);
         router.set_regions(stands);
         drop(router);
         peers.retain(|target, peer| {
@@ -431,10 +438,10 @@
     tokio::time::sleep(Duration::from_micros(redial.on(event))).await;
 }
 
-fn path_us(core: &Core, entry: &HostEntry) -> f64 {
-    if entry.place == core.config.place {
-        PATH_SAME_PLACE_US
-    } else {
-        PATH_OTHER_PLACE_US
+fn path_us(distance: Distance) -> f64 {
+    match distance {
+        Distance::OwnZone | Distance::OwnPlace => PATH_SAME_PLACE_US,
+        Distance::OwnRegion => PATH_OTHER_PLACE_US,
+        Distance::OtherRegion => PATH_OTHER_REGION_US,
     }
 }
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -35,6 +35,7 @@
             host: "by-hand".to_owned(),
             place: "east".to_owned(),
             zone: "east-1".to_owned(),
+            region: String::new(),
             service: "other".to_owned(),
             mesh: "127.0.0.1:1".to_owned(),
             incarnation: Incarnation(7),
@@ -42,7 +43,7 @@
             leaving: false,
             nonce: 11,
         };
-        peer.send(Frame::Hello(ours.clone())).await;
+        peer.send(Frame::Hello(Box::new(ours.clone()))).await;
         let Frame::Hello(theirs) = peer.next().await else {
             panic!("no hello");
         };
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
+use crate::distance::Distance;
 use crate::elsewhere::Elsewhere;
 use crate::event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
@@ -129,9 +130,14 @@
         self.chooser.elsewhere(now, &outside) != Elsewhere::Nowhere
     }
 
-    /// Says which targets are far, so that sending a call there has a price.
-    pub fn set_far(&mut self, far: &[TargetId]) {
-        self.chooser.set_far(far);
+    /// Says how far away targets are, so that sending a call there has its price.
+    pub fn set_distances(&mut self, distances: &[(TargetId, Distance)]) {
+        self.chooser.set_distances(distances);
+    }
+
+    /// Says how far away the targets of the next choices may be.
+    pub fn set_reach(&mut self, reach: Distance) {
+        self.chooser.set_reach(reach);
     }
 
     /// Targets scored for the last choice, for explanations.
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -5,7 +5,7 @@
 use lynxcleat_policy::{
     Action, AttemptId, CallId, CallKind, Candidate, ChooseParams, Elsewhere, Event, FurtherParams,
     Here, Homes, NotRunReason, Policy, Refusal, RefusalReason, Router, RouterParams, Settlement,
-    Source, TargetId, Verdict, subset, subset_with_homes,
+    Source, TargetId, Verdict, WayPrices, subset, subset_with_homes,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -20,7 +20,10 @@
             ramp_us: 0,
             eject_failures: 2,
             eject_us: 1_000,
-            far_price: 0.1,
+            prices: WayPrices {
+                far_percent: 10,
+                region_percent: 10,
+            },
         },
         attempt_limit: 4,
         further: FurtherParams {
