--- a/crates/cli/tests/operate.rs
+++ b/crates/cli/tests/operate.rs
@@ -233,3 +233,40 @@
         (Some(0), Some(0))
     );
 }
+
+#[test]
+fn lists_are_set_and_shown_as_names_joined_by_commas() {
+    let desk = Desk::new("operate-lists");
+    desk.first();
+    desk.good(&["settings", "pull", "tree.json"]);
+    let set = |path, value| ["settings", "set", "--file", "tree.json", path, value];
+    let refused = desk.run(&set("root.home_regions", "bengal"));
+    let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(!refused.status.success());
+    assert!(
+        said.contains("no place stands in region \"bengal\""),
+        "{said}"
+    );
+    desk.good(&set("places.east.region", "bengal"));
+    let changed = desk.good(&set("root.home_regions", "bengal"));
+    assert_eq!(changed, "root.home_regions: (inherited) -> [\"bengal\"]\n");
+    assert!(
+        desk.good(&["settings", "check", "tree.json"])
+            .contains("good")
+    );
+    desk.good(&["settings", "accept", "--who", "ann", "tree.json"]);
+    let shown = desk.good(&["settings", "show", "--place", "east", "--service", "stock"]);
+    let value = |name: &str| {
+        let line = shown.lines().find(|line| line.starts_with(name));
+        let words = line.expect("a line").split_whitespace();
+        words.skip(1).collect::<String>()
+    };
+    assert_eq!(
+        (value("region ").as_str(), value("home_regions").as_str()),
+        ("bengal", "bengal")
+    );
+    assert!(
+        desk.good(&["settings", "fields"])
+            .contains("names joined by commas")
+    );
+}
