--- a/crates/policy/tests/goals.rs
+++ b/crates/policy/tests/goals.rs
@@ -11,7 +11,7 @@
 /// Ways to other places have a price.
 const PRICES: WayPrices = WayPrices {
     far_percent: 20,
-    region_percent: 20,
+    region_percent: 90,
 };
 const KIND: CallKind = CallKind(1);
 const NEAR: TargetId = TargetId(0);
@@ -331,6 +331,12 @@
 #[case::slow(500, 400, Elsewhere::Near, Outcome::IsSentOn)]
 #[case::slow_and_others_are_far(500, 400, Elsewhere::Far, Outcome::Waits)]
 #[case::no_time_to_wait_and_others_are_far(500, 130, Elsewhere::Far, Outcome::IsSentOn)]
+#[case::no_time_to_wait_and_others_are_of_other_regions(
+    500,
+    130,
+    Elsewhere::OtherRegion,
+    Outcome::IsRefused
+)]
 #[case::slow_and_nowhere_else_to_go(500, 400, Elsewhere::Nowhere, Outcome::Waits)]
 #[case::hardly_slow_and_others_are_near(340, 400, Elsewhere::Near, Outcome::IsSentOn)]
 #[case::usual_speed(100, 400, Elsewhere::Near, Outcome::Begins)]
--- a/crates/policy/tests/regions.rs
+++ b/crates/policy/tests/regions.rs
@@ -4,8 +4,8 @@
 
 use lynxcleat_policy::{
     Action, CallId, CallKind, Candidate, ChooseParams, Distance, Elsewhere, Event, FAR_NEIGHBOURS,
-    Figures, FurtherParams, Here, NEAR_NEIGHBOURS, OTHER_REGIONS_MIN, Policy, REGION_NEIGHBOURS,
-    Router, RouterParams, TargetId, WayPrices, neighbours, subset,
+    Figures, FurtherParams, Here, NEAR_NEIGHBOURS, Policy, REGION_NEIGHBOURS, Router, RouterParams,
+    TargetId, WayPrices, neighbours, subset,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -158,7 +158,7 @@
             .filter(|member| member.region != router.region)
             .collect();
         let there = members.iter().filter(|member| member.region != router.region).count();
-        let at_least = OTHER_REGIONS_MIN.min(size / 4).min(there);
+        let at_least = 2.min(size / 4).min(there);
         prop_assert!(others.len() >= at_least, "{} others", others.len());
         prop_assert!(others.len() <= size / 4, "{} others", others.len());
         let named: BTreeSet<&str> = others.iter().map(|other| other.region.as_str()).collect();
@@ -321,6 +321,37 @@
     assert_eq!(elsewhere, Elsewhere::OtherRegion);
 }
 
+#[test]
+fn another_region_costs_more_than_another_place() {
+    let prices = WayPrices {
+        far_percent: 20,
+        region_percent: 60,
+    };
+    assert_eq!(prices.of(Distance::OwnRegion), 0.2);
+    assert_eq!(prices.of(Distance::OtherRegion), 0.6);
+}
+
+/// Only what a call may reach is chosen, and offered as another way.
+#[test]
+fn a_call_that_may_not_leave_the_region_does_not() {
+    for seed in 0..20 {
+        let mut router = router(seed);
+        router.set_reach(Distance::OwnRegion);
+        for (target, distance) in TARGETS {
+            if distance < Distance::OwnRegion {
+                let linked = false;
+                router.on(0, Event::TargetLinked { target, linked });
+            }
+        }
+        let (target, elsewhere) = send(&mut router, 0, 1);
+        assert_eq!(distance_of(target), Distance::OwnRegion);
+        assert_eq!(elsewhere, Elsewhere::Nowhere);
+        router.set_reach(Distance::OtherRegion);
+        let (_, elsewhere) = send(&mut router, 0, 2);
+        assert_ne!(elsewhere, Elsewhere::Nowhere);
+    }
+}
+
 /// A way to another region is one to another place as well.
 #[test]
 fn another_region_costs_no_less_than_another_place() {
