Rollouts: exposure, evidence, judgement and phases as pure machines

A version of a service could not be tried on a share of the calls. Nothing in the daemon uses it yet.

--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -179,6 +179,7 @@
         RefusalReason::Shed => "shed",
         RefusalReason::Once => "once",
         RefusalReason::WrongService => "wrong-service",
+        RefusalReason::Version => "version",
     };
     count(&core.metrics.target_refusals, kind);
 }
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -52,6 +52,28 @@
     pub far_price: f64,
 }
 
+/// Which targets may be chosen.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Lane {
+    /// All.
+    #[default]
+    All,
+    /// All but these.
+    Without(Vec<TargetId>),
+    /// These only.
+    Only(Vec<TargetId>),
+}
+
+impl Lane {
+    fn allows(&self, target: TargetId) -> bool {
+        match self {
+            Lane::All => true,
+            Lane::Without(targets) => !targets.contains(&target),
+            Lane::Only(targets) => targets.contains(&target),
+        }
+    }
+}
+
 /// What is asked of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -95,6 +117,8 @@
     picks: u64,
     /// Whether targets whose link may be silent are passed over: some other is open.
     passes_over_doubted: bool,
+    /// Which targets a rollout leaves to the next choice.
+    lane: Lane,
     rng: SmallRng,
 }
 
@@ -112,6 +136,7 @@
             next: 0,
             picks: 0,
             passes_over_doubted: false,
+            lane: Lane::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -147,6 +172,11 @@
         }
     }
 
+    /// Says which targets the next choices are made among.
+    pub fn set_lane(&mut self, lane: Lane) {
+        self.lane = lane;
+    }
+
     /// Takes the time that a call of a kind takes at usual speed.
     pub fn learn_work(&mut self, kind: CallKind, work_us: f64) {
         self.works.learn(kind, work_us);
@@ -275,6 +305,7 @@
     fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
         let state = &self.states[&target];
         let is_passed_over = self.passes_over_doubted && state.is_doubted();
+        let is_passed_over = is_passed_over || !self.lane.allows(target);
         !is_passed_over && !tried.contains(&target) && state.available(now)
     }
 
@@ -285,7 +316,8 @@
             .iter()
             .map(|target| (target, &self.states[target]));
         let is_sure = |(target, state): (&TargetId, &TargetState)| {
-            !state.is_doubted() && !tried.contains(target) && state.available(now)
+            let is_sure = !state.is_doubted() && self.lane.allows(*target);
+            is_sure && !tried.contains(target) && state.available(now)
         };
         states.clone().any(|(_, state)| state.is_doubted()) && states.any(is_sure)
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -30,6 +30,8 @@
     Once,
     /// The target belongs to another service.
     WrongService,
+    /// The target has a version that gets no such call while a rollout goes on.
+    Version,
 }
 
 /// A definite statement that a call was not run, with when to come back.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod redial;
 mod report;
 mod retry;
+mod rollout;
 mod router;
 mod sample;
 mod silence;
@@ -59,6 +60,11 @@
 pub use redial::{Redial, RedialEvent};
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
+pub use rollout::{
+    Admits, CANARY_PART, Cause, Exposure, Fault, HalfEvidence, Judge, Members, Outcome, Phase,
+    Readiness, Rollout, RolloutNews, RolloutOrder, RolloutTargets, Rollouts, Step, Taken, Tally,
+    canary_width,
+};
 pub use router::{Router, RouterParams};
 pub use sample::{SampleRates, Sampler};
 pub use silence::SilenceLimit;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
+use crate::chooser::{ChooseParams, Chooser, Considered, Lane, Wanted};
 use crate::elsewhere::Elsewhere;
 use crate::event::{
     Action, Event, NotRunReason, Refusal, RefusalReason, Settlement, Source, UnknownReason, Verdict,
@@ -16,6 +16,7 @@
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::retry::{FurtherAttempts, FurtherParams};
+use crate::rollout::{Exposure, RolloutTargets};
 use crate::target::TargetState;
 use crate::work::CallKind;
 
@@ -60,9 +61,38 @@
 struct Attempt {
     call: CallId,
     target: TargetId,
+    kind: CallKind,
     sent_at: Micros,
 }
 
+/// Chooses among the canary targets where the share has room and one is open, and else among
+/// the others.
+fn choose_lane(
+    now: Micros,
+    wanted: Wanted<'_>,
+    rollout: &mut RolloutLanes,
+    chooser: &mut Chooser,
+    considered: &mut Vec<Considered>,
+) -> Option<TargetId> {
+    let (targets, kind) = (&rollout.targets, wanted.kind);
+    if rollout.exposure.may_offer(targets.share, kind) {
+        let is_open = |target: &TargetId| {
+            let state = chooser.target(*target);
+            state.is_some_and(|state| state.available(now))
+        };
+        let open = targets.canaries.iter().copied().filter(is_open);
+        let open: Vec<TargetId> = open.take(targets.width).collect();
+        chooser.set_lane(Lane::Only(open));
+        let chosen = chooser.choose(now, wanted, considered);
+        chooser.set_lane(rollout.usual());
+        if chosen.is_some() {
+            rollout.exposure.offered(kind);
+            return chosen;
+        }
+    }
+    chooser.choose(now, wanted, considered)
+}
+
 /// The router of one service.
 #[derive(Debug)]
 pub struct Router {
@@ -75,6 +105,23 @@
     next_attempt: u64,
     considered: Vec<Considered>,
     retries: u64,
+    rollout: Option<RolloutLanes>,
+}
+
+/// A rollout of the service, and what this router offered to the new version.
+#[derive(Debug)]
+struct RolloutLanes {
+    targets: RolloutTargets,
+    exposure: Exposure,
+}
+
+impl RolloutLanes {
+    /// Targets for a call that the share leaves no room for.
+    fn usual(&self) -> Lane {
+        let mut without = self.targets.barred.clone();
+        without.extend(&self.targets.canaries);
+        Lane::Without(without)
+    }
 }
 
 impl Router {
@@ -91,6 +138,7 @@
             next_attempt: first_attempt,
             considered: Vec::new(),
             retries: 0,
+            rollout: None,
         }
     }
 
@@ -112,6 +160,34 @@
         self.chooser.set_targets(now, targets);
     }
 
+    /// Says how a rollout divides the targets; nothing where none goes on. What was offered
+    /// to the new version since the order counts on.
+    pub fn set_rollout(&mut self, targets: Option<RolloutTargets>) {
+        let before = self.rollout.take();
+        self.rollout = targets.map(|targets| {
+            let same = before.filter(|before| before.targets.order == targets.order);
+            let exposure = same.map(|before| before.exposure);
+            RolloutLanes {
+                targets,
+                exposure: exposure.unwrap_or_default(),
+            }
+        });
+        let lane = self.rollout.as_ref().map(RolloutLanes::usual);
+        self.chooser.set_lane(lane.unwrap_or_default());
+    }
+
+    /// Whether calls to a target count as a part of a rollout's canary share.
+    pub fn is_canary(&self, target: TargetId) -> bool {
+        let rollout = self.rollout.as_ref();
+        rollout.is_some_and(|rollout| rollout.targets.canaries.contains(&target))
+    }
+
+    /// Calls that were offered to the new version and may have reached it.
+    pub fn canary_calls(&self) -> u64 {
+        let rollout = self.rollout.as_ref();
+        rollout.map_or(0, |rollout| rollout.exposure.canary())
+    }
+
     /// Says which targets are far, so that sending a call there has a price.
     pub fn set_far(&mut self, far: &[TargetId]) {
         self.chooser.set_far(far);
@@ -221,7 +297,16 @@
             deadline: call.deadline,
             kind: call.kind,
         };
-        let chosen = self.chooser.choose(now, wanted, &mut self.considered);
+        let chosen = match &mut self.rollout {
+            None => self.chooser.choose(now, wanted, &mut self.considered),
+            Some(rollout) => choose_lane(
+                now,
+                wanted,
+                rollout,
+                &mut self.chooser,
+                &mut self.considered,
+            ),
+        };
         let Some(target) = chosen else {
             return self.give_up(id);
         };
@@ -234,6 +319,7 @@
             Attempt {
                 call: id,
                 target,
+                kind: call.kind,
                 sent_at: now,
             },
         );
@@ -325,6 +411,7 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
+        self.count_delivered(&ended);
         self.learn(now, ended.target, figures);
         if source == Source::Failed {
             self.chooser.failed(now, ended.target);
@@ -341,6 +428,22 @@
         self.finish(ended.call, Verdict::Answer { attempt })
     }
 
+    /// An attempt reached its target.
+    fn count_delivered(&mut self, ended: &Attempt) {
+        if let Some(rollout) = &mut self.rollout {
+            rollout.exposure.delivered(ended.kind);
+        }
+    }
+
+    /// An attempt never reached its target.
+    fn take_back(&mut self, ended: &Attempt) {
+        if let Some(rollout) = &mut self.rollout
+            && rollout.targets.canaries.contains(&ended.target)
+        {
+            rollout.exposure.taken_back(ended.kind);
+        }
+    }
+
     fn learn_work(&mut self, attempt: AttemptId, work_us: Option<u32>) {
         let call = self.attempts.get(&attempt).map(|sent| sent.call);
         let kind = call
@@ -367,6 +470,10 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
+        match refusal.reason {
+            RefusalReason::Shed => self.count_delivered(&ended),
+            _ => self.take_back(&ended),
+        }
         self.learn(now, ended.target, figures);
         self.learn_refusal(now, ended.target, refusal);
         if let Some(call) = self.calls.get_mut(&ended.call) {
@@ -395,7 +502,10 @@
                     state.trial_told_nothing();
                 });
             }
-            RefusalReason::Busy | RefusalReason::TooLate | RefusalReason::Once => {
+            RefusalReason::Busy
+            | RefusalReason::TooLate
+            | RefusalReason::Once
+            | RefusalReason::Version => {
                 self.with_target(target, |state| state.trial_told_nothing());
             }
         }
@@ -406,6 +516,7 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
+        self.count_delivered(&ended);
         self.chooser.failed(now, ended.target);
         self.may_have_run(now, ended.call, UnknownReason::TargetLost)
     }
@@ -414,6 +525,7 @@
         let Some(ended) = self.end(attempt) else {
             return Vec::new();
         };
+        self.take_back(&ended);
         self.chooser.failed(now, ended.target);
         if let Some(call) = self.calls.get_mut(&ended.call) {
             call.last_refusal = NotRunReason::NoLink;
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -9,7 +9,9 @@
 
 /// A kind of call: those that are alike in the time they take, such as the calls of
 /// one route.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct CallKind(pub u32);
 
 /// Weight of one sample in the running means.
--- /dev/null
+++ b/crates/policy/tests/rollout.rs
@@ -0,0 +1,924 @@
+//! Rollouts of good and bad versions among many daemons, with news that come late, twice, in
+//! any order or not at all, daemons that start again or are cut off, and a store that falls
+//! silent: a bad version is never exposed beyond its bound.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lynxcleat_policy::{
+    Action, Admits, AttemptId, CANARY_PART, CallId, CallKind, Cause, ChooseParams, Event, Exposure,
+    FurtherParams, HalfEvidence, Members, Outcome, Phase, Policy, Refusal, RefusalReason,
+    RolloutNews, RolloutOrder, RolloutTargets, Rollouts, Router, RouterParams, Source, Step, Taken,
+    TargetId, canary_width,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const MS: u64 = 1_000;
+const SECOND: u64 = 1_000 * MS;
+const SERVICE: &str = "stock";
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+const ROLL_BACK: u64 = 5 * SECOND;
+const TICK: u64 = 10 * MS;
+const TELL: u64 = 250 * MS;
+/// Old targets whose halves tell what they count.
+const BASELINE: usize = 6;
+const USUAL_US: [u32; 3] = [100_000, 40_000, 160_000];
+
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug)]
+enum Badness {
+    Nothing,
+    /// A share of the answers fails.
+    Fails(f64),
+    /// A share of them is several times slower.
+    Slow(f64, f64),
+}
+
+/// When it shows.
+#[derive(Clone, Copy, Debug)]
+enum Shows {
+    Always,
+    From(u64),
+    /// From this number of calls in the last second on.
+    UnderLoad(usize),
+    OnRoute(u32),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    store_silent: Option<(u64, u64)>,
+    cut: bool,
+    restarts: usize,
+    /// A single target, of the new version or the old, that fails for a reason of its own.
+    grey: Option<usize>,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    News(RolloutNews),
+    Evidence(HalfEvidence),
+    Idle(u64, usize),
+    Answer {
+        router: usize,
+        epoch: u64,
+        half: usize,
+        kind: CallKind,
+        outcome: Outcome,
+        bad: bool,
+    },
+    Restart,
+}
+
+struct Daemon {
+    is_new: bool,
+    rollouts: Rollouts,
+    exposure: Exposure,
+    exposure_of: u64,
+    evidence: HalfEvidence,
+    told: HalfEvidence,
+    in_flight: usize,
+    recent: Vec<u64>,
+    cut: Option<(u64, u64)>,
+    epoch: u64,
+    write_at: u64,
+    /// A daemon that starts again takes calls once its links stand, over which it is told.
+    ready_at: u64,
+}
+
+struct World {
+    rng: SmallRng,
+    now: u64,
+    daemons: Vec<Daemon>,
+    queue: BTreeMap<(u64, u64), (usize, Message)>,
+    queued: u64,
+    deadline: u64,
+    row: (u64, Phase),
+    badness: Badness,
+    shows: Shows,
+    trouble: Trouble,
+    total: u64,
+    canary_from_touch: u64,
+    bad_times: Vec<u64>,
+    late_canary: u64,
+    old_after_done: u64,
+    done_at: Option<u64>,
+}
+
+#[derive(Debug)]
+struct End {
+    phase: Phase,
+    at: u64,
+    exposed: f64,
+    allowed: f64,
+    late: u64,
+    old_after_done: u64,
+}
+
+impl World {
+    fn new(seed: u64, badness: Badness, shows: Shows, trouble: Trouble) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let old = rng.random_range(6..16);
+        let new = rng.random_range(4..=old);
+        let daemons = (0..old + new)
+            .map(|number| Daemon {
+                is_new: number >= old,
+                rollouts: Rollouts::default(),
+                exposure: Exposure::default(),
+                exposure_of: 0,
+                evidence: HalfEvidence::default(),
+                told: HalfEvidence::default(),
+                in_flight: 0,
+                recent: Vec::new(),
+                cut: None,
+                epoch: 0,
+                write_at: 0,
+                ready_at: 0,
+            })
+            .collect();
+        let within = rng.random_range(8..20) * SECOND;
+        World {
+            rng,
+            now: 0,
+            daemons,
+            queue: BTreeMap::new(),
+            queued: 0,
+            deadline: within,
+            row: (0, Phase::Running),
+            badness,
+            shows,
+            trouble,
+            total: 0,
+            canary_from_touch: 0,
+            bad_times: Vec::new(),
+            late_canary: 0,
+            old_after_done: 0,
+            done_at: None,
+        }
+    }
+
+    fn send(&mut self, to: usize, delay: u64, message: Message) {
+        self.queued += 1;
+        let at = self.now + delay;
+        self.queue.insert((at, self.queued), (to, message));
+    }
+
+    fn is_cut(&self, daemon: usize) -> bool {
+        let cut = self.daemons[daemon].cut;
+        cut.is_some_and(|(from, to)| (from..to).contains(&self.now))
+    }
+
+    fn store_answers(&self, daemon: usize) -> bool {
+        let silent = self.trouble.store_silent;
+        !self.is_cut(daemon) && !silent.is_some_and(|(from, to)| (from..to).contains(&self.now))
+    }
+
+    /// Tells all others, now and then twice; who is cut off hears nothing.
+    fn tell(&mut self, from: usize, message: &Message) {
+        if self.is_cut(from) {
+            return;
+        }
+        for to in 0..self.daemons.len() {
+            if to == from || self.is_cut(to) {
+                continue;
+            }
+            let delay = self.rng.random_range(1..40) * MS;
+            self.send(to, delay, message.clone());
+            if self.rng.random_bool(0.1) {
+                let later = self.rng.random_range(1..900) * MS;
+                self.send(to, later, message.clone());
+            }
+        }
+    }
+
+    fn news_of(&self, daemon: usize) -> Option<RolloutNews> {
+        let known = self.daemons[daemon].rollouts.of(SERVICE)?;
+        Some(known.news(self.now))
+    }
+
+    fn tell_news(&mut self, from: usize) {
+        if let Some(news) = self.news_of(from) {
+            self.tell(from, &Message::News(news));
+        }
+    }
+
+    /// A link is new: both ends say what they know.
+    fn greet(&mut self, daemon: usize) {
+        let others: Vec<usize> = (0..self.daemons.len())
+            .filter(|other| *other != daemon)
+            .collect();
+        for other in others {
+            if let Some(news) = self.news_of(other) {
+                self.send(daemon, 5 * MS, Message::News(news));
+            }
+            if let Some(news) = self.news_of(daemon) {
+                self.send(other, 5 * MS, Message::News(news));
+            }
+        }
+    }
+
+    fn run(mut self) -> End {
+        let order = RolloutOrder {
+            service: SERVICE.to_owned(),
+            target: Some("v2".to_owned()),
+            number: 7,
+            within_us: self.deadline,
+        };
+        let count = self.daemons.len();
+        for _ in 0..self.trouble.restarts {
+            let at = self.rng.random_range(0..self.deadline);
+            let daemon = self.rng.random_range(0..count);
+            self.send(daemon, at, Message::Restart);
+        }
+        if self.trouble.cut {
+            let daemon = self.rng.random_range(0..count);
+            let from = self.rng.random_range(0..self.deadline);
+            self.daemons[daemon].cut = Some((from, from + 3 * SECOND));
+        }
+        for daemon in 0..3 {
+            if self.store_answers(daemon) {
+                self.daemons[daemon].rollouts.take_order(0, &order);
+                self.tell_news(daemon);
+            }
+        }
+        let until = self.deadline + 8 * SECOND;
+        let per_tick = self.rng.random_range(2..6);
+        while self.now < until {
+            while let Some(((at, _), _)) = self.queue.first_key_value() {
+                if *at > self.now {
+                    break;
+                }
+                let (_, (to, message)) = self.queue.pop_first().expect("there is one");
+                self.take(to, message);
+            }
+            let ready = 500 * MS;
+            for _ in 0..per_tick {
+                self.call(ready);
+            }
+            for daemon in 0..count {
+                self.step(daemon);
+                if self.now.is_multiple_of(TELL) {
+                    self.tell_evidence(daemon);
+                }
+                if let Some((_, to)) = self.daemons[daemon].cut
+                    && to / TICK == self.now / TICK
+                {
+                    self.greet(daemon);
+                }
+            }
+            self.now += TICK;
+        }
+        End {
+            phase: self.row.1,
+            at: self.done_at.unwrap_or(u64::MAX),
+            exposed: self.canary_from_touch as f64,
+            allowed: SHARE * self.total as f64 + SLACK,
+            late: self.late_canary,
+            old_after_done: self.old_after_done,
+        }
+    }
+
+    fn take(&mut self, to: usize, message: Message) {
+        match message {
+            Message::News(news) if !self.is_cut(to) => {
+                let now = self.now;
+                if self.daemons[to].rollouts.take(now, &news) == Taken::News {
+                    self.tell_news(to);
+                }
+            }
+            Message::Evidence(evidence) if !self.is_cut(to) => {
+                let now = self.now;
+                if let Some(rollout) = self.daemons[to].rollouts.of_mut(SERVICE) {
+                    rollout.take_evidence(now, &evidence);
+                }
+            }
+            Message::Idle(order, host) if !self.is_cut(to) => {
+                if let Some(rollout) = self.daemons[to].rollouts.of_mut(SERVICE) {
+                    rollout.take_idle(order, &host.to_string());
+                }
+            }
+            Message::News(_) | Message::Evidence(_) | Message::Idle(..) => {}
+            Message::Answer {
+                router,
+                epoch,
+                half,
+                kind,
+                outcome,
+                bad,
+            } => self.answered(router, epoch, half, kind, outcome, bad),
+            Message::Restart => self.restart(to),
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        daemon.rollouts = Rollouts::default();
+        daemon.exposure = Exposure::default();
+        daemon.exposure_of = 0;
+        daemon.evidence = HalfEvidence::default();
+        daemon.told = HalfEvidence::default();
+        daemon.epoch += 1;
+        daemon.ready_at = self.now + 50 * MS;
+        self.greet(number);
+    }
+
+    fn answered(
+        &mut self,
+        router: usize,
+        epoch: u64,
+        half: usize,
+        kind: CallKind,
+        outcome: Outcome,
+        bad: bool,
+    ) {
+        self.daemons[half].in_flight -= 1;
+        if bad && self.daemons[half].is_new {
+            self.bad_times.push(self.now);
+        }
+        if self.daemons[half].rollouts.of(SERVICE).is_some() {
+            self.daemons[half].evidence.count(kind, outcome);
+        }
+        if self.daemons[router].epoch == epoch {
+            self.daemons[router].exposure.delivered(kind);
+        }
+    }
+
+    /// A call arrives at some router.
+    fn call(&mut self, ready: u64) {
+        let count = self.daemons.len();
+        let router = self.rng.random_range(0..count);
+        if self.now < self.daemons[router].ready_at {
+            return;
+        }
+        let kind = CallKind(match self.rng.random_range(0..10) {
+            0..6 => 0,
+            6..9 => 1,
+            _ => 2,
+        });
+        let Some(half) = self.choose(router, kind, ready) else {
+            return;
+        };
+        if self.now < self.deadline {
+            self.total += 1;
+        }
+        if self.daemons[half].is_new {
+            self.count_canary(router);
+        } else if self.done_at.is_some_and(|at| self.now > at + 200 * MS) && !self.is_cut(router) {
+            self.old_after_done += 1;
+        }
+        let (time, outcome, bad) = self.outcome(half, kind);
+        let daemon = &mut self.daemons[half];
+        daemon.in_flight += 1;
+        daemon.recent.push(self.now);
+        let answer = Message::Answer {
+            router,
+            epoch: self.daemons[router].epoch,
+            half,
+            kind,
+            outcome,
+            bad,
+        };
+        self.send(router, u64::from(time), answer);
+    }
+
+    fn count_canary(&mut self, router: usize) {
+        if self.is_cut(router) {
+            return;
+        }
+        if self.now < self.deadline {
+            self.canary_from_touch += 1;
+        }
+        let fiftieth = self.bad_times.get(49);
+        if fiftieth.is_some_and(|at| self.now > at + ROLL_BACK) {
+            self.late_canary += 1;
+        }
+    }
+
+    fn choose(&mut self, router: usize, kind: CallKind, ready: u64) -> Option<usize> {
+        let now = self.now;
+        let old: Vec<usize> = self.halves(false);
+        let new: Vec<usize> = match now >= ready {
+            true => self.halves(true),
+            false => Vec::new(),
+        };
+        let Some(known) = self.daemons[router].rollouts.of(SERVICE) else {
+            // Who has not heard of it offers calls to all, without a mark.
+            let all = old.into_iter().chain(new);
+            let open: Vec<usize> = all.filter(|half| self.admitted(*half, false)).collect();
+            return (!open.is_empty()).then(|| open[self.rng.random_range(0..open.len())]);
+        };
+        let order = known.number();
+        let (any_new, any_old) = (known.admits("v2", true), known.admits("v1", true));
+        let set_aside = known.judge().set_aside().clone();
+        if self.daemons[router].exposure_of != order {
+            self.daemons[router].exposure = Exposure::default();
+            self.daemons[router].exposure_of = order;
+        }
+        let share = SHARE * CANARY_PART;
+        if any_new == Admits::Canary && self.daemons[router].exposure.may_offer(share, kind) {
+            let width = canary_width(share, old.len());
+            let kept = new
+                .iter()
+                .filter(|half| !set_aside.contains(&half.to_string()));
+            let canaries: Vec<usize> = kept.copied().take(width).collect();
+            if !canaries.is_empty() {
+                let half = canaries[self.rng.random_range(0..canaries.len())];
+                if self.admitted(half, true) {
+                    self.daemons[router].exposure.offered(kind);
+                    return Some(half);
+                }
+            }
+        }
+        let mut open: Vec<usize> = Vec::new();
+        if any_old == Admits::All {
+            open.extend(&old);
+        }
+        if any_new == Admits::All {
+            open.extend(&new);
+        }
+        if open.is_empty() {
+            return None;
+        }
+        let half = open[self.rng.random_range(0..open.len())];
+        self.admitted(half, false).then_some(half)
+    }
+
+    fn halves(&self, is_new: bool) -> Vec<usize> {
+        let all = 0..self.daemons.len();
+        let is_wanted = |daemon: &Daemon| daemon.is_new == is_new && self.now >= daemon.ready_at;
+        all.filter(|number| is_wanted(&self.daemons[*number]))
+            .collect()
+    }
+
+    /// What the half of a target says to a call, with or without the mark of a router that
+    /// counts it.
+    fn admitted(&self, half: usize, marked: bool) -> bool {
+        let daemon = &self.daemons[half];
+        let version = if daemon.is_new { "v2" } else { "v1" };
+        let Some(known) = daemon.rollouts.of(SERVICE) else {
+            return true;
+        };
+        match known.admits(version, true) {
+            Admits::All => true,
+            Admits::Canary => marked,
+            Admits::Nothing => false,
+        }
+    }
+
+    fn outcome(&mut self, half: usize, kind: CallKind) -> (u32, Outcome, bool) {
+        let now = self.now;
+        let daemon = &mut self.daemons[half];
+        daemon.recent.retain(|at| at + SECOND > now);
+        let load = daemon.recent.len();
+        let is_new = daemon.is_new;
+        let shows = match self.shows {
+            Shows::Always => true,
+            Shows::From(at) => now >= at,
+            Shows::UnderLoad(calls) => load >= calls,
+            Shows::OnRoute(route) => kind == CallKind(route),
+        };
+        let usual = f64::from(USUAL_US[kind.0 as usize]);
+        let mut time = usual * self.rng.random_range(0.7..1.4);
+        if self.rng.random_bool(0.05) {
+            time *= self.rng.random_range(2.0..5.0);
+        }
+        if self.rng.random_bool(0.004) {
+            return (time as u32, Outcome::Failed, false);
+        }
+        if self.trouble.grey == Some(half) && self.rng.random_bool(0.4) {
+            return (time as u32, Outcome::Failed, is_new);
+        }
+        if is_new && shows {
+            match self.badness {
+                Badness::Fails(share) if self.rng.random_bool(share) => {
+                    return (time as u32, Outcome::Failed, true);
+                }
+                Badness::Slow(share, times) if self.rng.random_bool(share) => {
+                    let time = (time * times) as u32;
+                    return (time, Outcome::Served(Some(time)), true);
+                }
+                _ => {}
+            }
+        }
+        (time as u32, Outcome::Served(Some(time as u32)), false)
+    }
+
+    fn tell_evidence(&mut self, number: usize) {
+        let version = if self.daemons[number].is_new {
+            "v2"
+        } else {
+            "v1"
+        };
+        if !self.daemons[number].is_new && number >= BASELINE {
+            return;
+        }
+        let Some(order) = self.daemons[number]
+            .rollouts
+            .of(SERVICE)
+            .map(|known| known.number())
+        else {
+            return;
+        };
+        let daemon = &mut self.daemons[number];
+        daemon.evidence.service = SERVICE.to_owned();
+        daemon.evidence.order = order;
+        daemon.evidence.host = number.to_string();
+        daemon.evidence.incarnation = daemon.epoch;
+        daemon.evidence.version = version.to_owned();
+        if daemon.evidence == daemon.told {
+            return;
+        }
+        daemon.told = daemon.evidence.clone();
+        let evidence = daemon.evidence.clone();
+        let now = self.now;
+        if let Some(own) = daemon.rollouts.of_mut(SERVICE) {
+            own.take_evidence(now, &evidence);
+        }
+        self.tell(number, &Message::Evidence(evidence));
+    }
+
+    fn step(&mut self, number: usize) {
+        let now = self.now;
+        let (old, new) = (self.halves(false), self.halves(true));
+        let cut: Vec<usize> = old
+            .iter()
+            .copied()
+            .filter(|half| self.is_cut(*half))
+            .collect();
+        let is_idle = !self.daemons[number].is_new && self.daemons[number].in_flight == 0;
+        let host = number.to_string();
+        let Some(rollout) = self.daemons[number].rollouts.of_mut(SERVICE) else {
+            return;
+        };
+        let order = rollout.number();
+        let says_idle = is_idle && rollout.phase() == Phase::Moving;
+        let is_news = says_idle && (rollout.take_idle(order, &host) || now.is_multiple_of(TELL));
+        let unheard = old
+            .iter()
+            .filter(|half| !rollout.idle().contains(&half.to_string()));
+        let unheard: Vec<usize> = unheard.copied().collect();
+        let members = Members {
+            versions: BTreeMap::from([("v1".to_owned(), old.len()), ("v2".to_owned(), new.len())]),
+            old_idle: unheard.iter().all(|half| cut.contains(half)),
+            any_unheard: !unheard.is_empty(),
+        };
+        let step = rollout.step(now, &members);
+        if is_news {
+            self.tell(number, &Message::Idle(order, number));
+        }
+        match step {
+            Some(Step::Move | Step::Revert(_)) => self.tell_news(number),
+            Some(Step::Finish) => self.write(number, Phase::Done),
+            None => {
+                let known = self.daemons[number].rollouts.of(SERVICE);
+                if known.is_some_and(|known| known.phase() == Phase::Reverted && !known.is_stored())
+                {
+                    self.write(number, Phase::Reverted);
+                }
+            }
+        }
+    }
+
+    /// A conditional write; the row settles what stands.
+    fn write(&mut self, number: usize, phase: Phase) {
+        if !self.store_answers(number) || self.now < self.daemons[number].write_at {
+            return;
+        }
+        self.daemons[number].write_at = self.now + 100 * MS;
+        let rollout = self.daemons[number]
+            .rollouts
+            .of_mut(SERVICE)
+            .expect("it writes");
+        if rollout.row() != self.row.0 {
+            let (row, stands) = self.row;
+            match stands {
+                Phase::Running => rollout.seen_row(row),
+                _ => {
+                    rollout.stored(stands, row);
+                }
+            }
+        } else {
+            self.row = (self.row.0 + 1, phase);
+            rollout.stored(phase, self.row.0);
+            if phase == Phase::Done {
+                self.done_at = Some(self.now);
+            } else {
+                self.done_at = None;
+            }
+        }
+        self.tell_news(number);
+    }
+}
+
+fn draw(rng: &mut SmallRng) -> (Badness, Shows, Trouble) {
+    let badness = match rng.random_range(0..5) {
+        0..2 => Badness::Nothing,
+        2..4 => Badness::Fails(rng.random_range(0.1..0.7)),
+        _ => Badness::Slow(rng.random_range(0.15..0.7), rng.random_range(3.0..8.0)),
+    };
+    let shows = match rng.random_range(0..4) {
+        0 => Shows::Always,
+        1 => Shows::From(rng.random_range(1..5) * SECOND),
+        2 => Shows::UnderLoad(rng.random_range(3..8)),
+        _ => Shows::OnRoute(rng.random_range(0..2)),
+    };
+    let silent = rng.random_bool(0.2).then(|| {
+        let from = rng.random_range(1..6) * SECOND;
+        (from, from + rng.random_range(1..6) * SECOND)
+    });
+    let trouble = Trouble {
+        store_silent: silent,
+        cut: rng.random_bool(0.2),
+        restarts: if rng.random_bool(0.3) { 3 } else { 0 },
+        grey: rng.random_bool(0.2).then(|| rng.random_range(0..20)),
+    };
+    (badness, shows, trouble)
+}
+
+#[test]
+fn a_bad_version_is_bounded_and_reverted_and_a_good_one_gets_all_calls() {
+    let runs = 520;
+    let (mut good, mut done, mut bad, mut reverted) = (0, 0, 0, 0);
+    for seed in 0..runs {
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+        let (badness, shows, trouble) = draw(&mut rng);
+        let world = World::new(seed, badness, shows, trouble);
+        let deadline = world.deadline;
+        let end = world.run();
+        let told = format!("seed {seed}: {badness:?} {shows:?} {trouble:?} {end:?}");
+        match badness {
+            Badness::Nothing => {
+                good += 1;
+                done += usize::from(end.phase == Phase::Done && end.at <= deadline);
+                assert_eq!(end.old_after_done, 0, "{told}");
+            }
+            _ => {
+                bad += 1;
+                reverted += usize::from(end.phase == Phase::Reverted);
+                assert!(end.exposed <= end.allowed, "{told}");
+                assert_eq!(end.late, 0, "{told}");
+            }
+        }
+    }
+    println!("good {good}, done in time {done}; bad {bad}, reverted {reverted}");
+    assert_eq!(bad, reverted);
+    assert!(
+        done * 10 >= good * 9,
+        "{done} of {good} good ones done in time"
+    );
+}
+
+fn router() -> Router {
+    let params = RouterParams {
+        choose: ChooseParams {
+            policy: Policy::ExpectedFinish,
+            ramp_us: 0,
+            eject_failures: 100,
+            eject_us: SECOND,
+            far_price: 0.0,
+        },
+        attempt_limit: 2,
+        further: FurtherParams {
+            percent: 100,
+            bound: None,
+        },
+        reroute_limit: 3,
+    };
+    let mut router = Router::new(params, 1, 1);
+    let targets: Vec<_> = (0..6).map(|id| (TargetId(id), 100.0)).collect();
+    router.set_targets(0, &targets);
+    router
+}
+
+/// Targets 4 and 5 have the new version.
+fn running(order: u64) -> Option<RolloutTargets> {
+    Some(RolloutTargets {
+        order,
+        canaries: vec![TargetId(4), TargetId(5)],
+        width: 1,
+        share: 0.1,
+        barred: Vec::new(),
+    })
+}
+
+fn arrive(router: &mut Router, call: u64) -> (AttemptId, TargetId) {
+    let arrived = Event::Arrived {
+        call: CallId(call),
+        deadline: SECOND,
+        effect: false,
+        may_retry: true,
+        attempt_limit: None,
+        goal: None,
+        kind: CallKind(0),
+    };
+    sent(&router.on(0, arrived))
+}
+
+fn sent(actions: &[Action]) -> (AttemptId, TargetId) {
+    match actions {
+        [
+            Action::Send {
+                attempt, target, ..
+            },
+        ] => (*attempt, *target),
+        other => panic!("expected one send, got {other:?}"),
+    }
+}
+
+fn answer(router: &mut Router, attempt: AttemptId) {
+    let answered = Event::Answered {
+        attempt,
+        source: Source::Served,
+        figures: None,
+        there_us: 0,
+        work_us: None,
+    };
+    router.on(0, answered);
+}
+
+#[test]
+fn a_router_offers_the_new_version_its_share_at_the_first_canary_only() {
+    let mut router = router();
+    router.set_rollout(running(1));
+    let mut canary = 0;
+    for call in 0..400 {
+        let (attempt, target) = arrive(&mut router, call);
+        assert_ne!(target, TargetId(5), "one canary takes the share");
+        canary += u64::from(target == TargetId(4));
+        assert!(canary as f64 <= 0.1 * call as f64, "call {call}");
+        answer(&mut router, attempt);
+    }
+    assert_eq!(router.canary_calls(), canary);
+    assert!(canary >= 38, "{canary}");
+    // The same order told again does not begin anew, a later one does.
+    router.set_rollout(running(1));
+    assert_eq!(router.canary_calls(), canary);
+    router.set_rollout(running(2));
+    assert_eq!(router.canary_calls(), 0);
+}
+
+#[test]
+fn a_call_that_a_canary_refuses_goes_to_an_old_target_and_does_not_count() {
+    let mut router = router();
+    router.set_rollout(running(1));
+    for call in 0..200 {
+        let (attempt, target) = arrive(&mut router, call);
+        if target != TargetId(4) {
+            answer(&mut router, attempt);
+            continue;
+        }
+        let refused = Event::Refused {
+            attempt,
+            refusal: Refusal {
+                reason: RefusalReason::Cold,
+                retry_after_us: 10,
+            },
+            figures: None,
+        };
+        let (again, target) = sent(&router.on(0, refused));
+        assert!(target.0 < 4, "{target:?}");
+        answer(&mut router, again);
+        assert_eq!(router.canary_calls(), 0);
+    }
+}
+
+#[test]
+fn barred_targets_get_nothing_and_all_do_when_no_rollout_goes_on() {
+    let mut router = router();
+    router.set_rollout(Some(RolloutTargets {
+        order: 1,
+        barred: (0..4).map(TargetId).collect(),
+        ..RolloutTargets::default()
+    }));
+    for call in 0..50 {
+        let (attempt, target) = arrive(&mut router, call);
+        assert!(target.0 >= 4, "{target:?}");
+        answer(&mut router, attempt);
+    }
+    router.set_rollout(None);
+    let mut seen = BTreeSet::new();
+    for call in 50..100 {
+        let (attempt, target) = arrive(&mut router, call);
+        seen.insert(target);
+        answer(&mut router, attempt);
+    }
+    assert_eq!(seen.len(), 6);
+}
+
+fn order(number: u64, target: Option<&str>) -> RolloutOrder {
+    RolloutOrder {
+        service: SERVICE.to_owned(),
+        target: target.map(str::to_owned),
+        number,
+        within_us: 10 * SECOND,
+    }
+}
+
+fn admits(rollouts: &Rollouts, version: &str) -> Admits {
+    let rollout = rollouts.of(SERVICE).expect("it is known");
+    rollout.admits(version, true)
+}
+
+#[test]
+fn an_order_that_is_changed_bars_the_version_that_was_not_done() {
+    let mut rollouts = Rollouts::default();
+    assert_eq!(rollouts.take_order(0, &order(3, Some("v2"))), Taken::News);
+    assert_eq!(
+        rollouts.take_order(0, &order(3, Some("v2"))),
+        Taken::Nothing
+    );
+    assert_eq!(
+        rollouts.take_order(0, &order(2, Some("v9"))),
+        Taken::Nothing
+    );
+    assert_eq!(admits(&rollouts, "v2"), Admits::Canary);
+    assert_eq!(rollouts.take_order(0, &order(4, Some("v3"))), Taken::News);
+    assert_eq!(admits(&rollouts, "v1"), Admits::All);
+    assert_eq!(admits(&rollouts, "v2"), Admits::Nothing);
+    assert_eq!(admits(&rollouts, "v3"), Admits::Canary);
+    // Ordered again, it is tried again.
+    rollouts.take_order(0, &order(5, Some("v2")));
+    assert_eq!(admits(&rollouts, "v2"), Admits::Canary);
+    assert_eq!(admits(&rollouts, "v3"), Admits::Nothing);
+}
+
+#[test]
+fn an_order_that_is_taken_back_is_reverted_unless_it_was_done() {
+    let mut rollouts = Rollouts::default();
+    assert_eq!(rollouts.take_order(0, &order(3, None)), Taken::Nothing);
+    rollouts.take_order(0, &order(4, Some("v2")));
+    assert_eq!(rollouts.take_order(0, &order(5, None)), Taken::News);
+    assert_eq!(admits(&rollouts, "v1"), Admits::All);
+    assert_eq!(admits(&rollouts, "v2"), Admits::Nothing);
+    rollouts.take_order(0, &order(6, Some("v2")));
+    let rollout = rollouts.of_mut(SERVICE).expect("it is known");
+    assert_eq!(rollout.stored(Phase::Done, 9), Taken::News);
+    assert_eq!(rollouts.take_order(0, &order(7, None)), Taken::Nothing);
+    assert_eq!(admits(&rollouts, "v2"), Admits::All);
+}
+
+#[test]
+fn what_stands_in_the_status_row_settles_a_race() {
+    let mut rollouts = Rollouts::default();
+    rollouts.take_order(0, &order(4, Some("v2")));
+    let known = rollouts.of(SERVICE).expect("it is known").news(0);
+    let reverted = RolloutNews {
+        phase: Phase::Reverted,
+        ..known.clone()
+    };
+    let done = RolloutNews {
+        phase: Phase::Done,
+        stored: true,
+        row: 12,
+        ..known.clone()
+    };
+    assert_eq!(rollouts.take(0, &reverted), Taken::News);
+    assert_eq!(
+        rollouts.take(0, &known),
+        Taken::Nothing,
+        "it never goes back"
+    );
+    assert_eq!(rollouts.take(0, &done), Taken::News);
+    assert_eq!(rollouts.take(0, &reverted), Taken::Nothing);
+    assert_eq!(admits(&rollouts, "v2"), Admits::All);
+}
+
+#[test]
+fn a_version_that_never_comes_is_reverted_at_the_deadline() {
+    let mut rollouts = Rollouts::default();
+    rollouts.take_order(0, &order(4, Some("v2")));
+    let rollout = rollouts.of_mut(SERVICE).expect("it is known");
+    let members = Members {
+        versions: BTreeMap::from([("v1".to_owned(), 4)]),
+        ..Members::default()
+    };
+    assert_eq!(rollout.step(5 * SECOND, &members), None);
+    let last = rollout.step(10 * SECOND - 400 * MS, &members);
+    assert_eq!(last, Some(Step::Revert(Cause::NoTargets)));
+    assert_eq!(rollout.step(20 * SECOND, &members), None, "once");
+}
+
+#[test]
+fn old_targets_are_open_while_it_runs_and_closed_once_it_moves() {
+    let mut rollouts = Rollouts::default();
+    rollouts.take_order(0, &order(4, Some("v2")));
+    assert_eq!(admits(&rollouts, "v1"), Admits::All);
+    let known = rollouts.of(SERVICE).expect("it is known");
+    assert_eq!(known.admits("v2", false), Admits::All, "no old one is left");
+    let moving = RolloutNews {
+        phase: Phase::Moving,
+        old: vec!["v1".to_owned()],
+        ..known.news(0)
+    };
+    rollouts.take(0, &moving);
+    assert_eq!(admits(&rollouts, "v1"), Admits::Nothing);
+    assert_eq!(admits(&rollouts, "v2"), Admits::All);
+    let rollout = rollouts.of_mut(SERVICE).expect("it is known");
+    rollout.stored(Phase::Done, 5);
+    assert_eq!(admits(&rollouts, "v1"), Admits::Nothing);
+    assert_eq!(
+        admits(&rollouts, "v3"),
+        Admits::All,
+        "a plain release later on"
+    );
+}
