Rollouts: orders, frames, routers, halves and the status row

Operators' rows beside the settings are read into one typed value. A daemon puts an order in force at its routers and its half, tells what its half counted over its links, decides, and writes the status row under a condition.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -21,6 +21,7 @@
 use crate::mesh::Links;
 use crate::metrics::Metrics;
 use crate::once::Once;
+use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings_state::SettingsState;
 
@@ -45,6 +46,8 @@
     pub config: Config,
     /// Names that callers and targets use.
     pub dialect: Dialect,
+    /// What it knows of rollouts.
+    pub rollouts: RolloutStates,
     /// What it follows in the directory and keeps there, where there is one.
     pub directory: Option<DirectoryState>,
     /// Who it is.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::once::{self, Once};
 use crate::ops::{Ops, OpsError, OpsHandle, Status, status};
+use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings_state::SettingsState;
 
@@ -294,6 +295,7 @@
         life: Life::default(),
         bodies: BodyRoom::default(),
         calls: AtomicU64::new(1),
+        rollouts: RolloutStates::default(),
         dialect: environment.dialect,
         directory: environment.directory.map(DirectoryState::new),
         config,
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{DirectoryState, TABLE, member, publish, spread, zones};
+use super::{DirectoryState, TABLE, member, operator, publish, spread};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::sync::lock;
@@ -50,7 +50,7 @@
             continue;
         };
         spread::heard(&core, directory, core.clock.now(), through);
-        zones::take_rows(&core, directory, &news);
+        operator::take_rows(&core, directory, &news);
         let newest = news.into_iter().rfind(|change| change.key == row.key);
         if let Some(value) = newest.and_then(|change| change.value) {
             take_settings(&core, directory, &value);
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod member;
 mod neighbours;
+mod operator;
 mod publish;
 mod spread;
 mod zones;
@@ -26,9 +27,12 @@
 use crate::control;
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
+use crate::mesh::Link;
+use crate::rollout;
 use crate::sync::lock;
 
 use neighbours::Neighbours;
+pub use operator::{OperatorRow, OperatorRowError, ReadOperatorRow, WantedRollout};
 pub use spread::{send_rows, take_rows};
 pub use zones::{greet, take_zones};
 
@@ -55,17 +59,7 @@
 /// Reads the value of a settings row.
 pub type ReadSettings = Arc<dyn Fn(&[u8]) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
 
-/// Why a row evacuates no zone though its key says so.
-#[derive(Debug, Error)]
-#[error("there is no availability zone {0:?}")]
-pub struct UnknownZone(pub String);
-
-/// The availability zone that a row with this key evacuates while it is there; nothing for a
-/// row of another kind.
-pub type EvacuatedZone = Arc<dyn Fn(&str) -> Result<Option<String>, UnknownZone> + Send + Sync>;
-
-/// What operators write: the row that holds the accepted settings, and rows beside it that
-/// evacuate availability zones.
+/// What operators write: the row that holds the accepted settings, and rows beside it.
 #[derive(Clone)]
 pub struct SettingsRow {
     /// Its table.
@@ -74,8 +68,17 @@
     pub key: String,
     /// Reads its value.
     pub read: ReadSettings,
-    /// Reads the key of a row of the same table.
-    pub evacuated_zone: EvacuatedZone,
+    /// Reads the other rows of the same table.
+    pub read_operator_row: ReadOperatorRow,
+}
+
+/// Rows in which daemons say where rollouts stand.
+#[derive(Clone)]
+pub struct StatusRows {
+    /// Their table.
+    pub table: String,
+    /// Their keys, before the service's name.
+    pub key_prefix: String,
 }
 
 /// Where a daemon finds settings, key and members.
@@ -85,6 +88,8 @@
     pub store: Arc<dyn RowStore>,
     /// The row of the accepted settings.
     pub settings: SettingsRow,
+    /// Where the status of rollouts is written.
+    pub rollout_status: StatusRows,
 }
 
 /// A daemon's dealings with its directory.
@@ -164,6 +169,21 @@
         lock(&self.evacuations).evacuated()
     }
 
+    /// The store.
+    pub fn store(&self) -> &Arc<dyn RowStore> {
+        &self.directory.store
+    }
+
+    /// Where the status of rollouts is written.
+    pub fn rollout_status(&self) -> &StatusRows {
+        &self.directory.rollout_status
+    }
+
+    /// Links to the neighbours that stand.
+    pub fn neighbour_links(&self) -> Vec<Arc<Link>> {
+        self.neighbours.links()
+    }
+
     /// Something shows that the feeds may be stuck behind a connection that says
     /// nothing more, or that no peer can tell what is new: the store is asked anew.
     pub fn doubt_feeds(&self) {
@@ -203,6 +223,7 @@
         let open = self.half.with_reports(|reports| reports.open().is_some());
         self.half.apply_limits();
         self.set_leaving(LeaveCause::Report, open == Some(false));
+        rollout::apply_own(self);
         member::want_own(self);
     }
 }
@@ -214,6 +235,7 @@
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(neighbours::keep(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
+    rollout::start(core);
     control::start_load(core);
 }
 
--- a/crates/daemon/src/directory/zones.rs
+++ b/crates/daemon/src/directory/zones.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use lynxcleat_policy::ZoneNews;
-use lynxcleat_store::StoredRow;
 use lynxcleat_wire::Frame;
 
 use super::DirectoryState;
@@ -17,29 +16,11 @@
 use crate::mesh::Link;
 use crate::sync::lock;
 
-/// Takes news of the table of the settings.
-pub(super) fn take_rows(core: &Arc<Core>, directory: &DirectoryState, rows: &[StoredRow]) {
-    let news = rows.iter().filter_map(|row| news(directory, row)).collect();
+/// Takes what rows of the table of the settings say.
+pub(super) fn take_rows(core: &Arc<Core>, directory: &DirectoryState, news: Vec<ZoneNews>) {
     take(core, directory, news, None);
 }
 
-/// The zone that a row evacuates, or evacuates no more. A row of a zone that does not exist
-/// changes nothing.
-fn news(directory: &DirectoryState, row: &StoredRow) -> Option<ZoneNews> {
-    let zone = match (directory.directory.settings.evacuated_zone)(&row.key) {
-        Ok(zone) => zone?,
-        Err(error) => {
-            log::error!(key = row.key.as_str(), version = row.version; "evacuation refused: {error}");
-            return None;
-        }
-    };
-    Some(ZoneNews {
-        zone,
-        version: row.version,
-        evacuated: row.value.is_some(),
-    })
-}
-
 /// Takes what another daemon knows.
 pub fn take_zones(core: &Arc<Core>, link: &Link, news: Vec<ZoneNews>) {
     let Some(directory) = &core.directory else {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
-use lynxcleat_policy::{AdmitEvent, AttemptId, CallId, CallTerms, Micros, Refusal, RefusalReason};
+use lynxcleat_policy::{
+    AdmitEvent, AttemptId, CallId, CallTerms, Micros, Outcome, Refusal, RefusalReason,
+};
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
 
@@ -188,6 +190,9 @@
     if call.service != core.half.service(core) {
         return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
     }
+    if !core.rollouts.admits(call.canary) {
+        return refused(RefusalReason::Version, NOT_READY_RETRY_AFTER_US);
+    }
     let half = &core.half;
     let Some(settings) = half.settings() else {
         return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
@@ -331,6 +336,7 @@
             self.done(None);
             return refused(RefusalReason::Leaving, NOT_READY_RETRY_AFTER_US);
         };
+        let (kind, attempt) = (call.kind, call.attempt);
         let begun = self.core.clock.now();
         let exchange = self.exchange(op, call, instance.clone()).await;
         let took = self.core.clock.now().saturating_sub(begun);
@@ -341,6 +347,12 @@
             _ => None,
         };
         self.ended(served.then_some(took_us), load);
+        if self.core.rollouts.any() {
+            let ended = self.rollout_outcome(&exchange, attempt, took_us);
+            if let Some(outcome) = ended {
+                self.core.rollouts.count(kind, outcome);
+            }
+        }
         self.half.tell_slowness(self.core);
         match exchange {
             Exchange::Answer(answer, load) => {
@@ -358,6 +370,32 @@
         }
     }
 
+    /// What an exchange says of the version of the target; nothing where the target did not
+    /// run the call.
+    fn rollout_outcome(
+        &self,
+        exchange: &Exchange,
+        attempt: AttemptId,
+        took_us: u32,
+    ) -> Option<Outcome> {
+        match exchange {
+            Exchange::Answer(answer, _) if answer.status >= 500 => Some(Outcome::Failed),
+            Exchange::Answer(_, load) => {
+                let work_us = load.map_or(took_us, |load| load.work_us(took_us));
+                Some(Outcome::Served((!self.half.is_cold()).then_some(work_us)))
+            }
+            Exchange::Lost if self.is_cut_off(attempt) => Some(Outcome::Cut(took_us)),
+            Exchange::Lost => Some(Outcome::Failed),
+            Exchange::Shed { .. } | Exchange::OtherInstance | Exchange::NotWritten => None,
+        }
+    }
+
+    /// Whether the sender gave the call up, or its time is over.
+    fn is_cut_off(&self, attempt: AttemptId) -> bool {
+        let is_wanted = lock(&self.half.cancels).contains_key(&(self.link.id, attempt));
+        !is_wanted || self.link.is_closed() || self.core.clock.now() >= self.deadline
+    }
+
     /// Writes the call to the target. A lookup that is no longer wanted is cut
     /// off; an operation is not, so that its outcome is known.
     async fn exchange(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod once;
 mod ops;
 mod process;
+mod rollout;
 mod route;
 mod settings_state;
 mod sync;
@@ -32,10 +33,12 @@
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
 pub use dialect::{AnswerKind, Dialect, LoadHeader, NotColdTime, TargetLoad};
 pub use directory::{
-    Directory, EvacuatedZone, SettingsRow, TranslateError, TranslatedTree, UnknownZone,
+    Directory, OperatorRow, OperatorRowError, ReadOperatorRow, SettingsRow, StatusRows,
+    TranslateError, TranslatedTree, WantedRollout,
 };
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use life::StopReport;
 pub use mesh::prepare_connection;
 pub use ops::Status;
 pub use process::{RunError, run};
+pub use rollout::RolloutState;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -34,6 +34,8 @@
     List,
     /// An operator evacuated the availability zone.
     Evacuation,
+    /// A rollout gives the version of the target no calls.
+    Rollout,
     /// The target has not reported that it takes calls.
     Report,
     /// An operator's tool said so at the operators' endpoint.
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::half;
 use crate::metrics::count;
 use crate::once;
+use crate::rollout;
 
 /// A message carried a generation; a newer one is fetched from its sender.
 pub(super) fn generation(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
@@ -62,6 +63,9 @@
         }
         Frame::FetchTree { ask, limit } => send_tree(core, link, ask, limit),
         Frame::Zones(news) => directory::take_zones(core, link, news),
+        Frame::Rollouts(news) => rollout::take_news(core, link, &news),
+        Frame::RolloutEvidence(evidence) => rollout::take_evidence(core, &evidence),
+        Frame::RolloutIdle(idle) => rollout::take_idle(core, link, idle),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows { after } => directory::send_rows(core, link, after),
         Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -14,6 +14,7 @@
 use super::{beat, pump};
 use crate::core::Core;
 use crate::directory;
+use crate::rollout;
 use crate::sync::lock;
 
 /// Why there is no link to an address.
@@ -144,6 +145,7 @@
         let limit = self.silence_limit(&link.peer.mesh, core.clock.now());
         handshake::limit_silence(&socket, limit);
         directory::greet(core, &link);
+        rollout::greet(core, &link);
         pump::start(core, &link, socket, queue);
         link
     }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -163,6 +163,9 @@
         Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
         Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
         Frame::Zones(_) => "zones",
+        Frame::Rollouts(_) => "rollouts",
+        Frame::RolloutEvidence(_) => "rollout-evidence",
+        Frame::RolloutIdle(_) => "rollout-idle",
         Frame::Rows(_) | Frame::AskRows { .. } => "rows",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,16 @@
     pub kind: &'static str,
 }
 
+/// Labels of one service.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
+/// A gauge for each service.
+pub type Services = Family<ServiceLabels, Gauge>;
+
 /// A counter for each kind of thing.
 pub type Kinds = Family<KindLabels, Counter>;
 
@@ -60,6 +70,10 @@
     pub measure_bytes_allowed: Gauge,
     pub once_records: Gauge,
     pub settled: Kinds,
+    pub rollout_phase: Services,
+    pub rollout_canary_calls: Services,
+    pub rollout_calls_seen: Services,
+    pub rollout_bad_seen: Services,
     pub platform_failures: Kinds,
     pub store_calls: Kinds,
     pub store_steps_in: Counter,
@@ -90,6 +104,10 @@
             measure_bytes_allowed: Gauge::default(),
             once_records: Gauge::default(),
             settled: Family::default(),
+            rollout_phase: Family::default(),
+            rollout_canary_calls: Family::default(),
+            rollout_calls_seen: Family::default(),
+            rollout_bad_seen: Family::default(),
             platform_failures: Family::default(),
             store_calls: Family::default(),
             store_steps_in: Counter::default(),
@@ -128,6 +146,10 @@
         registry.register("unlogged", "Failed calls that were not logged, for there were too many", self.unlogged.clone());
         registry.register("store_calls", "Calls to the store of rows, by what they are for", self.store_calls.clone());
         registry.register("store_steps_in", "Times that the store was asked since nobody told of it", self.store_steps_in.clone());
+        registry.register("rollout_phase", "Rollout of a service: 1 running, 2 moving, 3 done, 4 reverted", self.rollout_phase.clone());
+        registry.register("rollout_canary_calls", "Calls that this daemon offered to the new version since the order", self.rollout_canary_calls.clone());
+        registry.register("rollout_calls_seen", "Calls of the new version that this daemon was told of", self.rollout_calls_seen.clone());
+        registry.register("rollout_bad_seen", "Failed and slow ones among them", self.rollout_bad_seen.clone());
         registry.register("platform_failures", "Failed calls to the platform", self.platform_failures.clone());
     }
 
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -260,6 +260,7 @@
         kind: outbound.kind,
         priority: outbound.priority,
         nested: outbound.nested,
+        canary: false,
         elsewhere: Elsewhere::Nowhere,
         goal_left_us: None,
         left_us: outbound.deadline.saturating_sub(core.clock.now()),
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -14,6 +14,7 @@
 
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
+use crate::rollout::RolloutState;
 
 /// Newest calls listed where none is named.
 const NEWEST: usize = 20;
@@ -55,6 +56,9 @@
     /// Availability zones that are evacuated, as far as it knows.
     #[serde(default)]
     pub evacuated_zones: Vec<String>,
+    /// Rollouts, as far as it knows.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutState>,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Calls at its target.
@@ -142,6 +146,7 @@
         leaving: core.half.is_leaving(),
         cold: core.half.is_cold(),
         evacuated_zones: core.evacuated_zones(),
+        rollouts: core.rollouts.status(core.clock.now()),
         stopping: core.life.phase() > Phase::Serving,
         in_flight: figures.in_flight,
         held: figures.held,
--- /dev/null
+++ b/crates/daemon/src/rollout/division.rs
@@ -0,0 +1,117 @@
+//! How a rollout divides the targets of a service for the routers.
+
+use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+use lynxcleat_policy::{
+    Admits, CANARY_PART, Candidate, Here, Rollout, RolloutTargets, TargetId, canary_width, subset,
+};
+use lynxcleat_settings::Effective;
+use lynxcleat_store::{HostEntry, HostState};
+
+/// Canary targets that every router keeps links to beyond its own subset: those that take the
+/// share, and the next ones in case they are set aside.
+const CANARY_LINKS: usize = 4;
+
+/// What the targets of a service may get, by host.
+pub struct Division {
+    order: u64,
+    admits: HashMap<String, Admits>,
+    /// Hosts of the new version in the order that all routers share, without those that were
+    /// set aside.
+    canaries: Vec<String>,
+    share: f64,
+    old: usize,
+}
+
+impl Division {
+    /// How a rollout divides the listed targets.
+    pub(super) fn new(rollout: &Rollout, listed: &[HostEntry], effective: &Effective) -> Self {
+        let old = old_targets(rollout, listed);
+        let set_aside = rollout.judge().set_aside();
+        let admits = listed.iter().map(|entry| {
+            let admits = match rollout.admits(&entry.version, old > 0) {
+                Admits::Canary if set_aside.contains(&entry.host) => Admits::Nothing,
+                admits => admits,
+            };
+            (entry.host.clone(), admits)
+        });
+        let admits: HashMap<String, Admits> = admits.collect();
+        let mut canaries: Vec<String> = admits
+            .iter()
+            .filter(|(_, admits)| **admits == Admits::Canary)
+            .map(|(host, _)| host.clone())
+            .collect();
+        canaries.sort_by_key(|host| place_in_order(rollout.number(), host));
+        Division {
+            order: rollout.number(),
+            admits,
+            canaries,
+            share: f64::from(effective.canary_percent) / 100.0 * CANARY_PART,
+            old,
+        }
+    }
+
+    /// The targets that a router keeps links to: its subset of each part, so that links stand
+    /// when the calls move.
+    pub fn wanted(&self, here: Here<'_>, candidates: &[Candidate], size: usize) -> Vec<TargetId> {
+        let mut wanted = Vec::new();
+        for part in [Admits::All, Admits::Canary, Admits::Nothing] {
+            let of_part = |candidate: &&Candidate| self.admits(&candidate.host) == part;
+            let part: Vec<Candidate> = candidates.iter().filter(of_part).cloned().collect();
+            wanted.extend(subset(here, &part, size));
+        }
+        for target in self.ids(candidates).into_iter().take(CANARY_LINKS) {
+            if !wanted.contains(&target) {
+                wanted.push(target);
+            }
+        }
+        wanted
+    }
+
+    /// What the router is told.
+    pub fn targets(&self, candidates: &[Candidate], wanted: &[TargetId]) -> RolloutTargets {
+        let canaries = self.ids(candidates);
+        let barred = candidates
+            .iter()
+            .filter(|candidate| self.admits(&candidate.host) == Admits::Nothing);
+        RolloutTargets {
+            order: self.order,
+            canaries: canaries
+                .into_iter()
+                .filter(|target| wanted.contains(target))
+                .collect(),
+            width: canary_width(self.share, self.old),
+            share: self.share,
+            barred: barred.map(|candidate| candidate.target).collect(),
+        }
+    }
+
+    fn admits(&self, host: &str) -> Admits {
+        self.admits.get(host).copied().unwrap_or(Admits::All)
+    }
+
+    fn ids(&self, candidates: &[Candidate]) -> Vec<TargetId> {
+        let id = |host: &String| {
+            let found = candidates.iter().find(|candidate| candidate.host == *host);
+            found.map(|candidate| candidate.target)
+        };
+        self.canaries.iter().filter_map(id).collect()
+    }
+}
+
+/// Targets of old versions that take calls.
+pub(super) fn old_targets(rollout: &Rollout, listed: &[HostEntry]) -> usize {
+    let is_old =
+        |entry: &&HostEntry| entry.state == HostState::Live && rollout.is_old(&entry.version);
+    listed.iter().filter(is_old).count()
+}
+
+/// Place of a host among the targets of an order: another for each order, the same for all
+/// daemons.
+pub(super) fn place_in_order(order: u64, host: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (order, host).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/daemon/src/rollout/own.rs
@@ -0,0 +1,103 @@
+//! What a rollout changes for the own target's half.
+
+use lynxcleat_policy::{Admits, HalfEvidence, Phase};
+use lynxcleat_wire::{Frame, IdleFrame};
+
+use super::division::{old_targets, place_in_order};
+use crate::core::Core;
+use crate::life::LeaveCause;
+use crate::sync::lock;
+
+/// Halves of old targets that tell what they count: the new version is compared with these.
+const BASELINE_HALVES: usize = 6;
+
+/// Version of the own target; empty where it is not known.
+pub(super) fn own_version(core: &Core) -> String {
+    let version = core
+        .half
+        .with_reports(|reports| reports.in_place()?.version.clone());
+    version.flatten().unwrap_or_default()
+}
+
+/// Puts in force what the own half may be given, and begins to count where an order is new.
+pub fn apply_own(core: &Core) {
+    if !core.rollouts.any() {
+        return;
+    }
+    let service = core.half.service(core);
+    let version = own_version(core);
+    let listed = core.hosts.of_service(&service);
+    let found = core.rollouts.with(|known| {
+        let rollout = known.of(&service)?;
+        let any_old = old_targets(rollout, &listed) > 0;
+        Some((rollout.number(), rollout.admits(&version, any_old)))
+    });
+    let admits = found.map(|(_, admits)| admits);
+    *lock(&core.rollouts.own) = admits;
+    if let Some((order, _)) = found {
+        begin_count(core, order, service, version);
+    }
+    core.set_leaving(LeaveCause::Rollout, admits == Some(Admits::Nothing));
+}
+
+fn begin_count(core: &Core, order: u64, service: String, version: String) {
+    let mut counted = lock(&core.rollouts.counted);
+    let is_same = counted.order == order && counted.service == service;
+    if is_same && counted.version == version {
+        return;
+    }
+    *counted = HalfEvidence {
+        service,
+        order,
+        host: core.config.host.clone(),
+        // Another target behind the same daemon counts anew.
+        incarnation: core.me.incarnation.0 ^ place_in_order(order, &version),
+        version,
+        ..HalfEvidence::default()
+    };
+}
+
+/// What the own half counted, where others want to know it.
+pub(super) fn evidence(core: &Core) -> Option<HalfEvidence> {
+    let counted = lock(&core.rollouts.counted).clone();
+    if counted.kinds.is_empty() {
+        return None;
+    }
+    let listed = core.hosts.of_service(&counted.service);
+    core.rollouts.with(|known| {
+        let rollout = known
+            .of(&counted.service)
+            .filter(|rollout| rollout.is_open())?;
+        let is_told = !rollout.is_old(&counted.version) || {
+            let place = |host: &str| place_in_order(rollout.number(), host);
+            let own = place(&counted.host);
+            let old = listed.iter().filter(|entry| rollout.is_old(&entry.version));
+            old.filter(|entry| place(&entry.host) < own).count() < BASELINE_HALVES
+        };
+        is_told.then_some(counted)
+    })
+}
+
+/// Says that the own half has no call in hand, where the calls move away from it.
+pub(super) fn idle(core: &Core) -> Option<IdleFrame> {
+    let service = core.half.service(core);
+    let version = own_version(core);
+    let order = core.rollouts.with(|known| {
+        let rollout = known.of(&service)?;
+        let moves_away = rollout.phase() == Phase::Moving && rollout.is_old(&version);
+        moves_away.then(|| rollout.number())
+    })?;
+    let figures = core.half.figures();
+    let is_idle = figures.in_flight == 0 && figures.held == 0;
+    let is_idle = is_idle && core.half.is_leaving() && core.life.target_calls.count() == 0;
+    is_idle.then(|| IdleFrame {
+        service,
+        order,
+        host: core.config.host.clone(),
+    })
+}
+
+/// Tells what the own half counted to everyone that a link leads to.
+pub(super) fn tell_evidence(core: &Core, evidence: HalfEvidence) {
+    core.links.announce(&Frame::RolloutEvidence(evidence));
+}
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -247,7 +247,10 @@
             link: link.clone(),
         });
         let sent = link.is_some_and(|link| {
-            let frame = self.frame(attempt, elsewhere);
+            let frame = CallFrame {
+                canary: self.service.with(|router| router.is_canary(target)),
+                ..self.frame(attempt, elsewhere)
+            };
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
@@ -271,6 +274,7 @@
             kind: self.call.kind,
             priority: self.call.priority,
             nested: self.call.nested,
+            canary: false,
             elsewhere,
             goal_left_us: self
                 .call
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -245,7 +245,11 @@
             zone: &core.config.zone,
             region: &core.config.region,
         };
-        let wanted = subset(here, &candidates, effective.subset_size);
+        let division = core.rollouts.division(&self.name, &listed, effective);
+        let wanted = match &division {
+            None => subset(here, &candidates, effective.subset_size),
+            Some(division) => division.wanted(here, &candidates, effective.subset_size),
+        };
         let mut entries: HashMap<TargetId, HostEntry> = candidates
             .iter()
             .map(|candidate| candidate.target)
@@ -262,6 +266,7 @@
         let mut router = lock(&self.router);
         router.set_targets(core.clock.now(), &targets);
         router.set_far(&far);
+        router.set_rollout(division.map(|division| division.targets(&candidates, &wanted)));
         drop(router);
         peers.retain(|target, peer| {
             entries
--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -295,6 +295,10 @@
             self.stored = news.stored;
             return Taken::News;
         }
+        if news.phase == self.phase && news.stored && !self.stored {
+            self.stored = true;
+            return Taken::News;
+        }
         if is_detail {
             Taken::Detail
         } else {
@@ -368,8 +372,9 @@
     pub fn stored(&mut self, phase: Phase, row: u64) -> Taken {
         self.row = self.row.max(row);
         if weight(phase, true) <= weight(self.phase, self.stored) {
-            self.stored |= phase == self.phase;
-            return Taken::Detail;
+            let is_told = phase == self.phase && !self.stored;
+            self.stored |= is_told;
+            return if is_told { Taken::News } else { Taken::Detail };
         }
         self.phase = phase;
         self.stored = true;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,10 @@
 //! The messages.
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
-use lynxcleat_policy::{AttemptId, CallKind, Elsewhere, Figures, NotRunReason, Refusal, ZoneNews};
+use lynxcleat_policy::{
+    AttemptId, CallKind, Elsewhere, Figures, HalfEvidence, NotRunReason, Refusal, RolloutNews,
+    ZoneNews,
+};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
@@ -57,6 +60,9 @@
     /// Whether a target makes it while it runs a call of its own.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub nested: bool,
+    /// Whether the sender counts it as a part of its share for a new version.
+    #[serde(rename = "v", default, skip_serializing_if = "std::ops::Not::not")]
+    pub canary: bool,
     /// Where the sender can offer it if it is refused.
     #[serde(rename = "m", default, skip_serializing_if = "Elsewhere::is_nowhere")]
     pub elsewhere: Elsewhere,
@@ -176,6 +182,20 @@
     pub digest: Option<u64>,
 }
 
+/// The half of a target that calls are moved away from has none in hand and takes none.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IdleFrame {
+    /// Service of the rollout.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Number of its order.
+    #[serde(rename = "o")]
+    pub order: u64,
+    /// Host of the target.
+    #[serde(rename = "h")]
+    pub host: String,
+}
+
 /// A message. Asks carry a number that their reply repeats.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
@@ -272,6 +292,12 @@
     },
     /// Availability zones that were evacuated, or are no more, as the sender knows.
     Zones(Vec<ZoneNews>),
+    /// Where rollouts stand, as the sender knows.
+    Rollouts(Vec<RolloutNews>),
+    /// What the half of the sender's target counted while a rollout runs.
+    RolloutEvidence(HalfEvidence),
+    /// The half of a target that calls are moved away from has none in hand.
+    RolloutIdle(IdleFrame),
     /// Changes of the members' table that the sender knows of.
     Rows(RowsFrame),
     /// Asks for the changes of the members' table.
