Rollouts: a test of all targets together, and an end that waits for the deadline

A version that turned bad shortly before the end passed: at the move each of its targets showed too little.

--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -133,6 +133,7 @@
     log_state(core, service);
     apply_own(core);
     core.routers.refresh(core);
+    work::count(core, service);
     core.rollouts.wanted.notify_one();
 }
 
--- a/crates/daemon/src/rollout/work.rs
+++ b/crates/daemon/src/rollout/work.rs
@@ -47,6 +47,8 @@
 
 /// One look. Returns whether another is needed.
 fn look(core: &Arc<Core>, told: &mut Told) -> bool {
+    // Members come and go, and with them what the own half may be given.
+    own::apply_own(core);
     tell_evidence(core, told);
     tell_idle(core, told);
     let open = core.rollouts.with(|known| {
@@ -171,7 +173,8 @@
     members
 }
 
-fn count(core: &Core, service: &str) {
+/// Shows in the metrics where the rollout of a service stands.
+pub(super) fn count(core: &Core, service: &str) {
     let labels = ServiceLabels {
         service: service.to_owned(),
     };
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -7,7 +7,8 @@
 //!
 //! Single targets fail or are slow for reasons of their own. A target whose test speaks
 //! against it is set aside, so that the next one is tried; the version is bad once that
-//! happens to a second one, or there is no other, or its bad answers are too many in all.
+//! happens to a second one, or there is no other, or several gave bad answers and the test of
+//! all together speaks against them, or its bad answers are too many in all.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -19,9 +20,9 @@
 /// about once in e^8, some 3,000, calls that begin anew.
 const BAD_SUM: f64 = 8.0;
 /// The same for a second target: two that fail for reasons of their own are rare.
-const SECOND_BAD_SUM: f64 = 5.0;
+const SECOND_BAD_SUM: f64 = 6.0;
 /// Sum at which the version is not found good, and the one after a target was set aside.
-const DOUBTFUL_SUM: f64 = 4.0;
+const DOUBTFUL_SUM: f64 = 3.0;
 const SECOND_DOUBTFUL_SUM: f64 = 2.0;
 /// Factor on the calls that are enough once a target was set aside.
 const SECOND_ENOUGH: u32 = 3;
@@ -45,7 +46,8 @@
 /// compared with the old one in the same time.
 const BASE_HALF_LIFE_US: f64 = 2_000_000.0;
 /// Bad answers beyond the expected ones at which the version is bad, whichever targets gave
-/// them. It is half of those after which the time for the roll-back runs.
+/// them, but for one that was set aside. It is half of those after which the time for the
+/// roll-back runs.
 const BAD_LIMIT: f64 = 25.0;
 /// Calls without which a version is not found good: of all kinds, and of each that makes up
 /// more than [`MAIN_PART`] of the old version's calls.
@@ -53,8 +55,12 @@
 const ENOUGH_OF_KIND: u32 = 5;
 const MAIN_PART: f64 = 0.05;
 /// Standard deviations, and bad answers, above the expected ones that a good version may have.
-const GOOD_DEVIATIONS: f64 = 3.0;
-const GOOD_ALLOWANCE: f64 = 3.0;
+const GOOD_DEVIATIONS: f64 = 2.5;
+const GOOD_ALLOWANCE: f64 = 1.0;
+/// Targets that must have given bad answers for the test of all of them to speak against the
+/// version, and the part of the bad answers, as a divisor, that one of them may have given.
+const POOLED_TARGETS: usize = 3;
+const POOLED_PART: u32 = 2;
 /// Halves whose evidence is kept at most.
 const HALVES_LIMIT: usize = 512;
 
@@ -198,6 +204,28 @@
     slowness: f64,
 }
 
+impl Tests {
+    fn add(&mut self, failures: Sample, slowness: Sample) {
+        if failures.calls > 0 {
+            let sum = self.failures + failures.speaks_against(MORE_FAILED);
+            self.failures = sum.max(0.0);
+        }
+        if slowness.calls > 0 {
+            let sum = self.slowness + slowness.speaks_against(MORE_SLOW);
+            self.slowness = sum.max(0.0);
+        }
+    }
+
+    /// What speaks against the target with sums of `limit`.
+    fn fault(&self, limit: f64) -> Option<Fault> {
+        match (self.failures >= limit, self.slowness >= limit) {
+            (true, _) => Some(Fault::Failures),
+            (false, true) => Some(Fault::Slowness),
+            (false, false) => None,
+        }
+    }
+}
+
 /// Calls and bad answers of a target.
 #[derive(Clone, Copy, Debug, Default)]
 struct Total {
@@ -223,6 +251,8 @@
     weighed: HashMap<(String, u64), HalfEvidence>,
     base: BTreeMap<CallKind, Base>,
     tests: HashMap<(String, Option<CallKind>), Tests>,
+    /// The tests of all targets together.
+    pooled: HashMap<Option<CallKind>, Tests>,
     totals: BTreeMap<(String, CallKind), Total>,
     set_aside: BTreeSet<String>,
     fault: Option<Fault>,
@@ -298,25 +328,20 @@
         total.add(slowness, false);
         self.test(host, Some(kind), failures, slowness);
         self.test(host, None, failures, slowness);
+        if !self.set_aside.contains(host) {
+            self.test_pooled(Some(kind), failures, slowness);
+            self.test_pooled(None, failures, slowness);
+        }
         self.limit_bad();
     }
 
     fn test(&mut self, host: &str, kind: Option<CallKind>, failures: Sample, slowness: Sample) {
         let tests = self.tests.entry((host.to_owned(), kind)).or_default();
-        if failures.calls > 0 {
-            let sum = tests.failures + failures.speaks_against(MORE_FAILED);
-            tests.failures = sum.max(0.0);
-        }
-        if slowness.calls > 0 {
-            let sum = tests.slowness + slowness.speaks_against(MORE_SLOW);
-            tests.slowness = sum.max(0.0);
-        }
+        tests.add(failures, slowness);
         let others = self.set_aside.iter().any(|aside| aside != host);
         let limit = if others { SECOND_BAD_SUM } else { BAD_SUM };
-        let fault = match (tests.failures >= limit, tests.slowness >= limit) {
-            (true, _) => Fault::Failures,
-            (false, true) => Fault::Slowness,
-            (false, false) => return,
+        let Some(fault) = tests.fault(limit) else {
+            return;
         };
         self.set_aside.insert(host.to_owned());
         if self.set_aside.len() > 1 {
@@ -324,10 +349,33 @@
         }
     }
 
+    fn test_pooled(&mut self, kind: Option<CallKind>, failures: Sample, slowness: Sample) {
+        let tests = self.pooled.entry(kind).or_default();
+        tests.add(failures, slowness);
+        let fault = tests.fault(BAD_SUM);
+        if fault.is_some() && self.bad_is_spread(kind) {
+            self.fault = self.fault.or(fault);
+        }
+    }
+
+    /// Whether several targets gave the bad answers, and none of them most.
+    fn bad_is_spread(&self, kind: Option<CallKind>) -> bool {
+        let mut by_host: BTreeMap<&str, u32> = BTreeMap::new();
+        for ((host, of), total) in &self.totals {
+            if total.bad > 0 && kind.is_none_or(|kind| kind == *of) {
+                *by_host.entry(host).or_default() += total.bad;
+            }
+        }
+        let all: u32 = by_host.values().sum();
+        let most = by_host.values().max().copied().unwrap_or(0);
+        by_host.len() >= POOLED_TARGETS && most * POOLED_PART <= all
+    }
+
     fn limit_bad(&mut self) {
-        let totals = self.totals.values();
-        let excess: f64 = totals
-            .map(|total| f64::from(total.bad) - total.expected)
+        let totals = self.totals.iter();
+        let kept = totals.filter(|((host, _), _)| !self.set_aside.contains(host));
+        let excess: f64 = kept
+            .map(|(_, total)| f64::from(total.bad) - total.expected)
             .sum();
         if excess >= BAD_LIMIT {
             self.fault.get_or_insert(Fault::TooManyBad);
--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -14,15 +14,17 @@
 
 /// Time before the deadline at which the move begins: calls in hand end within it, and the
 /// status row is written. A longer one exposes more before the version is settled.
-const MOVE_US: Micros = 1_500_000;
+const MOVE_US: Micros = 1_600_000;
 /// Part of the time of the whole rollout that the move takes at most, as a divisor.
 const MOVE_PART: Micros = 5;
 /// Part of the time kept for the move, as a divisor, at whose end a version that was not found
 /// good is reverted: its status has to be written before the deadline.
 const LAST_PART: Micros = 3;
-/// Time before the deadline until which old targets that were not heard of are waited for:
-/// the status row has to be written.
+/// Time before the deadline from which the end may be written though some old targets were
+/// not heard of, and before that, from which it may be written at all: it can't be undone, so
+/// the new version is watched under the whole load for as long as there is time.
 const WRITE_US: Micros = 250_000;
+const FINISH_US: Micros = 600_000;
 /// Services and versions that are kept at most; further orders are refused.
 const SERVICES_LIMIT: usize = 256;
 const BARRED_LIMIT: usize = 32;
@@ -364,8 +366,12 @@
 
     /// Old targets that cannot be reached are waited for as long as there is time.
     fn may_finish(&self, now: Micros, members: &Members) -> bool {
-        let waits = members.any_unheard && now + WRITE_US < self.deadline;
-        members.old_idle && !waits
+        let kept_us = if members.any_unheard {
+            WRITE_US
+        } else {
+            FINISH_US
+        };
+        members.old_idle && now + kept_us >= self.deadline
     }
 
     /// The status row was written, or seen, with this phase for this order.
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -39,7 +39,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Shows {
     Always,
-    From(u64),
+    /// From this part of the time until the deadline on.
+    From(f64),
     /// From this number of calls in the last second on.
     UnderLoad(usize),
     OnRoute(u32),
@@ -473,7 +474,7 @@
         let is_new = daemon.is_new;
         let shows = match self.shows {
             Shows::Always => true,
-            Shows::From(at) => now >= at,
+            Shows::From(part) => now as f64 >= part * self.deadline as f64,
             Shows::UnderLoad(calls) => load >= calls,
             Shows::OnRoute(route) => kind == CallKind(route),
         };
@@ -618,7 +619,7 @@
     };
     let shows = match rng.random_range(0..4) {
         0 => Shows::Always,
-        1 => Shows::From(rng.random_range(1..5) * SECOND),
+        1 => Shows::From(rng.random_range(0.1..0.7)),
         2 => Shows::UnderLoad(rng.random_range(3..8)),
         _ => Shows::OnRoute(rng.random_range(0..2)),
     };
