--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -24,7 +24,7 @@
 /// not heard of, and before that, from which it may be written at all: it can't be undone, so
 /// the new version is watched under the whole load for as long as there is time.
 const WRITE_US: Micros = 250_000;
-const FINISH_US: Micros = 600_000;
+const FINISH_US: Micros = 800_000;
 /// Services and versions that are kept at most; further orders are refused.
 const SERVICES_LIMIT: usize = 256;
 const BARRED_LIMIT: usize = 32;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -297,7 +297,9 @@
             deadline: call.deadline,
             kind: call.kind,
         };
-        let chosen = match &mut self.rollout {
+        // A call that a canary refuses or fails has to have somewhere else to go.
+        let may_be_canary = call.may_retry && call.tried.is_empty();
+        let chosen = match self.rollout.as_mut().filter(|_| may_be_canary) {
             None => self.chooser.choose(now, wanted, &mut self.considered),
             Some(rollout) => choose_lane(
                 now,
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -783,6 +783,26 @@
     }
 }
 
+#[test]
+fn a_call_that_could_go_nowhere_else_is_not_offered_to_a_canary() {
+    let mut router = router();
+    router.set_rollout(running(1));
+    for call in 0..100 {
+        let arrived = Event::Arrived {
+            call: CallId(call),
+            deadline: SECOND,
+            effect: false,
+            may_retry: false,
+            attempt_limit: None,
+            goal: None,
+            kind: CallKind(0),
+        };
+        let (attempt, target) = sent(&router.on(0, arrived));
+        assert!(target.0 < 4, "{target:?}");
+        answer(&mut router, attempt);
+    }
+}
+
 #[test]
 fn barred_targets_get_nothing_and_all_do_when_no_rollout_goes_on() {
     let mut router = router();
