--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -111,6 +111,7 @@
         host = entry.host.as_str(),
         service = entry.service.as_str(),
         zone = entry.zone.as_str(),
+        version = entry.version.as_str(),
         state:? = entry.state;
         "member"
     );
--- a/crates/daemon/src/rollout/division.rs
+++ b/crates/daemon/src/rollout/division.rs
@@ -21,6 +21,8 @@
     /// Hosts of the new version in the order that all routers share, without those that were
     /// set aside.
     canaries: Vec<String>,
+    /// Hosts of the new version.
+    new: Vec<String>,
     share: f64,
     old: usize,
 }
@@ -44,7 +46,11 @@
             .map(|(host, _)| host.clone())
             .collect();
         canaries.sort_by_key(|host| place_in_order(rollout.number(), host));
+        let new = listed
+            .iter()
+            .filter(|entry| entry.version == rollout.target());
         Division {
+            new: new.map(|entry| entry.host.clone()).collect(),
             order: rollout.number(),
             admits,
             canaries,
@@ -62,7 +68,10 @@
             let part: Vec<Candidate> = candidates.iter().filter(of_part).cloned().collect();
             wanted.extend(subset(here, &part, size));
         }
-        for target in self.ids(candidates).into_iter().take(CANARY_LINKS) {
+        for target in ids(&self.canaries, candidates)
+            .into_iter()
+            .take(CANARY_LINKS)
+        {
             if !wanted.contains(&target) {
                 wanted.push(target);
             }
@@ -72,7 +81,7 @@
 
     /// What the router is told.
     pub fn targets(&self, candidates: &[Candidate], wanted: &[TargetId]) -> RolloutTargets {
-        let canaries = self.ids(candidates);
+        let canaries = ids(&self.canaries, candidates);
         let barred = candidates
             .iter()
             .filter(|candidate| self.admits(&candidate.host) == Admits::Nothing);
@@ -82,6 +91,7 @@
                 .into_iter()
                 .filter(|target| wanted.contains(target))
                 .collect(),
+            new: ids(&self.new, candidates),
             width: canary_width(self.share, self.old),
             share: self.share,
             barred: barred.map(|candidate| candidate.target).collect(),
@@ -91,14 +101,15 @@
     fn admits(&self, host: &str) -> Admits {
         self.admits.get(host).copied().unwrap_or(Admits::All)
     }
+}
 
-    fn ids(&self, candidates: &[Candidate]) -> Vec<TargetId> {
-        let id = |host: &String| {
-            let found = candidates.iter().find(|candidate| candidate.host == *host);
-            found.map(|candidate| candidate.target)
-        };
-        self.canaries.iter().filter_map(id).collect()
-    }
+/// The targets on these hosts, in their order.
+fn ids(hosts: &[String], candidates: &[Candidate]) -> Vec<TargetId> {
+    let id = |host: &String| {
+        let found = candidates.iter().find(|candidate| candidate.host == *host);
+        found.map(|candidate| candidate.target)
+    };
+    hosts.iter().filter_map(id).collect()
 }
 
 /// Targets of old versions that take calls.
--- a/crates/daemon/src/rollout/own.rs
+++ b/crates/daemon/src/rollout/own.rs
@@ -27,10 +27,15 @@
     let service = core.half.service(core);
     let version = own_version(core);
     let listed = core.hosts.of_service(&service);
+    let now = core.clock.now();
     let found = core.rollouts.with(|known| {
         let rollout = known.of(&service)?;
         let any_old = old_targets(rollout, &listed) > 0;
-        Some((rollout.number(), rollout.admits(&version, any_old)))
+        let admits = match rollout.admits(&version, any_old) {
+            Admits::Nothing if !rollout.closes(now, &version, any_old) => Admits::All,
+            admits => admits,
+        };
+        Some((rollout.number(), admits))
     });
     let admits = found.map(|(_, admits)| admits);
     *lock(&core.rollouts.own) = admits;
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -248,7 +248,7 @@
         });
         let sent = link.is_some_and(|link| {
             let frame = CallFrame {
-                canary: self.service.with(|router| router.is_canary(target)),
+                canary: self.service.with(|router| router.is_new(target)),
                 ..self.frame(attempt, elsewhere)
             };
             link.call(frame, self.sender.clone()).is_ok()
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -36,6 +36,9 @@
     pub width: usize,
     /// Share of the delivered calls that they are offered.
     pub share: f64,
+    /// All targets of the new version: calls to them are marked, which tells their halves that
+    /// the router knows of the order.
+    pub new: Vec<TargetId>,
     /// Targets that get no calls.
     pub barred: Vec<TargetId>,
 }
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::evidence::{HalfEvidence, Tally};
+use super::evidence::{HalfEvidence, Tally, time_class};
 use crate::ids::Micros;
 use crate::work::CallKind;
 
@@ -40,6 +40,9 @@
 /// Classes of time above the old version's median from which an answer is slow: between 2.4
 /// and 3.4 times as long.
 const SLOW_CLASSES: u8 = 3;
+/// Time in microseconds below which no answer is slow: a busy host keeps its processes waiting
+/// that long.
+const LEAST_SLOW_US: u32 = 20_000;
 /// Timed answers of the old version without which no answer counts as slow.
 const BASE_TIMED: f64 = 20.0;
 /// Time after which the old version's calls count half, in microseconds: the new one is
@@ -145,7 +148,8 @@
             below += **count;
             below * 2.0 >= timed
         });
-        median.map(|(class, _)| class.saturating_add(SLOW_CLASSES))
+        let least = time_class(LEAST_SLOW_US);
+        median.map(|(class, _)| class.saturating_add(SLOW_CLASSES).max(least))
     }
 
     fn failed_share(&self) -> f64 {
--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -25,6 +25,12 @@
 /// the new version is watched under the whole load for as long as there is time.
 const WRITE_US: Micros = 250_000;
 const FINISH_US: Micros = 800_000;
+/// Part of the old targets, as a divisor, that must be there of the new version: fewer could
+/// not bear the calls.
+const LEAST_TARGETS: usize = 4;
+/// Time from the move's beginning until halves of old targets refuse calls, in microseconds:
+/// by then every router that a link leads to has heard of it and offers none.
+const SPREAD_US: Micros = 200_000;
 /// Services and versions that are kept at most; further orders are refused.
 const SERVICES_LIMIT: usize = 256;
 const BARRED_LIMIT: usize = 32;
@@ -67,6 +73,8 @@
     Doubtful,
     /// No target of that version takes calls.
     NoTargets,
+    /// Far fewer targets of that version take calls than of the old ones.
+    TooFewTargets,
     /// The order was taken back.
     TakenBack,
 }
@@ -166,6 +174,8 @@
     old: BTreeSet<String>,
     judge: Judge,
     idle: BTreeSet<String>,
+    /// When the phase began, as far as is known here.
+    since: Micros,
 }
 
 impl Rollout {
@@ -183,6 +193,7 @@
             old: news.old.iter().take(BARRED_LIMIT).cloned().collect(),
             judge: Judge::default(),
             idle: BTreeSet::new(),
+            since: now,
         }
     }
 
@@ -259,6 +270,13 @@
         }
     }
 
+    /// Whether the half of a target of a version refuses all calls now.
+    pub fn closes(&self, now: Micros, version: &str, any_old: bool) -> bool {
+        let is_spreading = self.phase == Phase::Moving && now < self.since + SPREAD_US;
+        let waits = is_spreading && self.is_old(version);
+        !waits && self.admits(version, any_old) == Admits::Nothing
+    }
+
     /// Whether a version is one that the calls are moved away from.
     pub fn is_old(&self, version: &str) -> bool {
         version != self.target && !self.barred.contains(version)
@@ -295,6 +313,7 @@
         if weight(news.phase, news.stored) > weight(self.phase, self.stored) {
             self.phase = news.phase;
             self.stored = news.stored;
+            self.since = now;
             return Taken::News;
         }
         if news.phase == self.phase && news.stored && !self.stored {
@@ -335,16 +354,19 @@
     }
 
     fn step_running(&mut self, now: Micros, members: &Members, targets: usize) -> Option<Step> {
-        let any_old = members.versions.keys().any(|version| self.is_old(version));
+        let old = members.versions.iter();
+        let old = old.filter(|(version, _)| self.is_old(version));
+        let old: usize = old.map(|(_, count)| count).sum();
         let move_us = MOVE_US.min(self.within_us / MOVE_PART);
         if now + move_us < self.deadline {
             return None;
         }
         let cause = match self.judge.readiness() {
             _ if targets == 0 => Cause::NoTargets,
-            Readiness::Good => return Some(self.begin_move()),
+            _ if targets * LEAST_TARGETS < old => Cause::TooFewTargets,
+            Readiness::Good => return Some(self.begin_move(now)),
             // Nothing else can serve the calls.
-            Readiness::TooFew if !any_old => return Some(self.begin_move()),
+            Readiness::TooFew if old == 0 => return Some(self.begin_move(now)),
             Readiness::TooFew => Cause::TooFewCalls,
             Readiness::Doubtful => Cause::Doubtful,
         };
@@ -352,8 +374,9 @@
         is_last.then(|| self.revert(cause))
     }
 
-    fn begin_move(&mut self) -> Step {
+    fn begin_move(&mut self, now: Micros) -> Step {
         self.phase = Phase::Moving;
+        self.since = now;
         self.stored = false;
         Step::Move
     }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -176,10 +176,10 @@
         self.chooser.set_lane(lane.unwrap_or_default());
     }
 
-    /// Whether calls to a target count as a part of a rollout's canary share.
-    pub fn is_canary(&self, target: TargetId) -> bool {
+    /// Whether a target has the version that a rollout moves calls to.
+    pub fn is_new(&self, target: TargetId) -> bool {
         let rollout = self.rollout.as_ref();
-        rollout.is_some_and(|rollout| rollout.targets.canaries.contains(&target))
+        rollout.is_some_and(|rollout| rollout.targets.new.contains(&target))
     }
 
     /// Calls that were offered to the new version and may have reached it.
@@ -440,7 +440,7 @@
     /// An attempt never reached its target.
     fn take_back(&mut self, ended: &Attempt) {
         if let Some(rollout) = &mut self.rollout
-            && rollout.targets.canaries.contains(&ended.target)
+            && rollout.targets.new.contains(&ended.target)
         {
             rollout.exposure.taken_back(ended.kind);
         }
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -698,6 +698,7 @@
         canaries: vec![TargetId(4), TargetId(5)],
         width: 1,
         share: 0.1,
+        new: vec![TargetId(4), TargetId(5)],
         barred: Vec::new(),
     })
 }
@@ -749,6 +750,7 @@
         assert!(canary as f64 <= 0.1 * call as f64, "call {call}");
         answer(&mut router, attempt);
     }
+    assert!(router.is_new(TargetId(5)) && !router.is_new(TargetId(3)));
     assert_eq!(router.canary_calls(), canary);
     assert!(canary >= 38, "{canary}");
     // The same order told again does not begin anew, a later one does.
@@ -919,6 +921,19 @@
     assert_eq!(rollout.step(20 * SECOND, &members), None, "once");
 }
 
+#[test]
+fn calls_are_not_moved_to_a_handful_of_targets() {
+    let mut rollouts = Rollouts::default();
+    rollouts.take_order(0, &order(4, Some("v2")));
+    let rollout = rollouts.of_mut(SERVICE).expect("it is known");
+    let members = Members {
+        versions: BTreeMap::from([("v1".to_owned(), 20), ("v2".to_owned(), 4)]),
+        ..Members::default()
+    };
+    let last = rollout.step(10 * SECOND - 400 * MS, &members);
+    assert_eq!(last, Some(Step::Revert(Cause::TooFewTargets)));
+}
+
 #[test]
 fn old_targets_are_open_while_it_runs_and_closed_once_it_moves() {
     let mut rollouts = Rollouts::default();
@@ -933,6 +948,12 @@
     };
     rollouts.take(0, &moving);
     assert_eq!(admits(&rollouts, "v1"), Admits::Nothing);
+    let known = rollouts.of(SERVICE).expect("it is known");
+    assert!(
+        !known.closes(0, "v1", true),
+        "not all routers have heard of it"
+    );
+    assert!(known.closes(SECOND, "v1", true) && !known.closes(SECOND, "v2", true));
     assert_eq!(admits(&rollouts, "v2"), Admits::All);
     let rollout = rollouts.of_mut(SERVICE).expect("it is known");
     rollout.stored(Phase::Done, 5);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -60,7 +60,8 @@
     /// Whether a target makes it while it runs a call of its own.
     #[serde(rename = "n", default, skip_serializing_if = "std::ops::Not::not")]
     pub nested: bool,
-    /// Whether the sender counts it as a part of its share for a new version.
+    /// Whether the sender knows of the rollout that moves calls to the target's version, and
+    /// counts it as a part of its share while that runs.
     #[serde(rename = "v", default, skip_serializing_if = "std::ops::Not::not")]
     pub canary: bool,
     /// Where the sender can offer it if it is refused.
