--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -112,6 +112,7 @@
         service = entry.service.as_str(),
         zone = entry.zone.as_str(),
         region = entry.region.as_str(),
+        version = entry.version.as_str(),
         state:? = entry.state;
         "member"
     );
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -278,6 +278,7 @@
         priority: outbound.priority,
         nested: outbound.nested,
         homes: outbound.homes.clone(),
+        canary: false,
         elsewhere: Elsewhere::Nowhere,
         goal_left_us: None,
         left_us: outbound.deadline.saturating_sub(core.clock.now()),
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -288,7 +288,10 @@
             link: link.clone(),
         });
         let sent = link.is_some_and(|link| {
-            let frame = self.frame(attempt, elsewhere);
+            let frame = CallFrame {
+                canary: self.service.with(|router| router.is_new(target)),
+                ..self.frame(attempt, elsewhere)
+            };
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
@@ -313,6 +316,7 @@
             priority: self.call.priority,
             nested: self.call.nested,
             homes: self.call.homes.clone(),
+            canary: false,
             elsewhere,
             goal_left_us: self
                 .call
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -255,7 +255,11 @@
             region: &own_region,
             ..core.here()
         };
-        let wanted = subset_with_homes(here, &candidates, effective.subset_size, &regions);
+        let division = core.rollouts.division(&self.name, &listed, effective);
+        let wanted = match &division {
+            None => subset_with_homes(here, &candidates, effective.subset_size, &regions),
+            Some(division) => division.wanted(here, &candidates, effective.subset_size, &regions),
+        };
         let mut entries: HashMap<TargetId, HostEntry> = candidates
             .iter()
             .map(|candidate| candidate.target)
@@ -281,6 +285,7 @@
         router.set_targets(core.clock.now(), &targets);
         router.set_distances(&distances);
         router.set_regions(stands);
+        router.set_rollout(division.map(|division| division.targets(&candidates, &wanted)));
         drop(router);
         peers.retain(|target, peer| {
             entries
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -84,6 +84,7 @@
             kind,
             priority: 0,
             nested: false,
+            canary: false,
             homes,
             elsewhere: Elsewhere::Nowhere,
             goal_left_us: None,
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -53,6 +53,28 @@
     pub prices: WayPrices,
 }
 
+/// Which targets may be chosen.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Lane {
+    /// All.
+    #[default]
+    All,
+    /// All but these.
+    Without(Vec<TargetId>),
+    /// These only.
+    Only(Vec<TargetId>),
+}
+
+impl Lane {
+    fn allows(&self, target: TargetId) -> bool {
+        match self {
+            Lane::All => true,
+            Lane::Without(targets) => !targets.contains(&target),
+            Lane::Only(targets) => targets.contains(&target),
+        }
+    }
+}
+
 /// What is asked of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -101,6 +123,8 @@
     passes_over_doubted: bool,
     /// How far away a target may be.
     reach: Distance,
+    /// Which targets a rollout leaves to the next choice.
+    lane: Lane,
     rng: SmallRng,
 }
 
@@ -119,6 +143,7 @@
             picks: 0,
             passes_over_doubted: false,
             reach: Distance::OtherRegion,
+            lane: Lane::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -161,6 +186,11 @@
         self.reach = reach;
     }
 
+    /// Says which targets the next choices are made among.
+    pub fn set_lane(&mut self, lane: Lane) {
+        self.lane = lane;
+    }
+
     /// Takes the time that a call of a kind takes at usual speed.
     pub fn learn_work(&mut self, kind: CallKind, work_us: f64) {
         self.works.learn(kind, work_us);
@@ -282,6 +312,7 @@
     fn is_open(&self, now: Micros, target: TargetId, tried: &[TargetId]) -> bool {
         let state = &self.states[&target];
         let is_passed_over = self.passes_over_doubted && state.is_doubted();
+        let is_passed_over = is_passed_over || !self.lane.allows(target);
         !is_passed_over && !tried.contains(&target) && self.is_usable(now, state)
     }
 
@@ -296,7 +327,8 @@
             .iter()
             .map(|target| (target, &self.states[target]));
         let is_sure = |(target, state): (&TargetId, &TargetState)| {
-            !state.is_doubted() && !tried.contains(target) && self.is_usable(now, state)
+            let is_sure = !state.is_doubted() && self.lane.allows(*target);
+            is_sure && !tried.contains(target) && self.is_usable(now, state)
         };
         states.clone().any(|(_, state)| state.is_doubted()) && states.any(is_sure)
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -33,6 +33,8 @@
     WrongService,
     /// The target stands outside the call's home regions.
     OutsideHome,
+    /// The target has a version that gets no such call while a rollout goes on.
+    Version,
 }
 
 /// A definite statement that a call was not run, with when to come back.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 mod region_budget;
 mod report;
 mod retry;
+mod rollout;
 mod router;
 mod sample;
 mod silence;
@@ -69,6 +70,11 @@
 pub use region_budget::RegionBudget;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
 pub use retry::{FurtherAttempts, FurtherParams, RetryBound, RetryBudget, RetryWindow};
+pub use rollout::{
+    Admits, CANARY_PART, Cause, Exposure, Fault, HalfEvidence, Judge, Members, Outcome, Phase,
+    Readiness, Rollout, RolloutNews, RolloutOrder, RolloutTargets, Rollouts, Step, Taken, Tally,
+    canary_width,
+};
 pub use router::{Router, RouterParams};
 pub use sample::{SampleRates, Sampler};
 pub use silence::SilenceLimit;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,8 @@
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
-    AttemptId, CallKind, Elsewhere, Figures, Homes, NotRunReason, Refusal, ZoneNews,
+    AttemptId, CallKind, Elsewhere, Figures, HalfEvidence, Homes, NotRunReason, Refusal,
+    RolloutNews, ZoneNews,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -62,6 +63,10 @@
     /// The only regions in which it may be served.
     #[serde(rename = "r", default, skip_serializing_if = "Homes::is_anywhere")]
     pub homes: Homes,
+    /// Whether the sender knows of the rollout that moves calls to the target's version, and
+    /// counts it as a part of its share while that runs.
+    #[serde(rename = "v", default, skip_serializing_if = "std::ops::Not::not")]
+    pub canary: bool,
     /// Where the sender can offer it if it is refused.
     #[serde(rename = "m", default, skip_serializing_if = "Elsewhere::is_nowhere")]
     pub elsewhere: Elsewhere,
@@ -181,6 +186,20 @@
     pub digest: Option<u64>,
 }
 
+/// The half of a target that calls are moved away from has none in hand and takes none.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IdleFrame {
+    /// Service of the rollout.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Number of its order.
+    #[serde(rename = "o")]
+    pub order: u64,
+    /// Host of the target.
+    #[serde(rename = "h")]
+    pub host: String,
+}
+
 /// A message. Asks carry a number that their reply repeats.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
@@ -277,6 +296,12 @@
     },
     /// Availability zones that were evacuated, or are no more, as the sender knows.
     Zones(Vec<ZoneNews>),
+    /// Where rollouts stand, as the sender knows.
+    Rollouts(Vec<RolloutNews>),
+    /// What the half of the sender's target counted while a rollout runs.
+    RolloutEvidence(HalfEvidence),
+    /// The half of a target that calls are moved away from has none in hand.
+    RolloutIdle(IdleFrame),
     /// Changes of the members' table that the sender knows of.
     Rows(RowsFrame),
     /// Asks for the changes of the members' table.
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -13,6 +13,7 @@
         kind: CallKind::default(),
         priority: 0,
         nested: false,
+        canary: false,
         homes,
         elsewhere: Elsewhere::Nowhere,
         goal_left_us: None,
