--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -85,6 +85,8 @@
     pub service: Duration,
     pub processes: bool,
     pub seeds: bool,
+    /// Whether each place is a region of its own.
+    pub regions: bool,
 }
 
 impl Plan {
@@ -97,6 +99,7 @@
             service: Duration::from_millis(2),
             processes: false,
             seeds: false,
+            regions: false,
         }
     }
 
@@ -180,7 +183,10 @@
             host: host.clone(),
             place: place.to_owned(),
             zone: format!("{place}-1"),
-            region: String::new(),
+            region: match plan.regions {
+                true => place.to_owned(),
+                false => String::new(),
+            },
             service: service.to_owned(),
             callers: free_address(&self.ip),
             mesh: free_address(&self.ip),
@@ -268,7 +274,7 @@
         let file = self.folder.join(format!("{}.json", worker.host));
         let text = json!({
             "deployment": raw.deployment, "host": raw.host, "place": raw.place,
-            "zone": raw.zone, "service": raw.service, "callers": raw.callers,
+            "zone": raw.zone, "region": raw.region, "service": raw.service, "callers": raw.callers,
             "mesh": raw.mesh, "ops": raw.ops, "target": raw.target,
             "target_health": raw.target_health, "platform": raw.platform,
             "shared_key": raw.shared_key, "seeds": raw.seeds, "log_level": "warn"
