--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -157,7 +157,7 @@
 }
 
 /// Safe methods ask for no effects (RFC 9110, section 9.2.1).
-fn is_safe(method: &Method) -> bool {
+pub(super) fn is_safe(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
 }
 
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod body;
 mod classify;
+mod pieces;
 mod room;
 mod serve;
 mod stall;
@@ -42,6 +43,9 @@
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Largest head of a request, in bytes.
 const HEAD_BYTES: usize = 32 << 10;
+/// Bytes read from a caller at once, at most: what of a large body is in memory beside its
+/// window.
+const READ_BYTES: usize = 64 << 10;
 /// Headers of a request at most.
 const HEADERS_LIMIT: usize = 100;
 /// Pause after a failed accept, such as for want of descriptors.
@@ -117,6 +121,7 @@
         .header_read_timeout(limit)
         .max_header_size(HEAD_BYTES)
         .max_headers(HEADERS_LIMIT)
+        .max_buf_size(READ_BYTES)
         .serve_connection(TokioIo::new(stall::Stall::new(stream, limit)), service);
     tokio::pin!(connection);
     let closing = async {
--- a/crates/daemon/src/callers/room.rs
+++ b/crates/daemon/src/callers/room.rs
@@ -14,14 +14,14 @@
 
 /// Room taken by one call.
 #[derive(Debug)]
-pub(super) struct Taken<'a> {
+pub struct Taken<'a> {
     room: &'a BodyRoom,
     bytes: usize,
 }
 
 impl BodyRoom {
     /// Takes `bytes`, unless more than `limit` would then be in use.
-    pub(super) fn take(&self, bytes: usize, limit: usize) -> Option<Taken<'_>> {
+    pub fn take(&self, bytes: usize, limit: usize) -> Option<Taken<'_>> {
         let is_taken = self.reserve(bytes, limit);
         is_taken.then(|| Taken { room: self, bytes })
     }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -3,21 +3,26 @@
 use std::sync::Arc;
 
 use hyper::Request;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::EXPECT;
+use hyper::http::request::Parts;
 use lynxcleat_policy::{CallId, CallKind};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
+use lynxcleat_wire::BodyToCome;
 use rand::RngExt;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 
 use super::answer::{self, HttpAnswer, Outcome, Problem};
-use super::body;
+use super::body::{self, CallerBody};
 use super::classify::{self, Classified, Effects};
+use super::pieces::{self, BodyEnd};
 use super::room::Taken;
 use crate::core::Core;
 use crate::life::Phase;
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
-use crate::route::{self, Outbound, RouteVerdict, ServiceRouter};
+use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, UploadReader};
 use crate::settings_state::InForce;
 
 /// Path under which the daemon itself answers callers.
@@ -43,6 +48,7 @@
     kind: CallKind,
     priority: u32,
     effects: Effects,
+    large_bodies: bool,
 }
 
 #[derive(Serialize)]
@@ -93,8 +99,19 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let mut room = take_room(core, &pinned.effective, &body)?;
-    let body = body::read(body, &pinned.effective, &mut room).await?;
+    let to_come = to_come(&pinned, parts, &body);
+    let mut room = take_room(core, &pinned.effective, &body, to_come)?;
+    let (body, coming) = match to_come {
+        Some(to_come) => {
+            let waits = parts.headers.contains_key(EXPECT);
+            let coming = (CallerBody::new(body, waits), route::upload(to_come));
+            (ByteBuf::new(), Some(coming))
+        }
+        None => {
+            let whole = body::read(body, &pinned.effective, &mut room).await?;
+            (whole, None)
+        }
+    };
     let Pinned {
         call,
         effective,
@@ -123,12 +140,68 @@
         generation,
         head: call.head,
         body,
+        upload: None,
+    };
+    let answered = match coming {
+        None => run(core, terms.effects, service, outbound).await,
+        Some((body, (upload, reader))) => {
+            let outbound = Outbound {
+                upload: Some(upload),
+                ..outbound
+            };
+            let running = run(core, terms.effects, service, outbound);
+            run_with_body(core, (name, &effective), running, (body, reader)).await
+        }
     };
-    let answered = run(core, terms.effects, service, outbound).await;
     drop(room);
     answered
 }
 
+/// What is said beforehand of a body that is passed on in pieces; nothing for one that is
+/// read whole. A ticket or key needs the whole body, and a body without a stated length that
+/// comes with a safe method cannot be told from none on the way to the target.
+fn to_come(pinned: &Pinned, parts: &Parts, body: &impl Body) -> Option<BodyToCome> {
+    let terms = &pinned.terms;
+    let is_plain = matches!(terms.effects, Effects::None | Effects::Plain);
+    if !terms.large_bodies || !is_plain || classify::is_safe(&parts.method) {
+        return None;
+    }
+    let length = body.size_hint().exact();
+    let is_small = length.is_some_and(|length| length <= pinned.effective.body_whole_bytes as u64);
+    (!is_small).then_some(BodyToCome { length })
+}
+
+/// Runs a call whose body is read while it runs. Its answer may come before the body's end.
+async fn run_with_body<B>(
+    core: &Core,
+    (name, effective): (&str, &Effective),
+    running: impl Future<Output = Result<HttpAnswer, Problem>>,
+    (mut body, reader): (CallerBody<B>, UploadReader),
+) -> Result<HttpAnswer, Problem>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Send,
+{
+    tokio::pin!(running);
+    let sent = tokio::select! {
+        biased;
+        answered = &mut running => Err(answered),
+        end = pieces::send(core, name, &mut body, effective, reader) => Ok(end),
+    };
+    let (answered, end) = match sent {
+        Ok(end) => (running.await, end),
+        Err(answered) => (answered, BodyEnd::CallEnded),
+    };
+    body.discard();
+    match (answered, end) {
+        (Err(Problem::NotRun { .. }), BodyEnd::TooLarge) => Err(Problem::TooLarge {
+            limit: effective.body_limit_bytes,
+        }),
+        (Err(Problem::NotRun { .. }), BodyEnd::TooSlow) => Err(Problem::TooSlow),
+        (answered, _) => answered,
+    }
+}
+
 /// One line for a call that was answered before it was routed; the others are logged
 /// with their attempts.
 fn log_unrouted(core: &Core, name: &str, problem: &Problem) {
@@ -140,14 +213,18 @@
 }
 
 /// Takes room for the call's body as far as its length is stated; the rest is taken as it
-/// comes.
+/// comes. A body in pieces takes no more than its window.
 fn take_room<'a>(
     core: &'a Core,
     effective: &Effective,
-    body: &Incoming,
+    body: &impl Body,
+    to_come: Option<BodyToCome>,
 ) -> Result<Taken<'a>, Problem> {
     let stated = body.size_hint().exact();
-    let bytes = stated.map_or(0, |length| length as usize);
+    let bytes = match to_come {
+        Some(_) => effective.body_window_bytes,
+        None => stated.map_or(0, |length| length as usize),
+    };
     let room = core.bodies.take(bytes, effective.body_memory_bytes);
     room.ok_or(Problem::NoRoom)
 }
@@ -171,6 +248,7 @@
             kind: CallKind(named.kind),
             priority: named.route.priority,
             effects: route_effects(named.route.effects, &call.effects),
+            large_bodies: named.route.large_bodies,
         },
         None => Terms {
             timeout_ms: effective.deadline_max_ms,
@@ -179,6 +257,7 @@
             kind: CallKind::default(),
             priority: 0,
             effects: call.effects.clone(),
+            large_bodies: false,
         },
     };
     Ok(Pinned {
--- /dev/null
+++ b/crates/daemon/src/half/bodies.rs
@@ -0,0 +1,274 @@
+//! Bodies in pieces on their way to the target.
+//!
+//! Each has a window: what arrived and was not yet written to the target. A piece
+//! counts until its bytes are let go of by the connection to the target, and the window
+//! is opened further by as much. A body whose pieces stop before the last one is cut,
+//! and so is the connection that it was written on.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+
+use futures_util::StreamExt;
+use hyper::body::{Body, Bytes, Frame as BodyFrame, SizeHint};
+use lynxcleat_policy::{AttemptId, Micros, ReceiveWindow};
+use lynxcleat_wire::{BodyToCome, Frame, PieceFrame};
+use serde_bytes::ByteBuf;
+use thiserror::Error;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::mesh::Link;
+use crate::metrics::{Metrics, count};
+use crate::sync::lock;
+
+/// The pieces stopped before the last one.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the body was cut")]
+pub(super) struct BodyCut;
+
+/// Pieces of one attempt's body.
+type Key = (u64, AttemptId);
+
+/// The bodies in pieces that are on their way.
+#[derive(Default)]
+pub struct Bodies {
+    arriving: Mutex<HashMap<Key, Arriving>>,
+}
+
+struct Arriving {
+    window: Arc<Window>,
+    pieces: flume::Sender<Piece>,
+}
+
+struct Piece {
+    bytes: Bytes,
+    last: bool,
+}
+
+/// The window of one body, shared by all that hold pieces of it.
+struct Window {
+    clock: Clock,
+    link: Arc<Link>,
+    attempt: AttemptId,
+    state: Mutex<ReceiveWindow>,
+    /// When the last piece arrived; 0 before.
+    whole_at: AtomicU64,
+    /// Whether some of the body may have been written to the target.
+    begun: AtomicBool,
+    /// Whether the connection to the target was given the last piece.
+    handed_over: AtomicBool,
+}
+
+impl Window {
+    fn open(&self) {
+        let bytes = lock(&self.state).open();
+        self.tell(bytes);
+    }
+
+    fn taken(&self, bytes: u64) {
+        let more = lock(&self.state).taken(bytes);
+        if let Some(bytes) = more {
+            self.tell(bytes);
+        }
+    }
+
+    fn tell(&self, bytes: u64) {
+        let attempt = self.attempt;
+        let _ = self.link.send(Frame::Window { attempt, bytes });
+    }
+}
+
+/// The bytes of a piece; when they are dropped, the window is opened further.
+struct Held {
+    bytes: ByteBuf,
+    window: Arc<Window>,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.window.taken(self.bytes.len() as u64);
+    }
+}
+
+impl Bodies {
+    /// Expects the body of an attempt. Nothing comes before its window is opened.
+    pub(super) fn expect(
+        &self,
+        core: &Core,
+        link: &Arc<Link>,
+        attempt: AttemptId,
+        (to_come, window): (BodyToCome, usize),
+    ) -> Expected<'_> {
+        let (pieces, arrived) = flume::unbounded();
+        let window = Arc::new(Window {
+            clock: core.clock,
+            link: Arc::clone(link),
+            attempt,
+            state: Mutex::new(ReceiveWindow::new(window as u64, to_come.length)),
+            whole_at: AtomicU64::new(0),
+            begun: AtomicBool::new(false),
+            handed_over: AtomicBool::new(false),
+        });
+        let key = (link.id, attempt);
+        let arriving = Arriving {
+            window: Arc::clone(&window),
+            pieces,
+        };
+        lock(&self.arriving).insert(key, arriving);
+        Expected {
+            bodies: self,
+            key,
+            length: to_come.length,
+            window,
+            arrived,
+        }
+    }
+
+    /// A piece arrived. One that may not come cuts its body.
+    pub fn take_piece(&self, core: &Core, link: &Link, piece: PieceFrame) {
+        let key = (link.id, piece.attempt);
+        let mut arriving = lock(&self.arriving);
+        let Some(body) = arriving.get(&key) else {
+            drop(arriving);
+            count(&core.metrics.dropped_answers, "piece");
+            return;
+        };
+        let arrived = lock(&body.window.state).arrived(piece.bytes.len() as u64, piece.last);
+        if let Err(fault) = arrived {
+            arriving.remove(&key);
+            drop(arriving);
+            log::warn!(from = link.peer.host.as_str(); "piece of a body refused: {fault}");
+            return;
+        }
+        if piece.last {
+            let now = body.window.clock.now().max(1);
+            body.window.whole_at.store(now, Ordering::Release);
+        }
+        let held = Held {
+            bytes: piece.bytes,
+            window: Arc::clone(&body.window),
+        };
+        let _ = body.pieces.send(Piece {
+            bytes: Bytes::from_owner(held),
+            last: piece.last,
+        });
+    }
+}
+
+/// A body that is expected, until the exchange with the target ends.
+pub(super) struct Expected<'a> {
+    bodies: &'a Bodies,
+    key: Key,
+    length: Option<u64>,
+    window: Arc<Window>,
+    arrived: flume::Receiver<Piece>,
+}
+
+impl Expected<'_> {
+    /// Opens the window and waits for the first piece: before it is there, nothing is
+    /// written to the target.
+    ///
+    /// # Errors
+    /// A body that does not come.
+    pub(super) async fn begin(&self) -> Result<PieceBody, BodyCut> {
+        self.window.open();
+        let first = self.arrived.recv_async().await.map_err(|_| BodyCut)?;
+        Ok(PieceBody {
+            first: Some(first),
+            rest: self.arrived.clone().into_stream(),
+            length: self.length,
+            window: Arc::clone(&self.window),
+            ended: false,
+        })
+    }
+
+    /// From now on, some of it may be at the target.
+    pub(super) fn set_begun(&self) {
+        self.window.begun.store(true, Ordering::Release);
+    }
+
+    /// Whether some of it may be at the target.
+    pub(super) fn is_begun(&self) -> bool {
+        self.window.begun.load(Ordering::Acquire)
+    }
+
+    /// When the last piece arrived.
+    pub(super) fn whole_at(&self) -> Option<Micros> {
+        let at = self.window.whole_at.load(Ordering::Acquire);
+        (at > 0).then_some(at)
+    }
+
+    /// Whether the connection to the target was given all of it.
+    pub(super) fn is_handed_over(&self) -> bool {
+        self.window.handed_over.load(Ordering::Acquire)
+    }
+
+    /// Bytes that arrived.
+    pub(super) fn bytes(&self) -> u64 {
+        lock(&self.window.state).bytes()
+    }
+}
+
+impl Drop for Expected<'_> {
+    fn drop(&mut self) {
+        lock(&self.bodies.arriving).remove(&self.key);
+    }
+}
+
+/// Counts a body that was not written whole.
+pub(super) fn count_cut(metrics: &Metrics, by: &'static str) {
+    count(&metrics.bodies_cut, by);
+}
+
+/// A body as the connection to the target reads it.
+pub(super) struct PieceBody {
+    first: Option<Piece>,
+    rest: flume::r#async::RecvStream<'static, Piece>,
+    length: Option<u64>,
+    window: Arc<Window>,
+    ended: bool,
+}
+
+impl Body for PieceBody {
+    type Data = Bytes;
+    type Error = BodyCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<BodyFrame<Bytes>, BodyCut>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let next = match self.first.take() {
+            Some(first) => Some(first),
+            None => ready!(self.rest.poll_next_unpin(context)),
+        };
+        let Some(piece) = next else {
+            return Poll::Ready(Some(Err(BodyCut)));
+        };
+        if piece.last {
+            self.ended = true;
+            self.window.handed_over.store(true, Ordering::Release);
+        }
+        Poll::Ready(Some(Ok(BodyFrame::data(piece.bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
@@ -11,6 +11,7 @@
 use lynxcleat_wire::{Answer, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
+use super::bodies::{BodyCut, Expected, PieceBody};
 use super::pool::{Pool, Sender};
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
@@ -25,16 +26,24 @@
 const SHED_RETRY_AFTER_US: Micros = 100_000;
 
 /// What is written to the target.
-pub(super) struct Request {
+pub(super) struct Request<'a> {
     pub call: String,
     pub head: RequestHead,
-    pub body: Vec<u8>,
+    pub body: RequestBody<'a>,
     pub left_us: Micros,
     pub body_limit: usize,
     pub instance: Option<String>,
     pub caller_service: Option<String>,
 }
 
+/// The body that is written.
+pub(super) enum RequestBody<'a> {
+    /// It is here.
+    Whole(Vec<u8>),
+    /// It comes in pieces once its window is open.
+    Pieces(&'a Expected<'a>),
+}
+
 /// How an exchange with the target ended.
 pub(super) enum Exchange {
     /// The whole answer arrived, with the target's load where it tells it.
@@ -43,8 +52,10 @@
     Shed { retry_after_us: Micros },
     /// Another incarnation of the target answered; the call was not run.
     OtherInstance,
-    /// Nothing was written.
+    /// Nothing was written, since the target cannot be reached.
     NotWritten,
+    /// Nothing was written, since the body did not come.
+    NoBody,
     /// The request was written, in whole or in part, and no whole answer came.
     Lost,
 }
@@ -68,7 +79,10 @@
     }
 }
 
-type HttpRequest = hyper::Request<Full<Bytes>>;
+/// A request's body as it is written.
+pub(super) type TargetBody = Either<Full<Bytes>, PieceBody>;
+
+type HttpRequest = hyper::Request<TargetBody>;
 
 impl Pool {
     /// Writes a request and reads the whole answer; `sends` is called once it is written. If the
@@ -76,30 +90,44 @@
     pub(super) async fn exchange(
         &self,
         dialect: &Dialect,
-        request: Request,
+        request: Request<'_>,
         sends: impl Fn(),
     ) -> Exchange {
         let body_limit = request.body_limit;
         let is_head = request.head.method == "HEAD";
         let call = request.call.clone();
-        let Some(mut http) = build(dialect, request) else {
+        let expected = match request.body {
+            RequestBody::Pieces(expected) => Some(expected),
+            RequestBody::Whole(_) => None,
+        };
+        // A body is asked for only when there is a connection for it.
+        let mut connection = self.take_logged().await;
+        if connection.is_none() {
             return Exchange::NotWritten;
+        }
+        let mut http = match begin(dialect, request).await {
+            Ok(Some(http)) => http,
+            Ok(None) => return Exchange::NotWritten,
+            Err(BodyCut) => return Exchange::NoBody,
         };
         loop {
-            let mut sender = match self.take().await {
-                Ok(sender) => sender,
-                Err(error) => {
-                    log::debug!("target: {error}");
-                    return Exchange::NotWritten;
-                }
+            let taken = match connection.take() {
+                Some(sender) => Some(sender),
+                None => self.take_logged().await,
+            };
+            let Some(mut sender) = taken else {
+                return Exchange::NotWritten;
             };
+            if let Some(expected) = expected {
+                expected.set_begun();
+            }
             match send(&mut sender, http, &sends).await {
                 Ok(response) => {
                     if answers_another(dialect, &response, &call) {
                         return Exchange::Lost;
                     }
                     return self
-                        .finish(dialect, sender, response, (body_limit, is_head))
+                        .finish(dialect, (sender, expected), response, (body_limit, is_head))
                         .await;
                 }
                 // Given back unwritten: the target had closed an idle connection.
@@ -111,12 +139,22 @@
         }
     }
 
+    async fn take_logged(&self) -> Option<Sender> {
+        match self.take().await {
+            Ok(sender) => Some(sender),
+            Err(error) => {
+                log::debug!("target: {error}");
+                None
+            }
+        }
+    }
+
     /// Asks the target for its load at a path that it answers at once. Nothing where no
     /// whole answer came.
     pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<Told> {
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, "target")
-            .body(Full::default())
+            .body(Either::Left(Full::default()))
             .ok()?;
         let mut sender = self.take().await.ok()?;
         let response = sender.http.try_send_request(request).await.ok()?;
@@ -141,7 +179,7 @@
     async fn finish(
         &self,
         dialect: &Dialect,
-        sender: Sender,
+        (sender, expected): (Sender, Option<&Expected<'_>>),
         response: Response<Incoming>,
         (body_limit, is_head): (usize, bool),
     ) -> Exchange {
@@ -154,7 +192,10 @@
                 return Exchange::Lost;
             }
         };
-        self.put_back(sender);
+        // The rest of a body is still due where the target answered before it had all of it.
+        if expected.is_none_or(Expected::is_handed_over) {
+            self.put_back(sender);
+        }
         match (dialect.answer_kind)(&parts) {
             AnswerKind::Ran => {}
             AnswerKind::NotRun { retry_after_us } => {
@@ -197,7 +238,21 @@
     answered.await
 }
 
-fn build(dialect: &Dialect, request: Request) -> Option<HttpRequest> {
+/// Makes the request, for a body in pieces once its first is there. Nothing where it cannot
+/// be written.
+async fn begin(dialect: &Dialect, request: Request<'_>) -> Result<Option<HttpRequest>, BodyCut> {
+    let body = match &request.body {
+        RequestBody::Whole(_) => None,
+        RequestBody::Pieces(expected) => Some(expected.begin().await?),
+    };
+    Ok(build(dialect, request, body))
+}
+
+fn build(
+    dialect: &Dialect,
+    request: Request<'_>,
+    pieces: Option<PieceBody>,
+) -> Option<HttpRequest> {
     let Request {
         call,
         head,
@@ -207,6 +262,11 @@
         caller_service,
         ..
     } = request;
+    let body = match (body, pieces) {
+        (_, Some(pieces)) => Either::Right(pieces),
+        (RequestBody::Whole(bytes), None) => Either::Left(Full::new(Bytes::from(bytes))),
+        (RequestBody::Pieces(_), None) => return None,
+    };
     let method = Method::from_bytes(head.method.as_bytes()).ok()?;
     let uri: Uri = head.path.parse().ok()?;
     let mut http = hyper::Request::builder().method(method).uri(uri);
@@ -222,7 +282,7 @@
     }
     http.header(&dialect.deadline, left_ms)
         .header(&dialect.call, call)
-        .body(Full::new(Bytes::from(body)))
+        .body(body)
         .ok()
 }
 
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -4,6 +4,7 @@
 //! half knows the exact load, remembers once-only operations, and keeps the warm
 //! connections to the target.
 
+mod bodies;
 mod exchange;
 mod pool;
 mod serve;
@@ -29,6 +30,7 @@
 use crate::mesh::Link;
 use crate::sync::lock;
 
+use bodies::Bodies;
 use exchange::Told;
 
 pub use pool::Pool;
@@ -102,6 +104,8 @@
     asking: tokio::sync::Mutex<()>,
     /// Told when held calls want to be looked at again.
     look_wanted: Notify,
+    /// Bodies in pieces on their way to the target.
+    pub bodies: Bodies,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -143,6 +147,7 @@
             load_readings: AtomicU32::new(0),
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
+            bodies: Bodies::default(),
             pool,
         }
     }
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -13,14 +13,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use http_body_util::Full;
-use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 
+use super::exchange::TargetBody;
 use super::watched::Watched;
 use crate::sync::lock;
 
@@ -35,7 +34,7 @@
 /// A connection that takes one request at a time.
 pub(super) struct Sender {
     /// Takes the request.
-    pub http: SendRequest<Full<Bytes>>,
+    pub http: SendRequest<TargetBody>,
     /// Hears when something is written on the connection.
     pub written: watch::Receiver<u64>,
 }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -6,9 +6,10 @@
 use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
 use lynxcleat_policy::{AdmitEvent, AttemptId, CallId, CallTerms, Micros, Refusal, RefusalReason};
 use lynxcleat_settings::Effective;
-use lynxcleat_wire::{Answer, CallFrame, Frame};
+use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame};
 
-use super::exchange::{Exchange, Request};
+use super::bodies::{Expected, count_cut};
+use super::exchange::{Exchange, Request, RequestBody};
 use super::{Go, Half, send};
 use crate::control::asks_for_load;
 use crate::core::Core;
@@ -39,6 +40,9 @@
 /// its load, as a divisor; then the call is offered to it all the same.
 const ASK_PART: u64 = 20;
 
+/// Hint for callers whose body did not come, or had no room here.
+const BODY_RETRY_AFTER_US: Micros = 200_000;
+
 /// How a call ended at the half.
 enum Ended {
     /// The answer, and the time at usual speed where it is known.
@@ -57,7 +61,7 @@
     deadline: Micros,
     settings: Arc<Effective>,
     cancelled: flume::Receiver<()>,
-    link: &'a Link,
+    link: &'a Arc<Link>,
 }
 
 /// Serves a call that arrived on a link, in a task of its own.
@@ -183,7 +187,12 @@
     count(&core.metrics.target_refusals, kind);
 }
 
-async fn serve(core: &Core, link: &Link, call: CallFrame, cancelled: flume::Receiver<()>) -> Ended {
+async fn serve(
+    core: &Core,
+    link: &Arc<Link>,
+    call: CallFrame,
+    cancelled: flume::Receiver<()>,
+) -> Ended {
     if call.service != core.half.service(core) {
         return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
     }
@@ -331,10 +340,21 @@
             return refused(RefusalReason::Leaving, NOT_READY_RETRY_AFTER_US);
         };
         let begun = self.core.clock.now();
-        let exchange = self.exchange(op, call, instance.clone()).await;
-        let took = self.core.clock.now().saturating_sub(begun);
+        let (exchange, served_from) = match call.to_come {
+            Some(to_come) => {
+                self.exchange_in_pieces(op, (call, to_come), instance.clone())
+                    .await
+            }
+            None => (
+                self.exchange_whole(op, call, instance.clone()).await,
+                Some(begun),
+            ),
+        };
+        let now = self.core.clock.now();
+        let took = now.saturating_sub(served_from.unwrap_or(now));
         let took_us = u32::try_from(took).unwrap_or(u32::MAX);
-        let served = matches!(&exchange, Exchange::Answer(answer, _) if answer.status < 500);
+        let is_good = matches!(&exchange, Exchange::Answer(answer, _) if answer.status < 500);
+        let served = is_good && served_from.is_some();
         let load = match &exchange {
             Exchange::Answer(_, load) => *load,
             _ => None,
@@ -352,33 +372,23 @@
                 refused(RefusalReason::Shed, DOWN_RETRY_AFTER_US)
             }
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
+            Exchange::NoBody => refused(RefusalReason::TooLate, BODY_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
             Exchange::Lost => Ended::Lost,
         }
     }
 
-    /// Writes the call to the target. A lookup that is no longer wanted is cut
+    /// Writes a call with its body to the target. A lookup that is no longer wanted is cut
     /// off; an operation is not, so that its outcome is known.
-    async fn exchange(
+    async fn exchange_whole(
         &self,
         op: Option<OpId>,
-        call: CallFrame,
+        mut call: CallFrame,
         instance: Option<String>,
     ) -> Exchange {
-        let request = Request {
-            call: call.call,
-            head: call.head,
-            body: call.body.into_vec(),
-            left_us: self.deadline.saturating_sub(self.core.clock.now()),
-            body_limit: self.settings.body_limit_bytes,
-            instance,
-            caller_service: call.caller_service,
-        };
-        let wait_us = match op {
-            Some(_) => self.deadline + OUTCOME_WAIT_US,
-            None => self.deadline,
-        };
-        let over = tokio::time::sleep_until(self.core.clock.instant(wait_us));
+        let body = RequestBody::Whole(std::mem::take(&mut call.body).into_vec());
+        let request = self.request(call, instance, body);
+        let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
         let sends = || self.half.admit(AdmitEvent::Sent { call: self.id });
         let exchange = self.half.pool.exchange(&self.core.dialect, request, sends);
         if op.is_some() {
@@ -395,6 +405,95 @@
         }
     }
 
+    /// Writes a call to the target whose body comes in pieces. Until it is whole, even an
+    /// operation is cut off that is no longer wanted: the target never has all of it.
+    /// Returns also from when on the target had all of it.
+    async fn exchange_in_pieces(
+        &self,
+        op: Option<OpId>,
+        (call, to_come): (CallFrame, BodyToCome),
+        instance: Option<String>,
+    ) -> (Exchange, Option<Micros>) {
+        let window = self.settings.body_window_bytes;
+        let room = self
+            .core
+            .bodies
+            .take(window, self.settings.body_memory_bytes);
+        if room.is_none() {
+            return (Exchange::NoBody, None);
+        }
+        let (attempt, name) = (call.attempt, call.call.clone());
+        let bodies = &self.half.bodies;
+        let expected = bodies.expect(self.core, self.link, attempt, (to_come, window));
+        let request = self.request(call, instance, RequestBody::Pieces(&expected));
+        let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
+        let sends = || self.half.admit(AdmitEvent::Sent { call: self.id });
+        let exchange = self.half.pool.exchange(&self.core.dialect, request, sends);
+        let (exchange, ended_by) = tokio::select! {
+            exchange = exchange => (exchange, "target"),
+            by = self.unwanted(op, &expected) => (Exchange::Lost, by),
+            () = over => (Exchange::Lost, "deadline"),
+        };
+        let exchange = match exchange {
+            Exchange::Lost if !expected.is_begun() => Exchange::NoBody,
+            other => other,
+        };
+        if !expected.is_handed_over() {
+            self.note_cut(&name, &expected, ended_by);
+        }
+        drop(room);
+        (exchange, expected.whole_at())
+    }
+
+    /// Ends when a call with a body in pieces is no longer wanted, and says who ended it. An
+    /// operation goes on once its body is whole, so that its outcome is known.
+    async fn unwanted(&self, op: Option<OpId>, expected: &Expected<'_>) -> &'static str {
+        let by = tokio::select! {
+            _ = self.cancelled.recv_async() => "sender",
+            () = self.link.closed() => "link",
+            () = tokio::time::sleep_until(self.core.clock.instant(self.deadline)) => "deadline",
+        };
+        if op.is_some() && expected.whole_at().is_some() {
+            std::future::pending::<()>().await;
+        }
+        by
+    }
+
+    fn note_cut(&self, call: &str, expected: &Expected<'_>, ended_by: &'static str) {
+        count_cut(&self.core.metrics, ended_by);
+        if self.core.explain.logs(self.core.clock.now(), false) {
+            let from = self.link.peer.host.as_str();
+            let bytes = expected.bytes();
+            let delivered = expected.is_begun();
+            log::info!(call, from, bytes, delivered, ended_by; "body cut at the target");
+        }
+    }
+
+    /// How long the answer of the target is waited for.
+    fn awaited_until(&self, op: Option<OpId>) -> Micros {
+        match op {
+            Some(_) => self.deadline + OUTCOME_WAIT_US,
+            None => self.deadline,
+        }
+    }
+
+    fn request<'b>(
+        &self,
+        call: CallFrame,
+        instance: Option<String>,
+        body: RequestBody<'b>,
+    ) -> Request<'b> {
+        Request {
+            call: call.call,
+            head: call.head,
+            body,
+            left_us: self.deadline.saturating_sub(self.core.clock.now()),
+            body_limit: self.settings.body_limit_bytes,
+            instance,
+            caller_service: call.caller_service,
+        }
+    }
+
     /// Gives back the slot of a call that was not delivered.
     fn done(&self, service_us: Option<u32>) {
         self.ended(service_us, None);
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -26,6 +26,10 @@
         Frame::Beat => beat(link),
         Frame::Leaving(leaving) => core.routers.leaving(core, &link.peer.host, leaving),
         Frame::Call(call) => half::spawn_call(core, link, *call),
+        Frame::Window { attempt, bytes } => {
+            link.open_window(attempt, bytes);
+        }
+        Frame::Piece(piece) => core.half.bodies.take_piece(core, link, piece),
         Frame::Load(figures) => core.routers.load(core, &link.peer.host, figures),
         Frame::Cancel(attempt) => core.half.cancel(link.id, attempt),
         Frame::Answer {
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -25,6 +25,9 @@
 /// Bytes of a link's read and write buffers. They grow for larger messages; small
 /// ones keep a daemon with hundreds of links small.
 const BUFFER_BYTES: usize = 8 << 10;
+/// Bytes that the system takes on a link before it has sent them, about. What it took goes
+/// before every small message that is queued later, 13 ms on a link of 10 Mbit/s.
+const UNSENT_BYTES: u32 = 16 << 10;
 
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
@@ -91,7 +94,11 @@
 /// What the system says.
 pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    let socket = SockRef::from(stream);
+    if let Err(error) = socket.set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("TCP_NOTSENT_LOWAT: {error}");
+    }
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
 
 /// Sets how long a link may leave sent bytes unacknowledged.
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use lynxcleat_policy::{AttemptId, Figures, Micros, Refusal, Settlement};
-use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, Side};
+use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, PieceFrame, Side};
 use thiserror::Error;
 use tokio::sync::watch;
 
+use super::queue::{Out, PieceOut, Queue};
 use crate::sync::lock;
 
 /// Messages queued on a link before it counts as lost.
@@ -49,6 +50,8 @@
         /// Load of the target.
         figures: Option<Figures>,
     },
+    /// So many bytes more of the body in pieces may be sent.
+    Window(u64),
     /// The target's answer was lost.
     TargetLost,
     /// The link was lost.
@@ -57,14 +60,6 @@
     Settled(Settlement, Option<Answer>),
 }
 
-/// What the writer of a link is told.
-pub(super) enum Out {
-    /// Send this.
-    Frame(Frame),
-    /// Send all that came before, then close.
-    Close,
-}
-
 #[derive(Default)]
 struct Pending {
     closed: bool,
@@ -81,6 +76,7 @@
     pub peer: Hello,
     side: Side,
     out: flume::Sender<Out>,
+    pieces: flume::Sender<PieceOut>,
     pending: Mutex<Pending>,
     heard_at: AtomicU64,
     /// Whether it may be silent: nothing was heard since there was reason to think so.
@@ -91,25 +87,22 @@
 }
 
 impl Link {
-    pub(super) fn new(
-        id: u64,
-        peer: Hello,
-        side: Side,
-        now: Micros,
-    ) -> (Self, flume::Receiver<Out>) {
-        let (out, queue) = flume::bounded(QUEUE_LIMIT);
+    pub(super) fn new(id: u64, peer: Hello, side: Side, now: Micros) -> (Self, Queue) {
+        let (out, small) = flume::bounded(QUEUE_LIMIT);
+        let (pieces, large) = flume::bounded(QUEUE_LIMIT);
         let link = Link {
             id,
             peer,
             side,
             out,
+            pieces,
             pending: Mutex::default(),
             heard_at: AtomicU64::new(now),
             doubted: AtomicBool::new(false),
             generation: AtomicU64::new(0),
             closed: watch::Sender::new(false),
         };
-        (link, queue)
+        (link, Queue::new(small, large))
     }
 
     /// Sends a message that nothing waits for.
@@ -143,6 +136,23 @@
         self.lost_if_failed(pushed)
     }
 
+    /// Sends a piece of a body, and waits until it left. A body sends one at a time, so
+    /// that those of all bodies take turns.
+    ///
+    /// # Errors
+    /// A link that is or becomes closed.
+    pub async fn send_piece(&self, piece: PieceFrame) -> Result<(), LinkClosed> {
+        if self.is_closed() {
+            return Err(LinkClosed);
+        }
+        let (out, left) = PieceOut::new(piece);
+        self.pieces.try_send(out).map_err(|_| LinkClosed)?;
+        tokio::select! {
+            left = left.recv_async() => left.map_err(|_| LinkClosed),
+            () = self.closed() => Err(LinkClosed),
+        }
+    }
+
     /// Stops waiting for a call, and says so to the other side.
     pub fn cancel(&self, attempt: AttemptId) {
         if lock(&self.pending).calls.remove(&attempt).is_some() {
@@ -230,6 +240,14 @@
         waiting.is_some_and(|signals| signals.send(Signal { attempt, kind }).is_ok())
     }
 
+    /// Tells the call that waits for an attempt's end that it may send more of its body.
+    /// False where none waits.
+    pub(super) fn open_window(&self, attempt: AttemptId, bytes: u64) -> bool {
+        let waiting = lock(&self.pending).calls.get(&attempt).cloned();
+        let kind = SignalKind::Window(bytes);
+        waiting.is_some_and(|signals| signals.send(Signal { attempt, kind }).is_ok())
+    }
+
     /// Gives a reply to the ask that waits for it. False where none does.
     pub(super) fn reply(&self, ask: u64, frame: Frame) -> bool {
         let waiting = lock(&self.pending).asks.remove(&ask);
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 use super::handshake::{self, HandshakeError};
-use super::link::{Link, Out};
+use super::link::Link;
+use super::queue::Queue;
 use super::{beat, pump};
 use crate::core::Core;
 use crate::directory;
@@ -202,7 +203,7 @@
         core.metrics.links.set(lock(&self.all).len() as i64);
     }
 
-    fn add(&self, core: &Core, peer: Hello, side: Side) -> (Arc<Link>, flume::Receiver<Out>) {
+    fn add(&self, core: &Core, peer: Hello, side: Side) -> (Arc<Link>, Queue) {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (link, queue) = Link::new(id, peer, side, core.clock.now());
         let link = Arc::new(link);
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 mod links;
 mod listener;
 mod pump;
+mod queue;
 
 pub use handshake::prepare as prepare_connection;
 pub use link::{Link, Signal, SignalKind};
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -11,7 +11,8 @@
 
 use super::dispatch;
 use super::handshake::Socket;
-use super::link::{Link, Out};
+use super::link::Link;
+use super::queue::{Next, Out, Queue};
 use crate::core::Core;
 use crate::metrics::KindLabels;
 
@@ -37,12 +38,7 @@
 }
 
 /// Starts the tasks of a link over a web socket.
-pub(super) fn start(
-    core: &Arc<Core>,
-    link: &Arc<Link>,
-    socket: Socket,
-    queue: flume::Receiver<Out>,
-) {
+pub(super) fn start(core: &Arc<Core>, link: &Arc<Link>, socket: Socket, queue: Queue) {
     let (sink, stream) = socket.split();
     let writing = (Arc::clone(core), Arc::clone(link));
     let busy = core.life.writers.enter();
@@ -72,12 +68,19 @@
 
 /// Starts the one task of a link's end within this process: what `queue` holds
 /// arrives at `far`.
-pub(super) fn start_to_self(core: &Arc<Core>, far: &Arc<Link>, queue: flume::Receiver<Out>) {
+pub(super) fn start_to_self(core: &Arc<Core>, far: &Arc<Link>, mut queue: Queue) {
     let core = Arc::clone(core);
     let far = Arc::clone(far);
     tokio::spawn(async move {
-        while let Ok(Out::Frame(frame)) = queue.recv_async().await {
-            dispatch::frame(&core, &far, frame);
+        loop {
+            match queue.next().await {
+                Some(Next::Small(Out::Frame(frame))) => dispatch::frame(&core, &far, frame),
+                Some(Next::Piece(out)) => {
+                    dispatch::frame(&core, &far, Frame::Piece(out.piece));
+                    let _ = out.left.send(());
+                }
+                Some(Next::Small(Out::Close)) | None => break,
+            }
         }
         core.links.remove(&core, &far);
     });
@@ -87,24 +90,32 @@
     core: &Core,
     link: &Link,
     mut sink: SplitSink<Socket, Message>,
-    queue: flume::Receiver<Out>,
+    mut queue: Queue,
 ) -> Result<(), PumpError> {
     loop {
-        let out = tokio::select! {
-            out = queue.recv_async() => out,
+        let next = tokio::select! {
+            next = queue.next() => next,
             () = link.closed() => return Ok(()),
         };
-        let Ok(Out::Frame(frame)) = out else {
-            sink.close().await.map_err(Box::new)?;
-            return Ok(());
+        let (frame, left) = match next {
+            Some(Next::Small(Out::Frame(frame))) => (frame, None),
+            Some(Next::Piece(out)) => (Frame::Piece(out.piece), Some(out.left)),
+            Some(Next::Small(Out::Close)) | None => {
+                sink.close().await.map_err(Box::new)?;
+                return Ok(());
+            }
         };
         let bytes = encode_counted(core, frame)?;
         sink.feed(Message::Binary(bytes.into()))
             .await
             .map_err(Box::new)?;
-        if queue.is_empty() {
+        // A piece leaves before the next is taken, so that small messages pass the rest.
+        if left.is_some() || queue.has_no_small() {
             sink.flush().await.map_err(Box::new)?;
         }
+        if let Some(left) = left {
+            let _ = left.send(());
+        }
     }
 }
 
@@ -154,6 +165,8 @@
         Frame::Beat => "beat",
         Frame::Leaving(_) => "leaving",
         Frame::Call(_) => "call",
+        Frame::Window { .. } => "window",
+        Frame::Piece(_) => "piece",
         Frame::Load(_) => "load",
         Frame::Cancel(_) => "cancel",
         Frame::Answer { .. } => "answer",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -50,6 +50,9 @@
     pub links_silent: Counter,
     pub mesh_frames: Kinds,
     pub mesh_bytes: Kinds,
+    pub bodies_in_pieces: Gauge,
+    pub piece_bytes: Counter,
+    pub bodies_cut: Kinds,
     pub in_flight: Gauge,
     pub held: Gauge,
     pub generation: Gauge,
@@ -80,6 +83,9 @@
             links_silent: Counter::default(),
             mesh_frames: Family::default(),
             mesh_bytes: Family::default(),
+            bodies_in_pieces: Gauge::default(),
+            piece_bytes: Counter::default(),
+            bodies_cut: Family::default(),
             in_flight: Gauge::default(),
             held: Gauge::default(),
             generation: Gauge::default(),
@@ -115,6 +121,9 @@
         registry.register("links_silent", "Links lost since the other side acknowledged nothing", self.links_silent.clone());
         registry.register("mesh_frames", "Messages sent to other daemons", self.mesh_frames.clone());
         registry.register("mesh_bytes", "Bytes sent to other daemons", self.mesh_bytes.clone());
+        registry.register("bodies_in_pieces", "Bodies of callers that are passed on in pieces", self.bodies_in_pieces.clone());
+        registry.register("piece_bytes", "Bytes of callers' bodies sent in pieces", self.piece_bytes.clone());
+        registry.register("bodies_cut", "Bodies in pieces that did not reach the target whole, by who ended them", self.bodies_cut.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
         registry.register("held", "Calls held for the target", self.held.clone());
         registry.register("generation", "Generation of settings in force", self.generation.clone());
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -267,6 +267,7 @@
         caller_service: None,
         head: outbound.head.clone(),
         body: outbound.body.clone(),
+        to_come: None,
     }
 }
 
@@ -317,6 +318,7 @@
             generation: in_force.generation.number,
             head: frame.head,
             body: frame.body,
+            upload: None,
         },
     };
     match run_here(core, ticket, call).await {
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -4,7 +4,9 @@
 mod run;
 mod service;
 mod settle;
+mod upload;
 
 pub use run::{Outbound, RouteVerdict, run, run_until_gone};
 pub use service::{Routers, ServiceRouter};
 pub use settle::fence_at;
+pub use upload::{Opened, UploadReader, upload};
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -17,6 +17,7 @@
 
 use super::service::ServiceRouter;
 use super::settle;
+use super::upload::{Opened, Upload};
 use crate::core::Core;
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
 use crate::mesh::{Signal, SignalKind};
@@ -25,7 +26,7 @@
 const DEADLINE_GRACE_US: Micros = 5_000;
 
 /// A call that is ready to be sent to a target.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Outbound {
     /// Number of the call at this daemon.
     pub id: CallId,
@@ -53,8 +54,10 @@
     pub generation: u64,
     /// Head of the request.
     pub head: RequestHead,
-    /// Body of the request.
+    /// Body of the request; empty where it comes in pieces.
     pub body: ByteBuf,
+    /// Present where the body comes in pieces.
+    pub upload: Option<Upload>,
 }
 
 /// What the caller is told.
@@ -160,19 +163,32 @@
         loop {
             let event = tokio::select! {
                 biased;
-                Ok(signal) = signals.recv_async() => self.event(signal),
+                Ok(signal) = signals.recv_async() => match self.event(signal) {
+                    Some(event) => event,
+                    None => continue,
+                },
                 () = &mut gone, if !is_gone => {
                     is_gone = true;
                     Event::CallerGone { call: self.call.id }
                 }
                 () = &mut over => Event::DeadlineOver { call: self.call.id },
             };
+            self.hold_begun_body();
             if let Some(verdict) = self.feed(event) {
                 return verdict;
             }
         }
     }
 
+    /// Says that the call may not move, where some of its body was sent. What is fed next
+    /// may end the attempt, so its body is begun now or not for this attempt.
+    fn hold_begun_body(&mut self) {
+        let call = self.call.id;
+        if self.call.upload.as_ref().is_some_and(Upload::take_back) {
+            self.decide(Event::BodyBegun { call });
+        }
+    }
+
     /// Feeds the decisions until they ask for nothing more at once.
     fn feed(&mut self, event: Event) -> Option<RouteVerdict> {
         let mut events = vec![event];
@@ -246,6 +262,9 @@
             target,
             link: link.clone(),
         });
+        if let Some(upload) = &self.call.upload {
+            upload.offer(attempt);
+        }
         let sent = link.is_some_and(|link| {
             let frame = self.frame(attempt, elsewhere);
             link.call(frame, self.sender.clone()).is_ok()
@@ -281,6 +300,7 @@
             caller_service: self.call.caller_service.clone(),
             head,
             body: self.call.body.clone(),
+            to_come: self.call.upload.as_ref().map(|upload| upload.to_come),
         }
     }
 
@@ -317,10 +337,30 @@
         self.attempts.iter().find(|out| out.attempt == attempt)
     }
 
-    /// What a signal means to the decisions.
-    fn event(&mut self, signal: Signal) -> Event {
+    /// Passes on how much of the body may be sent.
+    fn open_window(&self, attempt: AttemptId, bytes: u64) {
+        let link = self.out(attempt).and_then(|out| out.link.clone());
+        let (Some(upload), Some(link)) = (&self.call.upload, link) else {
+            return;
+        };
+        let opened = Opened {
+            attempt,
+            link,
+            bytes,
+        };
+        if !upload.open(opened) {
+            self.withdraw(attempt);
+        }
+    }
+
+    /// What a signal means to the decisions; nothing where they need not know.
+    fn event(&mut self, signal: Signal) -> Option<Event> {
         let attempt = signal.attempt;
-        match signal.kind {
+        Some(match signal.kind {
+            SignalKind::Window(bytes) => {
+                self.open_window(attempt, bytes);
+                return None;
+            }
             SignalKind::Answer {
                 answer,
                 figures,
@@ -371,7 +411,7 @@
                     settlement,
                 }
             }
-        }
+        })
     }
 
     fn tell_half(&self, attempt: AttemptId, figures: Option<Figures>) {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod http;
 mod odd;
+mod peer;
 
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
@@ -21,12 +22,18 @@
 
 pub use http::{Reply, call, parse, raw, try_call};
 pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_path};
+pub use peer::Peer;
 
 pub const KEY: &str = "a key for the tests only";
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
 /// A tree with one service `stock` at place `east`, with `overrides` at the root.
 pub fn tree(overrides: Value) -> Tree {
+    tree_with_routes(overrides, json!({}))
+}
+
+/// Such a tree with routes.
+pub fn tree_with_routes(overrides: Value, routes: Value) -> Tree {
     let mut settings = json!({
         "clock_skew_ms": 0, "list_lag_ms": 0, "poll_ms": 200, "host_list_ms": 100,
         "health_ms": 100, "heartbeat_ms": 100, "link_silence_ms": 400,
@@ -38,7 +45,8 @@
     }
     let tree = json!({
         "settings": settings,
-        "places": {"east": {"services": {"stock": {}, "other": {}}}, "west": {"services": {"stock": {}}}}
+        "places": {"east": {"services": {"stock": {}, "other": {}}}, "west": {"services": {"stock": {}}}},
+        "routes": routes
     });
     Tree::from_json(&tree).expect("a good tree")
 }
--- a/crates/daemon/tests/support/odd.rs
+++ b/crates/daemon/tests/support/odd.rs
@@ -50,11 +50,13 @@
 
 /// A target that does with each connection what `behave` says; it is given the
 /// connection and the number of the connection.
-pub fn odd_target(behave: fn(TcpStream, usize)) -> String {
+pub fn odd_target(behave: impl Fn(TcpStream, usize) + Send + Sync + 'static) -> String {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
     let address = listener.local_addr().expect("address").to_string();
+    let behave = std::sync::Arc::new(behave);
     std::thread::spawn(move || {
         for (nth, stream) in listener.incoming().flatten().enumerate() {
+            let behave = std::sync::Arc::clone(&behave);
             std::thread::spawn(move || behave(stream, nth));
         }
     });
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -175,6 +175,11 @@
         /// What it brought.
         settlement: Settlement,
     },
+    /// Some of a call's body was read and sent, so that it cannot be sent anywhere else.
+    BodyBegun {
+        /// The call.
+        call: CallId,
+    },
     /// A call's deadline is over.
     DeadlineOver {
         /// The call.
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -186,6 +186,7 @@
                 attempt,
                 settlement,
             } => self.settled(now, attempt, settlement),
+            Event::BodyBegun { call } => self.body_begun(call),
             Event::DeadlineOver { call } => self.deadline_over(now, call),
             Event::CallerGone { call } => self.caller_gone(call),
             Event::TargetLeaving { target } => self.target_event(target, |state| state.leave()),
@@ -484,6 +485,14 @@
         actions
     }
 
+    /// The rest of the body goes where its beginning went, or nowhere.
+    fn body_begun(&mut self, id: CallId) -> Vec<Action> {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.may_retry = false;
+        }
+        Vec::new()
+    }
+
     fn caller_gone(&mut self, id: CallId) -> Vec<Action> {
         if let Some(call) = self.calls.get_mut(&id)
             && call.effect
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -15,6 +15,11 @@
 }
 
 fn router_of(policy: Policy, targets: u32) -> Router {
+    router_with(policy, targets, 0)
+}
+
+/// A router whose calls may move so many times after a refusal.
+fn router_with(policy: Policy, targets: u32, reroute_limit: u32) -> Router {
     let params = RouterParams {
         choose: ChooseParams {
             policy,
@@ -28,7 +33,7 @@
             percent: 10,
             bound: None,
         },
-        reroute_limit: 0,
+        reroute_limit,
     };
     let mut router = Router::new(params, 1, 1);
     let targets: Vec<_> = (0..targets).map(|id| (TargetId(id), 100.0)).collect();
@@ -423,3 +428,26 @@
     let targets: std::collections::BTreeSet<u32> = targets.map(|target| target.0).collect();
     assert_eq!(targets, [0, 1].into(), "a new link is beyond doubt");
 }
+
+#[rstest]
+#[case::operation(true)]
+#[case::lookup(false)]
+fn a_call_moves_until_its_body_is_begun_and_never_after(#[case] effect: bool) {
+    let mut router = router_with(Policy::ExpectedFinish, 3, 3);
+    let (first, _) = sent(&arrive(&mut router, CALL, effect));
+    let (second, _) = sent(&router.on(10, refused(first, RefusalReason::Busy)));
+    assert!(router.on(11, Event::BodyBegun { call: CALL }).is_empty());
+    let ended = router.on(12, refused(second, RefusalReason::TooLate));
+    let reason = NotRunReason::Refused(RefusalReason::TooLate);
+    assert!(matches!(verdict(&ended), Verdict::NotRun { reason: told, .. } if told == reason));
+}
+
+#[test]
+fn a_lookup_whose_body_was_begun_is_not_sent_again() {
+    let mut router = router_with(Policy::ExpectedFinish, 3, 3);
+    let (first, _) = sent(&arrive(&mut router, CALL, false));
+    router.on(11, Event::BodyBegun { call: CALL });
+    let reason = UnknownReason::LinkLost;
+    let ended = router.on(12, Event::LinkLost { attempt: first });
+    assert_eq!(verdict(&ended), Verdict::Unknown { reason });
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -75,9 +75,34 @@
     /// Head of the request.
     #[serde(rename = "h")]
     pub head: RequestHead,
-    /// Body of the request.
+    /// Body of the request; empty where it comes in pieces.
     #[serde(rename = "b")]
     pub body: ByteBuf,
+    /// Present where the body comes in pieces, once there is a window for it.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub to_come: Option<BodyToCome>,
+}
+
+/// What is said beforehand of a body in pieces.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BodyToCome {
+    /// Its length in bytes, where the caller stated it.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub length: Option<u64>,
+}
+
+/// One piece of a body.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PieceFrame {
+    /// The attempt whose body it is of.
+    #[serde(rename = "a")]
+    pub attempt: AttemptId,
+    /// The bytes, which follow those of the piece before.
+    #[serde(rename = "b")]
+    pub bytes: ByteBuf,
+    /// Whether it is the last one.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub last: bool,
 }
 
 /// A target's complete answer.
@@ -189,6 +214,17 @@
     Leaving(bool),
     /// A call for the acceptor's target.
     Call(Box<CallFrame>),
+    /// The sender may send so many bytes more of a call's body in pieces.
+    Window {
+        /// The attempt.
+        #[serde(rename = "a")]
+        attempt: AttemptId,
+        /// Bytes beyond those that it was told of before.
+        #[serde(rename = "b")]
+        bytes: u64,
+    },
+    /// A piece of a call's body.
+    Piece(PieceFrame),
     /// The load of the acceptor's target, which changed.
     Load(Figures),
     /// A call is no longer wanted.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use codec::{CodecError, decode, encode};
 pub use frame::{
-    Answer, CallFrame, Envelope, Frame, GuardedVerdict, Header, RequestHead, RowFrame, RowsFrame,
-    TreeCopy,
+    Answer, BodyToCome, CallFrame, Envelope, Frame, GuardedVerdict, Header, PieceFrame,
+    RequestHead, RowFrame, RowsFrame, TreeCopy,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
