Bodies that fit into a window are sent ahead of a slot

A body of known length up to its window is read before a target is chosen, sent behind its call in pieces and offered to the target when it is whole; its call moves like any other.

--- a/crates/daemon/src/callers/pieces.rs
+++ b/crates/daemon/src/callers/pieces.rs
@@ -10,13 +10,10 @@
 
 use super::body::CallerBody;
 use crate::core::Core;
+use crate::mesh::PIECE_BYTES;
 use crate::metrics::count;
 use crate::route::{Opened, UploadReader};
 
-/// Largest piece, in bytes: a small message that waits behind one waits for 7 ms on a link of
-/// 10 Mbit/s, and the head of each piece is less than a hundredth of it.
-const PIECE_BYTES: usize = 8 << 10;
-
 /// How the reading of a body ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum BodyEnd {
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -99,7 +99,9 @@
     let pinned = pin(core, classified)?;
     service.clone_from(&pinned.service.name);
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let to_come = to_come(&pinned, parts, &body);
+    let way = way(&pinned, parts, &body);
+    let is_ahead = way == Way::Ahead;
+    let to_come = way.to_come();
     let mut room = take_room(core, &pinned.effective, &body, to_come)?;
     let (body, coming) = match to_come {
         Some(to_come) => {
@@ -139,6 +141,7 @@
         caller_service: caller_service(core),
         generation,
         head: call.head,
+        ahead: is_ahead,
         body,
         upload: None,
     };
@@ -157,18 +160,45 @@
     answered
 }
 
-/// What is said beforehand of a body that is passed on in pieces; nothing for one that is
-/// read whole. A ticket or key needs the whole body, and a body without a stated length that
-/// comes with a safe method cannot be told from none on the way to the target.
-fn to_come(pinned: &Pinned, parts: &Parts, body: &impl Body) -> Option<BodyToCome> {
-    let terms = &pinned.terms;
+/// How a body goes to its target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// In one message with its call.
+    Whole,
+    /// Read whole, and sent in pieces behind its call.
+    Ahead,
+    /// Read and sent in pieces once the target has a slot.
+    InWindow(BodyToCome),
+}
+
+impl Way {
+    fn to_come(self) -> Option<BodyToCome> {
+        match self {
+            Way::Whole | Way::Ahead => None,
+            Way::InWindow(to_come) => Some(to_come),
+        }
+    }
+}
+
+/// Chooses how a body goes. What fits into a window is read before a target is chosen, so that
+/// the choice is as fresh as the run. A ticket or key needs the whole body, and a body without
+/// a stated length under a safe method cannot be told from none on the way to the target.
+fn way(pinned: &Pinned, parts: &Parts, body: &impl Body) -> Way {
+    let (terms, effective) = (&pinned.terms, &pinned.effective);
     let is_plain = matches!(terms.effects, Effects::None | Effects::Plain);
     if !terms.large_bodies || !is_plain || classify::is_safe(&parts.method) {
-        return None;
+        return Way::Whole;
     }
     let length = body.size_hint().exact();
-    let is_small = length.is_some_and(|length| length <= pinned.effective.body_whole_bytes as u64);
-    (!is_small).then_some(BodyToCome { length })
+    let is_within = |bytes: usize| length.is_some_and(|length| length <= bytes as u64);
+    if is_within(effective.body_whole_bytes) {
+        return Way::Whole;
+    }
+    if is_within(effective.body_window_bytes) {
+        return Way::Ahead;
+    }
+    let ahead = false;
+    Way::InWindow(BodyToCome { length, ahead })
 }
 
 /// Runs a call whose body is read while it runs. Its answer may come before the body's end.
--- a/crates/daemon/src/half/bodies.rs
+++ b/crates/daemon/src/half/bodies.rs
@@ -35,7 +35,7 @@
 /// The bodies in pieces that are on their way.
 #[derive(Default)]
 pub struct Bodies {
-    arriving: Mutex<HashMap<Key, Arriving>>,
+    arriving: Arc<Mutex<HashMap<Key, Arriving>>>,
 }
 
 struct Arriving {
@@ -107,7 +107,7 @@
         link: &Arc<Link>,
         attempt: AttemptId,
         (to_come, window): (BodyToCome, usize),
-    ) -> Expected<'_> {
+    ) -> Expected {
         let (pieces, arrived) = flume::unbounded();
         let window = Arc::new(Window {
             clock: core.clock,
@@ -125,7 +125,7 @@
         };
         lock(&self.arriving).insert(key, arriving);
         Expected {
-            bodies: self,
+            arriving: Arc::clone(&self.arriving),
             key,
             length: to_come.length,
             window,
@@ -165,15 +165,35 @@
 }
 
 /// A body that is expected, until the exchange with the target ends.
-pub(super) struct Expected<'a> {
-    bodies: &'a Bodies,
+pub(super) struct Expected {
+    arriving: Arc<Mutex<HashMap<Key, Arriving>>>,
     key: Key,
     length: Option<u64>,
     window: Arc<Window>,
     arrived: flume::Receiver<Piece>,
 }
 
-impl Expected<'_> {
+impl Expected {
+    /// Lets pieces come that follow their call at once. The sender need not be told.
+    pub(super) fn open_ahead(&self) {
+        lock(&self.window.state).open();
+    }
+
+    /// Waits for all of it.
+    ///
+    /// # Errors
+    /// A body that does not come whole.
+    pub(super) async fn collect(&self) -> Result<ByteBuf, BodyCut> {
+        let mut whole = ByteBuf::new();
+        loop {
+            let piece = self.arrived.recv_async().await.map_err(|_| BodyCut)?;
+            whole.extend_from_slice(&piece.bytes);
+            if piece.last {
+                return Ok(whole);
+            }
+        }
+    }
+
     /// Opens the window and waits for the first piece: before it is there, nothing is
     /// written to the target.
     ///
@@ -218,9 +238,9 @@
     }
 }
 
-impl Drop for Expected<'_> {
+impl Drop for Expected {
     fn drop(&mut self) {
-        lock(&self.bodies.arriving).remove(&self.key);
+        lock(&self.arriving).remove(&self.key);
     }
 }
 
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -41,7 +41,7 @@
     /// It is here.
     Whole(Vec<u8>),
     /// It comes in pieces once its window is open.
-    Pieces(&'a Expected<'a>),
+    Pieces(&'a Expected),
 }
 
 /// How an exchange with the target ended.
@@ -179,7 +179,7 @@
     async fn finish(
         &self,
         dialect: &Dialect,
-        (sender, expected): (Sender, Option<&Expected<'_>>),
+        (sender, expected): (Sender, Option<&Expected>),
         response: Response<Incoming>,
         (body_limit, is_head): (usize, bool),
     ) -> Exchange {
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -4,6 +4,7 @@
 //! half knows the exact load, remembers once-only operations, and keeps the warm
 //! connections to the target.
 
+mod ahead;
 mod bodies;
 mod exchange;
 mod pool;
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -8,6 +8,7 @@
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame};
 
+use super::ahead;
 use super::bodies::{Expected, count_cut};
 use super::exchange::{Exchange, Request, RequestBody};
 use super::{Go, Half, send};
@@ -71,12 +72,17 @@
     let (cancel, cancelled) = flume::bounded(1);
     let key = (link.id, call.attempt);
     lock(&core.half.cancels).insert(key, cancel);
+    let ahead = ahead::expect(&core, &link, &call);
     let busy = core.life.target_calls.enter();
     tokio::spawn(async move {
         let arrived = core.clock.now();
         let attempt = call.attempt;
         let name = call.call.clone();
-        let ended = serve(&core, &link, call, cancelled).await;
+        let whole = ahead::collect(&core, call, ahead, (&link, &cancelled)).await;
+        let ended = match whole {
+            Ok(call) => serve(&core, &link, call, cancelled).await,
+            Err(refusal) => Ended::Refused(refusal),
+        };
         log_ended(&core, &link, &name, &ended);
         lock(&core.half.cancels).remove(&key);
         reply(&core, &link, attempt, arrived, ended);
@@ -447,7 +453,7 @@
 
     /// Ends when a call with a body in pieces is no longer wanted, and says who ended it. An
     /// operation goes on once its body is whole, so that its outcome is known.
-    async fn unwanted(&self, op: Option<OpId>, expected: &Expected<'_>) -> &'static str {
+    async fn unwanted(&self, op: Option<OpId>, expected: &Expected) -> &'static str {
         let by = tokio::select! {
             _ = self.cancelled.recv_async() => "sender",
             () = self.link.closed() => "link",
@@ -459,7 +465,7 @@
         by
     }
 
-    fn note_cut(&self, call: &str, expected: &Expected<'_>, ended_by: &'static str) {
+    fn note_cut(&self, call: &str, expected: &Expected, ended_by: &'static str) {
         count_cut(&self.core.metrics, ended_by);
         if self.core.explain.logs(self.core.clock.now(), false) {
             let from = self.link.peer.host.as_str();
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -19,5 +19,9 @@
 pub use links::Links;
 pub use listener::listen;
 
+/// Largest piece of a body, in bytes: a small message that waits behind one waits for 7 ms on
+/// a link of 10 Mbit/s, and the head of each piece is less than a hundredth of it.
+pub(crate) const PIECE_BYTES: usize = 8 << 10;
+
 /// Largest message, in bytes: the largest body that settings allow, and a head.
 pub(crate) const MESSAGE_LIMIT: usize = (64 << 20) + (1 << 20);
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -318,6 +318,7 @@
             generation: in_force.generation.number,
             head: frame.head,
             body: frame.body,
+            ahead: false,
             upload: None,
         },
     };
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! The router half: from a pinned call to a verdict.
 
+mod ahead;
 mod params;
 mod run;
 mod service;
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -12,9 +12,10 @@
     Action, AttemptId, CallId, CallKind, Elsewhere, Event, Figures, Micros, NotRunReason, Source,
     TargetId, UnknownReason, Verdict,
 };
-use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
+use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
+use super::ahead::{self, SentAhead};
 use super::service::ServiceRouter;
 use super::settle;
 use super::upload::{Opened, Upload};
@@ -56,7 +57,9 @@
     pub head: RequestHead,
     /// Body of the request; empty where it comes in pieces.
     pub body: ByteBuf,
-    /// Present where the body comes in pieces.
+    /// Whether the body is sent in pieces, ahead of a slot at the target.
+    pub ahead: bool,
+    /// Present where the body is read once the target has a slot.
     pub upload: Option<Upload>,
 }
 
@@ -122,6 +125,7 @@
     attempt: AttemptId,
     target: TargetId,
     link: Option<Arc<crate::mesh::Link>>,
+    ahead: Option<SentAhead>,
 }
 
 /// A call in hand.
@@ -261,6 +265,7 @@
             attempt,
             target,
             link: link.clone(),
+            ahead: None,
         });
         if let Some(upload) = &self.call.upload {
             upload.offer(attempt);
@@ -270,14 +275,40 @@
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
+            self.send_ahead(attempt);
             return None;
         }
         self.note("not-sent");
         Some(Event::NotSent { attempt })
     }
 
+    /// Starts sending the body behind the call that was sent.
+    fn send_ahead(&mut self, attempt: AttemptId) {
+        let Some(out) = self.attempts.last_mut().filter(|_| self.call.ahead) else {
+            return;
+        };
+        if let Some(link) = out.link.clone() {
+            let body = self.call.body.clone();
+            out.ahead = Some(ahead::send(self.core, link, attempt, body));
+        }
+    }
+
+    /// How the body goes, and what is sent of it with the call.
+    fn body(&self) -> (ByteBuf, Option<BodyToCome>) {
+        let length = Some(self.call.body.len() as u64);
+        match (&self.call.upload, self.call.ahead) {
+            (Some(upload), _) => (ByteBuf::new(), Some(upload.to_come)),
+            (None, true) => {
+                let ahead = true;
+                (ByteBuf::new(), Some(BodyToCome { length, ahead }))
+            }
+            (None, false) => (self.call.body.clone(), None),
+        }
+    }
+
     fn frame(&self, attempt: AttemptId, elsewhere: Elsewhere) -> CallFrame {
         let mut head = self.call.head.clone();
+        let (body, to_come) = self.body();
         let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
         if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
             let mark = Header(retry.as_str().to_owned(), ByteBuf::from(b"1".to_vec()));
@@ -299,8 +330,8 @@
             operation: self.call.operation,
             caller_service: self.call.caller_service.clone(),
             head,
-            body: self.call.body.clone(),
-            to_come: self.call.upload.as_ref().map(|upload| upload.to_come),
+            body,
+            to_come,
         }
     }
 
@@ -385,6 +416,7 @@
                 }
             }
             SignalKind::Refused { refusal, figures } => {
+                self.stop_sending(attempt);
                 self.note(&format!("refused: {:?}", refusal.reason));
                 self.tell_half(attempt, figures);
                 Event::Refused {
@@ -414,6 +446,15 @@
         })
     }
 
+    /// The rest of a body that was sent ahead is of no use any more.
+    fn stop_sending(&mut self, attempt: AttemptId) {
+        for out in &mut self.attempts {
+            if out.attempt == attempt {
+                out.ahead = None;
+            }
+        }
+    }
+
     fn tell_half(&self, attempt: AttemptId, figures: Option<Figures>) {
         if let Some(out) = self.out(attempt) {
             self.service.tell_half(self.core, out.target, figures);
--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -158,7 +158,9 @@
         .map(|nth| {
             let address = worker.callers.clone();
             thread::spawn(move || {
-                let sent = body(200_000 + nth * 10_007);
+                // Read whole and sent ahead, or read as the window opens.
+                let length = if nth < 2 { WINDOW } else { 200_000 };
+                let sent = body(length + nth * 10_007);
                 let (more, framed) = match nth % 2 {
                     0 => (format!("Content-Length: {}", sent.len()), sent.clone()),
                     _ => ("Transfer-Encoding: chunked".to_owned(), chunked(&sent)),
@@ -517,7 +519,8 @@
         assert_eq!(
             call.to_come,
             Some(BodyToCome {
-                length: Some(100_000)
+                length: Some(100_000),
+                ahead: false
             })
         );
         // The daemon has every chance to send more: it answers a question meanwhile.
@@ -686,6 +689,88 @@
     assert_eq!((reply.status, reply.outcome().as_str()), (504, "unknown"));
 }
 
+/// Its router still has all of it.
+#[test]
+fn a_body_that_was_sent_ahead_goes_to_another_target_after_a_refusal() {
+    let fleet = plan("large-ahead", "stock", json!({})).start();
+    let half = FakeHalf::add(&fleet, "stock");
+    let worker = &fleet.workers[0];
+    let (refused, is_refused) = flume::unbounded();
+    fleet.runtime.spawn(async move {
+        let mut peer = half.linked().await;
+        loop {
+            let call = next_call(&mut peer).await;
+            let attempt = call.attempt;
+            if call.to_come.is_some_and(|to_come| to_come.ahead) {
+                while !next_piece(&mut peer).await.last {}
+                let _ = refused.send(());
+            }
+            let refusal = Refusal {
+                reason: RefusalReason::Busy,
+                retry_after_us: 1_000,
+            };
+            let figures = None;
+            peer.send(Frame::Refused {
+                attempt,
+                refusal,
+                figures,
+            })
+            .await;
+        }
+    });
+    let linked = || {
+        worker.get("/other", &[]);
+        worker.status().is_some_and(|status| status.links >= 4)
+    };
+    assert!(wait_until(PATIENCE, linked));
+    for nth in 0..60 {
+        let sent = body(20_000 + nth);
+        let reply = upload(worker, sent.clone()).join().expect("joined");
+        let reply = reply.expect("an answer");
+        let told = String::from_utf8_lossy(&reply.body);
+        assert_eq!(reply.status, 200, "{nth}: {told}");
+        assert_eq!(
+            reply.json()["body"],
+            String::from_utf8_lossy(&sent).as_ref()
+        );
+        if is_refused.try_recv().is_ok() {
+            return;
+        }
+    }
+    panic!("no call was offered to the peer");
+}
+
+#[test]
+fn a_body_that_was_sent_ahead_is_offered_to_the_target_only_when_it_is_whole() {
+    let (address, seen) = target(|_| {});
+    let fleet = plan("large-half-ahead", "stock", json!({})).start_with_target(&address);
+    let worker = &fleet.workers[0];
+    fleet.runtime.block_on(async {
+        let ours = Peer::hello(&worker.raw.deployment, "stock", "127.0.0.1:1");
+        let mut peer = Peer::dial(&worker.entry.mesh, ours).await;
+        for (attempt, whole) in [(AttemptId(1), false), (AttemptId(2), true)] {
+            let mut call = call_in_pieces(attempt, 20_000);
+            call.to_come = Some(BodyToCome {
+                length: Some(20_000),
+                ahead: true,
+            });
+            peer.send(Frame::Call(Box::new(call))).await;
+            send_piece(&mut peer, attempt, body(8_000), false).await;
+            if whole {
+                send_piece(&mut peer, attempt, body(12_000), true).await;
+                assert!(wait_until(PATIENCE, || seen.heads() == 1));
+            } else {
+                // A body that is longer than was said is no body of this call.
+                send_piece(&mut peer, attempt, body(12_001), true).await;
+                assert!(matches!(end(&mut peer).await, Frame::Refused { .. }));
+                assert_eq!(seen.heads(), 0);
+            }
+        }
+    });
+    assert_eq!(seen.body(), [body(8_000), body(12_000)].concat());
+    assert_eq!(cut_by(worker, "sender"), 1.0);
+}
+
 fn call_in_pieces(attempt: AttemptId, length: u64) -> CallFrame {
     CallFrame {
         attempt,
@@ -707,6 +792,7 @@
         body: Vec::new().into(),
         to_come: Some(BodyToCome {
             length: Some(length),
+            ahead: false,
         }),
     }
 }
--- a/crates/policy/src/body_window.rs
+++ b/crates/policy/src/body_window.rs
@@ -120,8 +120,11 @@
     /// window is opened further, where that is worth a message.
     pub fn taken(&mut self, bytes: u64) -> Option<u64> {
         self.taken = self.taken.saturating_add(bytes).min(self.arrived);
-        let more = (self.taken + self.window).saturating_sub(self.granted);
-        if self.ended || more == 0 || more < self.window / TELL_PART {
+        let open_to = (self.taken + self.window).min(self.stated.unwrap_or(u64::MAX));
+        let more = open_to.saturating_sub(self.granted);
+        let is_rest = self.stated == Some(open_to);
+        let is_little = more < self.window / TELL_PART && !is_rest;
+        if self.ended || more == 0 || is_little {
             return None;
         }
         self.granted += more;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -78,7 +78,7 @@
     /// Body of the request; empty where it comes in pieces.
     #[serde(rename = "b")]
     pub body: ByteBuf,
-    /// Present where the body comes in pieces, once there is a window for it.
+    /// Present where the body comes in pieces.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub to_come: Option<BodyToCome>,
 }
@@ -89,6 +89,9 @@
     /// Its length in bytes, where the caller stated it.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub length: Option<u64>,
+    /// Whether the pieces follow at once: its sender has all of it and can send it elsewhere.
+    #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
+    pub ahead: bool,
 }
 
 /// One piece of a body.
