--- a/crates/daemon/src/half/ahead.rs
+++ b/crates/daemon/src/half/ahead.rs
@@ -13,15 +13,12 @@
 /// Hint for callers whose body did not come, or had no room here.
 const RETRY_AFTER_US: Micros = 200_000;
 
-/// Lets the body of a call come that is sent ahead. This is done before anything else that
-/// arrives on the link is looked at. Nothing for other calls.
+/// Expects the body of a call that is sent ahead. Nothing for other calls.
 pub(super) fn expect(core: &Core, link: &Arc<Link>, call: &CallFrame) -> Option<Expected> {
     let to_come = call.to_come.filter(|to_come| to_come.ahead)?;
     let length = usize::try_from(to_come.length?).ok()?;
     let bodies = &core.half.bodies;
-    let expected = bodies.expect(core, link, call.attempt, (to_come, length));
-    expected.open_ahead();
-    Some(expected)
+    Some(bodies.expect(core, link, call.attempt, (to_come, length)))
 }
 
 /// Waits for the body of a call that is sent ahead, and returns the call with it. The time that
@@ -59,6 +56,7 @@
         _ = cancelled.recv_async() => (Err(BodyCut), "sender"),
         () = link.closed() => (Err(BodyCut), "link"),
         () = tokio::time::sleep_until(over) => (Err(BodyCut), "deadline"),
+        never = core.half.bodies.go_on() => never,
     };
     call.body = whole.map_err(|BodyCut| {
         count_cut(&core.metrics, ended_by);
--- a/crates/daemon/src/half/bodies.rs
+++ b/crates/daemon/src/half/bodies.rs
@@ -10,10 +10,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use hyper::body::{Body, Bytes, Frame as BodyFrame, SizeHint};
-use lynxcleat_policy::{AttemptId, Micros, ReceiveWindow};
+use lynxcleat_policy::{AttemptId, BodyMeter, Micros, ReceiveWindow};
 use lynxcleat_wire::{BodyToCome, Frame, PieceFrame};
 use serde_bytes::ByteBuf;
 use thiserror::Error;
@@ -32,10 +33,57 @@
 /// Pieces of one attempt's body.
 type Key = (u64, AttemptId);
 
+/// Bytes of all bodies in pieces that are on their way to this daemon at once: a small message
+/// waits behind them for 26 ms on a link of 10 Mbit/s, and they keep such a link busy over a
+/// round trip of as long.
+const ON_THE_WAY_BYTES: u64 = 32 << 10;
+/// Time between two looks at whether bodies that wait may send.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+
 /// The bodies in pieces that are on their way.
-#[derive(Default)]
 pub struct Bodies {
     arriving: Arc<Mutex<HashMap<Key, Arriving>>>,
+    turns: Arc<Turns>,
+}
+
+/// Lets bodies take turns on the way here.
+struct Turns {
+    clock: Clock,
+    meter: Mutex<BodyMeter<Key>>,
+    /// The links that bodies come on.
+    links: Mutex<HashMap<Key, Arc<Link>>>,
+}
+
+impl Turns {
+    /// There is room for more of a body.
+    fn want(&self, key: Key, bytes: u64) {
+        lock(&self.meter).want(key, bytes);
+        self.go_on();
+    }
+
+    fn arrived(&self, key: Key, bytes: u64) {
+        lock(&self.meter).arrived(key, bytes);
+        self.go_on();
+    }
+
+    fn end(&self, key: Key) {
+        lock(&self.links).remove(&key);
+        lock(&self.meter).end(key);
+        self.go_on();
+    }
+
+    /// Tells the bodies whose turn it is.
+    fn go_on(&self) {
+        loop {
+            let next = lock(&self.meter).next(self.clock.now());
+            let Some((key, bytes)) = next else { return };
+            let link = lock(&self.links).get(&key).cloned();
+            let attempt = key.1;
+            if let Some(link) = link {
+                let _ = link.send(Frame::Window { attempt, bytes });
+            }
+        }
+    }
 }
 
 struct Arriving {
@@ -51,8 +99,8 @@
 /// The window of one body, shared by all that hold pieces of it.
 struct Window {
     clock: Clock,
-    link: Arc<Link>,
-    attempt: AttemptId,
+    turns: Arc<Turns>,
+    key: Key,
     state: Mutex<ReceiveWindow>,
     /// When the last piece arrived; 0 before.
     whole_at: AtomicU64,
@@ -76,8 +124,7 @@
     }
 
     fn tell(&self, bytes: u64) {
-        let attempt = self.attempt;
-        let _ = self.link.send(Frame::Window { attempt, bytes });
+        self.turns.want(self.key, bytes);
     }
 }
 
@@ -100,6 +147,26 @@
 }
 
 impl Bodies {
+    /// No body is on its way.
+    pub fn new(clock: Clock) -> Self {
+        Bodies {
+            arriving: Arc::default(),
+            turns: Arc::new(Turns {
+                clock,
+                meter: Mutex::new(BodyMeter::new(ON_THE_WAY_BYTES)),
+                links: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Never ends: lets bodies go on whose turn comes since others do not use theirs.
+    pub(super) async fn go_on(&self) -> ! {
+        loop {
+            tokio::time::sleep(LOOK_TIME).await;
+            self.turns.go_on();
+        }
+    }
+
     /// Expects the body of an attempt. Nothing comes before its window is opened.
     pub(super) fn expect(
         &self,
@@ -109,16 +176,17 @@
         (to_come, window): (BodyToCome, usize),
     ) -> Expected {
         let (pieces, arrived) = flume::unbounded();
+        let key = (link.id, attempt);
+        lock(&self.turns.links).insert(key, Arc::clone(link));
         let window = Arc::new(Window {
             clock: core.clock,
-            link: Arc::clone(link),
-            attempt,
+            turns: Arc::clone(&self.turns),
+            key,
             state: Mutex::new(ReceiveWindow::new(window as u64, to_come.length)),
             whole_at: AtomicU64::new(0),
             begun: AtomicBool::new(false),
             handed_over: AtomicBool::new(false),
         });
-        let key = (link.id, attempt);
         let arriving = Arriving {
             window: Arc::clone(&window),
             pieces,
@@ -153,6 +221,7 @@
             let now = body.window.clock.now().max(1);
             body.window.whole_at.store(now, Ordering::Release);
         }
+        self.turns.arrived(key, piece.bytes.len() as u64);
         let held = Held {
             bytes: piece.bytes,
             window: Arc::clone(&body.window),
@@ -174,16 +243,12 @@
 }
 
 impl Expected {
-    /// Lets pieces come that follow their call at once. The sender need not be told.
-    pub(super) fn open_ahead(&self) {
-        lock(&self.window.state).open();
-    }
-
-    /// Waits for all of it.
+    /// Opens the window and waits for all of it.
     ///
     /// # Errors
     /// A body that does not come whole.
     pub(super) async fn collect(&self) -> Result<ByteBuf, BodyCut> {
+        self.window.open();
         let mut whole = ByteBuf::new();
         loop {
             let piece = self.arrived.recv_async().await.map_err(|_| BodyCut)?;
@@ -241,6 +306,7 @@
 impl Drop for Expected {
     fn drop(&mut self) {
         lock(&self.arriving).remove(&self.key);
+        self.window.turns.end(self.key);
     }
 }
 
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -148,7 +148,7 @@
             load_readings: AtomicU32::new(0),
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
-            bodies: Bodies::default(),
+            bodies: Bodies::new(clock),
             pool,
         }
     }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -439,6 +439,7 @@
             exchange = exchange => (exchange, "target"),
             by = self.unwanted(op, &expected) => (Exchange::Lost, by),
             () = over => (Exchange::Lost, "deadline"),
+            never = bodies.go_on() => never,
         };
         let exchange = match exchange {
             Exchange::Lost if !expected.is_begun() => Exchange::NoBody,
--- a/crates/daemon/src/route/ahead.rs
+++ b/crates/daemon/src/route/ahead.rs
@@ -1,10 +1,9 @@
-//! Bodies in pieces that are sent ahead: the router has all of such a body and sends it with
-//! the call, piece by piece, so that it holds up no small message. It can send it elsewhere if
-//! the call is refused.
+//! Bodies in pieces that are sent ahead of a slot: the router has all of such a body and sends
+//! it as the target's half lets it come. It can send it elsewhere if the call is refused.
 
 use std::sync::Arc;
 
-use lynxcleat_policy::AttemptId;
+use lynxcleat_policy::{AttemptId, SendWindow};
 use lynxcleat_wire::PieceFrame;
 use serde_bytes::ByteBuf;
 use tokio::task::JoinHandle;
@@ -13,11 +12,21 @@
 use crate::mesh::{Link, PIECE_BYTES};
 
 /// The sending of one body for one attempt; it ends when this is dropped.
-pub(super) struct SentAhead(JoinHandle<()>);
+pub(super) struct SentAhead {
+    sending: JoinHandle<()>,
+    grants: flume::Sender<u64>,
+}
+
+impl SentAhead {
+    /// So many bytes more may be sent.
+    pub(super) fn grant(&self, bytes: u64) {
+        let _ = self.grants.send(bytes);
+    }
+}
 
 impl Drop for SentAhead {
     fn drop(&mut self) {
-        self.0.abort();
+        self.sending.abort();
     }
 }
 
@@ -29,18 +38,33 @@
     body: ByteBuf,
 ) -> SentAhead {
     let core = Arc::clone(core);
-    SentAhead(tokio::spawn(async move {
-        let count = body.len().div_ceil(PIECE_BYTES);
-        for (nth, bytes) in body.chunks(PIECE_BYTES).enumerate() {
+    let (grants, granted) = flume::unbounded();
+    let sending = tokio::spawn(async move {
+        let mut window = SendWindow::default();
+        let mut rest = &body[..];
+        while !rest.is_empty() {
+            if window.room() == 0 {
+                let Ok(bytes) = granted.recv_async().await else {
+                    return;
+                };
+                window.grant(bytes);
+                continue;
+            }
+            let room = usize::try_from(window.room()).unwrap_or(usize::MAX);
+            let (bytes, after) = rest.split_at(rest.len().min(PIECE_BYTES).min(room));
+            let last = after.is_empty();
+            window.send(bytes.len() as u64, last);
             let piece = PieceFrame {
                 attempt,
                 bytes: ByteBuf::from(bytes.to_vec()),
-                last: nth + 1 == count,
+                last,
             };
             if link.send_piece(piece).await.is_err() {
                 return;
             }
             core.metrics.piece_bytes.inc_by(bytes.len() as u64);
+            rest = after;
         }
-    }))
+    });
+    SentAhead { sending, grants }
 }
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -370,7 +370,12 @@
 
     /// Passes on how much of the body may be sent.
     fn open_window(&self, attempt: AttemptId, bytes: u64) {
-        let link = self.out(attempt).and_then(|out| out.link.clone());
+        let Some(out) = self.out(attempt) else { return };
+        if let Some(ahead) = &out.ahead {
+            ahead.grant(bytes);
+            return;
+        }
+        let link = out.link.clone();
         let (Some(upload), Some(link)) = (&self.call.upload, link) else {
             return;
         };
--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -702,6 +702,8 @@
             let call = next_call(&mut peer).await;
             let attempt = call.attempt;
             if call.to_come.is_some_and(|to_come| to_come.ahead) {
+                let bytes = 30_000;
+                peer.send(Frame::Window { attempt, bytes }).await;
                 while !next_piece(&mut peer).await.last {}
                 let _ = refused.send(());
             }
@@ -755,6 +757,7 @@
                 ahead: true,
             });
             peer.send(Frame::Call(Box::new(call))).await;
+            window(&mut peer, 20_000).await;
             send_piece(&mut peer, attempt, body(8_000), false).await;
             if whole {
                 send_piece(&mut peer, attempt, body(12_000), true).await;
@@ -807,6 +810,19 @@
     peer.send(Frame::Piece(piece)).await;
 }
 
+/// Waits until a window of so many bytes is open.
+async fn window(peer: &mut Peer, wanted: usize) {
+    let mut open = 0;
+    while open < wanted {
+        let bytes = |frame| match frame {
+            Frame::Window { bytes, .. } => Some(bytes as usize),
+            _ => None,
+        };
+        open += peer.receive_until(bytes).await;
+    }
+    assert_eq!(open, wanted);
+}
+
 /// How a call ended that a test's peer sent.
 async fn end(peer: &mut Peer) -> Frame {
     let wanted = |frame| match frame {
@@ -824,15 +840,11 @@
     fleet.runtime.block_on(async {
         let ours = Peer::hello(&worker.raw.deployment, "stock", "127.0.0.1:1");
         let mut peer = Peer::dial(&worker.entry.mesh, ours).await;
-        let window = |frame| match frame {
-            Frame::Window { bytes, .. } => Some(bytes as usize),
-            _ => None,
-        };
         // Withdrawn before the first piece: refused, and the target saw nothing.
         let attempt = AttemptId(1);
         let call = call_in_pieces(attempt, 200_000);
         peer.send(Frame::Call(Box::new(call))).await;
-        assert_eq!(peer.receive_until(window).await, WINDOW);
+        window(&mut peer, WINDOW).await;
         peer.send(Frame::Cancel(attempt)).await;
         assert!(matches!(end(&mut peer).await, Frame::Refused { .. }));
         assert_eq!(seen.heads(), 0);
@@ -840,7 +852,7 @@
         let attempt = AttemptId(2);
         let call = call_in_pieces(attempt, 200_000);
         peer.send(Frame::Call(Box::new(call))).await;
-        assert_eq!(peer.receive_until(window).await, WINDOW);
+        window(&mut peer, WINDOW).await;
         send_piece(&mut peer, attempt, body(1_000), false).await;
         assert!(wait_until(PATIENCE, || seen.heads() == 1));
         send_piece(&mut peer, attempt, body(100_000), false).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod admit_event;
 mod begin;
+mod body_meter;
 mod body_window;
 mod budget;
 mod chance;
@@ -40,6 +41,7 @@
 pub use admit::Admit;
 pub use admit_event::{AdmitAction, AdmitEvent, AdmitLimits, NextLook};
 pub use begin::{Begin, Choice, Outlook};
+pub use body_meter::BodyMeter;
 pub use body_window::{BodyFault, ReceiveWindow, SendWindow};
 pub use budget::{Budget, Cost, Limits};
 pub use chance::Need;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -89,7 +89,7 @@
     /// Its length in bytes, where the caller stated it.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub length: Option<u64>,
-    /// Whether the pieces follow at once: its sender has all of it and can send it elsewhere.
+    /// Whether it comes ahead of a slot: its sender has all of it and can send it elsewhere.
     #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
     pub ahead: bool,
 }
