Uploads up to 1 MiB are read before a target is chosen; a daemon that is behind sends them away

A target's link is a resource like its slots: its half lets 64 KiB of bodies come at once, in the order in which they came, and sends a body away once 640 KiB wait there. The time of a body on the link counts as the link's again, so routers learn which links are slow.

--- a/crates/daemon/src/half/ahead.rs
+++ b/crates/daemon/src/half/ahead.rs
@@ -39,6 +39,9 @@
         reason,
         retry_after_us: RETRY_AFTER_US,
     };
+    if core.half.bodies.is_behind() && !call.elsewhere.is_nowhere() {
+        return Err(refused(RefusalReason::Busy));
+    }
     let length = call.to_come.and_then(|to_come| to_come.length).unwrap_or(0);
     let own = core
         .half
--- a/crates/daemon/src/half/bodies.rs
+++ b/crates/daemon/src/half/bodies.rs
@@ -34,9 +34,12 @@
 type Key = (u64, AttemptId);
 
 /// Bytes of all bodies in pieces that are on their way to this daemon at once: a small message
-/// waits behind them for 26 ms on a link of 10 Mbit/s, and they keep such a link busy over a
+/// waits behind them for 52 ms on a link of 10 Mbit/s, and they keep such a link busy over a
 /// round trip of as long.
-const ON_THE_WAY_BYTES: u64 = 32 << 10;
+const ON_THE_WAY_BYTES: u64 = 64 << 10;
+/// Bytes of bodies that wait for their turn, from which on a further body goes elsewhere if it
+/// can: half a second on a link of 10 Mbit/s.
+const BACKLOG_BYTES: u64 = 640 << 10;
 /// Time between two looks at whether bodies that wait may send.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 
@@ -46,7 +49,7 @@
     turns: Arc<Turns>,
 }
 
-/// Lets bodies take turns on the way here.
+/// Lets bodies come in their turn.
 struct Turns {
     clock: Clock,
     meter: Mutex<BodyMeter<Key>>,
@@ -57,7 +60,10 @@
 impl Turns {
     /// There is room for more of a body.
     fn want(&self, key: Key, bytes: u64) {
-        lock(&self.meter).want(key, bytes);
+        // Bytes of a body that ended may be let go of later.
+        if lock(&self.links).contains_key(&key) {
+            lock(&self.meter).want(key, bytes);
+        }
         self.go_on();
     }
 
@@ -159,6 +165,11 @@
         }
     }
 
+    /// Whether so many bodies wait here that a further one is better sent elsewhere.
+    pub(super) fn is_behind(&self) -> bool {
+        lock(&self.turns.meter).backlog() >= BACKLOG_BYTES
+    }
+
     /// Never ends: lets bodies go on whose turn comes since others do not use theirs.
     pub(super) async fn go_on(&self) -> ! {
         loop {
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -75,10 +75,11 @@
     let ahead = ahead::expect(&core, &link, &call);
     let busy = core.life.target_calls.enter();
     tokio::spawn(async move {
-        let arrived = core.clock.now();
         let attempt = call.attempt;
         let name = call.call.clone();
         let whole = ahead::collect(&core, call, ahead, (&link, &cancelled)).await;
+        // The time of a body on the link is the link's: the router learns it as such.
+        let arrived = core.clock.now();
         let ended = match whole {
             Ok(call) => serve(&core, &link, call, cancelled).await,
             Err(refusal) => Ended::Refused(refusal),
--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -774,6 +774,55 @@
     assert_eq!(cut_by(worker, "sender"), 1.0);
 }
 
+/// Small calls wait behind what is on its way through the link, whoever sends it.
+#[test]
+fn all_bodies_on_their_way_to_one_daemon_are_bounded_together_and_too_many_go_elsewhere() {
+    const LENGTH: u64 = 200_000;
+    let (address, _seen) = target(|_| {});
+    let overrides = json!({"body_window_bytes": 1 << 20});
+    let fleet = plan("large-bounded", "stock", overrides).start_with_target(&address);
+    let worker = &fleet.workers[0];
+    fleet.runtime.block_on(async {
+        let ours = Peer::hello(&worker.raw.deployment, "stock", "127.0.0.1:1");
+        let mut peer = Peer::dial(&worker.entry.mesh, ours).await;
+        let offered = |nth: u64, elsewhere| {
+            let mut call = call_in_pieces(AttemptId(nth), LENGTH);
+            call.elsewhere = elsewhere;
+            call.to_come = Some(BodyToCome {
+                length: Some(LENGTH),
+                ahead: true,
+            });
+            Frame::Call(Box::new(call))
+        };
+        // Those that cannot go elsewhere wait here; of the others some are sent away.
+        for nth in 1..=25 {
+            let elsewhere = match nth {
+                1..=5 => Elsewhere::Nowhere,
+                _ => Elsewhere::Near,
+            };
+            peer.send(offered(nth, elsewhere)).await;
+        }
+        let mut open = 0;
+        let refused = async {
+            loop {
+                match peer.receive().await {
+                    Frame::Window { bytes, .. } => open += bytes,
+                    Frame::Refused {
+                        attempt, refusal, ..
+                    } => return (attempt, refusal.reason),
+                    _ => {}
+                }
+            }
+        };
+        let refused = tokio::time::timeout(PATIENCE, refused).await;
+        let (attempt, reason) = refused.expect("one is sent away");
+        assert!(attempt > AttemptId(5), "{attempt:?}");
+        assert_eq!(reason, RefusalReason::Busy);
+        // What does not come within a while is let come anew, so this is not the bound itself.
+        assert!(open < 500_000, "{open} let come at once");
+    });
+}
+
 fn call_in_pieces(attempt: AttemptId, length: u64) -> CallFrame {
     CallFrame {
         attempt,
--- a/crates/policy/src/body_meter.rs
+++ b/crates/policy/src/body_meter.rs
@@ -1,15 +1,15 @@
 //! How much of all bodies in pieces may be on its way to one daemon at once.
 //!
 //! What is on its way waits in front of the daemon's narrowest link, and every small message
-//! waits behind it. So the receiver lets come little at once, whoever sends it, and bodies take
-//! turns.
+//! waits behind it. So the receiver lets come little at once, whoever sends it. The body that
+//! came first goes first: where all went at once, an overload would have all come too late.
 
 use std::collections::VecDeque;
 
 use crate::ids::Micros;
 
-/// Bytes that one body is given at a time, before the next has its turn.
-const TURN_BYTES: u64 = 8 << 10;
+/// Bytes that a sender is told of at a time: a message for a few pieces.
+const GRANT_BYTES: u64 = 16 << 10;
 /// Time after which bytes that were let come and did not come are taken for not on their way:
 /// their sender waits for its caller, and others need not wait for it.
 const STALE_US: Micros = 100_000;
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Bytes of bodies that wait for their turn.
+    pub fn backlog(&self) -> u64 {
+        self.waiting.iter().map(|(_, wanted)| wanted).sum()
+    }
+
     /// Bytes of a body arrived.
     pub fn arrived(&mut self, body: K, mut bytes: u64) {
         for grant in self.granted.iter_mut().filter(|grant| grant.body == body) {
@@ -66,14 +71,15 @@
 
     /// The body that may send now, and how much.
     pub fn next(&mut self, now: Micros) -> Option<(K, u64)> {
-        let (body, wanted) = *self.waiting.front()?;
-        let bytes = wanted.min(TURN_BYTES);
+        let place = self.first_in_turn(now)?;
+        let (body, wanted) = self.waiting[place];
+        let bytes = wanted.min(GRANT_BYTES);
         if self.on_the_way(now) + bytes > self.limit {
             return None;
         }
-        self.waiting.pop_front();
-        if wanted > bytes {
-            self.waiting.push_back((body, wanted - bytes));
+        match wanted > bytes {
+            true => self.waiting[place].1 -= bytes,
+            false => drop(self.waiting.remove(place)),
         }
         let grant = Grant {
             body,
@@ -84,6 +90,14 @@
         Some((body, bytes))
     }
 
+    /// The body that came first, but for those that do not send what they were let send.
+    fn first_in_turn(&self, now: Micros) -> Option<usize> {
+        let is_stale = |grant: &Grant<K>| now >= grant.at + STALE_US;
+        let is_slow = |body: K| self.granted.iter().any(|g| g.body == body && is_stale(g));
+        let prompt = self.waiting.iter().position(|(body, _)| !is_slow(*body));
+        prompt.or((!self.waiting.is_empty()).then_some(0))
+    }
+
     /// Bytes that may be on their way.
     pub fn on_the_way(&self, now: Micros) -> u64 {
         let is_fresh = |grant: &&Grant<K>| now < grant.at + STALE_US;
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -87,7 +87,7 @@
     whole("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "largest request or answer body"),
     whole("body_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for bodies of callers' calls in hand, before new ones are refused"),
     whole("body_whole_bytes", "bytes", (1_024, 1 << 20), 16 << 10, "bodies of routes with large bodies up to this size are passed on whole, larger ones in pieces"),
-    whole("body_window_bytes", "bytes", (4_096, 16 << 20), 64 << 10, "bytes of one body in pieces on their way at once"),
+    whole("body_window_bytes", "bytes", (4_096, 16 << 20), 1 << 20, "bodies in pieces up to this size are read before a target is chosen, larger ones as it takes them, so many bytes at once"),
     whole("pipeline_limit", "calls", (1, 1_024), 8, "calls of one connection in hand at once"),
     whole("pipeline_bytes", "bytes", (4_096, 64 << 20), 1 << 20, "bytes of answers of one connection held for their turn, before it is read no further"),
     whole("attempt_limit", "attempts", (1, 8), 3, "targets one call may be offered to"),
