--- a/crates/daemon/src/half/ahead.rs
+++ b/crates/daemon/src/half/ahead.rs
@@ -6,7 +6,7 @@
 use lynxcleat_policy::{Micros, Refusal, RefusalReason};
 use lynxcleat_wire::CallFrame;
 
-use super::bodies::{BodyCut, Expected, count_cut};
+use super::bodies::{BodyCut, Expected, note_cut};
 use crate::core::Core;
 use crate::mesh::Link;
 
@@ -62,7 +62,7 @@
         never = core.half.bodies.go_on() => never,
     };
     call.body = whole.map_err(|BodyCut| {
-        count_cut(&core.metrics, ended_by);
+        note_cut(core, (&call.call, link), &expected, ended_by);
         refused(RefusalReason::TooLate)
     })?;
     call.to_come = None;
--- a/crates/daemon/src/half/bodies.rs
+++ b/crates/daemon/src/half/bodies.rs
@@ -22,7 +22,7 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::mesh::Link;
-use crate::metrics::{Metrics, count};
+use crate::metrics::count;
 use crate::sync::lock;
 
 /// The pieces stopped before the last one.
@@ -321,9 +321,20 @@
     }
 }
 
-/// Counts a body that was not written whole.
-pub(super) fn count_cut(metrics: &Metrics, by: &'static str) {
-    count(&metrics.bodies_cut, by);
+/// Counts a body that did not reach the target whole, and says who ended it.
+pub(super) fn note_cut(
+    core: &Core,
+    (call, link): (&str, &Link),
+    expected: &Expected,
+    ended_by: &'static str,
+) {
+    count(&core.metrics.bodies_cut, ended_by);
+    if core.explain.logs(core.clock.now(), false) {
+        let from = link.peer.host.as_str();
+        let bytes = expected.bytes();
+        let delivered = expected.is_begun();
+        log::info!(call, from, bytes, delivered, ended_by; "body cut at the target");
+    }
 }
 
 /// A body as the connection to the target reads it.
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -9,7 +9,7 @@
 use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame};
 
 use super::ahead;
-use super::bodies::{Expected, count_cut};
+use super::bodies::{Expected, note_cut};
 use super::exchange::{Exchange, Request, RequestBody};
 use super::{Go, Half, send};
 use crate::control::asks_for_load;
@@ -447,7 +447,7 @@
             other => other,
         };
         if !expected.is_handed_over() {
-            self.note_cut(&name, &expected, ended_by);
+            note_cut(self.core, (&name, self.link), &expected, ended_by);
         }
         drop(room);
         (exchange, expected.whole_at())
@@ -467,16 +467,6 @@
         by
     }
 
-    fn note_cut(&self, call: &str, expected: &Expected, ended_by: &'static str) {
-        count_cut(&self.core.metrics, ended_by);
-        if self.core.explain.logs(self.core.clock.now(), false) {
-            let from = self.link.peer.host.as_str();
-            let bytes = expected.bytes();
-            let delivered = expected.is_begun();
-            log::info!(call, from, bytes, delivered, ended_by; "body cut at the target");
-        }
-    }
-
     /// How long the answer of the target is waited for.
     fn awaited_until(&self, op: Option<OpId>) -> Micros {
         match op {
--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -271,22 +271,34 @@
 }
 
 /// The rest is due on that connection; other bytes must not follow.
-#[test]
-fn an_answer_before_the_end_is_passed_on_at_once_and_its_connection_not_used_again() {
+#[rstest]
+#[case::by_length(false)]
+#[case::chunked(true)]
+fn an_answer_before_the_end_is_passed_on_at_once_and_its_connection_not_used_again(
+    #[case] is_chunked: bool,
+) {
     const LENGTH: usize = 400_000;
     let (address, seen) = target(|stream| support::answer(stream, "early"));
     let fleet = plan("large-early", "stock", json!({})).start_with_target(&address);
     let worker = &fleet.workers[0];
     let sent = body(LENGTH);
-    let mut stream = head(worker, "/up/", &format!("Content-Length: {LENGTH}\r\n"));
-    stream.write_all(&sent[..100_000]).expect("sent");
+    let (more, framed) = match is_chunked {
+        true => ("Transfer-Encoding: chunked\r\n".to_owned(), chunked(&sent)),
+        false => (format!("Content-Length: {LENGTH}\r\n"), sent.clone()),
+    };
+    let mut stream = head(worker, "/up/", &more);
+    stream.write_all(&framed[..100_000]).expect("sent");
     let reply = read_answer(&mut stream);
     assert_eq!((reply.status, &reply.body[..]), (200, &b"early"[..]));
     let got = seen.body();
-    assert!(sent.starts_with(&got), "the body's bytes and no others");
+    assert!(
+        is_chunked || sent.starts_with(&got),
+        "the body's bytes only"
+    );
     assert!(got.len() < LENGTH, "it is not taken for whole");
+    assert!(!got.ends_with(b"0\r\n\r\n"), "nor by its chunks");
     // The caller sends the rest, which is thrown away, and its connection serves on.
-    stream.write_all(&sent[100_000..]).expect("sent");
+    stream.write_all(&framed[100_000..]).expect("sent");
     let next = "POST /other HTTP/1.1\r\nHost: stock\r\nContent-Length: 2\r\n\r\nhi";
     stream.write_all(next.as_bytes()).expect("sent");
     assert_eq!(read_answer(&mut stream).body, b"early");
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -3,8 +3,8 @@
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{AttemptId, Figures};
 use lynxcleat_wire::{
-    Answer, CodecError, Envelope, Frame, Header, Hello, HelloError, PROTOCOL_VERSION, SharedKey,
-    Side, decode, encode,
+    Answer, CodecError, Envelope, Frame, Header, Hello, HelloError, PROTOCOL_VERSION, PieceFrame,
+    SharedKey, Side, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -58,6 +58,21 @@
             generation: 0,
             frame: Frame::Hello(hello(u128::MAX)),
         },
+        Envelope {
+            generation: 1,
+            frame: Frame::Window {
+                attempt: AttemptId(3),
+                bytes: u64::MAX,
+            },
+        },
+        Envelope {
+            generation: 1,
+            frame: Frame::Piece(PieceFrame {
+                attempt: AttemptId(3),
+                bytes: vec![0xff; 9_000].into(),
+                last: true,
+            }),
+        },
         Envelope {
             generation: u64::MAX,
             frame: Frame::Beat,
--- a/scripts/take-out.sh
+++ b/scripts/take-out.sh
@@ -31,5 +31,7 @@
     echo "$name: fails as it should ($package $test $only)"
   fi
   mv "$file.kept" "$file"
+  # Older than what was built from the changed one, it would not be built anew.
+  touch "$file"
 done < scripts/take-out.list
 exit $failed
