--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -577,8 +577,9 @@
 /// goes first.
 #[test]
 fn small_messages_pass_the_pieces_of_bodies() {
-    const UPLOADS: usize = 4;
-    const LENGTH: usize = 12 << 20;
+    // So many that a piece always waits.
+    const UPLOADS: usize = 24;
+    const LENGTH: usize = 4 << 20;
     let fleet = plan("large-order", "other", json!({})).start();
     let half = FakeHalf::add(&fleet, "other");
     let worker = &fleet.workers[0];
