--- a/crates/daemon/src/callers/body.rs
+++ b/crates/daemon/src/callers/body.rs
@@ -3,31 +3,61 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Bytes, Frame};
 use lynxcleat_settings::Effective;
 use serde_bytes::ByteBuf;
 
 use super::answer::Problem;
 use super::room::Taken;
-use crate::http1::RequestBody;
+
+/// A body that is read piece by piece, and of which a rest may be left.
+pub(super) struct CallerBody<B> {
+    body: B,
+}
+
+impl<B> CallerBody<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    /// A body of which nothing was read.
+    pub(super) fn new(body: B) -> Self {
+        CallerBody { body }
+    }
+
+    /// What the caller sends next; nothing at the end.
+    pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, B::Error>> {
+        self.body.frame().await
+    }
+
+    /// Whether all of it was read.
+    pub(super) fn is_end(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
 
 /// Reads a body whole. `room` holds the room for its stated length; what comes of a body
 /// without one takes more.
-pub(super) async fn read(
-    body: RequestBody,
+pub(super) async fn read<B>(
+    body: B,
     effective: &Effective,
     room: &mut Taken<'_>,
-) -> Result<ByteBuf, Problem> {
+) -> Result<ByteBuf, Problem>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let time = Duration::from_millis(effective.caller_limit_ms);
     let whole = tokio::time::timeout(time, read_frames(body, effective, room)).await;
     whole.unwrap_or(Err(Problem::TooSlow))
 }
 
-async fn read_frames(
-    mut body: RequestBody,
+async fn read_frames<B>(
+    mut body: B,
     effective: &Effective,
     room: &mut Taken<'_>,
-) -> Result<ByteBuf, Problem> {
+) -> Result<ByteBuf, Problem>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let limit = effective.body_limit_bytes;
     let is_stated = body.size_hint().exact().is_some();
     let mut whole = ByteBuf::new();
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -40,6 +40,8 @@
     pub deadline_ms: Option<u64>,
     pub effects: Effects,
     pub may_retry: bool,
+    /// Whether its method asks for no effects.
+    pub is_safe: bool,
     pub length: Option<u64>,
     pub head: RequestHead,
 }
@@ -55,6 +57,7 @@
         deadline_ms: deadline_ms(headers, dialect)?,
         effects: effects(core, parts)?,
         may_retry: !retries.is_some_and(|retry| headers.contains_key(retry)),
+        is_safe: is_safe(&parts.method),
         length: length(headers)?,
         head: RequestHead {
             method: parts.method.as_str().to_owned(),
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod body;
 mod calls;
 mod classify;
+mod pieces;
 mod room;
 mod serve;
 mod stall;
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -2,22 +2,25 @@
 
 use std::sync::Arc;
 
-use hyper::body::Body;
+use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
 use lynxcleat_policy::{CallId, CallKind, Homes, Micros};
 use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
+use lynxcleat_wire::BodyToCome;
 use rand::RngExt;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 
 use super::answer::{self, HttpAnswer, Outcome, Problem};
-use super::body;
+use super::body::{self, CallerBody};
 use super::classify::{self, Classified, Effects};
+use super::pieces::{self, BodyEnd};
 use super::room::Taken;
 use crate::core::Core;
 use crate::http1::RequestBody;
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
-use crate::route::{self, Outbound, RouteVerdict, ServiceRouter};
+use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, UploadReader};
 use crate::settings_state::InForce;
 
 /// Path under which the daemon itself answers callers.
@@ -73,6 +76,7 @@
     priority: u32,
     effects: Effects,
     homes: Homes,
+    large_bodies: bool,
 }
 
 #[derive(Serialize)]
@@ -156,8 +160,20 @@
     body: RequestBody,
 ) -> Result<HttpAnswer, Problem> {
     classify::check_settings(&pinned.call, &pinned.effective)?;
-    let mut room = take_room(core, &pinned.effective, &body)?;
-    let body = body::read(body, &pinned.effective, &mut room).await?;
+    let way = way(&pinned, &body);
+    let is_ahead = way == Way::Ahead;
+    let to_come = way.to_come();
+    let mut room = take_room(core, &pinned.effective, &body, to_come)?;
+    let (body, coming) = match to_come {
+        Some(to_come) => {
+            let coming = (CallerBody::new(body), route::upload(to_come));
+            (ByteBuf::new(), Some(coming))
+        }
+        None => {
+            let whole = body::read(body, &pinned.effective, &mut room).await?;
+            (whole, None)
+        }
+    };
     let Pinned {
         call,
         effective,
@@ -186,9 +202,21 @@
         caller_service: caller_service(core),
         generation,
         head: call.head,
+        ahead: is_ahead,
         body,
+        upload: None,
+    };
+    let answered = match coming {
+        None => run(core, terms.effects, service, outbound).await,
+        Some((body, (upload, reader))) => {
+            let outbound = Outbound {
+                upload: Some(upload),
+                ..outbound
+            };
+            let running = run(core, terms.effects, service, outbound);
+            run_with_body(core, (name, &effective), running, (body, reader)).await
+        }
     };
-    let answered = run(core, terms.effects, service, outbound).await;
     drop(room);
     answered
 }
@@ -204,6 +232,79 @@
     }
 }
 
+/// How a body goes to its target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// In one message with its call.
+    Whole,
+    /// Read whole, and sent in pieces behind its call.
+    Ahead,
+    /// Read and sent in pieces once the target has a slot.
+    InWindow(BodyToCome),
+}
+
+impl Way {
+    fn to_come(self) -> Option<BodyToCome> {
+        match self {
+            Way::Whole | Way::Ahead => None,
+            Way::InWindow(to_come) => Some(to_come),
+        }
+    }
+}
+
+/// Chooses how a body goes. What fits into a window is read before a target is chosen, so that
+/// the choice is as fresh as the run. A ticket or key needs the whole body, and a body without
+/// a stated length under a safe method cannot be told from none on the way to the target.
+fn way(pinned: &Pinned, body: &impl Body) -> Way {
+    let (terms, effective) = (&pinned.terms, &pinned.effective);
+    let is_plain = matches!(terms.effects, Effects::None | Effects::Plain);
+    if !terms.large_bodies || !is_plain || pinned.call.is_safe {
+        return Way::Whole;
+    }
+    let length = body.size_hint().exact();
+    let is_within = |bytes: usize| length.is_some_and(|length| length <= bytes as u64);
+    if is_within(effective.body_whole_bytes) {
+        return Way::Whole;
+    }
+    if is_within(effective.body_window_bytes) {
+        return Way::Ahead;
+    }
+    let ahead = false;
+    Way::InWindow(BodyToCome { length, ahead })
+}
+
+/// Runs a call whose body is read while it runs. Its answer may come before the body's end.
+async fn run_with_body<B>(
+    core: &Core,
+    (name, effective): (&str, &Effective),
+    running: impl Future<Output = Result<HttpAnswer, Problem>>,
+    (mut body, reader): (CallerBody<B>, UploadReader),
+) -> Result<HttpAnswer, Problem>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Send,
+{
+    tokio::pin!(running);
+    let sent = tokio::select! {
+        biased;
+        answered = &mut running => Err(answered),
+        end = pieces::send(core, name, &mut body, effective, reader) => Ok(end),
+    };
+    let (answered, end) = match sent {
+        Ok(end) => (running.await, end),
+        Err(answered) => (answered, BodyEnd::CallEnded),
+    };
+    // The connection throws away what is left of it, within a bound, or ends.
+    drop(body);
+    match (answered, end) {
+        (Err(Problem::NotRun { .. }), BodyEnd::TooLarge) => Err(Problem::TooLarge {
+            limit: effective.body_limit_bytes,
+        }),
+        (Err(Problem::NotRun { .. }), BodyEnd::TooSlow) => Err(Problem::TooSlow),
+        (answered, _) => answered,
+    }
+}
+
 /// One line for a call that was answered before it was routed; the others are logged
 /// with their attempts.
 fn log_unrouted(core: &Core, name: &str, problem: &Problem) {
@@ -215,14 +316,18 @@
 }
 
 /// Takes room for the call's body as far as its length is stated; the rest is taken as it
-/// comes.
+/// comes. A body in pieces takes no more than its window.
 fn take_room<'a>(
     core: &'a Core,
     effective: &Effective,
-    body: &RequestBody,
+    body: &impl Body,
+    to_come: Option<BodyToCome>,
 ) -> Result<Taken<'a>, Problem> {
     let stated = body.size_hint().exact();
-    let bytes = stated.map_or(0, |length| length as usize);
+    let bytes = match to_come {
+        Some(_) => effective.body_window_bytes,
+        None => stated.map_or(0, |length| length as usize),
+    };
     let room = core.bodies.take(bytes, effective.body_memory_bytes);
     room.ok_or(Problem::NoRoom)
 }
@@ -247,6 +352,7 @@
             priority: named.route.priority,
             effects: route_effects(named.route.effects, &call.effects),
             homes: in_force.homes(CallKind(named.kind), name),
+            large_bodies: named.route.large_bodies,
         },
         None => Terms {
             timeout_ms: effective.deadline_max_ms,
@@ -256,6 +362,7 @@
             priority: 0,
             effects: call.effects.clone(),
             homes: in_force.homes(CallKind::default(), name),
+            large_bodies: false,
         },
     };
     Ok(Pinned {
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -4,6 +4,8 @@
 //! half knows the exact load, remembers once-only operations, and keeps the warm
 //! connections to the target.
 
+mod ahead;
+mod bodies;
 mod exchange;
 mod pool;
 mod serve;
@@ -31,6 +33,7 @@
 use crate::route;
 use crate::sync::lock;
 
+use bodies::Bodies;
 use exchange::Told;
 
 pub use pool::Pool;
@@ -104,6 +107,8 @@
     asking: tokio::sync::Mutex<()>,
     /// Told when held calls want to be looked at again.
     look_wanted: Notify,
+    /// Bodies in pieces on their way to the target.
+    pub bodies: Bodies,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -145,6 +150,7 @@
             load_readings: AtomicU32::new(0),
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
+            bodies: Bodies::new(clock),
             pool,
         }
     }
--- a/crates/daemon/src/http1/connection.rs
+++ b/crates/daemon/src/http1/connection.rs
@@ -30,8 +30,8 @@
 use super::waits::{IdleLimit, Looks};
 
 /// Largest rest of a body that is read and thrown away so that its connection can be kept:
-/// it costs less than a new connection.
-const DRAIN_BYTES: u64 = 64 << 10;
+/// a caller that was answered early is often sending yet, and needs no new connection.
+const DRAIN_BYTES: u64 = 1 << 20;
 /// Size that the head of an answer is taken to have while the answer waits for its turn.
 const ANSWER_HEAD_BYTES: usize = 512;
 
@@ -133,6 +133,21 @@
     feed: BodyFeed,
     /// Its caller waits for `100 Continue`.
     is_held_back: bool,
+    /// Bytes of it that are still thrown away, once its call is answered.
+    drain_left: Option<u64>,
+}
+
+impl OpenBody {
+    /// Whether a piece is to be taken: before the answer any, and as many as are thrown away
+    /// after it.
+    fn may_take(&mut self, bytes: usize) -> bool {
+        let Some(left) = self.drain_left else {
+            return true;
+        };
+        let rest = left.checked_sub(bytes as u64);
+        self.drain_left = rest.or(Some(0));
+        rest.is_some()
+    }
 }
 
 struct Slot {
@@ -383,6 +398,7 @@
             number,
             feed,
             is_held_back: expects_continue,
+            drain_left: None,
         });
         body
     }
@@ -405,7 +421,13 @@
             return false;
         }
         match self.requests.next(room) {
-            Ok(Some(Item::Data(data))) => open.feed.push(data),
+            Ok(Some(Item::Data(data))) => {
+                let is_too_long = !open.may_take(data.len());
+                open.feed.push(data);
+                if is_too_long {
+                    self.cut_rest();
+                }
+            }
             Ok(Some(_)) => self.finish_body(),
             Ok(None) => return false,
             Err(malformed) => self.cut_body(malformed),
@@ -427,6 +449,13 @@
         self.pipeline.end();
     }
 
+    /// Too much of a body came after its answer: the connection ends.
+    fn cut_rest(&mut self) {
+        self.body = None;
+        self.is_cut = true;
+        self.pipeline.end();
+    }
+
     fn begin_waiting(&mut self) {
         if self.waiting.is_none() || self.pipeline.begin().is_none() {
             return;
@@ -470,11 +499,12 @@
             open.is_some_and(|open| open.number == number)
         };
         while is_open(&self.body) && self.take_body(cx) {}
-        let Some(open) = self.body.as_ref().filter(|open| open.number == number) else {
+        let Some(open) = self.body.as_mut().filter(|open| open.number == number) else {
             return false;
         };
         let left = self.requests.left_of_body();
-        if !open.is_held_back && left.is_some_and(|left| left <= DRAIN_BYTES) {
+        if !open.is_held_back && left.is_none_or(|left| left <= DRAIN_BYTES) {
+            open.drain_left = Some(DRAIN_BYTES);
             return false;
         }
         self.body = None;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,6 +75,9 @@
     pub region_short: Counter,
     pub mesh_frames: Family<MeshLabels, Counter>,
     pub mesh_bytes: Family<MeshLabels, Counter>,
+    pub bodies_in_pieces: Gauge,
+    pub piece_bytes: Counter,
+    pub bodies_cut: Kinds,
     pub in_flight: Gauge,
     pub held: Gauge,
     pub generation: Gauge,
@@ -115,6 +118,9 @@
             region_short: Counter::default(),
             mesh_frames: Family::default(),
             mesh_bytes: Family::default(),
+            bodies_in_pieces: Gauge::default(),
+            piece_bytes: Counter::default(),
+            bodies_cut: Family::default(),
             in_flight: Gauge::default(),
             held: Gauge::default(),
             generation: Gauge::default(),
@@ -160,6 +166,9 @@
         registry.register("region_short", "Choices made while the bytes to other regions were used up", self.region_short.clone());
         registry.register("mesh_frames", "Messages sent to other daemons, by kind and distance", self.mesh_frames.clone());
         registry.register("mesh_bytes", "Bytes sent to other daemons, by kind and distance", self.mesh_bytes.clone());
+        registry.register("bodies_in_pieces", "Bodies of callers that are passed on in pieces", self.bodies_in_pieces.clone());
+        registry.register("piece_bytes", "Bytes of callers' bodies sent in pieces", self.piece_bytes.clone());
+        registry.register("bodies_cut", "Bodies in pieces that did not reach the target whole, by who ended them", self.bodies_cut.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
         registry.register("held", "Calls held for the target", self.held.clone());
         registry.register("generation", "Generation of settings in force", self.generation.clone());
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -12,11 +12,13 @@
     Action, AttemptId, CallId, CallKind, Elsewhere, Event, Figures, Homes, Micros, NotRunReason,
     Source, TargetId, UnknownReason, Verdict,
 };
-use lynxcleat_wire::{Answer, CallFrame, Header, RequestHead};
+use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
+use super::ahead::{self, SentAhead};
 use super::service::ServiceRouter;
 use super::settle;
+use super::upload::{Opened, Upload};
 use crate::core::Core;
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
 use crate::mesh::{Signal, SignalKind};
@@ -26,7 +28,7 @@
 const DEADLINE_GRACE_US: Micros = 5_000;
 
 /// A call that is ready to be sent to a target.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Outbound {
     /// Number of the call at this daemon.
     pub id: CallId,
@@ -56,8 +58,12 @@
     pub generation: u64,
     /// Head of the request.
     pub head: RequestHead,
-    /// Body of the request.
+    /// Body of the request; empty where it comes in pieces.
     pub body: ByteBuf,
+    /// Whether the body is sent in pieces, ahead of a slot at the target.
+    pub ahead: bool,
+    /// Present where the body is read once the target has a slot.
+    pub upload: Option<Upload>,
 }
 
 /// What the caller is told.
@@ -124,6 +130,7 @@
     attempt: AttemptId,
     target: TargetId,
     link: Option<Arc<crate::mesh::Link>>,
+    ahead: Option<SentAhead>,
 }
 
 /// A call in hand.
@@ -170,19 +177,32 @@
         loop {
             let event = tokio::select! {
                 biased;
-                Ok(signal) = signals.recv_async() => self.event(signal),
+                Ok(signal) = signals.recv_async() => match self.event(signal) {
+                    Some(event) => event,
+                    None => continue,
+                },
                 () = &mut gone, if !is_gone => {
                     is_gone = true;
                     Event::CallerGone { call: self.call.id }
                 }
                 () = &mut over => Event::DeadlineOver { call: self.call.id },
             };
+            self.hold_begun_body();
             if let Some(verdict) = self.feed(event) {
                 return verdict;
             }
         }
     }
 
+    /// Says that the call may not move, where some of its body was sent. What is fed next
+    /// may end the attempt, so its body is begun now or not for this attempt.
+    fn hold_begun_body(&mut self) {
+        let call = self.call.id;
+        if self.call.upload.as_ref().is_some_and(Upload::take_back) {
+            self.decide(Event::BodyBegun { call });
+        }
+    }
+
     /// Feeds the decisions until they ask for nothing more at once.
     fn feed(&mut self, event: Event) -> Option<RouteVerdict> {
         let mut events = vec![event];
@@ -286,7 +306,11 @@
             attempt,
             target,
             link: link.clone(),
+            ahead: None,
         });
+        if let Some(upload) = &self.call.upload {
+            upload.offer(attempt);
+        }
         let sent = link.is_some_and(|link| {
             let frame = CallFrame {
                 canary: self.service.with(|router| router.is_new(target)),
@@ -295,14 +319,40 @@
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
+            self.send_ahead(attempt);
             return None;
         }
         self.note("not-sent");
         Some(Event::NotSent { attempt })
     }
 
+    /// Starts sending the body behind the call that was sent.
+    fn send_ahead(&mut self, attempt: AttemptId) {
+        let Some(out) = self.attempts.last_mut().filter(|_| self.call.ahead) else {
+            return;
+        };
+        if let Some(link) = out.link.clone() {
+            let body = self.call.body.clone();
+            out.ahead = Some(ahead::send(self.core, link, attempt, body));
+        }
+    }
+
+    /// How the body goes, and what is sent of it with the call.
+    fn body(&self) -> (ByteBuf, Option<BodyToCome>) {
+        let length = Some(self.call.body.len() as u64);
+        match (&self.call.upload, self.call.ahead) {
+            (Some(upload), _) => (ByteBuf::new(), Some(upload.to_come)),
+            (None, true) => {
+                let ahead = true;
+                (ByteBuf::new(), Some(BodyToCome { length, ahead }))
+            }
+            (None, false) => (self.call.body.clone(), None),
+        }
+    }
+
     fn frame(&self, attempt: AttemptId, elsewhere: Elsewhere) -> CallFrame {
         let mut head = self.call.head.clone();
+        let (body, to_come) = self.body();
         let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
         if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
             let mark = Header(retry.as_str().to_owned(), ByteBuf::from(b"1".to_vec()));
@@ -326,7 +376,8 @@
             operation: self.call.operation,
             caller_service: self.call.caller_service.clone(),
             head,
-            body: self.call.body.clone(),
+            body,
+            to_come,
         }
     }
 
@@ -363,10 +414,35 @@
         self.attempts.iter().find(|out| out.attempt == attempt)
     }
 
-    /// What a signal means to the decisions.
-    fn event(&mut self, signal: Signal) -> Event {
+    /// Passes on how much of the body may be sent.
+    fn open_window(&self, attempt: AttemptId, bytes: u64) {
+        let Some(out) = self.out(attempt) else { return };
+        if let Some(ahead) = &out.ahead {
+            ahead.grant(bytes);
+            return;
+        }
+        let link = out.link.clone();
+        let (Some(upload), Some(link)) = (&self.call.upload, link) else {
+            return;
+        };
+        let opened = Opened {
+            attempt,
+            link,
+            bytes,
+        };
+        if !upload.open(opened) {
+            self.withdraw(attempt);
+        }
+    }
+
+    /// What a signal means to the decisions; nothing where they need not know.
+    fn event(&mut self, signal: Signal) -> Option<Event> {
         let attempt = signal.attempt;
-        match signal.kind {
+        Some(match signal.kind {
+            SignalKind::Window(bytes) => {
+                self.open_window(attempt, bytes);
+                return None;
+            }
             SignalKind::Answer {
                 answer,
                 figures,
@@ -391,6 +467,7 @@
                 }
             }
             SignalKind::Refused { refusal, figures } => {
+                self.stop_sending(attempt);
                 self.note(&format!("refused: {:?}", refusal.reason));
                 self.tell_half(attempt, figures);
                 Event::Refused {
@@ -417,6 +494,15 @@
                     settlement,
                 }
             }
+        })
+    }
+
+    /// The rest of a body that was sent ahead is of no use any more.
+    fn stop_sending(&mut self, attempt: AttemptId) {
+        for out in &mut self.attempts {
+            if out.attempt == attempt {
+                out.ahead = None;
+            }
         }
     }
 
--- a/crates/daemon/tests/home_regions.rs
+++ b/crates/daemon/tests/home_regions.rs
@@ -179,7 +179,7 @@
     let fleet = plan("homes-behind", 2, json!({})).start();
     let (east, west) = (&fleet.workers[0], &fleet.workers[1]);
     fleet.runtime.block_on(async {
-        let mut behind = Peer::dial(west, 0).await;
+        let mut behind = Peer::dial_with(west, 0).await;
         let told_nothing = behind.offer(1, home_kind(), Homes::Anywhere).await;
         assert!(
             is_outside(&told_nothing),
@@ -189,7 +189,7 @@
         assert!(is_outside(&told), "the call says so: {told:?}");
         let free = behind.offer(3, CallKind::default(), Homes::Anywhere).await;
         assert!(matches!(free, Frame::Answer { .. }), "{free:?}");
-        let mut behind = Peer::dial(east, 0).await;
+        let mut behind = Peer::dial_with(east, 0).await;
         let at_home = behind.offer(4, home_kind(), Homes::Anywhere).await;
         assert!(matches!(at_home, Frame::Answer { .. }), "{at_home:?}");
         let nowhere = Homes::from(Vec::new());
@@ -210,7 +210,7 @@
 fn a_half_that_is_behind_heeds_what_a_newer_router_says() {
     let fleet = plan("homes-ahead", 2, json!({})).start();
     fleet.runtime.block_on(async {
-        let mut ahead = Peer::dial(&fleet.workers[1], 99).await;
+        let mut ahead = Peer::dial_with(&fleet.workers[1], 99).await;
         let moved_here = ahead.offer(1, home_kind(), only("r2")).await;
         assert!(matches!(moved_here, Frame::Answer { .. }), "{moved_here:?}");
         let elsewhere = ahead.offer(2, CallKind::default(), only("r1")).await;
@@ -299,7 +299,7 @@
     let served = post(&fleet, 0, "op.example", "served", &[]);
     let runs = || fleet.ledger().contains_key("served");
     assert!(wait_until(PATIENCE, runs));
-    let held = fleet.runtime.block_on(Peer::dial(east, 0));
+    let held = fleet.runtime.block_on(Peer::dial_with(east, 0));
     let held = fleet.runtime.spawn(async move {
         let mut peer = held;
         peer.offer(1, home_kind(), Homes::Anywhere).await
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -29,6 +29,11 @@
 
 /// A tree with one service `stock` at place `east`, with `overrides` at the root.
 pub fn tree(overrides: Value) -> Tree {
+    tree_with_routes(overrides, json!({}))
+}
+
+/// Such a tree with routes.
+pub fn tree_with_routes(overrides: Value, routes: Value) -> Tree {
     let mut settings = json!({
         "clock_skew_ms": 0, "list_lag_ms": 0, "poll_ms": 200, "host_list_ms": 100,
         "health_ms": 100, "heartbeat_ms": 100, "link_silence_ms": 400,
@@ -40,7 +45,8 @@
     }
     let tree = json!({
         "settings": settings,
-        "places": {"east": {"services": {"stock": {}, "other": {}}}, "west": {"services": {"stock": {}}}}
+        "places": {"east": {"services": {"stock": {}, "other": {}}}, "west": {"services": {"stock": {}}}},
+        "routes": routes
     });
     Tree::from_json(&tree).expect("a good tree")
 }
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -1,4 +1,4 @@
-//! A peer that speaks to a daemon by hand, so that it can be behind or ahead.
+//! A peer that speaks the messages itself, so that a test says what it sends and when.
 
 use futures_util::{SinkExt, StreamExt};
 use lynxcleat_once::Incarnation;
@@ -8,64 +8,117 @@
     decode, encode,
 };
 use serde_bytes::ByteBuf;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{MaybeTlsStream, WebSocketStream};
 
 use super::{KEY, Worker};
 
 /// Time left to the calls of a peer, longer than any test waits.
 const LEFT_US: u64 = 120_000_000;
 
-/// A proved link to one daemon.
+/// A proved link.
 pub struct Peer {
-    socket: WebSocketStream<MaybeTlsStream<TcpStream>>,
+    socket: WebSocketStream<TcpStream>,
+    /// Generation of settings that it says it has in force.
     generation: u64,
 }
 
 impl Peer {
-    /// Dials a worker's daemon as one that has a generation of settings.
-    pub async fn dial(worker: &Worker, generation: u64) -> Peer {
-        let url = format!("ws://{}/mesh", worker.entry.mesh);
-        let (socket, _) = tokio_tungstenite::connect_async(url).await.expect("a link");
-        let mut peer = Peer { socket, generation };
-        let ours = Hello {
+    /// The hello of a peer whose target belongs to a service.
+    pub fn hello(deployment: &str, service: &str, mesh: &str) -> Hello {
+        Hello {
             version: PROTOCOL_VERSION,
-            deployment: worker.raw.deployment.clone(),
-            host: "by-hand".to_owned(),
+            deployment: deployment.to_owned(),
+            host: "peer".to_owned(),
             place: "east".to_owned(),
             zone: "east-1".to_owned(),
             region: String::new(),
-            service: "other".to_owned(),
-            mesh: "127.0.0.1:1".to_owned(),
+            service: service.to_owned(),
+            mesh: mesh.to_owned(),
             incarnation: Incarnation(7),
-            started_ms: 1,
+            started_ms: 0,
             leaving: false,
-            nonce: 11,
+            nonce: 7,
+        }
+    }
+
+    /// Dials a daemon, as one that routes to it.
+    pub async fn dial(mesh: &str, ours: Hello) -> Peer {
+        let stream = TcpStream::connect(mesh).await.expect("connected");
+        let url = format!("ws://{mesh}/mesh");
+        let upgraded = tokio_tungstenite::client_async(url, stream).await;
+        let (socket, _) = upgraded.expect("a web socket");
+        let mut peer = Peer {
+            socket,
+            generation: 0,
         };
-        peer.send(Frame::Hello(Box::new(ours.clone()))).await;
-        let Frame::Hello(theirs) = peer.next().await else {
-            panic!("no hello");
+        peer.prove(Side::Dialer, ours).await;
+        peer
+    }
+
+    /// Takes the link of a daemon that routes here.
+    pub async fn accept(listener: &TcpListener, ours: Hello) -> Peer {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let upgraded = tokio_tungstenite::accept_async(stream).await;
+        let mut peer = Peer {
+            socket: upgraded.expect("a web socket"),
+            generation: 0,
         };
-        assert!(matches!(peer.next().await, Frame::Proof(_)));
-        let key = SharedKey::new(KEY.as_bytes()).expect("a key");
-        let proof = key.prove(Side::Dialer, &ours, &theirs);
-        peer.send(Frame::Proof(proof)).await;
+        peer.prove(Side::Acceptor, ours).await;
+        peer
+    }
+
+    /// Dials a worker's daemon as one that has a generation of settings.
+    pub async fn dial_with(worker: &Worker, generation: u64) -> Peer {
+        let ours = Peer::hello(&worker.raw.deployment, "other", "127.0.0.1:1");
+        let mut peer = Peer::dial(&worker.entry.mesh, ours).await;
+        peer.generation = generation;
         peer
     }
 
+    async fn prove(&mut self, side: Side, ours: Hello) {
+        self.send(Frame::Hello(Box::new(ours.clone()))).await;
+        let Frame::Hello(theirs) = self.receive().await else {
+            panic!("a hello");
+        };
+        let key = SharedKey::new(KEY.as_bytes()).expect("a key");
+        let proof = match side {
+            Side::Dialer => key.prove(side, &ours, &theirs),
+            Side::Acceptor => key.prove(side, &theirs, &ours),
+        };
+        self.send(Frame::Proof(proof)).await;
+        let Frame::Proof(_) = self.receive().await else {
+            panic!("a proof");
+        };
+    }
+
+    /// Sends one message.
     pub async fn send(&mut self, frame: Frame) {
         let generation = self.generation;
-        let bytes = encode(&Envelope { generation, frame }).expect("encoded");
+        let bytes = encode(&Envelope { generation, frame }).expect("encodes");
         let sent = self.socket.send(Message::Binary(bytes.into())).await;
         sent.expect("sent");
     }
 
-    pub async fn next(&mut self) -> Frame {
+    /// The next message.
+    pub async fn receive(&mut self) -> Frame {
+        match self.socket.next().await {
+            Some(Ok(Message::Binary(bytes))) => decode(&bytes).expect("decodes").frame,
+            other => panic!("expected a message, got {other:?}"),
+        }
+    }
+
+    /// The next message that `wanted` is about; the others are let go, and heartbeats are
+    /// answered.
+    pub async fn receive_until<T>(&mut self, wanted: impl Fn(Frame) -> Option<T>) -> T {
         loop {
-            let message = self.socket.next().await.expect("open").expect("a message");
-            if let Message::Binary(bytes) = message {
-                return decode(&bytes).expect("a frame").frame;
+            let frame = self.receive().await;
+            if frame == Frame::Beat {
+                self.send(Frame::Beat).await;
+            }
+            if let Some(found) = wanted(frame) {
+                return found;
             }
         }
     }
@@ -97,10 +150,11 @@
                 headers: vec![host, op],
             },
             body: ByteBuf::new(),
+            to_come: None,
         };
         self.send(Frame::Call(Box::new(call))).await;
         loop {
-            let frame = self.next().await;
+            let frame = self.receive().await;
             if matches!(
                 frame,
                 Frame::Answer { .. } | Frame::Refused { .. } | Frame::Lost(_)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,8 @@
 mod admit;
 mod admit_event;
 mod begin;
+mod body_meter;
+mod body_window;
 mod budget;
 mod chance;
 mod chooser;
@@ -44,6 +46,8 @@
 pub use admit::Admit;
 pub use admit_event::{AdmitAction, AdmitEvent, AdmitLimits, NextLook};
 pub use begin::{Begin, Choice, Outlook};
+pub use body_meter::BodyMeter;
+pub use body_window::{BodyFault, ReceiveWindow, SendWindow};
 pub use budget::{Budget, Cost, Limits};
 pub use chance::Need;
 pub use chooser::{ChooseParams, Chooser, Considered};
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -26,6 +26,7 @@
             headers: Vec::new(),
         },
         body: ByteBuf::new(),
+        to_come: None,
     };
     Envelope {
         generation: 1,
