Rollouts end only when all old targets are heard of; long bodies take turns; findings of the reviews

Found by reading, none seen in a run: - done could be written while an old target that the writing daemon has no link to had a call in hand, or, where the time is short, before old halves refuse calls. The four members that write first make links to such hosts now, the others leave the end to them, and no move ends within 0.6 s of its beginning. - Taking an order back made it a new order, which could undo a done that stood in the status row. It keeps its number now, so the row settles it. - A conflict at the status row was tried again without a pause, for ever where the row tells of a later order. Every conflict has a pause, and such a row ends the writing. - Held calls went on to a target whose version was closed meanwhile; they are asked again. - Old versions that are learned late after an end take effect; after done a target of an old version takes calls where no new one lives; times and counts that others tell are bounded; rollout news follow the links for news; an early answer is no time. - A large body that is longer than its window kept its first place and held up all others; it comes behind them with each further window (policy/body_meter). - A caller that left was not noticed when its connection had no room at the last look and some after it (the test beside it passes without the mend, so the reading alone shows it); a body whose stated bytes all came ends at once; a body that ended left nothing in the meter.

--- a/crates/daemon/src/directory/operator.rs
+++ b/crates/daemon/src/directory/operator.rs
@@ -88,7 +88,9 @@
     RolloutOrder {
         service,
         number: row.version,
-        within_us: wanted.as_ref().map_or(0, |wanted| wanted.within_ms * 1_000),
+        within_us: wanted
+            .as_ref()
+            .map_or(0, |wanted| wanted.within_ms.saturating_mul(1_000)),
         target: wanted.map(|wanted| wanted.target),
     }
 }
--- a/crates/daemon/src/half/bodies.rs
+++ b/crates/daemon/src/half/bodies.rs
@@ -61,8 +61,11 @@
     /// There is room for more of a body.
     fn want(&self, key: Key, bytes: u64) {
         // Bytes of a body that ended may be let go of later.
-        if lock(&self.links).contains_key(&key) {
-            lock(&self.meter).want(key, bytes);
+        {
+            let links = lock(&self.links);
+            if links.contains_key(&key) {
+                lock(&self.meter).want(key, bytes);
+            }
         }
         self.go_on();
     }
@@ -73,8 +76,11 @@
     }
 
     fn end(&self, key: Key) {
-        lock(&self.links).remove(&key);
-        lock(&self.meter).end(key);
+        {
+            let mut links = lock(&self.links);
+            links.remove(&key);
+            lock(&self.meter).end(key);
+        }
         self.go_on();
     }
 
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -302,6 +302,13 @@
             }
             return refused_outside(self.core, self.link, &call);
         }
+        // Its target's version may have been closed to calls meanwhile.
+        if !self.core.rollouts.admits(call.canary) {
+            if let Go::Deliver = go {
+                self.done(None);
+            }
+            return refused(RefusalReason::Version, NOT_READY_RETRY_AFTER_US);
+        }
         match go {
             Go::Refuse(refusal) => Ended::Refused(refusal),
             Go::Deliver => self.deliver(call).await,
@@ -409,7 +416,7 @@
         };
         self.ended(served.then_some(took_us), load);
         if self.core.rollouts.any() {
-            let ended = self.rollout_outcome(&exchange, attempt, took_us);
+            let ended = self.rollout_outcome(&exchange, attempt, served_from.map(|_| took_us));
             if let Some(outcome) = ended {
                 self.core.rollouts.count(kind, outcome);
             }
@@ -438,15 +445,16 @@
         &self,
         exchange: &Exchange,
         attempt: AttemptId,
-        took_us: u32,
+        took_us: Option<u32>,
     ) -> Option<Outcome> {
         match exchange {
             Exchange::Answer(answer, _) if answer.status >= 500 => Some(Outcome::Failed),
             Exchange::Answer(_, load) => {
-                let work_us = load.map_or(took_us, |load| load.work_us(took_us));
-                Some(Outcome::Served((!self.half.is_cold()).then_some(work_us)))
+                let took_us = took_us.filter(|_| !self.half.is_cold());
+                let at_usual_speed = |took_us| load.map_or(took_us, |load| load.work_us(took_us));
+                Some(Outcome::Served(took_us.map(at_usual_speed)))
             }
-            Exchange::Lost if self.is_cut_off(attempt) => Some(Outcome::Cut(took_us)),
+            Exchange::Lost if self.is_cut_off(attempt) => Some(Outcome::Cut(took_us.unwrap_or(0))),
             Exchange::Lost => Some(Outcome::Failed),
             Exchange::Shed { .. }
             | Exchange::OtherInstance
--- a/crates/daemon/src/http1/body.rs
+++ b/crates/daemon/src/http1/body.rs
@@ -114,7 +114,7 @@
             Source::Whole(bytes) => bytes.is_empty(),
             Source::Fed(shared) => {
                 let shared = lock(shared);
-                shared.pieces.is_empty() && shared.end == End::Whole
+                shared.pieces.is_empty() && (shared.end == End::Whole || self.left == Some(0))
             }
         }
     }
--- a/crates/daemon/src/http1/connection.rs
+++ b/crates/daemon/src/http1/connection.rs
@@ -127,6 +127,17 @@
     Malformed(Malformed),
 }
 
+/// What a look at the stream brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Came {
+    /// Bytes, or the end.
+    Bytes,
+    /// Nothing yet.
+    Nothing,
+    /// It was not looked at: there is no room to read.
+    NoRoom,
+}
+
 /// A body that has not arrived whole.
 struct OpenBody {
     number: CallNumber,
@@ -214,11 +225,15 @@
             }
             let came = self.read(stream, cx)?;
             self.take_in(cx);
+            // Without another look the stream would wake nobody, and a caller that leaves
+            // would not be noticed.
+            let is_full_no_more = came == Came::NoRoom && !self.requests.space().is_empty();
             let is_answered = self.poll_running(cx);
             let is_out = self.put_out();
             let is_relieved = self.write(stream, cx)?;
             let has_more = is_answered || is_out || is_relieved;
-            let goes_on = came || has_more && self.has_unbegun();
+            let is_read = came == Came::Bytes;
+            let goes_on = is_read || is_full_no_more || has_more && self.has_unbegun();
             if !goes_on {
                 break;
             }
@@ -256,29 +271,29 @@
         })
     }
 
-    /// Reads what fits in the buffer. True where something came.
+    /// Reads what fits in the buffer.
     fn read<S: CallerStream>(
         &mut self,
         stream: &mut S,
         cx: &mut Context<'_>,
-    ) -> Result<bool, ConnectionError> {
+    ) -> Result<Came, ConnectionError> {
         if self.is_at_end {
-            return Ok(false);
+            return Ok(Came::Nothing);
         }
         let space = self.requests.space();
         if space.is_empty() {
-            return Ok(false);
+            return Ok(Came::NoRoom);
         }
         let mut buffer = ReadBuf::new(space);
         if Pin::new(stream).poll_read(cx, &mut buffer)?.is_pending() {
-            return Ok(false);
+            return Ok(Came::Nothing);
         }
         let bytes = buffer.filled().len();
         self.requests.filled(bytes);
         if bytes == 0 {
             self.take_end()?;
         }
-        Ok(true)
+        Ok(Came::Bytes)
     }
 
     /// The caller closed its sending side. It counts as gone while calls are in hand, but
--- a/crates/daemon/src/rollout/division.rs
+++ b/crates/daemon/src/rollout/division.rs
@@ -5,7 +5,7 @@
 use std::hash::{Hash, Hasher};
 
 use lynxcleat_policy::{
-    Admits, CANARY_PART, Candidate, Here, Rollout, RolloutTargets, TargetId, canary_width,
+    Admits, CANARY_PART, Candidate, Here, Phase, Rollout, RolloutTargets, TargetId, canary_width,
     subset_with_homes,
 };
 use lynxcleat_settings::Effective;
@@ -32,9 +32,10 @@
     /// How a rollout divides the listed targets.
     pub(super) fn new(rollout: &Rollout, listed: &[HostEntry], effective: &Effective) -> Self {
         let old = old_targets(rollout, listed);
+        let any_other = any_other(rollout, listed);
         let set_aside = rollout.judge().set_aside();
         let admits = listed.iter().map(|entry| {
-            let admits = match rollout.admits(&entry.version, old > 0) {
+            let admits = match rollout.admits(&entry.version, any_other) {
                 Admits::Canary if set_aside.contains(&entry.host) => Admits::Nothing,
                 admits => admits,
             };
@@ -119,6 +120,16 @@
     hosts.iter().filter_map(id).collect()
 }
 
+/// Whether targets are known that can take the calls of those that a rollout bars or spares.
+pub(super) fn any_other(rollout: &Rollout, listed: &[HostEntry]) -> bool {
+    let is_new =
+        |entry: &HostEntry| entry.state == HostState::Live && entry.version == rollout.target();
+    match rollout.phase() {
+        Phase::Done => listed.iter().any(is_new),
+        Phase::Running | Phase::Moving | Phase::Reverted => old_targets(rollout, listed) > 0,
+    }
+}
+
 /// Targets of old versions that take calls.
 pub(super) fn old_targets(rollout: &Rollout, listed: &[HostEntry]) -> usize {
     let is_old =
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 
 mod division;
 mod own;
+mod reach;
 mod spread;
 mod status;
 mod work;
@@ -57,6 +58,8 @@
     counted: Mutex<HalfEvidence>,
     /// What the own half may be given, where a rollout has to do with its service.
     own: Mutex<Option<Admits>>,
+    /// Old targets that were tried to be reached while calls move away from them.
+    reach: reach::Reach,
     /// Writes to the status rows, by service.
     writes: Mutex<HashMap<String, status::Writing>>,
     wanted: Notify,
--- a/crates/daemon/src/rollout/own.rs
+++ b/crates/daemon/src/rollout/own.rs
@@ -3,7 +3,7 @@
 use lynxcleat_policy::{Admits, HalfEvidence, Phase};
 use lynxcleat_wire::{Frame, IdleFrame};
 
-use super::division::{old_targets, place_in_order};
+use super::division::{any_other, place_in_order};
 use crate::core::Core;
 use crate::life::LeaveCause;
 use crate::sync::lock;
@@ -30,9 +30,9 @@
     let now = core.clock.now();
     let found = core.rollouts.with(|known| {
         let rollout = known.of(&service)?;
-        let any_old = old_targets(rollout, &listed) > 0;
-        let admits = match rollout.admits(&version, any_old) {
-            Admits::Nothing if !rollout.closes(now, &version, any_old) => Admits::All,
+        let any_other = any_other(rollout, &listed);
+        let admits = match rollout.admits(&version, any_other) {
+            Admits::Nothing if !rollout.closes(now, &version, any_other) => Admits::All,
             admits => admits,
         };
         Some((rollout.number(), admits))
--- a/crates/daemon/src/rollout/spread.rs
+++ b/crates/daemon/src/rollout/spread.rs
@@ -85,7 +85,7 @@
     })
 }
 
-/// Tells where the rollout of a service stands on every link but one.
+/// Tells where the rollout of a service stands on every link for news but one.
 pub(super) fn pass_on(core: &Core, service: &str, except: Option<u64>) {
     let now = core.clock.now();
     let news = core
@@ -93,7 +93,7 @@
         .with(|known| known.of(service).map(|known| known.news(now)));
     let Some(news) = news else { return };
     let frame = Frame::Rollouts(vec![news]);
-    for link in core.links.all() {
+    for link in core.links_for_news() {
         if Some(link.id) != except {
             let _ = link.send(frame.clone());
         }
--- a/crates/daemon/src/rollout/status.rs
+++ b/crates/daemon/src/rollout/status.rs
@@ -96,15 +96,18 @@
         count(&core.metrics.store_calls, "rollout-status");
         let value = write.value.clone();
         match directory.store().write(write).await {
-            Ok(version) => take_value(&core, &service, &value, version),
+            Ok(version) => {
+                take_value(&core, &service, &value, version);
+                continue;
+            }
             Err(RowStoreError::Conflict { current: Some(row) }) => take_row(&core, &service, &row),
             Err(RowStoreError::Conflict { current: None }) => see_row(&core, &service, 0),
             Err(error) => {
                 log::warn!(service = service.as_str(), state:? = state; "status of a rollout: {error}");
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
     lock(&core.rollouts.writes).remove(&service);
 }
@@ -196,9 +199,9 @@
     let taken = core.rollouts.with(|known| {
         let rollout = known.of_mut(service)?;
         if row.order != rollout.number() {
-            // The row of a later order stays as it is.
-            if row.order < rollout.number() {
-                rollout.seen_row(version);
+            match row.order < rollout.number() {
+                true => rollout.seen_row(version),
+                false => rollout.superseded(),
             }
             return None;
         }
--- a/crates/daemon/src/rollout/work.rs
+++ b/crates/daemon/src/rollout/work.rs
@@ -8,7 +8,7 @@
 use lynxcleat_wire::Frame;
 
 use super::status::State;
-use super::{changed, own, spread, status};
+use super::{changed, own, reach, spread, status};
 use crate::core::Core;
 use crate::metrics::ServiceLabels;
 
@@ -148,7 +148,7 @@
 }
 
 /// What is known of the targets of the service.
-fn members(core: &Core, rollout: &Rollout, listed: &[HostEntry]) -> Members {
+fn members(core: &Arc<Core>, rollout: &Rollout, listed: &[HostEntry]) -> Members {
     let mut members = Members {
         old_idle: true,
         ..Members::default()
@@ -165,9 +165,13 @@
         let has_link = links
             .iter()
             .any(|link| link.peer.host == entry.host && !link.is_closed());
-        match is_own || has_link {
-            true => members.old_idle = false,
-            false => members.any_unheard = true,
+        let is_passed_over = !is_own
+            && !has_link
+            && rollout.phase() == Phase::Moving
+            && reach::is_unreachable(core, rollout.number(), &entry.host, &entry.mesh);
+        match is_passed_over {
+            true => members.any_unheard = true,
+            false => members.old_idle = false,
         }
     }
     members
--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -16,6 +16,7 @@
 use lynxcleat_wire::{BodyToCome, CallFrame, Frame, Header, PieceFrame, RequestHead};
 use rstest::rstest;
 use serde_json::{Value, json};
+use socket2::SockRef;
 use support::{
     Fleet, PATIENCE, Peer, Plan, Reply, Worker, call, free_address, odd_target, own_ip, parse,
     read_path, tree_with_routes,
@@ -354,6 +355,48 @@
     assert!(wait_until(PATIENCE, || cut_by(worker, "sender") == 2.0));
 }
 
+/// Its target reads nothing more, so that the connection is not read either.
+#[test]
+fn a_caller_that_leaves_while_nothing_of_it_is_taken_is_noticed() {
+    const CALLERS: usize = 6;
+    let (release, held) = flume::bounded::<()>(0);
+    let (address, _) = target(move |_| {
+        let _ = held.recv_timeout(3 * PATIENCE);
+    });
+    let fleet = plan("large-stalled", "stock", json!({})).start_with_target(&address);
+    let worker = &fleet.workers[0];
+    let in_flight = || worker.metric("lynxcleat_in_flight");
+    let callers: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| {
+            let deadline = format!("Lynxcleat-Deadline-Ms: {}\r\n", 3 * PATIENCE.as_millis());
+            let more = format!("Content-Length: 20000000\r\n{deadline}");
+            let stream = head(worker, "/look/", &more);
+            stream.set_nonblocking(true).expect("set");
+            // Its end is a reset: behind unsent bytes no other end arrives.
+            let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            reset.expect("set");
+            stream
+        })
+        .collect();
+    // Until the windows are full and nothing more is taken.
+    let piece = body(10_000);
+    let mut sent = 0;
+    let stalls = || {
+        let before = sent;
+        for mut stream in &callers {
+            while let Ok(bytes) = stream.write(&piece) {
+                sent += bytes;
+            }
+        }
+        sent > 0 && sent == before
+    };
+    assert!(wait_until(PATIENCE, stalls));
+    assert!(in_flight() > 0.0);
+    drop(callers);
+    assert!(wait_until(PATIENCE, || in_flight() == 0.0));
+    drop(release);
+}
+
 #[rstest]
 #[case::before_anything(0, 408, "not-run", 0)]
 #[case::in_the_middle(50_000, 504, "unknown", 1)]
--- a/crates/policy/src/body_meter.rs
+++ b/crates/policy/src/body_meter.rs
@@ -3,6 +3,7 @@
 //! What is on its way waits in front of the daemon's narrowest link, and every small message
 //! waits behind it. So the receiver lets come little at once, whoever sends it. The body that
 //! came first goes first: where all went at once, an overload would have all come too late.
+//! One that is larger than its window comes behind the others with each further window.
 
 use std::collections::VecDeque;
 
@@ -40,11 +41,11 @@
         }
     }
 
-    /// There is room for so many bytes more of a body.
+    /// There is room for so many bytes more of a body. What it wanted before keeps its place.
     pub fn want(&mut self, body: K, bytes: u64) {
-        match self.waiting.iter_mut().find(|(known, _)| *known == body) {
-            Some((_, wanted)) => *wanted += bytes,
-            None => self.waiting.push_back((body, bytes)),
+        match self.waiting.back_mut() {
+            Some((known, wanted)) if *known == body => *wanted += bytes,
+            _ => self.waiting.push_back((body, bytes)),
         }
     }
 
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -10,7 +10,7 @@
 use crate::work::CallKind;
 
 /// Kinds of calls that one half counts apart; calls of further kinds are not counted.
-const KINDS_LIMIT: usize = 16;
+pub(super) const KINDS_LIMIT: usize = 16;
 /// Classes of times in each doubling of a time.
 const CLASSES_PER_DOUBLING: f64 = 2.0;
 /// The highest class.
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -59,7 +59,8 @@
 impl Exposure {
     /// Whether one more call may be offered to the new version.
     pub fn may_offer(&self, share: f64, kind: CallKind) -> bool {
-        let of_kind = self.kinds.get(&kind).copied().unwrap_or_default();
+        let of_kind = self.kinds.get(&self.counted_as(kind));
+        let of_kind = of_kind.copied().unwrap_or_default();
         let next = (self.all.canary + 1) as f64;
         let next_of_kind = (of_kind.canary + 1) as f64;
         next <= share * self.all.delivered as f64
@@ -91,12 +92,17 @@
     }
 
     fn kind(&mut self, kind: CallKind) -> &mut Count {
+        let kind = self.counted_as(kind);
+        self.kinds.entry(kind).or_default()
+    }
+
+    /// The kind under which calls of a kind are counted.
+    fn counted_as(&self, kind: CallKind) -> CallKind {
         let is_new = !self.kinds.contains_key(&kind);
-        let full = self.kinds.len() >= KINDS_LIMIT;
-        let kind = match is_new && full {
+        let is_full = self.kinds.len() >= KINDS_LIMIT;
+        match is_new && is_full {
             true => CallKind::default(),
             false => kind,
-        };
-        self.kinds.entry(kind).or_default()
+        }
     }
 }
--- a/crates/policy/src/rollout/judge.rs
+++ b/crates/policy/src/rollout/judge.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::evidence::{HalfEvidence, Tally, time_class};
+use super::evidence::{HalfEvidence, KINDS_LIMIT, Tally, time_class};
 use crate::ids::Micros;
 use crate::work::CallKind;
 
@@ -35,7 +35,8 @@
 /// found as well, but later.
 const MORE_FAILED: f64 = 0.10;
 const MORE_SLOW: f64 = 0.15;
-/// Highest share that is assumed of a bad version.
+/// Highest share of failures or slow answers that the old version is taken to have: with
+/// more, the test would divide by nearly nothing.
 const MOST: f64 = 0.95;
 /// Classes of time above the old version's median from which an answer is slow: between 2.4
 /// and 3.4 times as long.
@@ -241,9 +242,9 @@
 impl Total {
     fn add(&mut self, sample: Sample, counts_calls: bool) {
         if counts_calls {
-            self.calls += sample.calls;
+            self.calls = self.calls.saturating_add(sample.calls);
         }
-        self.bad += sample.bad;
+        self.bad = self.bad.saturating_add(sample.bad);
         self.expected += f64::from(sample.calls) * sample.expected;
     }
 }
@@ -271,7 +272,7 @@
             return;
         }
         let mut weighed = self.weighed.remove(&id).unwrap_or_default();
-        for (kind, tally) in &evidence.kinds {
+        for (kind, tally) in evidence.kinds.iter().take(KINDS_LIMIT) {
             let before = weighed.kinds.entry(*kind).or_default();
             match is_new {
                 true => self.weigh(&evidence.host, *kind, tally, before),
@@ -401,7 +402,10 @@
     pub fn seen(&self) -> (u32, u32) {
         let totals = self.totals.values();
         totals.fold((0, 0), |(calls, bad), total| {
-            (calls + total.calls, bad + total.bad)
+            (
+                calls.saturating_add(total.calls),
+                bad.saturating_add(total.bad),
+            )
         })
     }
 
@@ -448,8 +452,8 @@
             kind.is_none_or(|kind| kind == *of) && !self.set_aside.contains(host)
         });
         wanted.fold(Total::default(), |sum, (_, total)| Total {
-            calls: sum.calls + total.calls,
-            bad: sum.bad + total.bad,
+            calls: sum.calls.saturating_add(total.calls),
+            bad: sum.bad.saturating_add(total.bad),
             expected: sum.expected + total.expected,
         })
     }
--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -17,20 +17,27 @@
 const MOVE_US: Micros = 1_600_000;
 /// Part of the time of the whole rollout that the move takes at most, as a divisor.
 const MOVE_PART: Micros = 5;
-/// Part of the time kept for the move, as a divisor, at whose end a version that was not found
-/// good is reverted: its status has to be written before the deadline.
+/// Last part of the time kept for the move, as a divisor: a version that was not found good
+/// when it begins is reverted, so that the status row can be written before the deadline.
 const LAST_PART: Micros = 3;
-/// Time before the deadline from which the end may be written though some old targets were
-/// not heard of, and before that, from which it may be written at all: it can't be undone, so
-/// the new version is watched under the whole load for as long as there is time.
-const WRITE_US: Micros = 250_000;
+/// Time before the deadline, in microseconds, from which "done" may be written. It can't be
+/// undone, so the new version is first watched under the whole load.
 const FINISH_US: Micros = 800_000;
+/// The same where some old targets could not be reached: they are waited for longer.
+const WRITE_US: Micros = 250_000;
 /// Part of the old targets, as a divisor, that must be there of the new version: fewer could
 /// not bear the calls.
 const LEAST_TARGETS: usize = 4;
 /// Time from the move's beginning until halves of old targets refuse calls, in microseconds:
 /// by then every router that a link leads to has heard of it and offers none.
 const SPREAD_US: Micros = 200_000;
+/// Longest time of a rollout, in microseconds: a day. A longer one counts as that.
+const LONGEST_US: Micros = 86_400_000_000;
+/// Time after the move began before which it does not end, in microseconds: by then halves of
+/// old targets refuse calls, and have said whether they are idle.
+const LEAST_MOVE_US: Micros = 600_000;
+/// Hosts that are kept as idle at most.
+const IDLE_LIMIT: usize = 4_096;
 /// Services and versions that are kept at most; further orders are refused.
 const SERVICES_LIMIT: usize = 256;
 const BARRED_LIMIT: usize = 32;
@@ -184,8 +191,8 @@
             service: news.service.clone(),
             number: news.number,
             target: news.target.clone(),
-            deadline: now + news.left_us,
-            within_us: news.within_us,
+            deadline: now + news.left_us.min(LONGEST_US),
+            within_us: news.within_us.min(LONGEST_US),
             phase: news.phase,
             stored: news.stored,
             row: news.row,
@@ -253,17 +260,18 @@
         }
     }
 
-    /// What a target of a version may get, where `any_old` says whether targets of old
-    /// versions are known: without any there is nothing to share the calls with.
-    pub fn admits(&self, version: &str, any_old: bool) -> Admits {
+    /// What a target of a version may get, where `any_other` says whether targets are known
+    /// that can take its calls: of old versions, or of the new one when all is done. Without
+    /// any there is nothing to share the calls with.
+    pub fn admits(&self, version: &str, any_other: bool) -> Admits {
         let is_new = version == self.target;
         match self.phase {
             _ if self.barred.contains(version) => Admits::Nothing,
-            Phase::Running if is_new && any_old => Admits::Canary,
+            Phase::Running if is_new && any_other => Admits::Canary,
             Phase::Running => Admits::All,
             Phase::Moving if is_new => Admits::All,
             Phase::Moving => Admits::Nothing,
-            Phase::Done if self.old.contains(version) => Admits::Nothing,
+            Phase::Done if any_other && self.old.contains(version) => Admits::Nothing,
             Phase::Done => Admits::All,
             Phase::Reverted if is_new => Admits::Nothing,
             Phase::Reverted => Admits::All,
@@ -271,10 +279,10 @@
     }
 
     /// Whether the half of a target of a version refuses all calls now.
-    pub fn closes(&self, now: Micros, version: &str, any_old: bool) -> bool {
+    pub fn closes(&self, now: Micros, version: &str, any_other: bool) -> bool {
         let is_spreading = self.phase == Phase::Moving && now < self.since + SPREAD_US;
         let waits = is_spreading && self.is_old(version);
-        !waits && self.admits(version, any_old) == Admits::Nothing
+        !waits && self.admits(version, any_other) == Admits::Nothing
     }
 
     /// Whether a version is one that the calls are moved away from.
@@ -294,7 +302,8 @@
     /// The half of an old target has no call in hand and takes none. Returns whether that is
     /// news.
     pub fn take_idle(&mut self, number: u64, host: &str) -> bool {
-        number == self.number && self.idle.insert(host.to_owned())
+        let has_room = self.idle.len() < IDLE_LIMIT;
+        number == self.number && has_room && self.idle.insert(host.to_owned())
     }
 
     /// Hosts of old targets that said that they are idle.
@@ -304,12 +313,14 @@
 
     /// Takes news of the same order.
     fn take_same(&mut self, now: Micros, news: &RolloutNews) -> Taken {
-        let deadline = now + news.left_us;
+        let deadline = now + news.left_us.min(LONGEST_US);
         let is_detail = deadline < self.deadline || news.row > self.row;
         self.deadline = self.deadline.min(deadline);
         self.row = self.row.max(news.row);
-        let room = BARRED_LIMIT.saturating_sub(self.old.len());
+        let known = self.old.len();
+        let room = BARRED_LIMIT.saturating_sub(known);
         self.old.extend(news.old.iter().take(room).cloned());
+        let has_grown = self.old.len() > known && !self.is_open();
         if weight(news.phase, news.stored) > weight(self.phase, self.stored) {
             self.phase = news.phase;
             self.stored = news.stored;
@@ -320,6 +331,10 @@
             self.stored = true;
             return Taken::News;
         }
+        // After the end, the versions that were seen as old decide what is served.
+        if has_grown {
+            return Taken::News;
+        }
         if is_detail {
             Taken::Detail
         } else {
@@ -394,12 +409,13 @@
         } else {
             FINISH_US
         };
-        members.old_idle && now + kept_us >= self.deadline
+        let has_spread = now >= self.since + LEAST_MOVE_US;
+        members.old_idle && has_spread && now + kept_us >= self.deadline
     }
 
     /// The status row was written, or seen, with this phase for this order.
     pub fn stored(&mut self, phase: Phase, row: u64) -> Taken {
-        self.row = self.row.max(row);
+        self.row = row;
         if weight(phase, true) <= weight(self.phase, self.stored) {
             let is_told = phase == self.phase && !self.stored;
             self.stored |= is_told;
@@ -414,6 +430,11 @@
     pub fn seen_row(&mut self, row: u64) {
         self.row = row;
     }
+
+    /// The status row tells of a later order: nothing is written there for this one.
+    pub fn superseded(&mut self) {
+        self.stored = true;
+    }
 }
 
 /// How much a belief weighs. The row tells only ends from what is not over.
@@ -436,14 +457,17 @@
     /// Takes an order that was read from its row.
     pub fn take_order(&mut self, now: Micros, order: &RolloutOrder) -> Taken {
         let known = self.services.get(&order.service);
-        let (target, phase) = match (&order.target, known) {
-            (Some(target), _) => (target.clone(), Phase::Running),
-            (None, Some(known)) if known.is_open() => (known.target.clone(), Phase::Reverted),
+        let (target, number, phase) = match (&order.target, known) {
+            (Some(target), _) => (target.clone(), order.number, Phase::Running),
+            // It keeps its number: should it stand as done in the status row, that holds.
+            (None, Some(known)) if known.is_open() && known.number < order.number => {
+                (known.target.clone(), known.number, Phase::Reverted)
+            }
             (None, _) => return Taken::Nothing,
         };
         let news = RolloutNews {
             service: order.service.clone(),
-            number: order.number,
+            number,
             target,
             left_us: order.within_us,
             within_us: order.within_us,
--- a/crates/policy/tests/body_meter.rs
+++ b/crates/policy/tests/body_meter.rs
@@ -101,3 +101,28 @@
     meter.end(1);
     assert_eq!(granted(&mut meter, 1), HashMap::from([(2, 20_000)]));
 }
+
+/// A body that is larger than its window asks again and again. Those that wait are let come
+/// between.
+#[test]
+fn a_body_that_asks_again_does_not_keep_the_others_waiting() {
+    const ROOM: u64 = 32 << 10;
+    let mut meter = BodyMeter::new(ROOM);
+    meter.want("long", ROOM);
+    meter.want("short", ROOM);
+    let mut let_come = Vec::new();
+    for _ in 0..6 {
+        while let Some((body, bytes)) = meter.next(0) {
+            let_come.push(body);
+            meter.arrived(body, bytes);
+            if body == "long" {
+                meter.want("long", bytes);
+            }
+            if let_come.len() >= 6 {
+                break;
+            }
+        }
+    }
+    let first_short = let_come.iter().position(|body| *body == "short");
+    assert!(first_short.is_some_and(|nth| nth <= 2), "{let_come:?}");
+}
