Names from the read-through: what home regions allow, the bound between regions, versions of a rollout

No behaviour changes. Homes::of and the decoding of a list meant opposite things by an empty list: from_settings says which it is. One time to come back for bodies stood twice.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,10 +1,8 @@
 //! The side towards callers: connections, requests, answers.
 //!
-//! HTTP is by [`crate::http1`] rather than by hyper or tiny_http, and the docs say why:
-//! calls that are sent before the first is answered run side by side, a caller's slow
-//! request must be bounded in time, a caller that goes away must cancel its calls, and a
-//! stop must not cut a connection under a request. hyper offers all but the first,
-//! tiny_http none. It serves the operators' endpoint.
+//! HTTP is by [`crate::http1`]: calls without effects that are sent ahead run side by side,
+//! slow requests are bounded in time, a caller that leaves cancels its calls, and a stop cuts
+//! no request. hyper runs one call at a time, tiny_http bounds no slow sender.
 
 mod answer;
 mod body;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -20,7 +20,7 @@
 use crate::homes;
 use crate::kept;
 use crate::life::{LeaveCause, Life};
-use crate::mesh::{BetweenRegions, Link, Links};
+use crate::mesh::{Link, Links, RegionEgress};
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::rollout::RolloutStates;
@@ -69,7 +69,7 @@
     /// Guard, tickets and claims.
     pub once: Once,
     /// What it sends to other regions.
-    pub between: BetweenRegions,
+    pub region_egress: RegionEgress,
     /// The budget of measuring.
     pub budget: MeasureBudget,
     /// Its metrics.
@@ -172,7 +172,8 @@
         self.half.apply(&in_force.own);
         self.once.apply(&in_force.own);
         self.budget.apply(&in_force.own);
-        self.between.set_limit(in_force.own.region_send_bytes_per_s);
+        self.region_egress
+            .set_limit(in_force.own.region_send_bytes_per_s);
         self.routers.apply(self, &in_force);
         let generation = in_force.generation.number;
         self.metrics.generation.set(generation as i64);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::explain::Explain;
 use crate::half::{Half, Pool};
 use crate::life::{LeaveCause, Life, Phase, StopReport};
-use crate::mesh::BetweenRegions;
+use crate::mesh::RegionEgress;
 use crate::mesh::{self, Links};
 use crate::metrics::Metrics;
 use crate::once::{self, Once};
@@ -303,7 +303,7 @@
             me.mesh.to_string(),
             config.shared_key.as_ref(),
         ),
-        between: BetweenRegions::new(clock),
+        region_egress: RegionEgress::new(clock),
         budget: MeasureBudget::new(clock),
         metrics: Metrics::default(),
         explain: Explain::default(),
--- a/crates/daemon/src/half/ahead.rs
+++ b/crates/daemon/src/half/ahead.rs
@@ -3,16 +3,14 @@
 
 use std::sync::Arc;
 
-use lynxcleat_policy::{Micros, Refusal, RefusalReason};
+use lynxcleat_policy::{Refusal, RefusalReason};
 use lynxcleat_wire::CallFrame;
 
 use super::bodies::{BodyCut, Expected, note_cut};
+use super::serve::BODY_RETRY_AFTER_US;
 use crate::core::Core;
 use crate::mesh::Link;
 
-/// Hint for callers whose body did not come, or had no room here.
-const RETRY_AFTER_US: Micros = 200_000;
-
 /// Expects the body of a call that is sent ahead. Nothing for other calls.
 pub(super) fn expect(core: &Core, link: &Arc<Link>, call: &CallFrame) -> Option<Expected> {
     let to_come = call.to_come.filter(|to_come| to_come.ahead)?;
@@ -37,7 +35,7 @@
     };
     let refused = |reason| Refusal {
         reason,
-        retry_after_us: RETRY_AFTER_US,
+        retry_after_us: BODY_RETRY_AFTER_US,
     };
     if core.half.bodies.is_behind() && !call.elsewhere.is_nowhere() {
         return Err(refused(RefusalReason::Busy));
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -49,7 +49,7 @@
 const ASK_PART: u64 = 20;
 
 /// Hint for callers whose body did not come, or had no room here.
-const BODY_RETRY_AFTER_US: Micros = 200_000;
+pub(super) const BODY_RETRY_AFTER_US: Micros = 200_000;
 
 /// How a call ended at the half.
 enum Ended {
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -18,7 +18,7 @@
     /// Where a call of a route and a service may be served, as this generation says.
     pub fn homes(&self, kind: CallKind, service: &str) -> Homes {
         let of_route = self.route_homes(kind).unwrap_or_default();
-        self.inherited_homes(service).and(&of_route)
+        self.inherited_homes(service).intersection(&of_route)
     }
 
     /// The same for a call that was read under an earlier generation. One whose route is
@@ -26,7 +26,7 @@
     pub fn homes_since(&self, kind: CallKind, service: &str, before: &Homes) -> Homes {
         let of_route = self.route_homes(kind);
         let of_route = of_route.as_ref().unwrap_or(before);
-        self.inherited_homes(service).and(of_route)
+        self.inherited_homes(service).intersection(of_route)
     }
 
     /// Regions that are the home of some calls for a service, sorted.
@@ -37,7 +37,7 @@
         let inherited = self.inherited_homes(service);
         let mut wanted = inherited.names().to_vec();
         for route in self.routes.of_service(service) {
-            let homes = inherited.and(&Homes::of(&route.home_regions));
+            let homes = inherited.intersection(&Homes::from_settings(&route.home_regions));
             wanted.extend_from_slice(homes.names());
         }
         wanted.sort();
@@ -48,8 +48,8 @@
     /// Whether a service may be served at all at a place that stands in a region.
     pub fn may_stand(&self, service: &str, place: &str, region: &str) -> bool {
         let tree = &self.generation.tree;
-        let at_place = || Homes::of(&tree.home_regions(place, service));
-        !self.has_homes || (self.inherited_homes(service).and(&at_place())).allow(region)
+        let at_place = || Homes::from_settings(&tree.home_regions(place, service));
+        !self.has_homes || (self.inherited_homes(service).intersection(&at_place())).allows(region)
     }
 
     /// Region of a host: the one it says, or that of its place.
@@ -65,7 +65,9 @@
             return Homes::Anywhere;
         }
         let effective = self.service(service);
-        effective.map_or(Homes::Anywhere, |own| Homes::of(&own.home_regions))
+        effective.map_or(Homes::Anywhere, |own| {
+            Homes::from_settings(&own.home_regions)
+        })
     }
 
     /// What the route of a call says; `None` where there is no such route.
@@ -74,9 +76,9 @@
             return Some(Homes::Anywhere);
         }
         let mut routes = self.routes.of_kind(kind.0).iter();
-        let homes = |named: &lynxcleat_settings::Route| Homes::of(&named.home_regions);
+        let homes = |named: &lynxcleat_settings::Route| Homes::from_settings(&named.home_regions);
         let first = homes(&routes.next()?.route);
-        Some(routes.fold(first, |both, named| both.and(&homes(&named.route))))
+        Some(routes.fold(first, |both, named| both.intersection(&homes(&named.route))))
     }
 }
 
@@ -125,8 +127,8 @@
     }
     let region = own_region(core, &in_force);
     let sender_is_newer = link.generation() > in_force.generation.number;
-    let own_allow = || in_force.homes(call.kind, &call.service).allow(&region);
-    call.homes.allow(&region) && (sender_is_newer || own_allow())
+    let own_allow = || in_force.homes(call.kind, &call.service).allows(&region);
+    call.homes.allows(&region) && (sender_is_newer || own_allow())
 }
 
 /// Returns when a call that the target here might serve may be served here no more.
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/kept.rs
@@ -42,7 +42,7 @@
             return self.homes.is_anywhere();
         };
         let homes = in_force.homes_since(self.kind, &self.service, &self.homes);
-        homes.is_anywhere() || homes.allow(&homes::own_region(core, &in_force))
+        homes.is_anywhere() || homes.allows(&homes::own_region(core, &in_force))
     }
 
     /// The answer, ready to be kept.
@@ -66,7 +66,7 @@
         let key = (kept.kind, kept.service.clone());
         *known
             .entry(key)
-            .or_insert_with(|| in_force.homes(kept.kind, &kept.service).allow(&region))
+            .or_insert_with(|| in_force.homes(kept.kind, &kept.service).allows(&region))
     };
     core.half.forget_answers(&mut may_keep);
     core.once.forget_answers(&mut may_keep);
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -6,7 +6,6 @@
 //! link is lost.
 
 mod beat;
-mod between;
 mod dispatch;
 mod handshake;
 mod link;
@@ -14,12 +13,13 @@
 mod listener;
 mod pump;
 mod queue;
+mod region_egress;
 
-pub use between::BetweenRegions;
 pub use handshake::prepare as prepare_connection;
 pub use link::{Link, Signal, SignalKind};
 pub use links::Links;
 pub use listener::listen;
+pub use region_egress::RegionEgress;
 
 /// Largest piece of a body, in bytes: a small message that waits behind one waits for 7 ms on
 /// a link of 10 Mbit/s, and the head of each piece is less than a hundredth of it.
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -126,7 +126,7 @@
     };
     let generation = core.settings.number();
     let bytes = encode(&Envelope { generation, frame })?;
-    core.between.written(link.distance, bytes.len());
+    core.region_egress.written(link.distance, bytes.len());
     core.metrics.mesh_frames.get_or_create(&labels).inc();
     core.metrics
         .mesh_bytes
--- a/crates/daemon/src/mesh/between.rs
+++ b/crates/daemon/src/mesh/region_egress.rs
@@ -10,23 +10,23 @@
 use crate::sync::lock;
 
 /// Least time between two lines that say that the bytes are used up.
-const SAID_PAUSE_US: Micros = 1_000_000;
+const LOG_INTERVAL_US: Micros = 1_000_000;
 
 /// The bytes to other regions.
-pub struct BetweenRegions {
+pub struct RegionEgress {
     clock: Clock,
     budget: Mutex<RegionBudget>,
     /// When a line last said that calls stay in the region.
-    said_at: AtomicU64,
+    logged_at: AtomicU64,
 }
 
-impl BetweenRegions {
+impl RegionEgress {
     /// Without a bound.
     pub fn new(clock: Clock) -> Self {
-        BetweenRegions {
+        RegionEgress {
             clock,
             budget: Mutex::default(),
-            said_at: AtomicU64::new(0),
+            logged_at: AtomicU64::new(0),
         }
     }
 
@@ -42,22 +42,22 @@
         }
     }
 
-    /// How far away a call of this rank may be sent now.
-    pub fn reach(&self, metrics: &Metrics, rank: u32) -> Distance {
+    /// How far away a call of this priority may be sent now.
+    pub fn reach(&self, metrics: &Metrics, priority: u32) -> Distance {
         let now = self.clock.now();
-        let reach = lock(&self.budget).reach(now, rank);
+        let reach = lock(&self.budget).reach(now, priority);
         if reach < Distance::OtherRegion {
             metrics.region_short.inc();
-            self.say(now, rank);
+            self.log_short(now, priority);
         }
         reach
     }
 
-    fn say(&self, now: Micros, rank: u32) {
-        let said_at = self.said_at.load(Ordering::Relaxed);
-        if now >= said_at + SAID_PAUSE_US {
-            self.said_at.store(now, Ordering::Relaxed);
-            log::warn!(rank; "calls stay in the region: the bytes to others are used up");
+    fn log_short(&self, now: Micros, priority: u32) {
+        let logged_at = self.logged_at.load(Ordering::Relaxed);
+        if now >= logged_at + LOG_INTERVAL_US {
+            self.logged_at.store(now, Ordering::Relaxed);
+            log::warn!(priority; "calls stay in the region: the bytes to others are used up");
         }
     }
 }
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -332,7 +332,9 @@
             goal: None,
             kind: frame.kind,
             priority: frame.priority,
-            homes: in_force.homes(frame.kind, &frame.service).and(&frame.homes),
+            homes: in_force
+                .homes(frame.kind, &frame.service)
+                .intersection(&frame.homes),
             nested: frame.nested,
             caller_service: None,
             generation: in_force.generation.number,
--- a/crates/daemon/src/rollout/division.rs
+++ b/crates/daemon/src/rollout/division.rs
@@ -50,7 +50,7 @@
         canaries.sort_by_key(|host| place_in_order(rollout.number(), host));
         let new = listed
             .iter()
-            .filter(|entry| entry.version == rollout.target());
+            .filter(|entry| entry.version == rollout.version());
         Division {
             new: new.map(|entry| entry.host.clone()).collect(),
             order: rollout.number(),
@@ -123,7 +123,7 @@
 /// Whether targets are known that can take the calls of those that a rollout bars or spares.
 pub(super) fn any_other(rollout: &Rollout, listed: &[HostEntry]) -> bool {
     let is_new =
-        |entry: &HostEntry| entry.state == HostState::Live && entry.version == rollout.target();
+        |entry: &HostEntry| entry.state == HostState::Live && entry.version == rollout.version();
     match rollout.phase() {
         Phase::Done => listed.iter().any(is_new),
         Phase::Running | Phase::Moving | Phase::Reverted => old_targets(rollout, listed) > 0,
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -120,7 +120,7 @@
     let (calls, bad) = rollout.judge().seen();
     RolloutState {
         service: rollout.service().to_owned(),
-        target: rollout.target().to_owned(),
+        target: rollout.version().to_owned(),
         order: rollout.number(),
         phase: rollout.phase(),
         stored: rollout.is_stored(),
--- a/crates/daemon/src/rollout/status.rs
+++ b/crates/daemon/src/rollout/status.rs
@@ -129,7 +129,7 @@
         }
         let row = StatusRow {
             state,
-            target: rollout.target().to_owned(),
+            target: rollout.version().to_owned(),
             order,
         };
         Some(RowWrite {
--- a/crates/daemon/src/rollout/work.rs
+++ b/crates/daemon/src/rollout/work.rs
@@ -136,7 +136,7 @@
     let (calls, bad) = rollout.judge().seen();
     log::info!(
         service = rollout.service(),
-        target_version = rollout.target(),
+        target_version = rollout.version(),
         order = rollout.number(),
         step:? = step,
         readiness:? = rollout.judge().readiness(),
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -257,7 +257,7 @@
         let now = self.core.clock.now();
         let reach = self
             .core
-            .between
+            .region_egress
             .reach(&self.core.metrics, self.call.priority);
         let (actions, considered, retried) = self.service.with(|router| {
             router.set_reach(reach);
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -196,15 +196,15 @@
         known.unwrap_or_else(|| format!("target {}", target.0))
     }
 
-    /// Waits until some target in a call's home regions is open for calls. Returns at once where one is, or
-    /// where there is nothing to wait for: every link was tried.
+    /// Waits until some target in a call's home regions is open for calls. Returns at once
+    /// where one is, or where there is nothing to wait for: every link was tried.
     pub async fn ready(&self, core: &Core, homes: &Homes) {
         loop {
             let linked = self.linked.notified();
             tokio::pin!(linked);
             linked.as_mut().enable();
             let any_open = lock(&self.router).any_open(core.clock.now(), homes);
-            let is_tried = |peer: &Peer| peer.tried || !homes.allow(&peer.entry.region);
+            let is_tried = |peer: &Peer| peer.tried || !homes.allows(&peer.entry.region);
             let all_tried = lock(&self.peers).values().all(is_tried);
             if any_open || all_tried {
                 return;
--- a/crates/policy/src/homes.rs
+++ b/crates/policy/src/homes.rs
@@ -30,8 +30,8 @@
 }
 
 impl Homes {
-    /// What a list in the settings says: without names, any region.
-    pub fn of(names: &[String]) -> Homes {
+    /// From a list in the settings, where an empty one allows every region.
+    pub fn from_settings(names: &[String]) -> Homes {
         match names.is_empty() {
             true => Homes::Anywhere,
             false => Homes::Only(names.into()),
@@ -39,19 +39,19 @@
     }
 
     /// The regions that both allow.
-    pub fn and(&self, other: &Homes) -> Homes {
+    pub fn intersection(&self, other: &Homes) -> Homes {
         match (self, other) {
             (Homes::Anywhere, other) => other.clone(),
             (one, Homes::Anywhere) => one.clone(),
             (Homes::Only(names), other) => {
-                let both = names.iter().filter(|name| other.allow(name));
+                let both = names.iter().filter(|name| other.allows(name));
                 Homes::Only(both.cloned().collect())
             }
         }
     }
 
     /// Whether a call may be served in a region. One without a name is in no list.
-    pub fn allow(&self, region: &str) -> bool {
+    pub fn allows(&self, region: &str) -> bool {
         match self {
             Homes::Anywhere => true,
             Homes::Only(names) => names.iter().any(|name| name == region),
@@ -73,7 +73,8 @@
 }
 
 impl From<Vec<String>> for Homes {
-    /// A list that was written down is kept to, also an empty one.
+    /// From a list in a message, where an empty one allows no region: a call that cannot be
+    /// understood must not leave its regions. One that may go anywhere is sent without a list.
     fn from(names: Vec<String>) -> Self {
         Homes::Only(names.into())
     }
@@ -128,7 +129,7 @@
     pub(crate) fn outside(&self, homes: &Homes, targets: &[TargetId]) -> Vec<TargetId> {
         let is_inside = |target: &TargetId| {
             let region = self.regions.get(target);
-            region.is_some_and(|region| homes.allow(region))
+            region.is_some_and(|region| homes.allows(region))
         };
         let all = targets.iter().copied();
         all.filter(|target| !is_inside(target)).collect()
--- a/crates/policy/src/neighbours.rs
+++ b/crates/policy/src/neighbours.rs
@@ -20,12 +20,12 @@
 pub const FAR_NEIGHBOURS: usize = 1;
 /// Neighbours that a few look for in the next region.
 pub const REGION_NEIGHBOURS: usize = 1;
-/// How many daemons of a zone look beyond it. Bytes between zones have a price; where half of a zone is
-/// lost, all six are in one of 64 cases.
+/// How many daemons of a zone look beyond it. Bytes between zones have a price; if half of the
+/// daemons of a zone fail, all six are among them with probability 1/64.
 const FAR_KEEPERS: usize = 6;
 /// How many daemons of a region look beyond it. Bytes between regions have a higher price;
-/// where half of a region is lost, all four are in one of 16 cases, and the way round the ring
-/// is left.
+/// if half of the daemons of a region fail, all four are among them with probability 1/16,
+/// and the way round the ring is left.
 const REGION_KEEPERS: usize = 4;
 
 /// The members in the order in which a daemon would have them as neighbours.
--- a/crates/policy/src/region_budget.rs
+++ b/crates/policy/src/region_budget.rs
@@ -10,8 +10,8 @@
 /// Time whose bytes may be saved up, or owed, in seconds: longer bursts fill the way for
 /// others, and a longer debt would keep calls at home after the way is free again.
 const SAVED_S: f64 = 1.0;
-/// Part of the saved bytes that is kept back from calls by their rank, so that the most urgent
-/// still find room; lower ranks are as the last.
+/// Part of the saved bytes that is kept back from calls by their priority, so that the most urgent
+/// still find room; lower priorities are as the last.
 const KEPT_BACK: [f64; 4] = [0.0, 0.25, 0.5, 0.75];
 
 /// A bucket of bytes to other regions.
@@ -42,14 +42,14 @@
         self.level = (self.level - bytes as f64).max(-self.saved());
     }
 
-    /// How far away a call of this rank may be sent now; 0 is the highest rank.
-    pub fn reach(&mut self, now: Micros, rank: u32) -> Distance {
+    /// How far away a call of this priority may be sent now; 0 is the most urgent.
+    pub fn reach(&mut self, now: Micros, priority: u32) -> Distance {
         if self.bytes_per_s == 0.0 {
             return Distance::OtherRegion;
         }
         self.refill(now);
-        let rank = (rank as usize).min(KEPT_BACK.len() - 1);
-        match self.level > KEPT_BACK[rank] * self.saved() {
+        let priority = (priority as usize).min(KEPT_BACK.len() - 1);
+        match self.level > KEPT_BACK[priority] * self.saved() {
             true => Distance::OtherRegion,
             false => Distance::OwnRegion,
         }
--- a/crates/policy/src/rollout/phase.rs
+++ b/crates/policy/src/rollout/phase.rs
@@ -214,8 +214,8 @@
         self.number
     }
 
-    /// The new version.
-    pub fn target(&self) -> &str {
+    /// The version that the calls are moved to.
+    pub fn version(&self) -> &str {
         &self.target
     }
 
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -162,12 +162,12 @@
 #[test]
 fn lists_of_regions_together_allow_what_both_allow() {
     let (left, right) = (only(&[0, 1]), only(&[1, 2]));
-    assert_eq!(left.and(&right), only(&[1]));
-    assert_eq!(left.and(&Homes::Anywhere), left);
-    assert_eq!(Homes::Anywhere.and(&right), right);
-    let nowhere = only(&[0]).and(&only(&[1]));
-    assert!(!nowhere.is_anywhere() && !nowhere.allow("r0") && !nowhere.allow(""));
-    assert_eq!(Homes::of(&[]), Homes::Anywhere);
+    assert_eq!(left.intersection(&right), only(&[1]));
+    assert_eq!(left.intersection(&Homes::Anywhere), left);
+    assert_eq!(Homes::Anywhere.intersection(&right), right);
+    let nowhere = only(&[0]).intersection(&only(&[1]));
+    assert!(!nowhere.is_anywhere() && !nowhere.allows("r0") && !nowhere.allows(""));
+    assert_eq!(Homes::from_settings(&[]), Homes::Anywhere);
 }
 
 /// What happens next to a call, drawn by the property.
@@ -318,10 +318,10 @@
             } => {
                 let homes = &self.homes[&call.0];
                 let stands = region(self.regions[target.0 as usize]);
-                prop_assert!(homes.allow(&stands), "{homes:?} at {stands}");
+                prop_assert!(homes.allows(&stands), "{homes:?} at {stands}");
                 let others = self.regions.iter().enumerate();
                 let mut others = others.filter(|(nth, _)| *nth != target.0 as usize);
-                let any_inside = others.any(|(_, number)| homes.allow(&region(*number)));
+                let any_inside = others.any(|(_, number)| homes.allows(&region(*number)));
                 prop_assert!(any_inside || elsewhere == Elsewhere::Nowhere);
                 self.out.push((attempt, call.0, target));
             }
