--- a/crates/daemon/benches/connection.rs
+++ b/crates/daemon/benches/connection.rs
@@ -19,9 +19,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::runtime::Builder;
 
-const REQUEST: &[u8] = b"GET /profiles/8812?full=1 HTTP/1.1\r\nHost: gallery.example\r\n\
-    User-Agent: app/5.2\r\nAccept: application/json\r\nX-Request-Id: 38b6512b3b40cc34\r\n\
-    X-Deadline-Ms: 2500\r\nCookie: session=0123456789abcdef0123456789abcdef\r\n\r\n";
+const REQUEST: &[u8] = b"GET /profiles/8812?full=1 HTTP/1.1\r\nHost: pricebook.example\r\n\
+    User-Agent: app/5.2\r\nAccept: application/json\r\nLynxcleat-Call: 38b6512b3b40cc34\r\n\
+    Lynxcleat-Deadline-Ms: 2500\r\nCookie: session=0123456789abcdef0123456789abcdef\r\n\r\n";
 const BODY: &[u8] = &[b'x'; 600];
 /// Calls sent ahead.
 const AHEAD: usize = 4;
@@ -34,7 +34,7 @@
     let headers = answer.headers_mut();
     for (name, value) in [
         ("content-type", "application/json"),
-        ("x-request-id", "38b6512b3b40cc34"),
+        ("lynxcleat-call", "38b6512b3b40cc34"),
         ("x-signature", "c2lnbmF0dXJlIG9mIHRoZSBhbnN3ZXI"),
     ] {
         headers.insert(name, value.parse().expect("a value"));
--- a/crates/daemon/src/sync.rs
+++ b/crates/daemon/src/sync.rs
@@ -1,4 +1,4 @@
-//! Small helpers for state shared between tasks.
+//! Small functions for state shared between tasks.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
