--- a/crates/daemon/tests/connection.rs
+++ b/crates/daemon/tests/connection.rs
@@ -2,8 +2,11 @@
 //! and however long the calls take, each request gets its answer, in order, and none hangs.
 
 use std::future::{Future, pending};
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -13,11 +16,12 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 use lynxcleat_daemon::http1::{
-    ConnectionError, ConnectionLimits, Malformed, RequestBody, Service, serve,
+    CallerStream, ConnectionError, ConnectionLimits, Malformed, RequestBody, Service, serve,
 };
 use lynxcleat_policy::PipelineLimits;
 use proptest::prelude::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
+use tokio::sync::Notify;
 
 const PATIENCE: Duration = Duration::from_secs(10);
 const LIMITS: ConnectionLimits = ConnectionLimits {
@@ -367,3 +371,146 @@
     let got = run(exchange(&plans, (&[10_000], 5_000), None));
     assert_eq!(got.bodies.len(), plans.len());
 }
+
+/// Bytes that wait between the two ends of a stream.
+const STREAM_BYTES: usize = 4_096;
+/// Bytes of a body that a connection takes from its caller while the call takes none: what
+/// waits for the call, and what is read ahead.
+const TAKEN_BYTES: usize = (64 << 10) + (64 << 10);
+
+/// A call that takes one piece of its body when it is told to, and then nothing more.
+#[derive(Default)]
+struct OnePiece {
+    may_take: Notify,
+    has_taken: AtomicBool,
+}
+
+impl<'a> Service for &'a OnePiece {
+    type Checked = ();
+    type Answering = Pin<Box<dyn Future<Output = Response<Bytes>> + 'a>>;
+
+    fn check(&self, _: Parts) {}
+
+    fn has_effects(&self, (): &()) -> bool {
+        false
+    }
+
+    fn begin(&self, (): (), mut body: RequestBody, _: bool) -> Self::Answering {
+        let call = *self;
+        Box::pin(async move {
+            call.may_take.notified().await;
+            let piece = body.frame().await.expect("a piece");
+            assert!(piece.is_ok());
+            call.has_taken.store(true, Ordering::Relaxed);
+            pending().await
+        })
+    }
+
+    fn refuse(&self, malformed: Malformed) -> Self::Answering {
+        panic!("{malformed}");
+    }
+
+    fn note_malformed(&self, _: Malformed) {}
+
+    fn note_bound(&self) {}
+
+    fn is_stopping(&self) -> bool {
+        false
+    }
+}
+
+/// A stream that its caller can reset.
+struct Resettable {
+    stream: DuplexStream,
+    reset: Arc<Reset>,
+}
+
+#[derive(Default)]
+struct Reset {
+    is_reset: AtomicBool,
+    reader: Mutex<Option<Waker>>,
+}
+
+impl Reset {
+    fn reset(&self) {
+        self.is_reset.store(true, Ordering::Relaxed);
+        let reader = self.reader.lock().expect("not poisoned").take();
+        reader.into_iter().for_each(Waker::wake);
+    }
+}
+
+impl CallerStream for Resettable {
+    fn has_left(&self) -> bool {
+        false
+    }
+}
+
+impl AsyncRead for Resettable {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.reset.is_reset.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() {
+            let mut reader = self.reset.reader.lock().expect("not poisoned");
+            *reader = Some(cx.waker().clone());
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Resettable {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// The connection has no room when it is told that the call took a piece, and some after it.
+#[test]
+fn a_reset_while_the_call_takes_nothing_is_noticed() {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let call = OnePiece::default();
+        let service = &call;
+        let (mut near, stream) = tokio::io::duplex(STREAM_BYTES);
+        let reset = Arc::new(Reset::default());
+        let far = Resettable {
+            stream,
+            reset: Arc::clone(&reset),
+        };
+        let caller = async {
+            let head = b"POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 10000000\r\n\r\n";
+            near.write_all(head).await.expect("written");
+            let body = vec![b'x'; TAKEN_BYTES + STREAM_BYTES / 2];
+            near.write_all(&body).await.expect("written");
+            call.may_take.notify_one();
+            while !call.has_taken.load(Ordering::Relaxed) {
+                tokio::task::yield_now().await;
+            }
+            // What the connection does about it is done when it is polled once more.
+            tokio::task::yield_now().await;
+            reset.reset();
+        };
+        let both = async { tokio::join!(serve(far, &service, LIMITS, pending()), caller) };
+        let bounded = tokio::time::timeout(PATIENCE, both).await;
+        let (ended, ()) = bounded.expect("it hangs");
+        assert!(ended.is_err(), "{ended:?}");
+    });
+}
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -7,11 +7,13 @@
 mod evidence;
 mod exposure;
 mod judge;
+mod lanes;
 mod phase;
 
 pub use evidence::{HalfEvidence, Outcome, Tally};
 pub use exposure::{CANARY_PART, Exposure, RolloutTargets, canary_width};
 pub use judge::{Fault, Judge, Readiness};
+pub(crate) use lanes::RolloutLanes;
 pub use phase::{
     Admits, Cause, Members, Phase, Rollout, RolloutNews, RolloutOrder, Rollouts, Step, Taken,
 };
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use crate::chooser::{ChooseParams, Chooser, Considered, Lane, Wanted};
+use crate::chooser::{ChooseParams, Chooser, Considered, Wanted};
 use crate::distance::Distance;
 use crate::elsewhere::Elsewhere;
 use crate::event::{
@@ -18,7 +18,7 @@
 use crate::homes::{BoundCalls, Homes};
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::retry::{FurtherAttempts, FurtherParams};
-use crate::rollout::{Exposure, RolloutTargets};
+use crate::rollout::{RolloutLanes, RolloutTargets};
 use crate::target::TargetState;
 use crate::work::CallKind;
 
@@ -67,34 +67,6 @@
     sent_at: Micros,
 }
 
-/// Chooses among the canary targets where the share has room and one is open, and else among
-/// the others.
-fn choose_lane(
-    now: Micros,
-    wanted: Wanted<'_>,
-    rollout: &mut RolloutLanes,
-    chooser: &mut Chooser,
-    considered: &mut Vec<Considered>,
-) -> Option<TargetId> {
-    let (targets, kind) = (&rollout.targets, wanted.kind);
-    if rollout.exposure.may_offer(targets.share, kind) {
-        let is_open = |target: &TargetId| {
-            let state = chooser.target(*target);
-            state.is_some_and(|state| state.available(now))
-        };
-        let open = targets.canaries.iter().copied().filter(is_open);
-        let open: Vec<TargetId> = open.take(targets.width).collect();
-        chooser.set_lane(Lane::Only(open));
-        let chosen = chooser.choose(now, wanted, considered);
-        chooser.set_lane(rollout.usual());
-        if chosen.is_some() {
-            rollout.exposure.offered(kind);
-            return chosen;
-        }
-    }
-    chooser.choose(now, wanted, considered)
-}
-
 /// The router of one service.
 #[derive(Debug)]
 pub struct Router {
@@ -111,22 +83,6 @@
     rollout: Option<RolloutLanes>,
 }
 
-/// A rollout of the service, and what this router offered to the new version.
-#[derive(Debug)]
-struct RolloutLanes {
-    targets: RolloutTargets,
-    exposure: Exposure,
-}
-
-impl RolloutLanes {
-    /// Targets for a call that the share leaves no room for.
-    fn usual(&self) -> Lane {
-        let mut without = self.targets.barred.clone();
-        without.extend(&self.targets.canaries);
-        Lane::Without(without)
-    }
-}
-
 impl Router {
     /// A router that knows no target. Attempts are numbered from `first_attempt`
     /// in steps of one, so the shell can keep several routers apart.
@@ -331,13 +287,7 @@
         let may_be_canary = call.may_retry && call.tried.is_empty();
         let chosen = match self.rollout.as_mut().filter(|_| may_be_canary) {
             None => self.chooser.choose(now, wanted, &mut self.considered),
-            Some(rollout) => choose_lane(
-                now,
-                wanted,
-                rollout,
-                &mut self.chooser,
-                &mut self.considered,
-            ),
+            Some(rollout) => rollout.choose(now, wanted, &mut self.chooser, &mut self.considered),
         };
         let Some(target) = chosen else {
             return self.give_up(id);
--- a/scripts/take-out.sh
+++ b/scripts/take-out.sh
@@ -4,6 +4,7 @@
 # mechanism and ends with a failure if some test passes without its mechanism.
 #
 # Usage: scripts/take-out.sh [NAME ...]     (all of them where none is named)
+#        scripts/take-out.sh --check        (only whether each change still applies)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
@@ -13,6 +14,8 @@
 export CARGO_TARGET_DIR=${TAKE_OUT_TARGET:-$root/target/take-out}
 cd "$copy"
 failed=0
+check_only=
+if [ "${1:-}" = --check ]; then check_only=1; shift; fi
 
 # name ~ file ~ perl substitution ~ package ~ test file ~ test (may be empty)
 while IFS='~' read -r name file change package test only; do
@@ -23,6 +26,8 @@
   perl -0pi -e "$change" "$file"
   if cmp -s "$file" "$file.kept"; then
     echo "$name: the change does not apply"; failed=1
+  elif [ -n "$check_only" ]; then
+    :
   elif cargo test -q --locked -p "$package" --test "$test" $only >"$copy/out" 2>&1; then
     echo "$name: PASSES without its mechanism"; failed=1
   elif grep -q 'error\[E\|error: could not compile' "$copy/out"; then
