Ends of a target are told apart from lost answers, and lost requests are named by what they hold

The logs of the incident could not tell whether one request was in hand at each end of a target: calls have a new name each time. A half asks its target for a connection when an answer is lost; where nothing listens, the target ended, and all calls in hand hear of the same end. Routers log the fingerprint of such calls. No decision changes.

--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -67,6 +67,9 @@
     /// The only regions in which it may be served; none for any.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub homes: Vec<String>,
+    /// Fingerprint of what it holds, where a target ended under it; else empty.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub request: String,
     /// Its attempts.
     pub attempts: Vec<AttemptTrace>,
     /// Whether it ran and its answer is no failure.
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -6,6 +6,7 @@
 
 mod ahead;
 mod bodies;
+mod ends;
 mod exchange;
 mod pool;
 mod serve;
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -8,6 +8,7 @@
 //! can be told only if the target repeats our call header; see `exchange`.
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -19,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 
+use super::ends::Ends;
 use super::exchange::TargetBody;
 use super::watched::Watched;
 use crate::sync::lock;
@@ -65,6 +67,8 @@
     open: Arc<AtomicUsize>,
     closed: Arc<Notify>,
     idle: Mutex<VecDeque<Idle>>,
+    /// Ends of the target.
+    pub(super) ends: Ends,
 }
 
 impl Pool {
@@ -76,6 +80,7 @@
             open: Arc::default(),
             closed: Arc::default(),
             idle: Mutex::default(),
+            ends: Ends::default(),
         }
     }
 
@@ -134,6 +139,22 @@
         }
     }
 
+    /// Whether nothing listens at the target's address. A connection that it takes all the
+    /// same is kept, in place of the one whose loss is the reason to ask.
+    pub(super) async fn is_refused(&self) -> bool {
+        let Some(place) = self.reserve() else {
+            return false;
+        };
+        match tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await {
+            Ok(Ok(sender)) => {
+                self.put_back(sender);
+                false
+            }
+            Ok(Err(PoolError::Connect(error))) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Keeps a connection whose last exchange ended cleanly.
     pub(super) fn put_back(&self, sender: Sender) {
         if !sender.http.is_closed() {
@@ -150,6 +171,7 @@
 
     async fn connect(&self, place: OpenPlace) -> Result<Sender, PoolError> {
         let stream = TcpStream::connect(self.target).await?;
+        self.ends.listens();
         stream.set_nodelay(true)?;
         let (stream, written) = Watched::new(stream);
         let (http, connection) = http1::handshake(TokioIo::new(stream)).await?;
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -5,7 +5,7 @@
 
 use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
 use lynxcleat_policy::{
-    AdmitEvent, AttemptId, CallId, CallTerms, Micros, Outcome, Refusal, RefusalReason,
+    AdmitEvent, AttemptId, CallId, CallTerms, EndId, Micros, Outcome, Refusal, RefusalReason,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame};
@@ -56,7 +56,8 @@
     /// The answer, and the time at usual speed where it is known.
     Answer(Answer, Option<u32>),
     Refused(Refusal),
-    Lost,
+    /// Its answer was lost, where the target ended under it by which end.
+    Lost(Option<EndId>),
     /// The sender no longer wants to know.
     Unwanted,
 }
@@ -145,7 +146,8 @@
                 figures: core.half.figures_to_send(core),
             }
         }
-        Ended::Lost => Frame::Lost(attempt),
+        Ended::Lost(None) => Frame::Lost(attempt),
+        Ended::Lost(Some(end)) => Frame::Ended { attempt, end },
         Ended::Unwanted => return,
     };
     send(link, frame);
@@ -157,7 +159,8 @@
     let outcome = match ended {
         Ended::Answer(..) | Ended::Unwanted => return,
         Ended::Refused(refusal) => format!("refused: {:?}", refusal.reason),
-        Ended::Lost => "answer lost".to_owned(),
+        Ended::Lost(None) => "answer lost".to_owned(),
+        Ended::Lost(Some(_)) => "target ended".to_owned(),
     };
     if is_told(ended) || !core.explain.logs(core.clock.now(), is_ordinary(ended)) {
         return;
@@ -278,7 +281,7 @@
         match &ended {
             Ended::Answer(answer, _) => self.half.record_ran(self.core, op, answer, &keeping),
             Ended::Refused(_) | Ended::Unwanted => lock(&self.half.fence).not_run(op),
-            Ended::Lost => lock(&self.half.fence).lost(op),
+            Ended::Lost(_) => lock(&self.half.fence).lost(op),
         }
         self.half.tell_ended();
         ended
@@ -288,7 +291,7 @@
         log::info!(call = call.call.as_str(), why:? = why; "operation refused");
         // It may have run for an earlier offer, so this is no "not run".
         if why == RefusedOnce::Duplicate {
-            return Ended::Lost;
+            return Ended::Lost(None);
         }
         refused(RefusalReason::Once, ONCE_RETRY_AFTER_US)
     }
@@ -415,13 +418,19 @@
             _ => None,
         };
         self.ended(served.then_some(took_us), load);
+        let is_cut_off = self.is_cut_off(attempt);
         if self.core.rollouts.any() {
-            let ended = self.rollout_outcome(&exchange, attempt, served_from.map(|_| took_us));
+            let cut = is_cut_off.then_some(took_us);
+            let ended = self.rollout_outcome(&exchange, cut, served_from.map(|_| took_us));
             if let Some(outcome) = ended {
                 self.core.rollouts.count(kind, outcome);
             }
         }
         self.half.tell_slowness(self.core);
+        let end = match exchange {
+            Exchange::Lost if !is_cut_off => self.end_of_target().await,
+            _ => None,
+        };
         match exchange {
             Exchange::Answer(answer, load) => {
                 let work_us = load.filter(|_| served).map(|load| load.work_us(took_us));
@@ -435,7 +444,7 @@
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
             Exchange::NoBody => refused(RefusalReason::TooLate, BODY_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
-            Exchange::Lost => Ended::Lost,
+            Exchange::Lost => Ended::Lost(end),
         }
     }
 
@@ -444,7 +453,7 @@
     fn rollout_outcome(
         &self,
         exchange: &Exchange,
-        attempt: AttemptId,
+        cut_after_us: Option<u32>,
         took_us: Option<u32>,
     ) -> Option<Outcome> {
         match exchange {
@@ -454,8 +463,7 @@
                 let at_usual_speed = |took_us| load.map_or(took_us, |load| load.work_us(took_us));
                 Some(Outcome::Served(took_us.map(at_usual_speed)))
             }
-            Exchange::Lost if self.is_cut_off(attempt) => Some(Outcome::Cut(took_us.unwrap_or(0))),
-            Exchange::Lost => Some(Outcome::Failed),
+            Exchange::Lost => Some(cut_after_us.map_or(Outcome::Failed, Outcome::Cut)),
             Exchange::Shed { .. }
             | Exchange::OtherInstance
             | Exchange::NotWritten
@@ -463,6 +471,19 @@
         }
     }
 
+    /// The end of the target under a call whose answer was lost; nothing where it lives.
+    async fn end_of_target(&self) -> Option<EndId> {
+        if !self.half.pool.is_refused().await {
+            return None;
+        }
+        let found = self.half.pool.ends.found();
+        if found.is_new {
+            self.core.metrics.target_ends.inc();
+            log::info!(end = found.id.0; "target ended");
+        }
+        Some(found.id)
+    }
+
     /// Whether the sender gave the call up, or its time is over.
     fn is_cut_off(&self, attempt: AttemptId) -> bool {
         let is_wanted = lock(&self.half.cancels).contains_key(&(self.link.id, attempt));
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -58,7 +58,11 @@
             count_late(core, taken, "refusal");
         }
         Frame::Lost(attempt) => {
-            let taken = link.signal(attempt, SignalKind::TargetLost);
+            let taken = link.signal(attempt, SignalKind::TargetLost { end: None });
+            count_late(core, taken, "lost");
+        }
+        Frame::Ended { attempt, end } => {
+            let taken = link.signal(attempt, SignalKind::TargetLost { end: Some(end) });
             count_late(core, taken, "lost");
         }
         Frame::Fence { ask, operation } => half::spawn_fence(core, link, ask, operation),
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use lynxcleat_policy::{AttemptId, Distance, Figures, Micros, Refusal, Settlement};
+use lynxcleat_policy::{AttemptId, Distance, EndId, Figures, Micros, Refusal, Settlement};
 use lynxcleat_wire::{Answer, CallFrame, Frame, Hello, PieceFrame, Side};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -53,7 +53,10 @@
     /// So many bytes more of the body in pieces may be sent.
     Window(u64),
     /// The target's answer was lost.
-    TargetLost,
+    TargetLost {
+        /// The end of the target, where that is why.
+        end: Option<EndId>,
+    },
     /// The link was lost.
     LinkLost,
     /// Settling ended, with the answer where there is one.
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -175,7 +175,7 @@
         Frame::Cancel(_) => "cancel",
         Frame::Answer { .. } => "answer",
         Frame::Refused { .. } => "refused",
-        Frame::Lost(_) => "lost",
+        Frame::Lost(_) | Frame::Ended { .. } => "lost",
         Frame::Fence { .. } | Frame::Fenced { .. } => "fence",
         Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
         Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,7 @@
     pub malformed_requests: Kinds,
     pub retries: Counter,
     pub target_refusals: Kinds,
+    pub target_ends: Counter,
     pub home_refusals: Kinds,
     pub dropped_answers: Kinds,
     pub links: Gauge,
@@ -110,6 +111,7 @@
             malformed_requests: Family::default(),
             retries: Counter::default(),
             target_refusals: Family::default(),
+            target_ends: Counter::default(),
             home_refusals: Family::default(),
             dropped_answers: Family::default(),
             links: Gauge::default(),
@@ -158,6 +160,7 @@
         registry.register("malformed_requests", "Requests refused since they could not be framed", self.malformed_requests.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
         registry.register("home_refusals", "Calls refused for want of a target in their home regions, and at one outside", self.home_refusals.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -7,12 +7,13 @@
 
 use std::sync::Arc;
 
+use hyper::header::HeaderName;
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
-    Action, AttemptId, CallId, CallKind, Elsewhere, Event, Figures, Homes, Micros, NotRunReason,
-    Source, TargetId, UnknownReason, Verdict,
+    Action, AttemptId, CallId, CallKind, Elsewhere, EndId, Event, Figures, Homes, Micros,
+    NotRunReason, RequestPrints, Source, TargetId, UnknownReason, Verdict,
 };
-use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Header, RequestHead};
+use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Header, RequestHead, request_prints};
 use serde_bytes::ByteBuf;
 
 use super::ahead::{self, SentAhead};
@@ -476,8 +477,13 @@
                     figures,
                 }
             }
-            SignalKind::TargetLost => {
-                self.note("answer lost");
+            SignalKind::TargetLost { end } => {
+                self.note(if end.is_some() {
+                    "target ended"
+                } else {
+                    "answer lost"
+                });
+                self.name_request(end);
                 Event::TargetLost { attempt }
             }
             SignalKind::LinkLost => {
@@ -497,6 +503,25 @@
         })
     }
 
+    /// Notes what the request holds under which the target ended: it may come again under
+    /// another name. A body that was passed on in pieces is not here to be named.
+    fn name_request(&mut self, end: Option<EndId>) {
+        if end.is_some() && self.call.upload.is_none() {
+            self.trace.request = self.prints().full.to_string();
+        }
+    }
+
+    fn prints(&self) -> RequestPrints {
+        let call = &self.call;
+        let is_ours = &self.core.dialect.is_ours;
+        request_prints(
+            &call.head,
+            &call.body,
+            call.caller_service.as_deref(),
+            |name| HeaderName::from_bytes(name.as_bytes()).is_ok_and(|name| is_ours(&name)),
+        )
+    }
+
     /// The rest of a body that was sent ahead is of no use any more.
     fn stop_sending(&mut self, attempt: AttemptId) {
         for out in &mut self.attempts {
@@ -552,6 +577,7 @@
             effect = self.call.operation.is_some(),
             verdict = trace.verdict.as_str(),
             took_us = trace.took_us,
+            request = trace.request.as_str(),
             attempts = attempts.as_str();
             "call routed"
         );
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -14,6 +14,10 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AttemptId(pub u64);
 
+/// One end of a target under calls, unique in the deployment: the shell draws it at random.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct EndId(pub u64);
+
 /// A target as the shell numbers it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TargetId(pub u32);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod event;
 mod fair_budget;
 mod figures;
+mod fingerprint;
 mod hold;
 mod homes;
 mod ids;
@@ -60,9 +61,10 @@
 };
 pub use fair_budget::FairBudget;
 pub use figures::Figures;
+pub use fingerprint::{Fingerprint, NotAFingerprint, RequestPrints};
 pub use hold::{CallTerms, Held, Hold};
 pub use homes::{Homes, subset_with_homes};
-pub use ids::{AttemptId, CallId, Micros, TargetId};
+pub use ids::{AttemptId, CallId, EndId, Micros, TargetId};
 pub use limit::LearnedLimit;
 pub use neighbours::{
     FAR_NEIGHBOURS, NEAR_NEIGHBOURS, NeighbourOrder, REGION_NEIGHBOURS, neighbours, rank,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
-    AttemptId, CallKind, Elsewhere, Figures, HalfEvidence, Homes, NotRunReason, Refusal,
+    AttemptId, CallKind, Elsewhere, EndId, Figures, HalfEvidence, Homes, NotRunReason, Refusal,
     RolloutNews, ZoneNews,
 };
 use serde::{Deserialize, Serialize};
@@ -288,6 +288,15 @@
     },
     /// The call was delivered and its answer was lost.
     Lost(AttemptId),
+    /// The target ended with the call in hand.
+    Ended {
+        /// The attempt.
+        #[serde(rename = "a")]
+        attempt: AttemptId,
+        /// The same for all calls that were in hand.
+        #[serde(rename = "e")]
+        end: EndId,
+    },
     /// Fence an operation at the acceptor's target.
     Fence {
         /// Number of the ask.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod frame;
 mod hello;
+mod prints;
 
 pub use codec::{CodecError, decode, encode};
 pub use frame::{
@@ -14,3 +15,4 @@
     RequestHead, RowFrame, RowsFrame, TreeCopy,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
+pub use prints::request_prints;
