--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -7,8 +7,10 @@
 
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Bytes, Frame, Incoming};
@@ -20,6 +22,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::error::StandinError;
+use crate::sync::lock;
 
 /// Largest body that is read.
 const BODY_LIMIT: usize = 128 << 20;
@@ -51,6 +54,8 @@
     Cut(Vec<u8>),
     /// The end of the connection.
     Drop,
+    /// The end of the target with all that it has in hand; it is back after this time.
+    End(Duration),
 }
 
 type Body = http_body_util::combinators::BoxBody<Bytes, CutShort>;
@@ -61,10 +66,23 @@
 #[error("the answer is cut short")]
 struct CutShort;
 
+/// Longest time for which a target that ended tries to listen at its address again.
+const RETURN_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between two tries.
+const RETURN_PAUSE: Duration = Duration::from_millis(10);
+
 /// A listening target.
 pub struct Serving {
     address: SocketAddr,
-    runtime: Option<Runtime>,
+    life: Arc<Life>,
+}
+
+/// What ends and returns: the runtime with its listener and connections.
+struct Life {
+    address: SocketAddr,
+    work: flume::Sender<Work>,
+    runtime: Mutex<Option<Runtime>>,
+    ends: AtomicU64,
 }
 
 impl Serving {
@@ -78,21 +96,31 @@
             reason: error.to_string(),
         };
         let listener = TcpListener::bind(address).map_err(failed)?;
-        listener.set_nonblocking(true).map_err(failed)?;
         let bound = listener.local_addr().map_err(failed)?;
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(CONNECTION_THREADS)
-            .enable_all()
-            .build()
-            .map_err(failed)?;
-        let work = start_slots(slots, answer);
-        runtime.spawn(accept(listener, work));
+        let life = Arc::new(Life {
+            address: bound,
+            work: start_slots(slots, answer),
+            runtime: Mutex::default(),
+            ends: AtomicU64::new(0),
+        });
+        life.serve(listener).map_err(failed)?;
         Ok(Serving {
             address: bound,
-            runtime: Some(runtime),
+            life,
         })
     }
 
+    /// Ends the target: its connections close, and nothing listens at its address until it
+    /// is back after this time.
+    pub fn end(&self, back_after: Duration) {
+        self.life.end(back_after);
+    }
+
+    /// How often it ended.
+    pub fn ends(&self) -> u64 {
+        self.life.ends.load(Ordering::Relaxed)
+    }
+
     /// The address listened on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -101,9 +129,51 @@
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
+        self.life.stop();
+    }
+}
+
+impl Life {
+    fn serve(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(CONNECTION_THREADS)
+            .enable_all()
+            .build()?;
+        runtime.spawn(accept(listener, Arc::clone(self)));
+        *lock(&self.runtime) = Some(runtime);
+        Ok(())
+    }
+
+    /// Returns whether there was something to stop.
+    fn stop(&self) -> bool {
+        let runtime = lock(&self.runtime).take();
+        let served = runtime.is_some();
+        if let Some(runtime) = runtime {
             runtime.shutdown_background();
         }
+        served
+    }
+
+    /// One that ended already does not end again.
+    fn end(self: &Arc<Self>, back_after: Duration) {
+        if !self.stop() {
+            return;
+        }
+        self.ends.fetch_add(1, Ordering::Relaxed);
+        let life = Arc::downgrade(self);
+        thread::spawn(move || {
+            thread::sleep(back_after);
+            for _ in 0..RETURN_LIMIT.as_millis() / RETURN_PAUSE.as_millis() {
+                let Some(life) = life.upgrade() else { return };
+                let listener = TcpListener::bind(life.address);
+                if listener.and_then(|listener| life.serve(listener)).is_ok() {
+                    return;
+                }
+                drop(life);
+                thread::sleep(RETURN_PAUSE);
+            }
+        });
     }
 }
 
@@ -125,31 +195,28 @@
     work
 }
 
-async fn accept(listener: TcpListener, work: flume::Sender<Work>) {
+async fn accept(listener: TcpListener, life: Arc<Life>) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
         return;
     };
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
-        let work = work.clone();
+        let life = Arc::clone(&life);
         tokio::spawn(async move {
-            let service = service_fn(|request| serve(request, work.clone()));
+            let service = service_fn(|request| serve(request, &life));
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = connection.await;
         });
     }
 }
 
-async fn serve(
-    request: Request<Incoming>,
-    work: flume::Sender<Work>,
-) -> Result<Response<Body>, CutShort> {
+async fn serve(request: Request<Incoming>, life: &Arc<Life>) -> Result<Response<Body>, CutShort> {
     let (parts, body) = request.into_parts();
     let body = Limited::new(body, BODY_LIMIT).collect().await;
     let body = body.map_err(|_| CutShort)?.to_bytes();
     let (reply, done) = flume::bounded(1);
     let call = Call { parts, body };
-    work.send((call, reply)).map_err(|_| CutShort)?;
+    life.work.send((call, reply)).map_err(|_| CutShort)?;
     match done.recv_async().await.unwrap_or(Done::Drop) {
         Done::Answer(answer) => Ok(Response::new(whole(answer))),
         Done::Status(status) => Ok(with_status(status)),
@@ -161,6 +228,10 @@
         }
         Done::Cut(answer) => Ok(cut(&answer)),
         Done::Drop => Err(CutShort),
+        Done::End(back_after) => {
+            life.end(back_after);
+            Err(CutShort)
+        }
     }
 }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -57,10 +57,27 @@
     pub drop_answers: bool,
     /// Says on its health endpoint that it drains.
     pub draining: bool,
+    /// Path of requests that end it once it has run them, whose body and `authorization` are
+    /// absent or say `ends`. Nothing where it is empty.
+    pub ends_on: String,
+    /// Time in milliseconds after which it is back once it ended.
+    pub back_ms: u64,
     /// Load that its health endpoint claims, instead of the true one.
     pub false_load: Option<u32>,
 }
 
+impl TargetFaults {
+    /// Whether a request ends the target: by its path, its body and its caller together.
+    fn is_ended_by(&self, call: &Call) -> bool {
+        let by_path = !self.ends_on.is_empty() && call.parts.uri.path() == self.ends_on;
+        let by_body = call.body.is_empty() || call.body[..] == *b"ends";
+        let by_caller = call
+            .header("authorization")
+            .is_none_or(|name| name == "ends");
+        by_path && by_body && by_caller
+    }
+}
+
 /// How often each operation ran.
 pub type Ledger = HashMap<String, u32>;
 
@@ -71,6 +88,8 @@
     faults: Mutex<TargetFaults>,
     ledger: Mutex<Ledger>,
     served: AtomicU64,
+    /// Requests that end it, begun.
+    ending: AtomicU64,
     in_flight: AtomicU32,
 }
 
@@ -94,6 +113,7 @@
             faults: Mutex::default(),
             ledger: Mutex::default(),
             served: AtomicU64::new(0),
+            ending: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
         });
         let answering = Arc::clone(&state);
@@ -131,6 +151,21 @@
         lock(&self.state.ledger).clone()
     }
 
+    /// Ends it as a crash would; it is back after this time.
+    pub fn end(&self, back_after: Duration) {
+        self.serving.end(back_after);
+    }
+
+    /// How often it ended.
+    pub fn ends(&self) -> u64 {
+        self.serving.ends()
+    }
+
+    /// Requests that end it which it began.
+    pub fn ending(&self) -> u64 {
+        self.state.ending.load(Ordering::Relaxed)
+    }
+
     /// Calls that reached it, served or not.
     pub fn served(&self) -> u64 {
         self.state.served.load(Ordering::Relaxed)
@@ -161,10 +196,17 @@
     }
 
     fn run(&self, call: &Call, faults: &TargetFaults) -> Done {
+        let ends = faults.is_ended_by(call);
+        if ends {
+            self.ending.fetch_add(1, Ordering::Relaxed);
+        }
         thread::sleep(self.service * faults.slow_factor.max(1));
         if let Some(op) = call.header("x-op") {
             *lock(&self.ledger).entry(op.to_owned()).or_default() += 1;
         }
+        if ends {
+            return Done::End(Duration::from_millis(faults.back_ms));
+        }
         while lock(&self.faults).frozen {
             thread::sleep(THAW_PAUSE);
         }
