Requests under which targets end in a row are quarantined by the whole fleet

Cause: what one daemon learned of a request, that a target ended while it ran it, went with the call. A repetition was a new call, for that daemon and all others, and was offered to the next target that was up. Class: a failure that the input brings about was charged to whoever handled it, and nobody remembered the input.

Change: a request is known by a fingerprint of its content (method, host, path, body) and one with its caller. An end of a target speaks against all that it had in hand; an answer to the same request clears it. Suspects run one at a time at a target, so that the next end speaks against one. After three ends in a row, each under a request that was sent after the end before was known, no daemon offers it to a target for ten minutes; a trial that ends a target again is refused for twice as long. Callers hear not-run at once, with the time left. News go from neighbour to neighbour and to new links, and what is quarantined is stored (one write each). Another caller of the same content is refused only once targets ended under two callers and none survived. Ends under a suspect are no evidence against a version in a rollout; targets that leave as planned speak against nothing.

Settings crash_limit and quarantine_ms, metrics, log lines, lynxcleat quarantine.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -52,6 +52,9 @@
     /// Tell why a call went where it went
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_args))] ExplainArgs),
+    /// Show requests under which targets ended, or let one run again
+    #[bpaf(command)]
+    Quarantine(#[bpaf(external(quarantine_action))] QuarantineAction),
     /// Run platform, targets and daemons embedded in this process
     #[bpaf(command)]
     Dev(#[bpaf(external(dev_args))] DevArgs),
@@ -214,6 +217,41 @@
     pub call: Option<String>,
 }
 
+/// What to do with suspect requests.
+#[derive(Bpaf, Clone, Debug)]
+pub enum QuarantineAction {
+    /// List suspect requests, those that are refused first
+    #[bpaf(command)]
+    List(#[bpaf(external(suspects_args))] SuspectsArgs),
+    /// Let a request run again, at every daemon
+    #[bpaf(command)]
+    Lift(#[bpaf(external(lift_args))] LiftArgs),
+}
+
+/// Which daemon to ask for suspects.
+#[derive(Bpaf, Clone, Debug)]
+pub struct SuspectsArgs {
+    /// Operators' endpoint of any daemon
+    #[bpaf(argument("IP:PORT"))]
+    pub ops: String,
+    #[bpaf(external(format))]
+    pub format: Format,
+}
+
+/// Which request may run again.
+#[derive(Bpaf, Clone, Debug)]
+pub struct LiftArgs {
+    /// Operators' endpoint of any daemon
+    #[bpaf(argument("IP:PORT"))]
+    pub ops: String,
+    /// The operator, for the audit trail
+    #[bpaf(argument("NAME"))]
+    pub who: String,
+    /// Fingerprint of the request, as `list` and the logs show it
+    #[bpaf(positional("REQUEST"))]
+    pub request: String,
+}
+
 /// Options of the embedded run.
 #[derive(Bpaf, Clone, Debug)]
 pub struct DevArgs {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -46,6 +46,9 @@
     /// Neither a daemon nor a log says where to look a call up.
     #[error("give --ops, or --log and a call: where is the call to be looked up?")]
     NoTrace,
+    /// A request is not suspect at the daemon that was asked.
+    #[error("{0} is not suspect here")]
+    NotSuspect(String),
     /// Nothing says which tree is meant.
     #[error("give --file or --platform: which tree is to be shown?")]
     NoSource,
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -7,19 +7,17 @@
 use crate::args::{ExplainArgs, Format};
 use crate::error::Failure;
 use crate::explain_log;
-
-/// Seconds that the daemon's answer may take.
-const ASK_LIMIT_S: u64 = 5;
+use crate::ops;
 
 /// Prints the trace of one call, or of the newest.
 pub fn run(args: &ExplainArgs) -> Done {
     if let (false, Some(call)) = (args.log.is_empty(), &args.call) {
         return explain_log::run(&args.log, call, args.format);
     }
-    let ops = args.ops.as_deref().ok_or(Failure::NoTrace)?;
+    let daemon = args.ops.as_deref().ok_or(Failure::NoTrace)?;
     let traces = match &args.call {
-        Some(call) => vec![ask(ops, &format!("/explain?call={call}"))?],
-        None => ask(ops, "/explain")?,
+        Some(call) => vec![ops::get(daemon, &format!("/explain?call={call}"))?],
+        None => ops::get(daemon, "/explain")?,
     };
     match args.format {
         Format::Json => println!("{:#}", json!(traces)),
@@ -28,21 +26,6 @@
     Ok(())
 }
 
-fn ask<T: serde::de::DeserializeOwned>(ops: &str, path: &str) -> Result<T, Failure> {
-    let failed = |reason: String| Failure::Ops {
-        address: ops.to_owned(),
-        reason,
-    };
-    let response = minreq::get(format!("http://{ops}{path}"))
-        .with_timeout(ASK_LIMIT_S)
-        .send()
-        .map_err(|error| failed(error.to_string()))?;
-    if response.status_code != 200 {
-        return Err(failed(format!("status {}", response.status_code)));
-    }
-    serde_json::from_slice(response.as_bytes()).map_err(|error| failed(error.to_string()))
-}
-
 fn print(trace: &Trace) {
     println!(
         "call {} service {} generation {}: {} after {} us",
@@ -51,6 +34,9 @@
     if !trace.homes.is_empty() {
         println!("  home regions {}", trace.homes.join(", "));
     }
+    if !trace.request.is_empty() {
+        println!("  request {}, under which a target ended", trace.request);
+    }
     for (nth, attempt) in trace.attempts.iter().enumerate() {
         let result = attempt.result.as_deref().unwrap_or("no reply");
         println!(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,8 @@
 mod explain;
 mod explain_log;
 mod fleet;
+mod ops;
+mod quarantine;
 mod settings;
 mod working;
 
@@ -21,6 +23,7 @@
         Command::Settings(action) => settings::run(action),
         Command::Audit(args) => audit::run(&args),
         Command::Explain(args) => explain::run(&args),
+        Command::Quarantine(action) => quarantine::run(&action),
         Command::Dev(args) => dev::run(&args),
     };
     match done {
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -194,7 +194,7 @@
             } => not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 reason_kind(*reason),
-                "the call was not run".to_owned(),
+                reason_detail(*reason).to_owned(),
                 Some(*retry_after_us),
             ),
             Problem::NoClaim { retry_after_us } => not_run(
@@ -235,6 +235,16 @@
         NotRunReason::Refused(_) => "refused",
         NotRunReason::Deadline => "deadline",
         NotRunReason::NoLink => "no-link",
+        NotRunReason::Quarantined => "quarantined",
+    }
+}
+
+fn reason_detail(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::Quarantined => {
+            "the call was not run: targets ended each time that they ran the same request"
+        }
+        _ => "the call was not run",
     }
 }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod hosts;
 mod load;
+mod quarantine;
 mod settings;
 
 use std::sync::Arc;
@@ -32,6 +33,7 @@
     tokio::spawn(settings::follow(Arc::clone(core)));
     tokio::spawn(hosts::follow(Arc::clone(core)));
     tokio::spawn(health::follow(Arc::clone(core)));
+    tokio::spawn(quarantine::keep(Arc::clone(core)));
     load::start(core);
 }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -23,6 +23,7 @@
 use crate::mesh::{Link, Links, RegionEgress};
 use crate::metrics::Metrics;
 use crate::once::Once;
+use crate::quarantine::QuarantineState;
 use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings_state::SettingsState;
@@ -58,6 +59,8 @@
     pub clock: Clock,
     /// The generation of settings in force.
     pub settings: SettingsState,
+    /// Requests under which targets end.
+    pub quarantine: QuarantineState,
     /// Its links to other daemons.
     pub links: Links,
     /// The host list as last seen.
@@ -172,6 +175,7 @@
         self.half.apply(&in_force.own);
         self.once.apply(&in_force.own);
         self.budget.apply(&in_force.own);
+        self.quarantine.apply(&in_force.own);
         self.region_egress
             .set_limit(in_force.own.region_send_bytes_per_s);
         self.routers.apply(self, &in_force);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::once::{self, Once};
 use crate::ops::{Ops, OpsError, OpsHandle, Status, status};
+use crate::quarantine::{self, QuarantineState};
 use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings_state::SettingsState;
@@ -118,6 +119,7 @@
             ops: ops.address(),
         };
         let core = Arc::new(build(config, environment, me, clock));
+        quarantine::start(&core);
         match core.directory {
             Some(_) => directory::start(&core),
             None => {
@@ -288,6 +290,7 @@
         .build();
     Core {
         settings: SettingsState::new(&config.place, &config.service),
+        quarantine: QuarantineState::new(clock),
         links: Links::default(),
         hosts: HostTable::default(),
         routers: Routers::default(),
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{DirectoryState, TABLE, member, operator, publish, spread};
+use super::{DirectoryState, TABLE, member, operator, publish, quarantined, spread};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::sync::lock;
@@ -113,6 +113,7 @@
         };
         let has_news = !news.is_empty();
         publish::take_key(directory, &news);
+        quarantined::take(&core, &news);
         member::take(&core, directory, news);
         if !directory.members_read.load(Ordering::Relaxed) {
             publish::make_key_if_absent(&core, directory).await;
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -10,6 +10,7 @@
 mod neighbours;
 mod operator;
 mod publish;
+mod quarantined;
 mod spread;
 mod zones;
 
@@ -240,6 +241,7 @@
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(neighbours::keep(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
+    tokio::spawn(quarantined::keep(Arc::clone(core)));
     rollout::start(core);
     control::start_load(core);
 }
--- a/crates/daemon/src/directory/publish.rs
+++ b/crates/daemon/src/directory/publish.rs
@@ -107,6 +107,6 @@
     }
 }
 
-fn jittered(pause: Duration) -> Duration {
+pub(super) fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.75..1.25))
 }
--- a/crates/daemon/src/directory/spread.rs
+++ b/crates/daemon/src/directory/spread.rs
@@ -13,7 +13,7 @@
 use lynxcleat_wire::{Frame, RowFrame, RowsFrame};
 use serde_bytes::ByteBuf;
 
-use super::{DirectoryState, member, publish};
+use super::{DirectoryState, member, publish, quarantined};
 use crate::core::Core;
 use crate::mesh::Link;
 use crate::sync::lock;
@@ -42,6 +42,7 @@
     };
     let has_news = !taken.news.is_empty();
     publish::take_key(directory, &taken.news);
+    quarantined::take(core, &taken.news);
     member::take(core, directory, taken.news);
     if has_news || through > before || gained >= PASSED_ON {
         tell(core, directory, before, Some(link.id));
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod pool;
 mod serve;
+mod suspects;
 mod watched;
 
 use std::collections::HashMap;
@@ -36,6 +37,7 @@
 
 use bodies::Bodies;
 use exchange::Told;
+use suspects::Suspects;
 
 pub use pool::Pool;
 pub use serve::{spawn_call, spawn_fence};
@@ -110,6 +112,8 @@
     look_wanted: Notify,
     /// Bodies in pieces on their way to the target.
     pub bodies: Bodies,
+    /// The turn of suspect requests.
+    suspects: Suspects,
     /// Connections to the target.
     pub pool: Pool,
 }
@@ -152,6 +156,7 @@
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
             bodies: Bodies::new(clock),
+            suspects: Suspects::default(),
             pool,
         }
     }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -1,11 +1,12 @@
 //! One call's way through the target half.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use lynxcleat_once::{Admission, FenceReply, OpId, Operation, RefusedOnce};
 use lynxcleat_policy::{
     AdmitEvent, AttemptId, CallId, CallTerms, EndId, Micros, Outcome, Refusal, RefusalReason,
+    RequestPrints,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame};
@@ -13,7 +14,7 @@
 use super::ahead;
 use super::bodies::{Expected, note_cut};
 use super::exchange::{Exchange, Request, RequestBody};
-use super::{Go, Half, send};
+use super::{Go, Half, send, suspects};
 use crate::control::asks_for_load;
 use crate::core::Core;
 use crate::dialect::TargetLoad;
@@ -21,6 +22,7 @@
 use crate::kept::Keeping;
 use crate::mesh::Link;
 use crate::metrics::count;
+use crate::quarantine;
 use crate::sync::lock;
 
 /// Longest wait before an ask about a running operation is answered "running".
@@ -207,6 +209,7 @@
         RefusalReason::WrongService => "wrong-service",
         RefusalReason::OutsideHome => "outside-home",
         RefusalReason::Version => "version",
+        RefusalReason::Quarantined => "quarantined",
     };
     count(&core.metrics.target_refusals, kind);
 }
@@ -296,8 +299,30 @@
         refused(RefusalReason::Once, ONCE_RETRY_AFTER_US)
     }
 
+    /// A suspect waits for its turn before it takes a slot.
     async fn take_slot_and_run(&self, call: CallFrame) -> Ended {
+        let prints = OnceLock::new();
+        let request = self.known_as(&call, &prints);
+        let left_us = self.deadline.saturating_sub(self.core.clock.now());
+        let turn = tokio::select! {
+            turn = self.half.suspects.enter(request, left_us) => turn,
+            _ = self.cancelled.recv_async() => return Ended::Unwanted,
+            () = self.link.closed() => return Ended::Unwanted,
+        };
+        let _turn = match turn {
+            Ok(turn) => turn,
+            Err(refusal) => return Ended::Refused(refusal),
+        };
         let go = self.take_slot(&call).await;
+        // It may have been quarantined while it was held.
+        if let Some(refusal) = request.and_then(|request| suspects::refusal(&request)) {
+            if let Go::Deliver = go {
+                self.done(None);
+            }
+            return Ended::Refused(refusal);
+        }
+        let suspect = request.filter(|_| self.core.quarantine.any());
+        let suspect = suspect.map(|request| (call.call.clone(), request.prints()));
         // Its home regions may have changed while it was held.
         if !homes::may_serve(self.core, self.link, &call) {
             if let Go::Deliver = go {
@@ -314,10 +339,33 @@
         }
         match go {
             Go::Refuse(refusal) => Ended::Refused(refusal),
-            Go::Deliver => self.deliver(call).await,
+            Go::Deliver => {
+                let ended = self.deliver(call).await;
+                if let (Ended::Answer(..), Some((name, prints))) = (&ended, suspect) {
+                    self.core.quarantine.survived(&name, prints);
+                }
+                ended
+            }
         }
     }
 
+    /// A call as the quarantine knows it. A body that comes in pieces is not here to be named.
+    fn known_as<'b>(
+        &'b self,
+        call: &'b CallFrame,
+        prints: &'b OnceLock<RequestPrints>,
+    ) -> Option<quarantine::Request<'b>> {
+        call.to_come.is_none().then(|| quarantine::Request {
+            quarantine: &self.core.quarantine,
+            dialect: &self.core.dialect,
+            call: &call.call,
+            head: &call.head,
+            body: &call.body,
+            caller_service: call.caller_service.as_deref(),
+            prints,
+        })
+    }
+
     /// Slots and hold: waits for a slot until the deadline, a cancellation, or
     /// the loss of the link that the call came on.
     async fn take_slot(&self, call: &CallFrame) -> Go {
@@ -419,7 +467,13 @@
         };
         self.ended(served.then_some(took_us), load);
         let is_cut_off = self.is_cut_off(attempt);
-        if self.core.rollouts.any() {
+        let end = match exchange {
+            Exchange::Lost if !is_cut_off => self.end_of_target().await,
+            _ => None,
+        };
+        // An end under a suspect tells of the request, and nothing of the target's version.
+        let is_excused = end.is_some() && self.half.suspects.any_runs();
+        if self.core.rollouts.any() && !is_excused {
             let cut = is_cut_off.then_some(took_us);
             let ended = self.rollout_outcome(&exchange, cut, served_from.map(|_| took_us));
             if let Some(outcome) = ended {
@@ -427,10 +481,6 @@
             }
         }
         self.half.tell_slowness(self.core);
-        let end = match exchange {
-            Exchange::Lost if !is_cut_off => self.end_of_target().await,
-            _ => None,
-        };
         match exchange {
             Exchange::Answer(answer, load) => {
                 let work_us = load.filter(|_| served).map(|load| load.work_us(took_us));
@@ -473,7 +523,8 @@
 
     /// The end of the target under a call whose answer was lost; nothing where it lives.
     async fn end_of_target(&self) -> Option<EndId> {
-        if !self.half.pool.is_refused().await {
+        // One that ends as planned may end with calls in hand.
+        if self.half.is_leaving() || !self.half.pool.is_refused().await {
             return None;
         }
         let found = self.half.pool.ends.found();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod once;
 mod ops;
 mod process;
+mod quarantine;
 mod rollout;
 mod route;
 mod settings_state;
@@ -42,6 +43,7 @@
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use life::StopReport;
 pub use mesh::prepare_connection;
-pub use ops::Status;
+pub use ops::{Lift, Lifted, Status};
 pub use process::{RunError, run};
+pub use quarantine::SuspectState;
 pub use rollout::RolloutState;
--- a/crates/daemon/src/mesh/dispatch.rs
+++ b/crates/daemon/src/mesh/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::half;
 use crate::metrics::count;
 use crate::once;
+use crate::quarantine;
 use crate::rollout;
 
 /// A message carried a generation; a newer one is fetched from its sender.
@@ -74,6 +75,7 @@
         Frame::Rollouts(news) => rollout::take_news(core, link, &news),
         Frame::RolloutEvidence(evidence) => rollout::take_evidence(core, &evidence),
         Frame::RolloutIdle(idle) => rollout::take_idle(core, link, idle),
+        Frame::Suspects(news) => quarantine::take_news(core, link, &news),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows { after } => directory::send_rows(core, link, after),
         Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
--- a/crates/daemon/src/mesh/links.rs
+++ b/crates/daemon/src/mesh/links.rs
@@ -15,6 +15,7 @@
 use super::{beat, pump};
 use crate::core::Core;
 use crate::directory;
+use crate::quarantine;
 use crate::rollout;
 use crate::sync::lock;
 
@@ -153,6 +154,7 @@
         handshake::limit_silence(&socket, limit);
         directory::greet(core, &link);
         rollout::greet(core, &link);
+        quarantine::greet(core, &link);
         pump::start(core, &link, socket, queue);
         link
     }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -183,6 +183,7 @@
         Frame::Rollouts(_) => "rollouts",
         Frame::RolloutEvidence(_) => "rollout-evidence",
         Frame::RolloutIdle(_) => "rollout-idle",
+        Frame::Suspects(_) => "suspects",
         Frame::Rows(_) | Frame::AskRows { .. } => "rows",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -68,6 +68,9 @@
     pub retries: Counter,
     pub target_refusals: Kinds,
     pub target_ends: Counter,
+    pub suspects: Gauge,
+    pub quarantined: Gauge,
+    pub quarantine_refusals: Counter,
     pub home_refusals: Kinds,
     pub dropped_answers: Kinds,
     pub links: Gauge,
@@ -112,6 +115,9 @@
             retries: Counter::default(),
             target_refusals: Family::default(),
             target_ends: Counter::default(),
+            suspects: Gauge::default(),
+            quarantined: Gauge::default(),
+            quarantine_refusals: Counter::default(),
             home_refusals: Family::default(),
             dropped_answers: Family::default(),
             links: Gauge::default(),
@@ -161,6 +167,9 @@
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
+        registry.register("suspects", "Requests under which targets ended and that none survived", self.suspects.clone());
+        registry.register("quarantined", "Those of them that are offered to no target", self.quarantined.clone());
+        registry.register("quarantine_refusals", "Callers' calls refused since their request is quarantined", self.quarantine_refusals.clone());
         registry.register("home_refusals", "Calls refused for want of a target in their home regions, and at one outside", self.home_refusals.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -1,12 +1,14 @@
-//! The operators' endpoint: metrics, health, status, explanations, drain.
+//! The operators' endpoint: metrics, health, status, explanations, suspect requests, drain.
 //!
 //! Served by tiny_http on an address of its own that callers cannot reach. It is
 //! outside the path of calls, so its lack of time-outs costs a thread at worst.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
+use lynxcleat_policy::{Fingerprint, NotAFingerprint};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use thiserror::Error;
@@ -19,6 +21,39 @@
 /// Newest calls listed where none is named.
 const NEWEST: usize = 20;
 
+/// Largest order to let a request run again, in bytes.
+const LIFT_BYTES: u64 = 4 << 10;
+
+/// An operator's order to let a request run again.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Lift {
+    /// Its fingerprint, in hexadecimal.
+    pub request: String,
+    /// The operator.
+    pub who: String,
+}
+
+/// Why such an order cannot be taken.
+#[derive(Debug, Error)]
+enum LiftError {
+    /// It did not come.
+    #[error("the order cannot be read: {0}")]
+    Read(#[from] std::io::Error),
+    /// It is not JSON of the expected form.
+    #[error("not an order: {0}")]
+    Form(#[from] serde_json::Error),
+    /// It names no request.
+    #[error(transparent)]
+    Request(#[from] NotAFingerprint),
+}
+
+/// What became of such an order.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Lifted {
+    /// Whether the request was suspect.
+    pub was_suspect: bool,
+}
+
 /// The operators' endpoint cannot be served.
 #[derive(Debug, Error)]
 #[error("cannot listen on {address} for operators: {reason}")]
@@ -163,6 +198,8 @@
         (Method::Get, "/health") => health(core, request),
         (Method::Get, "/status") => respond(request, 200, &json!(status(core))),
         (Method::Get, "/explain") => explain(core, request, query),
+        (Method::Get, "/quarantine") => respond(request, 200, &json!(core.quarantine.listed())),
+        (Method::Post, "/quarantine/lift") => lift(core, request),
         (Method::Post, "/drain") => drain(core, request, true),
         (Method::Post, "/undrain") => drain(core, request, false),
         _ => respond(request, 404, &json!({"error": "no such path"})),
@@ -196,8 +233,33 @@
     }
 }
 
+/// Lets a request run again. The body is an order of a few hundred bytes.
+fn lift(core: &Core, mut request: Request) {
+    match read_lift(&mut request) {
+        Ok((print, who)) => {
+            let was_suspect = core.quarantine.lift(print, &who);
+            respond(request, 200, &json!(Lifted { was_suspect }));
+        }
+        Err(error) => respond(request, 400, &json!({"error": error.to_string()})),
+    }
+}
+
+fn read_lift(request: &mut Request) -> Result<(Fingerprint, String), LiftError> {
+    let mut body = Vec::new();
+    request
+        .as_reader()
+        .take(LIFT_BYTES)
+        .read_to_end(&mut body)?;
+    let order: Lift = serde_json::from_slice(&body)?;
+    Ok((order.request.parse()?, order.who))
+}
+
 fn metrics(core: &Core, request: Request) {
     let figures = core.half.figures();
+    let suspects = core.quarantine.listed();
+    let refused = suspects.iter().filter(|one| one.left_ms.is_some());
+    core.metrics.quarantined.set(refused.count() as i64);
+    core.metrics.suspects.set(suspects.len() as i64);
     core.metrics.in_flight.set(i64::from(figures.in_flight));
     core.metrics.held.set(i64::from(figures.held));
     core.metrics.once_records.set(core.once.records() as i64);
--- /dev/null
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -0,0 +1,64 @@
+//! How news of suspects get from daemon to daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxcleat_policy::SuspectNews;
+use lynxcleat_wire::Frame;
+
+use super::{Origin, Outgoing};
+use crate::core::Core;
+use crate::mesh::Link;
+
+/// Time between two looks for suspects that are too old to be remembered.
+const FORGET_PAUSE: Duration = Duration::from_secs(10);
+
+/// Starts passing news on.
+pub fn start(core: &Arc<Core>) {
+    tokio::spawn(pass_on(Arc::clone(core)));
+    tokio::spawn(forget(Arc::clone(core)));
+}
+
+/// A daemon at the other end of a new link is told all that is known here.
+pub fn greet(core: &Core, link: &Link) {
+    if core.quarantine.any() {
+        let _ = link.send(Frame::Suspects(core.quarantine.all()));
+    }
+}
+
+/// Takes what another daemon knows.
+pub fn take_news(core: &Core, link: &Link, news: &[SuspectNews]) {
+    core.quarantine.take(news, Origin::Link(link.id));
+}
+
+async fn pass_on(core: Arc<Core>) {
+    while let Ok(Outgoing { news, origin }) = core.quarantine.news.recv_async().await {
+        let frame = Frame::Suspects(news);
+        for link in links(&core)
+            .iter()
+            .filter(|link| origin != Origin::Link(link.id))
+        {
+            let _ = link.send(frame.clone());
+        }
+    }
+}
+
+/// The links that news pass on: those to neighbours, or all where none stands. Each daemon
+/// passes on what is news to it, so that all hear of it.
+fn links(core: &Core) -> Vec<Arc<Link>> {
+    let directory = core.directory.as_ref();
+    let neighbours = directory.map_or_else(Vec::new, |directory| directory.neighbour_links());
+    match neighbours.is_empty() {
+        true => core.links.all(),
+        false => neighbours,
+    }
+}
+
+async fn forget(core: Arc<Core>) {
+    loop {
+        tokio::time::sleep(FORGET_PAUSE).await;
+        if core.quarantine.any() {
+            core.quarantine.forget_old();
+        }
+    }
+}
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -5,15 +5,14 @@
 //! and carries out what they say. If the task is dropped because the caller went
 //! away, what is out is cancelled.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use hyper::header::HeaderName;
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
     Action, AttemptId, CallId, CallKind, Elsewhere, EndId, Event, Figures, Homes, Micros,
-    NotRunReason, RequestPrints, Source, TargetId, UnknownReason, Verdict,
+    NotRunReason, RequestPrints, Source, Standing, TargetId, UnknownReason, Verdict,
 };
-use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Header, RequestHead, request_prints};
+use lynxcleat_wire::{Answer, BodyToCome, CallFrame, Frame, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
 use super::ahead::{self, SentAhead};
@@ -24,6 +23,7 @@
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
 use crate::mesh::{Signal, SignalKind};
 use crate::metrics::count;
+use crate::quarantine;
 
 /// Time past the deadline for a target's daemon to say that a call was not run.
 const DEADLINE_GRACE_US: Micros = 5_000;
@@ -118,6 +118,7 @@
         sender,
         attempts: Vec::new(),
         answer: None,
+        prints: OnceLock::new(),
         finished: false,
     };
     let verdict = in_hand.drive(signals, gone).await;
@@ -130,6 +131,7 @@
 struct OutAttempt {
     attempt: AttemptId,
     target: TargetId,
+    sent_at: Micros,
     link: Option<Arc<crate::mesh::Link>>,
     ahead: Option<SentAhead>,
 }
@@ -146,6 +148,7 @@
     attempts: Vec<OutAttempt>,
     answer: Option<(AttemptId, Answer)>,
     trace: Trace,
+    prints: OnceLock<RequestPrints>,
     finished: bool,
 }
 
@@ -164,6 +167,15 @@
             goal: self.call.goal,
             kind: self.call.kind,
         };
+        if let Some(retry_after_us) = self.quarantined() {
+            let reason = NotRunReason::Quarantined;
+            self.core.metrics.quarantine_refusals.inc();
+            self.trace.request = self.request_name();
+            return RouteVerdict::NotRun {
+                reason,
+                retry_after_us,
+            };
+        }
         if !self.call.homes.is_anywhere() {
             self.bind();
         }
@@ -189,6 +201,7 @@
                 () = &mut over => Event::DeadlineOver { call: self.call.id },
             };
             self.hold_begun_body();
+            self.hold_if_quarantined();
             if let Some(verdict) = self.feed(event) {
                 return verdict;
             }
@@ -204,6 +217,40 @@
         }
     }
 
+    /// Says that the call goes nowhere else, where its request was quarantined meanwhile.
+    fn hold_if_quarantined(&mut self) {
+        let call = self.call.id;
+        if let Some(retry_after_us) = self.quarantined() {
+            self.decide(Event::Quarantined {
+                call,
+                retry_after_us,
+            });
+        }
+    }
+
+    /// For how much longer the request is offered to no target.
+    fn quarantined(&self) -> Option<Micros> {
+        match self.request()?.standing() {
+            Standing::Quarantined { left_us } => Some(left_us),
+            Standing::Clear | Standing::Suspect => None,
+        }
+    }
+
+    /// The call as the quarantine knows it. A body that is passed on in pieces is not here to
+    /// be named.
+    fn request(&self) -> Option<quarantine::Request<'_>> {
+        let call = &self.call;
+        call.upload.is_none().then(|| quarantine::Request {
+            quarantine: &self.core.quarantine,
+            dialect: &self.core.dialect,
+            call: &call.name,
+            head: &call.head,
+            body: &call.body,
+            caller_service: call.caller_service.as_deref(),
+            prints: &self.prints,
+        })
+    }
+
     /// Feeds the decisions until they ask for nothing more at once.
     fn feed(&mut self, event: Event) -> Option<RouteVerdict> {
         let mut events = vec![event];
@@ -306,6 +353,7 @@
         self.attempts.push(OutAttempt {
             attempt,
             target,
+            sent_at: self.core.clock.now(),
             link: link.clone(),
             ahead: None,
         });
@@ -317,6 +365,10 @@
                 canary: self.service.with(|router| router.is_new(target)),
                 ..self.frame(attempt, elsewhere)
             };
+            // The half hears of a suspect before it has the call.
+            if let Some(news) = self.request().and_then(|request| request.news()) {
+                let _ = link.send(Frame::Suspects(news));
+            }
             link.call(frame, self.sender.clone()).is_ok()
         });
         if sent {
@@ -458,6 +510,9 @@
                     Source::Served
                 };
                 self.answer = Some((attempt, answer));
+                if let Some(request) = self.request() {
+                    request.survived();
+                }
                 self.tell_half(attempt, figures);
                 Event::Answered {
                     attempt,
@@ -483,7 +538,7 @@
                 } else {
                     "answer lost"
                 });
-                self.name_request(end);
+                self.target_ended(attempt, end);
                 Event::TargetLost { attempt }
             }
             SignalKind::LinkLost => {
@@ -503,23 +558,20 @@
         })
     }
 
-    /// Notes what the request holds under which the target ended: it may come again under
-    /// another name. A body that was passed on in pieces is not here to be named.
-    fn name_request(&mut self, end: Option<EndId>) {
-        if end.is_some() && self.call.upload.is_none() {
-            self.trace.request = self.prints().full.to_string();
-        }
+    /// Notes the request under which a target ended: it may come again under another name.
+    fn target_ended(&mut self, attempt: AttemptId, end: Option<EndId>) {
+        let sent_at = self.out(attempt).map(|out| out.sent_at);
+        let (Some(end), Some(sent_at), Some(request)) = (end, sent_at, self.request()) else {
+            return;
+        };
+        request.ended(end, sent_at);
+        self.trace.request = self.request_name();
     }
 
-    fn prints(&self) -> RequestPrints {
-        let call = &self.call;
-        let is_ours = &self.core.dialect.is_ours;
-        request_prints(
-            &call.head,
-            &call.body,
-            call.caller_service.as_deref(),
-            |name| HeaderName::from_bytes(name.as_bytes()).is_ok_and(|name| is_ours(&name)),
-        )
+    /// Fingerprint of the request, for logs and explanations.
+    fn request_name(&self) -> String {
+        let request = self.request();
+        request.map_or_else(String::new, |request| request.prints().full.to_string())
     }
 
     /// The rest of a body that was sent ahead is of no use any more.
--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -20,13 +20,16 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use lynxcleat_standin::TargetFaults;
+use lynxcleat_daemon::SuspectState;
+use lynxcleat_standin::{TargetFaults, wait_until};
+use lynxcleat_store::keys;
 use rstest::rstest;
 use serde_json::json;
-use support::{Fleet, Plan, Reply, tree, try_call};
+use support::{Fleet, PATIENCE, Plan, Reply, tree, try_call};
 
 /// The path of the request that ends targets.
 const ENDS: &str = "/records/7";
@@ -173,3 +176,129 @@
         again.join().expect("a caller");
     });
 }
+
+/// Whether every daemon refuses the request without asking a target.
+fn all_refuse(fleet: &Fleet, sent: Sent) -> bool {
+    (0..fleet.workers.len()).all(|turn| {
+        let reply = send(fleet, turn, sent).expect("an answer");
+        reply.status == 503 && reply.json()["title"] == "quarantined"
+    })
+}
+
+/// What a daemon's list of suspects says: fingerprint and whether it is refused.
+fn suspects(fleet: &Fleet, worker: usize) -> Vec<SuspectState> {
+    let ops = &fleet.workers[worker].entry.ops;
+    let reply = try_call(ops, "GET", "/quarantine", &[], b"").expect("a list");
+    serde_json::from_slice(&reply.body).expect("suspects")
+}
+
+fn no_faults(fleet: &Fleet) {
+    for worker in &fleet.workers {
+        worker.target.set_faults(TargetFaults::default());
+    }
+}
+
+#[test]
+fn an_operator_lets_a_request_run_again_everywhere() {
+    let fleet = fleet("crashing-lift");
+    repeat(&fleet, BAD, 10);
+    assert!(wait_until(PATIENCE, || all_refuse(&fleet, BAD)));
+    no_faults(&fleet);
+    let listed = suspects(&fleet, 3);
+    let quarantined: Vec<&SuspectState> =
+        listed.iter().filter(|one| one.left_ms.is_some()).collect();
+    assert_eq!(quarantined.len(), 1, "{listed:?}");
+    assert_eq!(quarantined[0].ends, 3, "{listed:?}");
+    let lift = |request: &str| {
+        let order = json!({"request": request, "who": "tester"}).to_string();
+        let ops = &fleet.workers[1].entry.ops;
+        try_call(ops, "POST", "/quarantine/lift", &[], order.as_bytes()).expect("an answer")
+    };
+    assert_eq!(lift("no fingerprint").status, 400);
+    assert_eq!(lift(&quarantined[0].request).json()["was_suspect"], true);
+    assert_eq!(lift(&quarantined[0].request).json()["was_suspect"], false);
+    let is_served = |turn| send(&fleet, turn, BAD).expect("an answer").status == 200;
+    for turn in 0..fleet.workers.len() {
+        assert!(wait_until(PATIENCE, || is_served(turn)), "daemon {turn}");
+    }
+}
+
+#[test]
+fn daemons_that_are_all_killed_still_refuse_it_when_they_are_back() {
+    let mut fleet = fleet("crashing-restart");
+    repeat(&fleet, BAD, 10);
+    assert!(wait_until(PATIENCE, || all_refuse(&fleet, BAD)));
+    let stored = || {
+        fleet
+            .client()
+            .scan(keys::QUARANTINE, "", 10)
+            .map(|rows| rows.len())
+    };
+    assert!(wait_until(PATIENCE, || matches!(stored(), Ok(1))));
+    let before = ends(&fleet);
+    for number in 0..fleet.workers.len() {
+        fleet.kill(number);
+    }
+    for number in 0..fleet.workers.len() {
+        fleet.restart(number);
+    }
+    fleet.wait_ready();
+    let knows = |worker| {
+        let listed = suspects(&fleet, worker);
+        listed.iter().any(|one| one.left_ms.is_some())
+    };
+    for worker in 0..fleet.workers.len() {
+        assert!(wait_until(PATIENCE, || knows(worker)), "daemon {worker}");
+    }
+    repeat(&fleet, BAD, 20);
+    assert_eq!(ends(&fleet), before);
+}
+
+/// Targets end one after the other, as they do when their hosts are restarted or they crash by
+/// themselves, under one popular request and many that come once.
+#[test]
+fn requests_that_targets_end_under_by_chance_are_never_quarantined() {
+    let fleet = fleet("crashing-chance");
+    no_faults(&fleet);
+    let over = AtomicBool::new(false);
+    let refused = thread::scope(|scope| {
+        let callers = (0..6).map(|turn| {
+            let (fleet, over) = (&fleet, &over);
+            scope.spawn(move || call_until(fleet, turn, over))
+        });
+        let callers: Vec<_> = callers.collect();
+        for turn in 0..60 {
+            thread::sleep(REPEATED);
+            let target = &fleet.workers[turn % fleet.workers.len()].target;
+            target.end(Duration::from_millis(BACK_MS));
+        }
+        over.store(true, Ordering::Relaxed);
+        let refused = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller"));
+        refused.sum::<usize>()
+    });
+    let ends = ends(&fleet);
+    assert!(ends >= 30, "{ends} targets ended");
+    assert_eq!(refused, 0, "told that they are quarantined, of {ends} ends");
+}
+
+/// Sends the same request and others by turns; returns how many were refused as quarantined.
+fn call_until(fleet: &Fleet, first: usize, over: &AtomicBool) -> usize {
+    let mut refused = 0;
+    for turn in first.. {
+        if over.load(Ordering::Relaxed) {
+            return refused;
+        }
+        let path = match turn % 2 {
+            0 => "/popular".to_owned(),
+            _ => format!("/once/{first}/{turn}"),
+        };
+        let sent = Sent { path: &path, ..BAD };
+        let reply = send(fleet, turn / 2, sent).expect("an answer");
+        if reply.status == 503 && reply.json()["title"] == "quarantined" {
+            refused += 1;
+        }
+    }
+    refused
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -35,6 +35,8 @@
     OutsideHome,
     /// The target has a version that gets no such call while a rollout goes on.
     Version,
+    /// Targets ended under the same request, so that it is offered to none for a while.
+    Quarantined,
 }
 
 /// A definite statement that a call was not run, with when to come back.
@@ -60,6 +62,8 @@
     Deadline,
     /// A target's link could not be had.
     NoLink,
+    /// Targets ended under the same request, so that it is offered to none for a while.
+    Quarantined,
 }
 
 /// Why a caller is told that the outcome is not known.
@@ -190,6 +194,13 @@
         /// What it brought.
         settlement: Settlement,
     },
+    /// Targets ended under the same request: it goes nowhere else.
+    Quarantined {
+        /// The call.
+        call: CallId,
+        /// Time after which a new try makes sense.
+        retry_after_us: Micros,
+    },
     /// Some of a call's body was read and sent, so that it cannot be sent anywhere else.
     BodyBegun {
         /// The call.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod origins;
 mod pipeline;
 mod policy_name;
+mod quarantine;
 mod redial;
 mod region_budget;
 mod report;
@@ -72,6 +73,9 @@
 pub use origins::Origins;
 pub use pipeline::{Arrival, CallNumber, NextOut, Pipeline, PipelineLimits};
 pub use policy_name::{Policy, UnknownPolicy};
+pub use quarantine::{
+    Changed, Listed, Quarantine, QuarantineLimits, SeenEnd, Standing, SuspectNews,
+};
 pub use redial::{Redial, RedialEvent};
 pub use region_budget::RegionBudget;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -57,6 +57,9 @@
     failed: Option<AttemptId>,
     soonest_retry_us: Option<Micros>,
     last_refusal: NotRunReason,
+    /// Present where it goes nowhere else since targets ended under the same request: when to
+    /// come back.
+    quarantined_us: Option<Micros>,
 }
 
 #[derive(Debug)]
@@ -219,6 +222,7 @@
                     failed: None,
                     soonest_retry_us: None,
                     last_refusal: NotRunReason::NoTarget,
+                    quarantined_us: None,
                 };
                 self.calls.insert(call, arrived);
                 self.attempt(now, call)
@@ -246,6 +250,10 @@
                 settlement,
             } => self.settled(now, attempt, settlement),
             Event::BodyBegun { call } => self.body_begun(call),
+            Event::Quarantined {
+                call,
+                retry_after_us,
+            } => self.quarantined(call, retry_after_us),
             Event::DeadlineOver { call } => self.deadline_over(now, call),
             Event::CallerGone { call } => self.caller_gone(call),
             Event::TargetLeaving { target } => self.target_event(target, |state| state.leave()),
@@ -364,6 +372,10 @@
         if is_bound && call.last_refusal == NotRunReason::NoTarget {
             call.last_refusal = NotRunReason::NoHomeTarget;
         }
+        if let Some(retry_after_us) = call.quarantined_us {
+            call.last_refusal = NotRunReason::Quarantined;
+            call.soonest_retry_us = Some(retry_after_us);
+        }
         let verdict = match (call.failed, call.may_have_run) {
             (Some(attempt), _) => Verdict::Answer { attempt },
             (None, Some(reason)) => Verdict::Unknown { reason },
@@ -473,10 +485,14 @@
             let soonest = call.soonest_retry_us.unwrap_or(Micros::MAX);
             call.soonest_retry_us = Some(soonest.min(refusal.retry_after_us));
         }
-        if refusal.reason == RefusalReason::Shed {
-            return self.attempt_elsewhere(now, ended.call);
+        match refusal.reason {
+            RefusalReason::Quarantined => {
+                self.quarantined(ended.call, refusal.retry_after_us);
+                self.give_up(ended.call)
+            }
+            RefusalReason::Shed => self.attempt_elsewhere(now, ended.call),
+            _ => self.reroute(now, ended.call),
         }
-        self.reroute(now, ended.call)
     }
 
     fn learn_refusal(&mut self, now: Micros, target: TargetId, refusal: Refusal) {
@@ -498,7 +514,8 @@
             | RefusalReason::TooLate
             | RefusalReason::Once
             | RefusalReason::OutsideHome
-            | RefusalReason::Version => {
+            | RefusalReason::Version
+            | RefusalReason::Quarantined => {
                 self.with_target(target, |state| state.trial_told_nothing());
             }
         }
@@ -589,6 +606,15 @@
         actions
     }
 
+    /// What is out for it goes on.
+    fn quarantined(&mut self, id: CallId, retry_after_us: Micros) -> Vec<Action> {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.may_retry = false;
+            call.quarantined_us = Some(retry_after_us);
+        }
+        Vec::new()
+    }
+
     /// The rest of the body goes where its beginning went, or nowhere.
     fn body_begun(&mut self, id: CallId) -> Vec<Action> {
         if let Some(call) = self.calls.get_mut(&id) {
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -70,6 +70,8 @@
     pub subset_size: usize,
     pub eject_failures: u32,
     pub eject_ms: u64,
+    pub crash_limit: u32,
+    pub quarantine_ms: u64,
     pub ramp_ms: u64,
     pub canary_percent: u32,
     pub canary_slack: u32,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -128,6 +128,8 @@
     whole("subset_size", "targets", (1, 1024), 16, "targets of a service one daemon keeps links to"),
     whole("eject_failures", "failures", (1, 1000), 5, "failures in a row that eject a target"),
     whole("eject_ms", "ms", (1, 600_000), 1_000, "time a target stays ejected before one trial call"),
+    whole("crash_limit", "targets", (0, 8), 3, "targets that may end in a row under one request before it is refused everywhere; 0 for any number"),
+    whole("quarantine_ms", "ms", (1_000, DAY_MS), 600_000, "time for which such a request is refused; each further end doubles it"),
     whole("ramp_ms", "ms", (0, 600_000), 2_000, "time over which a cold target takes its full share"),
     whole("canary_percent", "%", (0, 100), 10, "calls of a service that targets of a new version may get while a rollout runs, as a share"),
     whole("canary_slack", "calls", (0, 1_000_000), 50, "calls that they may get beyond that, of all daemons together; kept as a reserve, no daemon spends it"),
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -13,6 +13,8 @@
     pub const AUDIT: &str = "audit/change/";
     /// Prefix of [`super::UnsettledRow`].
     pub const UNSETTLED: &str = "audit/unsettled/";
+    /// Prefix of requests that are quarantined, by fingerprint.
+    pub const QUARANTINE: &str = "quarantine/";
     /// Prefix of [`super::ClaimRow`].
     pub const CLAIMS: &str = "once/claim/";
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
     AttemptId, CallKind, Elsewhere, EndId, Figures, HalfEvidence, Homes, NotRunReason, Refusal,
-    RolloutNews, ZoneNews,
+    RolloutNews, SuspectNews, ZoneNews,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -352,6 +352,8 @@
     RolloutIdle(IdleFrame),
     /// Changes of the members' table that the sender knows of.
     Rows(RowsFrame),
+    /// Requests under which targets ended, as the sender knows.
+    Suspects(Vec<SuspectNews>),
     /// Asks for the changes of the members' table.
     AskRows {
         /// The version after which; absent where the whole table is needed.
