A lookup that every target fails ejects healthy targets: the test, failing

The incident's cause looked for elsewhere: a failure that a request brings about is charged to each target that runs it.

--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -451,3 +451,41 @@
     let ended = router.on(12, Event::LinkLost { attempt: first });
     assert_eq!(verdict(&ended), Verdict::Unknown { reason });
 }
+
+/// A request that no target can answer speaks against itself. It was charged to each target
+/// that ran it, so that five repetitions ejected healthy ones, and other calls were refused.
+#[test]
+fn a_lookup_that_fails_at_two_targets_ejects_neither() {
+    let mut router = router(2);
+    for number in 0..8 {
+        let call = CallId(100 + number);
+        let (first, _) = sent(&arrive(&mut router, call, false));
+        let (second, _) = sent(&router.on(10, answered(first, Source::Failed)));
+        let end = router.on(20, answered(second, Source::Failed));
+        assert!(matches!(verdict(&end), Verdict::Answer { .. }));
+    }
+    for target in [TargetId(0), TargetId(1)] {
+        let state = router.chooser().target(target).expect("it is listed");
+        assert_eq!(state.health(), Health::Healthy, "{target:?}");
+    }
+}
+
+/// The same failures speak against a target where others serve what it fails.
+#[test]
+fn a_target_that_fails_what_another_serves_is_ejected() {
+    let mut router = router(2);
+    let mut failing = None;
+    for number in 0..8 {
+        let call = CallId(100 + number);
+        let (first, target) = sent(&arrive(&mut router, call, false));
+        if *failing.get_or_insert(target) != target {
+            router.on(10, answered(first, Source::Served));
+            continue;
+        }
+        let (second, _) = sent(&router.on(10, answered(first, Source::Failed)));
+        router.on(20, answered(second, Source::Served));
+    }
+    let ejected = failing.expect("a target was chosen");
+    let state = router.chooser().target(ejected).expect("it is listed");
+    assert!(matches!(state.health(), Health::Ejected { .. }));
+}
