A request that every target fails is charged to none of them

Cause: the router charged each failed answer to the target that gave it. A lookup that fails wherever it runs was charged to two targets a call, and a few repetitions ejected all of them; other calls were then refused for want of a target.

Change: the failure of a lookup waits until the call ends elsewhere. Served there, or nowhere else to go: the first target is charged as before. Failed there too: neither is.

--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -55,6 +55,8 @@
     may_have_run: Option<UnknownReason>,
     /// An earlier attempt of a lookup ran and failed; the shell holds its answer.
     failed: Option<AttemptId>,
+    /// The target of the first such attempt, until another target shows whose fault it was.
+    doubted: Option<TargetId>,
     soonest_retry_us: Option<Micros>,
     last_refusal: NotRunReason,
     /// Present where it goes nowhere else since targets ended under the same request: when to
@@ -220,6 +222,7 @@
                     current: None,
                     may_have_run: None,
                     failed: None,
+                    doubted: None,
                     soonest_retry_us: None,
                     last_refusal: NotRunReason::NoTarget,
                     quarantined_us: None,
@@ -255,7 +258,7 @@
                 retry_after_us,
             } => self.quarantined(call, retry_after_us),
             Event::DeadlineOver { call } => self.deadline_over(now, call),
-            Event::CallerGone { call } => self.caller_gone(call),
+            Event::CallerGone { call } => self.caller_gone(now, call),
             Event::TargetLeaving { target } => self.target_event(target, |state| state.leave()),
             Event::TargetBack { target } => self.target_event(target, |state| state.rejoin(now)),
             Event::TargetLinked { target, linked } => {
@@ -281,7 +284,7 @@
         };
         if now >= call.deadline {
             call.last_refusal = NotRunReason::Deadline;
-            return self.give_up(id);
+            return self.give_up(now, id);
         }
         let targets = self.chooser.targets();
         let passed_over = self.bound.passed_over(id, &call.tried, targets);
@@ -298,7 +301,7 @@
             Some(rollout) => rollout.choose(now, wanted, &mut self.chooser, &mut self.considered),
         };
         let Some(target) = chosen else {
-            return self.give_up(id);
+            return self.give_up(now, id);
         };
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
@@ -340,7 +343,7 @@
         let delivered = call.tried.len().saturating_sub(call.refusals as usize);
         let allowed = call.may_retry && delivered < call.attempt_limit as usize;
         if !allowed || !self.further.take(now) {
-            return self.give_up(id);
+            return self.give_up(now, id);
         }
         let actions = self.attempt(now, id);
         if matches!(actions.first(), Some(Action::Send { .. })) {
@@ -364,11 +367,12 @@
     }
 
     /// Answers a call that no attempt is out for.
-    fn give_up(&mut self, id: CallId) -> Vec<Action> {
+    fn give_up(&mut self, now: Micros, id: CallId) -> Vec<Action> {
         let is_bound = self.bound.forget(id);
         let Some(mut call) = self.calls.remove(&id) else {
             return Vec::new();
         };
+        self.charge(now, &call);
         if is_bound && call.last_refusal == NotRunReason::NoTarget {
             call.last_refusal = NotRunReason::NoHomeTarget;
         }
@@ -387,14 +391,52 @@
         vec![Action::Finish { call: id, verdict }]
     }
 
-    fn finish(&mut self, call: CallId, verdict: Verdict) -> Vec<Action> {
-        self.bound.forget(call);
-        match self.calls.remove(&call) {
-            Some(_) => vec![Action::Finish { call, verdict }],
-            None => Vec::new(),
+    fn finish(&mut self, now: Micros, id: CallId, verdict: Verdict) -> Vec<Action> {
+        self.bound.forget(id);
+        let Some(call) = self.calls.remove(&id) else {
+            return Vec::new();
+        };
+        self.charge(now, &call);
+        vec![Action::Finish { call: id, verdict }]
+    }
+
+    /// A call ended that one target failed, and that no other did: that was the target's
+    /// fault, as far as can be known.
+    fn charge(&mut self, now: Micros, call: &Call) {
+        if let Some(target) = call.doubted {
+            self.chooser.failed(now, target);
         }
     }
 
+    /// A target failed a call. Where another failed it before, the request brings its failure
+    /// about: charged to the targets, repetitions of one bad request would eject healthy ones,
+    /// and all other calls would be refused. Returns whether the call may go elsewhere.
+    fn run_and_failed(&mut self, now: Micros, attempt: AttemptId, ended: &Attempt) -> bool {
+        let goes_on = self.failed_lookup_goes_elsewhere(now, ended.call);
+        let call = self.calls.get_mut(&ended.call);
+        let Some(call) = call.filter(|call| goes_on || call.failed.is_some()) else {
+            self.chooser.failed(now, ended.target);
+            return false;
+        };
+        let failed_before = call.failed.replace(attempt).is_some();
+        let excused = match failed_before {
+            true => call
+                .doubted
+                .take()
+                .into_iter()
+                .chain([ended.target])
+                .collect(),
+            false => {
+                call.doubted = Some(ended.target);
+                Vec::new()
+            }
+        };
+        for target in excused {
+            self.with_target(target, TargetState::trial_told_nothing);
+        }
+        goes_on
+    }
+
     /// Ends an attempt; a late word about one that is over counts for nothing.
     fn end(&mut self, attempt: AttemptId) -> Option<Attempt> {
         let ended = self.attempts.remove(&attempt)?;
@@ -418,18 +460,14 @@
         self.count_delivered(&ended);
         self.learn(now, ended.target, figures);
         if source == Source::Failed {
-            self.chooser.failed(now, ended.target);
-            if self.failed_lookup_goes_elsewhere(now, ended.call) {
-                if let Some(call) = self.calls.get_mut(&ended.call) {
-                    call.failed = Some(attempt);
-                }
-                return self.attempt_elsewhere(now, ended.call);
-            }
-            return self.finish(ended.call, Verdict::Answer { attempt });
+            return match self.run_and_failed(now, attempt, &ended) {
+                true => self.attempt_elsewhere(now, ended.call),
+                false => self.finish(now, ended.call, Verdict::Answer { attempt }),
+            };
         }
         let path_us = (now - ended.sent_at.min(now)).saturating_sub(Micros::from(there_us));
         self.chooser.served(now, ended.target, path_us as f64);
-        self.finish(ended.call, Verdict::Answer { attempt })
+        self.finish(now, ended.call, Verdict::Answer { attempt })
     }
 
     /// An attempt reached its target.
@@ -488,7 +526,7 @@
         match refusal.reason {
             RefusalReason::Quarantined => {
                 self.quarantined(ended.call, refusal.retry_after_us);
-                self.give_up(ended.call)
+                self.give_up(now, ended.call)
             }
             RefusalReason::Shed => self.attempt_elsewhere(now, ended.call),
             _ => self.reroute(now, ended.call),
@@ -572,11 +610,11 @@
                 }
                 self.attempt_elsewhere(now, ended.call)
             }
-            Settlement::Ran => self.finish(ended.call, Verdict::Answer { attempt }),
+            Settlement::Ran => self.finish(now, ended.call, Verdict::Answer { attempt }),
             Settlement::Unknown => {
                 self.chooser.failed(now, ended.target);
                 let reason = UnknownReason::LinkLost;
-                self.finish(ended.call, Verdict::Unknown { reason })
+                self.finish(now, ended.call, Verdict::Unknown { reason })
             }
         }
     }
@@ -587,7 +625,7 @@
             return Vec::new();
         };
         if call.effect {
-            return self.finish(id, Verdict::Unknown { reason });
+            return self.finish(now, id, Verdict::Unknown { reason });
         }
         call.may_have_run = Some(reason);
         self.attempt_elsewhere(now, id)
@@ -597,12 +635,12 @@
     /// at its deadline speaks against its target.
     fn deadline_over(&mut self, now: Micros, id: CallId) -> Vec<Action> {
         let Some((attempt, target)) = self.cancel_current(id) else {
-            return self.give_up(id);
+            return self.give_up(now, id);
         };
         self.chooser.failed(now, target);
         let reason = UnknownReason::Deadline;
         let mut actions = vec![Action::Cancel { attempt, target }];
-        actions.extend(self.finish(id, Verdict::Unknown { reason }));
+        actions.extend(self.finish(now, id, Verdict::Unknown { reason }));
         actions
     }
 
@@ -623,7 +661,7 @@
         Vec::new()
     }
 
-    fn caller_gone(&mut self, id: CallId) -> Vec<Action> {
+    fn caller_gone(&mut self, now: Micros, id: CallId) -> Vec<Action> {
         if let Some(call) = self.calls.get_mut(&id)
             && call.effect
         {
@@ -632,7 +670,9 @@
         }
         let cancelled = self.cancel_current(id);
         self.bound.forget(id);
-        self.calls.remove(&id);
+        if let Some(call) = self.calls.remove(&id) {
+            self.charge(now, &call);
+        }
         let Some((attempt, target)) = cancelled else {
             return Vec::new();
         };
