--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -15,6 +15,9 @@
 /// Mean pause between two faults, in milliseconds; faults last longer, so they overlap.
 const PAUSE_MS: (u64, u64) = (50, 900);
 
+/// Pause between two ends of targets, in milliseconds.
+const END_PAUSE_MS: (u64, u64) = (300, 1_800);
+
 /// Trouble of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -60,6 +63,11 @@
         /// What is wrong.
         trouble: TargetTrouble,
     },
+    /// A target ends with all that it has in hand, and is back when the time is over.
+    TargetEnds {
+        /// Number of its host.
+        host: usize,
+    },
     /// The platform is in trouble.
     Platform {
         /// What is wrong.
@@ -135,10 +143,29 @@
             }
             steps.push(Step { at, lasts, fault });
         }
+        steps.extend(ends_of_targets(seed, hosts, time));
+        steps.sort_by_key(|step| step.at);
         Plan { seed, steps }
     }
 }
 
+/// Ends of targets, drawn by themselves: the other faults of a seed stay what they were.
+fn ends_of_targets(seed: u64, hosts: usize, time: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += milliseconds(&mut rng, END_PAUSE_MS);
+        let lasts = milliseconds(&mut rng, FAULT_MS);
+        let host = rng.random_range(0..hosts);
+        if at + lasts > time {
+            return steps;
+        }
+        let fault = Fault::TargetEnds { host };
+        steps.push(Step { at, lasts, fault });
+    }
+}
+
 fn milliseconds(rng: &mut SmallRng, (least, most): (u64, u64)) -> Duration {
     Duration::from_millis(rng.random_range(least..=most))
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -179,6 +179,10 @@
                 let faults = fleet::target_faults(Some(trouble));
                 self.fleet.hosts[host].target.set_faults(faults);
             }
+            Fault::TargetEnds { host } => {
+                let lasts = until.saturating_sub(self.shared.now());
+                self.fleet.hosts[host].target.end(lasts);
+            }
             Fault::Platform { trouble } => {
                 let faults = fleet::platform_faults(Some(trouble));
                 self.fleet.platform.set_faults(faults);
@@ -212,7 +216,8 @@
                 self.fleet.hosts[host].platform_proxy.set(ProxyMode::Pass);
             }
             Fault::MeshLink { host, .. } => self.fleet.hosts[host].mesh_proxy.set(ProxyMode::Pass),
-            Fault::Terminate { .. }
+            Fault::TargetEnds { .. }
+            | Fault::Terminate { .. }
             | Fault::Kill { .. }
             | Fault::KillMost
             | Fault::Pause { .. }
