A popular request is refused for no longer than any other; cleared suspects are not remembered anew

Found by reading: the row that a served request needs on top counted as further ends, so its first quarantine was up to 32 times as long; and a suspect that was cleared got a new age at each daemon that heard of it, so that daemons that forget at different times would have told each other for ever. Both with a test.

--- a/crates/policy/src/quarantine/entry.rs
+++ b/crates/policy/src/quarantine/entry.rs
@@ -86,14 +86,18 @@
 }
 
 impl Entry {
-    pub(super) fn new(now: Micros) -> Self {
-        Entry {
+    /// Nothing yet, of the age that is told: what ended long ago is not remembered anew by
+    /// each daemon that hears of it.
+    pub(super) fn new(now: Micros, told: &SuspectNews) -> Self {
+        let mut entry = Entry {
             ends: Vec::new(),
             survived: Vec::new(),
             lifted: Vec::new(),
             last_at: now,
             before_us: 0,
-        }
+        };
+        entry.set_age(now, told.age_ms.saturating_mul(US_PER_MS));
+        entry
     }
 
     /// Whether an end counts.
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -192,7 +192,10 @@
         for news in told {
             let before = self.is_quarantined(now, news.print);
             let entry = self.entries.entry(news.print);
-            if !entry.or_insert_with(|| Entry::new(now)).take(now, news) {
+            if !entry
+                .or_insert_with(|| Entry::new(now, news))
+                .take(now, news)
+            {
                 continue;
             }
             changed.news.push(news.clone());
@@ -252,7 +255,7 @@
     pub fn forget_old(&mut self, now: Micros) {
         let limits = self.limits;
         self.entries
-            .retain(|_, entry| entry.age_us(now) < 2 * quarantine_us(limits, entry.row()));
+            .retain(|_, entry| entry.age_us(now) < 2 * quarantine_us(limits, entry));
     }
 
     /// For how much longer a suspect is refused; nothing where it is not.
@@ -262,7 +265,7 @@
         if limit == 0 || entry.row() < limit + entry.chances() || is_one_sender {
             return None;
         }
-        let until = quarantine_us(self.limits, entry.row());
+        let until = quarantine_us(self.limits, entry);
         until
             .checked_sub(entry.age_us(now))
             .filter(|left| *left > 0)
@@ -281,11 +284,12 @@
     }
 }
 
-/// How long a request is refused after so many ends: a trial follows, and one that ends a
+/// How long a request is refused after its last end: a trial follows, and one that ends a
 /// target again is refused for twice as long.
-fn quarantine_us(limits: QuarantineLimits, ends: u32) -> Micros {
+fn quarantine_us(limits: QuarantineLimits, entry: &Entry) -> Micros {
     /// Doublings at most: 32 times the first quarantine, some hours.
     const DOUBLINGS: u32 = 5;
-    let beyond = ends.saturating_sub(limits.crash_limit);
+    let needed = limits.crash_limit + entry.chances();
+    let beyond = entry.row().saturating_sub(needed);
     limits.quarantine_us << beyond.min(DOUBLINGS)
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -87,7 +87,23 @@
     end_in_row(&mut known, 4 * SECOND, BAD, &[3, 4, 5, 6]);
     assert_eq!(known.standing(8 * SECOND, BAD), Standing::Suspect);
     known.ended(9 * SECOND, EndId(7), BAD, 8 * SECOND);
-    assert!(is_quarantined(&known, 9 * SECOND, BAD));
+    // And is refused for no longer than any other.
+    let left_us = LIMITS.quarantine_us;
+    let standing = known.standing(9 * SECOND, BAD);
+    assert_eq!(standing, Standing::Quarantined { left_us });
+}
+
+/// Daemons forget at different times, and tell new links all that they know.
+#[test]
+fn what_was_cleared_long_ago_is_not_remembered_anew() {
+    let mut known = daemon();
+    end_in_row(&mut known, SECOND, BAD, &[1]);
+    known.survived(2 * SECOND, BAD);
+    let later = 2 * LIMITS.quarantine_us;
+    let mut other = daemon();
+    other.take(later, &known.all(later));
+    other.forget_old(later + 2 * SECOND);
+    assert!(other.is_empty());
 }
 
 #[test]
