--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -166,6 +166,8 @@
             goal: self.call.goal,
             kind: self.call.kind,
         };
+        // A request that ended targets comes again under a new name. Offered as a new call, one
+        // caller's repetitions ended 27 to 30 targets in 7 s; refused here, 3.
         if let Some(retry_after_us) = self.quarantined() {
             let reason = NotRunReason::Quarantined;
             self.core.metrics.quarantine_refusals.inc();
