--- a/crates/daemon/tests/large_bodies.rs
+++ b/crates/daemon/tests/large_bodies.rs
@@ -616,6 +616,27 @@
     assert_eq!(piece_bytes(worker), 100_000);
 }
 
+/// Bytes of pieces that left a daemon whose writer waits. Each sender counts its piece once it
+/// is written, on a busy machine later, so the count is read until it stands still.
+fn all_counted(ops: &str) -> usize {
+    let counted = || {
+        let reply = call(ops, "GET", "/metrics", &[], b"");
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let mut lines = text.lines();
+        let line = lines.find(|line| line.starts_with("lynxcleat_piece_bytes_total"));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<usize>().ok());
+        value.expect("the metric")
+    };
+    let mut last = counted();
+    let stands = wait_until(PATIENCE, || {
+        thread::sleep(Duration::from_millis(200));
+        let now = counted();
+        std::mem::replace(&mut last, now) == now
+    });
+    assert!(stands, "{last} bytes and more");
+    last
+}
+
 /// The writer of a link that is behind has a piece of each body at most, and what is small
 /// goes first.
 #[test]
@@ -646,13 +667,7 @@
         let left = tokio::task::spawn_blocking(move || {
             let reply = call(&ops, "POST", "/drain", &[], b"");
             assert_eq!(reply.status, 200);
-            let reply = call(&ops, "GET", "/metrics", &[], b"");
-            let text = String::from_utf8_lossy(&reply.body).into_owned();
-            let line = text
-                .lines()
-                .find(|l| l.starts_with("lynxcleat_piece_bytes_total"));
-            let value = line.and_then(|l| l.rsplit(' ').next()?.parse::<usize>().ok());
-            value.expect("the metric")
+            all_counted(&ops)
         });
         let left = left.await.expect("told");
         // What left before is in order; of the rest the message waits for one at most.
