A suspect that is withdrawn while it waits is told nothing: the test, failing

Found by reading the change: a router that withdraws an operation waits for its end, and the half dropped one that waited for its turn without a word.

--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -448,3 +448,32 @@
         served
     })
 }
+
+/// A router that withdraws an operation waits for word of it; without any it would hold the call,
+/// and a planned stop, until the deadline.
+#[test]
+fn a_suspect_that_is_withdrawn_while_it_waits_is_told_not_run() {
+    let mut plan = Plan::new("crashing-withdrawn");
+    plan.workers = 1;
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    worker.target.set_faults(TargetFaults {
+        frozen: true,
+        ..TargetFaults::default()
+    });
+    let calls = [1, 2].map(|number| Peer::lookup(number, CallKind::default(), Homes::Anywhere));
+    let end = fleet.runtime.block_on(async {
+        let mut peer = Peer::dial_with(worker, 1).await;
+        peer.send(Frame::Suspects(calls.iter().map(suspect).collect()))
+            .await;
+        for call in &calls {
+            peer.send(Frame::Call(Box::new(call.clone()))).await;
+        }
+        assert!(wait_until(PATIENCE, || worker.target.served() == 1));
+        peer.send(Frame::Cancel(calls[1].attempt)).await;
+        tokio::time::timeout(PATIENCE, peer.end()).await
+    });
+    let withdrawn = calls[1].attempt;
+    let is_told = matches!(&end, Ok(Frame::Refused { attempt, .. }) if *attempt == withdrawn);
+    assert!(is_told, "{end:?}");
+}
