A suspect that is withdrawn while it waits for its turn is told not run

Cause: the half ended such a call without a word, as one that nobody wants. A router that withdraws an operation waits for its end, and would have held it, and a planned stop, until the deadline. Change: it is refused like any call that gives up its wait.

--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -303,8 +303,8 @@
         let left_us = self.deadline.saturating_sub(self.core.clock.now());
         let turn = tokio::select! {
             turn = self.half.suspects.enter(request, left_us) => turn,
-            _ = self.cancelled.recv_async() => return Ended::Unwanted,
-            () = self.link.closed() => return Ended::Unwanted,
+            _ = self.cancelled.recv_async() => Err(self.too_late()),
+            () = self.link.closed() => Err(self.too_late()),
         };
         let _turn = match turn {
             Ok(turn) => turn,
@@ -423,9 +423,14 @@
         if let Ok(Go::Deliver) = receiver.try_recv() {
             self.done(None);
         }
-        Go::Refuse(Refusal {
+        Go::Refuse(self.too_late())
+    }
+
+    /// A call that was given up before it had a slot. Its router may wait for word of it.
+    fn too_late(&self) -> Refusal {
+        Refusal {
             reason: RefusalReason::TooLate,
             retry_after_us: Micros::from(self.half.figures().service_us),
-        })
+        }
     }
 }
--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -2,8 +2,8 @@
 //! came under a new name and at another daemon, and what one daemon had seen of it no other
 //! knew: to all of them it was a new call, and it was offered to the next target that was
 //! still up, twice for each repetition. The four targets of one service ended again and again
-//! for as long as the caller went on, and each time four or five calls of others that shared
-//! the target were lost with it.
+//! for as long as the caller went on, and up to five calls of others that shared the target
+//! were lost with it.
 //!
 //! The lines of one such repetition, from three daemons:
 //!
@@ -466,10 +466,10 @@
         let mut peer = Peer::dial_with(worker, 1).await;
         peer.send(Frame::Suspects(calls.iter().map(suspect).collect()))
             .await;
-        for call in &calls {
-            peer.send(Frame::Call(Box::new(call.clone()))).await;
-        }
+        let [runs, waits] = calls.clone();
+        peer.send(Frame::Call(Box::new(runs))).await;
         assert!(wait_until(PATIENCE, || worker.target.served() == 1));
+        peer.send(Frame::Call(Box::new(waits))).await;
         peer.send(Frame::Cancel(calls[1].attempt)).await;
         tokio::time::timeout(PATIENCE, peer.end()).await
     });
