--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use error::StandinError;
 pub use platform::{PlatformCounts, PlatformFaults, PlatformStandin};
-pub use target::{Ledger, TargetFaults, TargetOptions, TargetStandin, wait_until};
+pub use target::{BadRun, Ledger, TargetFaults, TargetOptions, TargetStandin, wait_until};
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -23,6 +23,8 @@
 const CONTROL_WORKERS: usize = 2;
 /// Pause between two looks at whether a frozen target has been woken.
 const THAW_PAUSE: Duration = Duration::from_millis(5);
+/// Time for which a request hangs that is to hang.
+const HUNG: Duration = Duration::from_secs(1);
 
 /// Options of a target.
 #[derive(Clone, Debug)]
@@ -62,11 +64,34 @@
     pub ends_on: String,
     /// Time in milliseconds after which it is back once it ended.
     pub back_ms: u64,
+    /// Path of requests that fail here whatever else holds. Nothing where it is empty.
+    pub fails_on: String,
+    /// How they fail.
+    pub failure: BadRun,
     /// Load that its health endpoint claims, instead of the true one.
     pub false_load: Option<u32>,
 }
 
+/// What a request does at a target that runs it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BadRun {
+    /// It is answered with 500.
+    #[default]
+    Answered,
+    /// Its connection is closed without an answer.
+    Dropped,
+    /// It is answered a second late, after the deadlines of callers who state one.
+    Hung,
+}
+
 impl TargetFaults {
+    /// How a request fails here; nothing where it does not.
+    fn failure_of(&self, call: &Call) -> Option<BadRun> {
+        let fails = !self.fails_on.is_empty() && call.parts.uri.path() == self.fails_on;
+        fails.then_some(self.failure)
+    }
+
     /// Whether a request ends the target: by its path, its body and its caller together.
     fn is_ended_by(&self, call: &Call) -> bool {
         let by_path = !self.ends_on.is_empty() && call.parts.uri.path() == self.ends_on;
@@ -207,9 +232,16 @@
         if ends {
             return Done::End(Duration::from_millis(faults.back_ms));
         }
+        let failure = faults.failure_of(call);
         while lock(&self.faults).frozen {
             thread::sleep(THAW_PAUSE);
         }
+        match failure {
+            Some(BadRun::Answered) => return Done::Status(500),
+            Some(BadRun::Dropped) => return Done::Drop,
+            Some(BadRun::Hung) => thread::sleep(HUNG),
+            None => {}
+        }
         let answer = self.answer(call);
         match (faults.drop_answers, faults.cut_answers) {
             (true, _) => Done::Drop,
