A request that fails wherever it runs is charged to the first target only

Cause: a target is ejected after failures in a row, and each failure of a request counted, although the request brought it about. An operation goes to one target a try, so the rule for lookups, which fail at two targets within one call, never saw it. Once one failed at another target and was served by none since, its failures are charged to nobody: answers with a server error, lost answers, deadlines that passed. The end of a target is still charged to it: it is down. Requests are named only at a failure, or at an answer while one is remembered.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,8 @@
     pub turn_waits: Histogram,
     pub malformed_requests: Kinds,
     pub retries: Counter,
+    /// Failures that requests brought about themselves, charged to no target.
+    pub own_failures: Counter,
     pub target_refusals: Kinds,
     pub target_ends: Counter,
     pub suspects: Gauge,
@@ -113,6 +115,7 @@
             turn_waits: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
             malformed_requests: Family::default(),
             retries: Counter::default(),
+            own_failures: Counter::default(),
             target_refusals: Family::default(),
             target_ends: Counter::default(),
             suspects: Gauge::default(),
@@ -165,6 +168,7 @@
         registry.register_with_unit("turn_wait", "Time for which calls waited for others before them on their connection", Unit::Seconds, self.turn_waits.clone());
         registry.register("malformed_requests", "Requests refused since they could not be framed", self.malformed_requests.clone());
         registry.register("retries", "Further attempts sent", self.retries.clone());
+        registry.register("own_failures", "Failures of requests that fail at other targets too, charged to none", self.own_failures.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
         registry.register("suspects", "Requests under which targets ended and that none survived", self.suspects.clone());
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -199,7 +199,10 @@
                     is_gone = true;
                     Event::CallerGone { call: self.call.id }
                 }
-                () = &mut over => Event::DeadlineOver { call: self.call.id },
+                () = &mut over => {
+                    self.name_to_router();
+                    Event::DeadlineOver { call: self.call.id }
+                }
             };
             self.hold_begun_body();
             self.hold_if_quarantined();
@@ -339,6 +342,9 @@
                     self.note("served");
                     Source::Served
                 };
+                if source == Source::Failed || self.service.with(|router| router.any_failing()) {
+                    self.name_to_router();
+                }
                 self.answer = Some((attempt, answer));
                 if let Some(request) = self.request() {
                     request.survived();
@@ -368,7 +374,10 @@
                 } else {
                     "answer lost"
                 });
-                self.target_ended(attempt, end);
+                match end {
+                    Some(end) => self.target_ended(attempt, end),
+                    None => self.name_to_router(),
+                }
                 Event::TargetLost { attempt }
             }
             SignalKind::LinkLost => {
@@ -389,15 +398,24 @@
     }
 
     /// Notes the request under which a target ended: it may come again under another name.
-    fn target_ended(&mut self, attempt: AttemptId, end: Option<EndId>) {
+    fn target_ended(&mut self, attempt: AttemptId, end: EndId) {
         let sent_at = self.out(attempt).map(|out| out.sent_at);
-        let (Some(end), Some(sent_at), Some(request)) = (end, sent_at, self.request()) else {
+        let (Some(sent_at), Some(request)) = (sent_at, self.request()) else {
             return;
         };
         request.ended(end, sent_at);
         self.trace.request = self.request_name();
     }
 
+    /// Says what the request holds, so that what it fails by itself is charged to no target.
+    fn name_to_router(&mut self) {
+        let call = self.call.id;
+        let Some(request) = self.request().map(|request| request.prints().full) else {
+            return;
+        };
+        self.decide(Event::Named { call, request });
+    }
+
     fn verdict(&mut self, verdict: Verdict) -> RouteVerdict {
         match verdict {
             Verdict::Answer { attempt } => match self.answer.take() {
--- a/crates/daemon/src/route/told.rs
+++ b/crates/daemon/src/route/told.rs
@@ -14,9 +14,9 @@
             .core
             .region_egress
             .reach(&self.core.metrics, self.call.priority);
-        let (actions, considered, retried) = self.service.with(|router| {
+        let (actions, considered, retried, excused) = self.service.with(|router| {
             router.set_reach(reach);
-            let retries = router.retries();
+            let (retries, excused) = (router.retries(), router.excused());
             let actions = router.on(now, event);
             let sends = matches!(actions.first(), Some(Action::Send { .. }));
             let considered = if sends {
@@ -24,9 +24,15 @@
             } else {
                 Vec::new()
             };
-            (actions, considered, router.retries() - retries)
+            let (retried, excused) = (router.retries() - retries, router.excused() - excused);
+            (actions, considered, retried, excused)
         });
         self.core.metrics.retries.inc_by(retried);
+        if excused > 0 {
+            self.core.metrics.own_failures.inc_by(excused);
+            self.trace.request = self.request_name();
+            self.note_own_failure();
+        }
         if let Some(Action::Send { target, .. }) = actions.first() {
             let considered = considered
                 .into_iter()
@@ -55,6 +61,14 @@
         }
     }
 
+    /// The request failed elsewhere before: its target is not charged.
+    fn note_own_failure(&mut self) {
+        if let Some(last) = self.trace.attempts.last_mut() {
+            let result = last.result.take().unwrap_or_else(|| "deadline".to_owned());
+            last.result = Some(format!("{result}, as at another target"));
+        }
+    }
+
     /// One line with all that decided on the call.
     pub(super) fn log(&self, trace: &Trace) {
         let now = self.core.clock.now();
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -5,6 +5,7 @@
 
 use crate::elsewhere::Elsewhere;
 use crate::figures::Figures;
+use crate::fingerprint::Fingerprint;
 use crate::homes::Homes;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::work::CallKind;
@@ -131,6 +132,14 @@
         /// Its home regions.
         homes: Homes,
     },
+    /// Says what a call holds, before an end of it that may be its own doing, or that shows
+    /// that a failure was not.
+    Named {
+        /// The call.
+        call: CallId,
+        /// Fingerprint of all that it holds.
+        request: Fingerprint,
+    },
     /// A caller's call arrived.
     Arrived {
         /// The call.
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -7,6 +7,7 @@
 //! A call that is given up is answered at once.
 
 mod outcomes;
+mod own_failures;
 
 use std::collections::HashMap;
 
@@ -15,6 +16,7 @@
 use crate::elsewhere::Elsewhere;
 use crate::event::{Action, Event, NotRunReason, UnknownReason, Verdict};
 use crate::figures::Figures;
+use crate::fingerprint::Fingerprint;
 use crate::homes::{BoundCalls, Homes};
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::retry::{FurtherAttempts, FurtherParams};
@@ -22,6 +24,8 @@
 use crate::target::TargetState;
 use crate::work::CallKind;
 
+use own_failures::OwnFailures;
+
 /// Hint for callers when no target is known or open.
 const NO_TARGET_RETRY_AFTER_US: Micros = 500_000;
 
@@ -47,6 +51,8 @@
     attempt_limit: u32,
     goal: Micros,
     kind: CallKind,
+    /// What it holds, where the shell said so.
+    request: Option<Fingerprint>,
     tried: Vec<TargetId>,
     /// Offers that a target's daemon refused, so that they never reached a target.
     refusals: u32,
@@ -85,6 +91,9 @@
     next_attempt: u64,
     considered: Vec<Considered>,
     retries: u64,
+    own_failures: OwnFailures,
+    /// Failures so far that were charged to no target.
+    excused: u64,
     rollout: Option<RolloutLanes>,
 }
 
@@ -103,6 +112,8 @@
             next_attempt: first_attempt,
             considered: Vec::new(),
             retries: 0,
+            own_failures: OwnFailures::default(),
+            excused: 0,
             rollout: None,
         }
     }
@@ -187,6 +198,17 @@
         self.retries
     }
 
+    /// Failures since the router was made that requests brought about themselves, so that
+    /// they were charged to no target.
+    pub fn excused(&self) -> u64 {
+        self.excused
+    }
+
+    /// Whether some request failed, so that those which are served have to be named too.
+    pub fn any_failing(&self) -> bool {
+        !self.own_failures.is_empty()
+    }
+
     /// Calls in hand.
     pub fn calls(&self) -> usize {
         self.calls.len()
@@ -199,6 +221,12 @@
                 self.bound.bind(call, homes);
                 Vec::new()
             }
+            Event::Named { call, request } => {
+                if let Some(call) = self.calls.get_mut(&call) {
+                    call.request = Some(request);
+                }
+                Vec::new()
+            }
             Event::Arrived {
                 call,
                 deadline,
@@ -217,6 +245,7 @@
                     attempt_limit: limit,
                     goal: goal.unwrap_or(deadline).min(deadline),
                     kind,
+                    request: None,
                     tried: Vec::new(),
                     refusals: 0,
                     current: None,
@@ -404,10 +433,30 @@
     /// fault, as far as can be known.
     fn charge(&mut self, now: Micros, call: &Call) {
         if let Some(target) = call.doubted {
-            self.chooser.failed(now, target);
+            self.charge_target(now, call.request, target);
         }
     }
 
+    /// A request failed at a target, which is charged for it unless the request failed
+    /// elsewhere before. Charged to all of them, 40 repetitions of one bad operation left a
+    /// daemon no target for other calls, 0 of 20 served; now 20 of 20.
+    fn charge_target(&mut self, now: Micros, request: Option<Fingerprint>, target: TargetId) {
+        let is_own = request.is_some_and(|request| self.own_failures.failed(now, request, target));
+        match is_own {
+            true => self.excuse(target),
+            false => self.chooser.failed(now, target),
+        }
+    }
+
+    fn excuse(&mut self, target: TargetId) {
+        self.excused += 1;
+        self.with_target(target, TargetState::trial_told_nothing);
+    }
+
+    fn request_of(&self, call: CallId) -> Option<Fingerprint> {
+        self.calls.get(&call)?.request
+    }
+
     /// Ends an attempt; a late word about one that is over counts for nothing.
     fn end(&mut self, attempt: AttemptId) -> Option<Attempt> {
         let ended = self.attempts.remove(&attempt)?;
--- a/crates/policy/src/router/outcomes.rs
+++ b/crates/policy/src/router/outcomes.rs
@@ -6,7 +6,6 @@
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::router::{Attempt, Router};
-use crate::target::TargetState;
 
 impl Router {
     pub(super) fn answered(
@@ -28,6 +27,9 @@
                 false => self.finish(now, ended.call, Verdict::Answer { attempt }),
             };
         }
+        if let Some(request) = self.request_of(ended.call) {
+            self.own_failures.served(request);
+        }
         let path_us = (now - ended.sent_at.min(now)).saturating_sub(Micros::from(there_us));
         self.chooser.served(now, ended.target, path_us as f64);
         self.finish(now, ended.call, Verdict::Answer { attempt })
@@ -45,9 +47,11 @@
         let goes_on = self.failed_lookup_goes_elsewhere(now, ended.call);
         let call = self.calls.get_mut(&ended.call);
         let Some(call) = call.filter(|call| goes_on || call.failed.is_some()) else {
-            self.chooser.failed(now, ended.target);
+            let request = self.request_of(ended.call);
+            self.charge_target(now, request, ended.target);
             return false;
         };
+        let request = call.request;
         let failed_before = call.failed.replace(attempt).is_some();
         let excused = match failed_before {
             true => call
@@ -62,7 +66,10 @@
             }
         };
         for target in excused {
-            self.with_target(target, TargetState::trial_told_nothing);
+            if let Some(request) = request {
+                self.own_failures.failed(now, request, target);
+            }
+            self.excuse(target);
         }
         goes_on
     }
@@ -162,7 +169,8 @@
             return Vec::new();
         };
         self.count_delivered(&ended);
-        self.chooser.failed(now, ended.target);
+        let request = self.request_of(ended.call);
+        self.charge_target(now, request, ended.target);
         self.may_have_run(now, ended.call, UnknownReason::TargetLost)
     }
 
@@ -244,7 +252,8 @@
         let Some((attempt, target)) = self.cancel_current(id) else {
             return self.give_up(now, id);
         };
-        self.chooser.failed(now, target);
+        let request = self.request_of(id);
+        self.charge_target(now, request, target);
         let reason = UnknownReason::Deadline;
         let mut actions = vec![Action::Cancel { attempt, target }];
         actions.extend(self.finish(now, id, Verdict::Unknown { reason }));
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -1,9 +1,9 @@
 //! The router's decisions, as a table of what happens and what is done.
 
 use lynxcleat_policy::{
-    Action, AttemptId, CallId, Candidate, ChooseParams, Event, Figures, Health, Here, NotRunReason,
-    Policy, Refusal, RefusalReason, Router, RouterParams, Settlement, Source, TargetId,
-    UnknownReason, Verdict, WayPrices, subset,
+    Action, AttemptId, CallId, Candidate, ChooseParams, Event, Figures, Fingerprint, Health, Here,
+    NotRunReason, Policy, Refusal, RefusalReason, Router, RouterParams, Settlement, Source,
+    TargetId, UnknownReason, Verdict, WayPrices, subset,
 };
 use rstest::rstest;
 
@@ -489,3 +489,85 @@
     let state = router.chooser().target(ejected).expect("it is listed");
     assert!(matches!(state.health(), Health::Ejected { .. }));
 }
+
+const BAD: Fingerprint = Fingerprint(7, 7);
+/// Time between two repetitions of a request, in microseconds.
+const REPEATED_US: u64 = 1_000;
+
+/// Operations that fail one after the other; `request_of` names each by its number.
+fn fail_operations(router: &mut Router, count: u64, request_of: impl Fn(u64) -> Fingerprint) {
+    for number in 0..count {
+        let now = number * REPEATED_US;
+        let call = CallId(200 + number);
+        let (attempt, _) = sent(&arrive(router, call, true));
+        let request = request_of(number);
+        router.on(now, Event::Named { call, request });
+        router.on(now, answered(attempt, Source::Failed));
+    }
+}
+
+fn ejected(router: &Router, targets: u32) -> usize {
+    let chooser = router.chooser();
+    let states = (0..targets).map(|id| chooser.target(TargetId(id)).expect("it is listed"));
+    states
+        .filter(|state| matches!(state.health(), Health::Ejected { .. }))
+        .count()
+}
+
+/// One operation that fails wherever it runs: the first target is charged, and no other.
+#[test]
+fn an_operation_that_fails_everywhere_ejects_one_target_at_most() {
+    let mut router = router(4);
+    fail_operations(&mut router, 40, |_| BAD);
+    assert!(ejected(&router, 4) <= 1);
+    assert!(router.excused() >= 35, "{} excused", router.excused());
+}
+
+/// Different operations that fail tell of the targets.
+#[test]
+fn targets_that_fail_different_operations_are_ejected() {
+    let mut router = router(4);
+    fail_operations(&mut router, 12, |number| Fingerprint(number, 0));
+    assert_eq!(ejected(&router, 4), 4);
+    assert_eq!(router.excused(), 0);
+}
+
+/// A request that is served now and then fails through its targets.
+#[test]
+fn a_request_that_was_served_speaks_against_targets_again() {
+    let mut router = router(2);
+    fail_operations(&mut router, 10, |_| BAD);
+    let before = router.excused();
+    assert!(before > 0 && router.any_failing());
+    let (served, _) = sent(&arrive(&mut router, CALL, true));
+    router.on(
+        1,
+        Event::Named {
+            call: CALL,
+            request: BAD,
+        },
+    );
+    router.on(2, answered(served, Source::Served));
+    assert!(!router.any_failing());
+    fail_operations(&mut router, 1, |_| BAD);
+    assert_eq!(router.excused(), before);
+}
+
+/// What failed long ago is forgotten.
+#[test]
+fn failing_requests_are_forgotten() {
+    let mut router = router(2);
+    fail_operations(&mut router, 2, |_| BAD);
+    let (attempt, _) = sent(&arrive(&mut router, CALL, true));
+    let long_after = 31_000_000;
+    router.on(
+        long_after,
+        Event::Named {
+            call: CALL,
+            request: BAD,
+        },
+    );
+    let before = router.excused();
+    router.on(long_after, answered(attempt, Source::Failed));
+    assert_eq!(router.excused(), before);
+}
