State of once-only operations, rollouts and directory apart from what needs the whole daemon

The circle of files around core.rs had 39 of the daemon's files (counted by imports of one file by another): core.rs named the modules that hold its parts, and these named core.rs for what they do with the whole daemon. Their state now stands in files of its own (once/state.rs, once/claimed.rs, rollout/state.rs, directory/state.rs, directory/operator_row.rs), which know nothing of the daemon, and core.rs names those; Routers are named by their file, a candidate is made beside the host table.

--- a/crates/daemon/src/control/hosts.rs
+++ b/crates/daemon/src/control/hosts.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use lynxcleat_policy::{Candidate, Cost, TargetId};
-use lynxcleat_store::{HostEntry, HostPage, HostState};
+use lynxcleat_policy::Cost;
+use lynxcleat_store::{HostPage, HostState};
 
 use super::{Purpose, REFUSED_PAUSE, fleet_interval_ms, jittered};
 use crate::core::Core;
@@ -26,18 +26,6 @@
 /// Interval before settings are in force, in milliseconds.
 const FIRST_INTERVAL_MS: u64 = 300;
 
-/// A host as one of those that a daemon may keep links to.
-pub fn candidate(target: TargetId, entry: &HostEntry) -> Candidate {
-    Candidate {
-        target,
-        host: entry.host.clone(),
-        place: entry.place.clone(),
-        zone: entry.zone.clone(),
-        region: entry.region.clone(),
-        evacuated: false,
-    }
-}
-
 /// Follows the list until the daemon ends. Most polls find nothing, so a small
 /// page is asked for, and larger ones only when more follows.
 pub(super) async fn follow(core: Arc<Core>) {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -16,7 +16,6 @@
 use crate::core::Core;
 
 pub use budget::{MeasureBudget, Purpose};
-pub use hosts::candidate;
 pub use load::{asks_for_load, start as start_load};
 pub use settings::fetch_from_peer;
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -14,7 +14,7 @@
 use crate::config::Config;
 use crate::control::budget::MeasureBudget;
 use crate::dialect::Dialect;
-use crate::directory::DirectoryState;
+use crate::directory::state::DirectoryState;
 use crate::explain::Explain;
 use crate::half::state::Half;
 use crate::host_table::HostTable;
@@ -24,10 +24,10 @@
 use crate::mesh::links::Links;
 use crate::mesh::region_egress::RegionEgress;
 use crate::metrics::Metrics;
-use crate::once::Once;
+use crate::once::state::Once;
 use crate::quarantine::QuarantineState;
-use crate::rollout::RolloutStates;
-use crate::route::Routers;
+use crate::rollout::state::RolloutStates;
+use crate::route::service::Routers;
 use crate::settings_state::SettingsState;
 
 /// Who this daemon is. Addresses are the bound ones, not the configured ones.
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -9,7 +9,8 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{DirectoryState, TABLE, member, operator, publish, quarantined, spread};
+use super::state::{DirectoryState, TABLE};
+use super::{member, operator, publish, quarantined, spread};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::sync::lock;
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -7,7 +7,8 @@
 use lynxcleat_store::{HostEntry, HostState, OwnRow, StoredRow};
 use serde::{Deserialize, Serialize};
 
-use super::{DirectoryState, TABLE, confirm};
+use super::confirm;
+use super::state::{DirectoryState, TABLE};
 use crate::core::Core;
 use crate::half::EarlierTarget;
 use crate::sync::lock;
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -5,7 +5,7 @@
 //! neighbour as well.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use lynxcleat_policy::{
@@ -14,8 +14,9 @@
 use lynxcleat_store::{HostEntry, HostState};
 
 use super::spread;
-use crate::control::{Purpose, candidate};
+use crate::control::Purpose;
 use crate::core::Core;
+use crate::host_table::candidate;
 use crate::mesh::{Link, Links};
 use crate::sync::lock;
 
@@ -30,37 +31,6 @@
     cpu_us: 500,
 };
 
-/// The links to neighbours, by number.
-#[derive(Default)]
-pub(super) struct Neighbours {
-    links: Mutex<HashMap<u64, Arc<Link>>>,
-}
-
-impl Neighbours {
-    /// Whether any link to a neighbour stands.
-    pub(super) fn any(&self) -> bool {
-        lock(&self.links).values().any(|link| !link.is_closed())
-    }
-
-    /// The links that stand.
-    pub(super) fn links(&self) -> Vec<Arc<Link>> {
-        let mut links = lock(&self.links);
-        links.retain(|_, link| !link.is_closed());
-        links.values().cloned().collect()
-    }
-
-    /// Whether a link is one to a neighbour.
-    pub(super) fn has(&self, link: &Link) -> bool {
-        lock(&self.links).contains_key(&link.id)
-    }
-
-    /// Takes a link as one to a neighbour. Returns whether it was none before.
-    pub(super) fn add(&self, link: &Arc<Link>) -> bool {
-        let added = lock(&self.links).insert(link.id, Arc::clone(link));
-        added.is_none()
-    }
-}
-
 /// Members that could not be reached, with the time of the try.
 type Unreached = HashMap<String, Instant>;
 
--- a/crates/daemon/src/directory/publish.rs
+++ b/crates/daemon/src/directory/publish.rs
@@ -8,7 +8,7 @@
 use lynxcleat_wire::SharedKey;
 use rand::RngExt;
 
-use super::{DirectoryState, TABLE};
+use super::state::{DirectoryState, TABLE};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::sync::lock;
--- a/crates/daemon/src/directory/quarantined.rs
+++ b/crates/daemon/src/directory/quarantined.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::publish::jittered;
-use super::{DirectoryState, TABLE};
+use super::state::{DirectoryState, TABLE};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::quarantine::{QuarantineState, StoredSuspect};
--- a/crates/daemon/src/directory/spread.rs
+++ b/crates/daemon/src/directory/spread.rs
@@ -13,7 +13,8 @@
 use lynxcleat_wire::{Frame, RowFrame, RowsFrame};
 use serde_bytes::ByteBuf;
 
-use super::{DirectoryState, member, publish, quarantined};
+use super::state::DirectoryState;
+use super::{member, publish, quarantined};
 use crate::core::Core;
 use crate::mesh::Link;
 use crate::sync::lock;
--- /dev/null
+++ b/crates/daemon/src/directory/state.rs
@@ -0,0 +1,180 @@
+//! What a daemon knows of its directory.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+use lynxcleat_policy::{Evacuations, Micros};
+use lynxcleat_settings::Tree;
+use lynxcleat_store::{Follower, OwnRow, RowStore};
+use lynxcleat_wire::SharedKey;
+use thiserror::Error;
+use tokio::sync::{Notify, watch};
+
+use super::operator_row::ReadOperatorRow;
+use crate::mesh::link::Link;
+use crate::sync::lock;
+
+/// Table of the members and the key.
+pub(super) const TABLE: &str = "lynxcleat";
+/// The links to neighbours, by number.
+#[derive(Default)]
+pub(super) struct Neighbours {
+    links: Mutex<HashMap<u64, Arc<Link>>>,
+}
+
+impl Neighbours {
+    /// Whether any link to a neighbour stands.
+    pub(super) fn any(&self) -> bool {
+        lock(&self.links).values().any(|link| !link.is_closed())
+    }
+
+    /// The links that stand.
+    pub(super) fn links(&self) -> Vec<Arc<Link>> {
+        let mut links = lock(&self.links);
+        links.retain(|_, link| !link.is_closed());
+        links.values().cloned().collect()
+    }
+
+    /// Whether a link is one to a neighbour.
+    pub(super) fn has(&self, link: &Link) -> bool {
+        lock(&self.links).contains_key(&link.id)
+    }
+
+    /// Takes a link as one to a neighbour. Returns whether it was none before.
+    pub(super) fn add(&self, link: &Arc<Link>) -> bool {
+        let added = lock(&self.links).insert(link.id, Arc::clone(link));
+        added.is_none()
+    }
+}
+
+/// A tree that was read from a row, with its number.
+#[derive(Clone, Debug)]
+pub struct TranslatedTree {
+    /// Number of its generation.
+    pub number: u64,
+    /// The tree.
+    pub tree: Tree,
+}
+
+/// Why a row's value is no tree of settings.
+#[derive(Debug, Error)]
+#[error("the settings cannot be read: {0}")]
+pub struct TranslateError(#[source] pub Box<dyn std::error::Error + Send + Sync>);
+
+/// Reads the value of a settings row.
+pub type ReadSettings = Arc<dyn Fn(&[u8]) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
+
+/// What operators write: the row that holds the accepted settings, and rows beside it.
+#[derive(Clone)]
+pub struct SettingsRow {
+    /// Its table.
+    pub table: String,
+    /// Its key.
+    pub key: String,
+    /// Reads its value.
+    pub read: ReadSettings,
+    /// Reads the other rows of the same table.
+    pub read_operator_row: ReadOperatorRow,
+}
+
+/// Rows in which daemons say where rollouts stand.
+#[derive(Clone)]
+pub struct StatusRows {
+    /// Their table.
+    pub table: String,
+    /// Their keys, before the service's name.
+    pub key_prefix: String,
+}
+
+/// Where a daemon finds settings, key and members.
+#[derive(Clone)]
+pub struct Directory {
+    /// The store.
+    pub store: Arc<dyn RowStore>,
+    /// The row of the accepted settings.
+    pub settings: SettingsRow,
+    /// Where the status of rollouts is written.
+    pub rollout_status: StatusRows,
+}
+
+/// A daemon's dealings with its directory.
+pub struct DirectoryState {
+    pub(super) directory: Directory,
+    /// The key that proves links, once it is known.
+    pub key: OnceLock<SharedKey>,
+    pub(super) members_read: AtomicBool,
+    pub(super) own: Mutex<Option<OwnRow>>,
+    /// The members' table as far as it is known.
+    pub(super) members: Mutex<Follower>,
+    /// The table of the settings, where this daemon follows it.
+    pub(super) settings: Mutex<Follower>,
+    /// When the store last answered somebody who follows it, as far as is known here, by
+    /// this daemon's clock; the start of the daemon before that.
+    pub(super) heard_at: AtomicU64,
+    pub(super) neighbours: Neighbours,
+    pub(super) evacuations: Mutex<Evacuations>,
+    /// Ends a wait for changes: there is reason to think that it would bring none.
+    pub(super) doubted: watch::Sender<u64>,
+    pub(super) wanted: Notify,
+    pub(super) settled: Notify,
+}
+
+impl DirectoryState {
+    /// Nothing is known yet.
+    pub fn new(directory: Directory) -> Self {
+        DirectoryState {
+            directory,
+            key: OnceLock::new(),
+            members_read: AtomicBool::new(false),
+            members: Mutex::default(),
+            settings: Mutex::default(),
+            heard_at: AtomicU64::new(0),
+            neighbours: Neighbours::default(),
+            evacuations: Mutex::default(),
+            own: Mutex::default(),
+            doubted: watch::Sender::new(0),
+            wanted: Notify::new(),
+            settled: Notify::new(),
+        }
+    }
+
+    /// Whether a link is one to a neighbour, over which news pass.
+    pub fn is_neighbour(&self, link: &Link) -> bool {
+        self.neighbours.has(link)
+    }
+
+    /// The store answered at some time. Returns by how much that is later than what was
+    /// known.
+    pub(super) fn hear(&self, at: Micros) -> Duration {
+        let before = self.heard_at.fetch_max(at, Ordering::Relaxed);
+        Duration::from_micros(at.saturating_sub(before))
+    }
+
+    /// Availability zones that are evacuated, as far as is known here.
+    pub fn evacuated_zones(&self) -> Vec<String> {
+        lock(&self.evacuations).evacuated()
+    }
+
+    /// The store.
+    pub fn store(&self) -> &Arc<dyn RowStore> {
+        &self.directory.store
+    }
+
+    /// Where the status of rollouts is written.
+    pub fn rollout_status(&self) -> &StatusRows {
+        &self.directory.rollout_status
+    }
+
+    /// Links to the neighbours that stand.
+    pub fn neighbour_links(&self) -> Vec<Arc<Link>> {
+        self.neighbours.links()
+    }
+
+    /// Something shows that the feeds may be stuck behind a connection that says
+    /// nothing more, or that no peer can tell what is new: the store is asked anew.
+    pub fn doubt_feeds(&self) {
+        self.doubted.send_modify(|count| *count += 1);
+    }
+}
--- a/crates/daemon/src/directory/zones.rs
+++ b/crates/daemon/src/directory/zones.rs
@@ -10,7 +10,7 @@
 use lynxcleat_policy::ZoneNews;
 use lynxcleat_wire::Frame;
 
-use super::DirectoryState;
+use super::state::DirectoryState;
 use crate::core::Core;
 use crate::life::LeaveCause;
 use crate::mesh::Link;
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -13,7 +13,7 @@
 
 use crate::core::Core;
 use crate::kept::{Keeping, Kept};
-use crate::mesh::Link;
+use crate::mesh::link::Link;
 use crate::metrics::count;
 use crate::settings_state::InForce;
 
--- a/crates/daemon/src/host_table.rs
+++ b/crates/daemon/src/host_table.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use lynxcleat_policy::rank;
+use lynxcleat_policy::{Candidate, TargetId, rank};
 use lynxcleat_store::{HostEntry, HostPage, HostState};
 
 use crate::sync::lock;
@@ -77,3 +77,15 @@
         gone
     }
 }
+
+/// A host as one of those that a daemon may keep links to.
+pub fn candidate(target: TargetId, entry: &HostEntry) -> Candidate {
+    Candidate {
+        target,
+        host: entry.host.clone(),
+        place: entry.place.clone(),
+        zone: entry.zone.clone(),
+        region: entry.region.clone(),
+        evacuated: false,
+    }
+}
--- a/crates/daemon/src/once/claims.rs
+++ b/crates/daemon/src/once/claims.rs
@@ -5,87 +5,26 @@
 //! lost reply is settled by reading the rows back: what stands there decides.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_once::{Ticket, TicketError};
-use lynxcleat_policy::Micros;
+use lynxcleat_once::Ticket;
 use lynxcleat_store::{
     ClaimRow, NO_ROW, Platform, PlatformError, Put, Row, Txn, VersionCheck, claim_key,
 };
 use serde_json::json;
-use thiserror::Error;
 
+use super::claimed::{ClaimError, Claimed, QUEUE_LIMIT, Wanted};
 use crate::core::Core;
 use crate::sync::lock;
 
 /// Claims written in one transaction at most.
 const BATCH_LIMIT: usize = 64;
-/// Claims that may wait.
-const QUEUE_LIMIT: usize = 1_024;
 /// Least time between two transactions of one daemon, which bounds its share of
 /// the table's writes.
 const BATCH_PAUSE: Duration = Duration::from_millis(20);
 /// Keys whose ticket is remembered without asking the table.
 const KNOWN_LIMIT: usize = 10_000;
-/// Hint for callers while the platform cannot be reached.
-const DOWN_RETRY_AFTER_US: Micros = 2_000_000;
-/// Hint for callers while too many claims wait.
-const BUSY_RETRY_AFTER_US: Micros = 500_000;
-
-/// A key's ticket, and the version of its row.
-#[derive(Clone, Debug)]
-pub struct Claimed {
-    /// The ticket.
-    pub ticket: Ticket,
-    /// Version of the row that holds it.
-    pub version: u64,
-}
-
-/// Why a key has no ticket. Its call was not run.
-#[derive(Clone, Debug, Error)]
-pub enum ClaimError {
-    /// The platform failed.
-    #[error("{0}")]
-    Platform(#[from] PlatformError),
-    /// Too many claims wait.
-    #[error("{QUEUE_LIMIT} claims wait already")]
-    Busy,
-    /// The platform took longer than the caller waits.
-    #[error("the platform took longer than the call's deadline")]
-    TooSlow,
-    /// The row of the key does not hold a ticket of this deployment.
-    #[error("the claim's row: {0}")]
-    BadRow(#[from] TicketError),
-    /// Another daemon replaced the claim first.
-    #[error("another daemon replaced the claim")]
-    Replaced,
-}
-
-impl ClaimError {
-    /// When to come back.
-    pub fn retry_after_us(&self) -> Micros {
-        match self {
-            ClaimError::Platform(_) | ClaimError::BadRow(_) | ClaimError::TooSlow => {
-                DOWN_RETRY_AFTER_US
-            }
-            ClaimError::Busy | ClaimError::Replaced => BUSY_RETRY_AFTER_US,
-        }
-    }
-}
-
-struct Wanted {
-    row_key: String,
-    ticket_text: String,
-    reply: flume::Sender<Result<Row, ClaimError>>,
-}
-
-/// Claims that wait, and those known.
-#[derive(Default)]
-pub struct Claims {
-    queue: OnceLock<flume::Sender<Wanted>>,
-    known: Mutex<HashMap<String, Claimed>>,
-}
 
 /// Starts the writer of claims.
 pub fn start(core: &Arc<Core>) {
--- a/crates/daemon/src/once/recover.rs
+++ b/crates/daemon/src/once/recover.rs
@@ -9,7 +9,8 @@
 use lynxcleat_wire::Answer;
 use serde_json::json;
 
-use super::run::{OnceCall, OnceVerdict, call_keeping};
+use super::run::{OnceCall, call_keeping};
+use super::state::OnceVerdict;
 use crate::core::Core;
 use crate::homes;
 use crate::metrics::count;
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -4,10 +4,11 @@
 
 use lynxcleat_once::{Begin, GuardRefusal, OpId, Outcome, Ticket};
 use lynxcleat_policy::{AttemptId, Elsewhere, Micros, NotRunReason, RefusalReason};
-use lynxcleat_wire::{Answer, CallFrame, Frame, GuardedVerdict};
+use lynxcleat_wire::{CallFrame, Frame, GuardedVerdict};
 
-use super::claims::{self, ClaimError, Claimed};
-use super::recover;
+use super::claimed::{ClaimError, Claimed};
+use super::state::OnceVerdict;
+use super::{claims, recover};
 use crate::core::Core;
 use crate::homes;
 use crate::kept::Keeping;
@@ -31,46 +32,6 @@
     pub service: Arc<ServiceRouter>,
 }
 
-/// What the caller of a once-only call is told.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OnceVerdict {
-    /// It ran, now or earlier.
-    Ran {
-        /// Its answer.
-        answer: Answer,
-        /// Whether it ran for an earlier call.
-        replayed: bool,
-    },
-    /// It was not run.
-    NotRun {
-        /// Why.
-        reason: NotRunReason,
-        /// When to come back.
-        retry_after_us: Micros,
-    },
-    /// Its guard is lost, every target says that it was not run, and it is fenced
-    /// for good: a new ticket is needed to run it.
-    Fenced {
-        /// When to come back.
-        retry_after_us: Micros,
-    },
-    /// It may have run; asking again later may tell.
-    Unknown {
-        /// When to ask again.
-        retry_after_us: Micros,
-    },
-    /// The memory of operations is full; it was not run.
-    MemoryFull {
-        /// When to come back.
-        retry_after_us: Micros,
-    },
-    /// The platform could not record the key; it was not run.
-    NoClaim {
-        /// When to come back.
-        retry_after_us: Micros,
-    },
-}
-
 /// Runs a call under a ticket, here or at the guard that minted it.
 pub async fn run(core: &Arc<Core>, ticket: Ticket, call: OnceCall) -> OnceVerdict {
     if ticket.op.incarnation == core.me.incarnation {
--- a/crates/daemon/src/rollout/reach.rs
+++ b/crates/daemon/src/rollout/reach.rs
@@ -4,9 +4,9 @@
 //! that write the end first make a link to each such host; one to which none can be made is
 //! not waited for as long as the others.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
+use super::state::{Tries, Try};
 use crate::core::Core;
 use crate::mesh::Links;
 use crate::sync::lock;
@@ -14,24 +14,6 @@
 /// Members by rank that reach for old targets; the others leave the end to them.
 const REACHING: usize = 4;
 
-/// What became of the tries for one order.
-#[derive(Debug, Default)]
-pub(super) struct Reach {
-    tries: Mutex<Tries>,
-}
-
-#[derive(Debug, Default)]
-struct Tries {
-    order: u64,
-    hosts: HashMap<String, Try>,
-}
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Try {
-    Begun,
-    Failed,
-}
-
 /// Whether a host without a link cannot be reached, as far as was tried for an order. Begins
 /// to try where that was not done.
 pub(super) fn is_unreachable(core: &Arc<Core>, order: u64, host: &str, mesh: &str) -> bool {
--- a/crates/daemon/src/rollout/status.rs
+++ b/crates/daemon/src/rollout/status.rs
@@ -11,9 +11,10 @@
 use lynxcleat_store::{RowStoreError, RowWrite, StoredRow};
 use serde::{Deserialize, Serialize};
 
+use super::state::{State, Writing};
 use super::{changed, spread};
 use crate::core::Core;
-use crate::directory::DirectoryState;
+use crate::directory::state::DirectoryState;
 use crate::metrics::count;
 use crate::sync::lock;
 
@@ -34,28 +35,6 @@
     order: u64,
 }
 
-/// What a status row tells apart.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub(super) enum State {
-    /// It goes on.
-    Running,
-    /// It ended with all calls at the new version.
-    Done,
-    /// It ended with all calls at the old ones.
-    Reverted,
-}
-
-/// A state that is to be written, and since when this daemon wants that.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Writing {
-    order: u64,
-    state: State,
-    since: Micros,
-    /// Whether a write is on its way.
-    busy: bool,
-}
-
 /// Asks for a state to stand in the status row; the write begins when it is this daemon's
 /// turn.
 pub(super) fn want(core: &Arc<Core>, service: &str, order: u64, state: State) {
--- a/crates/daemon/src/rollout/work.rs
+++ b/crates/daemon/src/rollout/work.rs
@@ -7,7 +7,7 @@
 use lynxcleat_store::{HostEntry, HostState};
 use lynxcleat_wire::Frame;
 
-use super::status::State;
+use super::state::State;
 use super::{changed, own, reach, spread, status};
 use crate::core::Core;
 use crate::metrics::ServiceLabels;
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -4,7 +4,7 @@
 mod offer;
 pub(crate) mod params;
 mod run;
-mod service;
+pub(crate) mod service;
 mod settle;
 mod told;
 mod upload;
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -20,10 +20,12 @@
 use tokio::task::JoinHandle;
 
 use super::params::params;
-use crate::control::{Purpose, candidate};
+use crate::control::budget::Purpose;
 use crate::core::Core;
 use crate::homes;
-use crate::mesh::{Link, Links};
+use crate::host_table::candidate;
+use crate::mesh::link::Link;
+use crate::mesh::links::Links;
 use crate::settings_state::InForce;
 use crate::sync::lock;
 
