Requests that failed long ago need no naming

Cause: what was remembered of a failing request was forgotten only with the next failure, so that after a single one each answer had its request named for good, at the cost of its fingerprint. Change: whoever asks whether any is remembered forgets the old ones first. The test of forgetting asks that too. Found by reading.

--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -342,7 +342,10 @@
                     self.note("served");
                     Source::Served
                 };
-                if source == Source::Failed || self.service.with(|router| router.any_failing()) {
+                let now = self.core.clock.now();
+                let is_named =
+                    source == Source::Failed || self.service.with(|router| router.any_failing(now));
+                if is_named {
                     self.name_to_router();
                 }
                 self.answer = Some((attempt, answer));
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -204,9 +204,9 @@
         self.excused
     }
 
-    /// Whether some request failed, so that those which are served have to be named too.
-    pub fn any_failing(&self) -> bool {
-        !self.own_failures.is_empty()
+    /// Whether some request failed lately, so that those which are served have to be named too.
+    pub fn any_failing(&mut self, now: Micros) -> bool {
+        self.own_failures.any(now)
     }
 
     /// Calls in hand.
--- a/crates/policy/src/router/own_failures.rs
+++ b/crates/policy/src/router/own_failures.rs
@@ -31,16 +31,16 @@
 }
 
 impl OwnFailures {
-    /// Whether none is remembered, so that no request needs to be named.
-    pub(super) fn is_empty(&self) -> bool {
-        self.failing.is_empty()
+    /// Whether any is remembered, so that requests which are served need to be named.
+    pub(super) fn any(&mut self, now: Micros) -> bool {
+        self.forget_old(now);
+        !self.failing.is_empty()
     }
 
     /// A request failed at a target. Returns whether that is its own doing, as far as is known
     /// now: the first target is charged.
     pub(super) fn failed(&mut self, now: Micros, request: Fingerprint, target: TargetId) -> bool {
-        self.failing
-            .retain(|one| now.saturating_sub(one.last_at) < REMEMBERED_US);
+        self.forget_old(now);
         let known = self.failing.iter_mut().find(|one| one.request == request);
         if let Some(known) = known {
             known.last_at = now;
@@ -64,6 +64,11 @@
         self.failing.retain(|one| one.request != request);
     }
 
+    fn forget_old(&mut self, now: Micros) {
+        self.failing
+            .retain(|one| now.saturating_sub(one.last_at) < REMEMBERED_US);
+    }
+
     fn forget_oldest(&mut self) {
         let oldest = self.failing.iter().enumerate();
         let oldest = oldest.min_by_key(|(_, one)| one.last_at);
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -538,7 +538,7 @@
     let mut router = router(2);
     fail_operations(&mut router, 10, |_| BAD);
     let before = router.excused();
-    assert!(before > 0 && router.any_failing());
+    assert!(before > 0 && router.any_failing(0));
     let (served, _) = sent(&arrive(&mut router, CALL, true));
     router.on(
         1,
@@ -548,7 +548,7 @@
         },
     );
     router.on(2, answered(served, Source::Served));
-    assert!(!router.any_failing());
+    assert!(!router.any_failing(2));
     fail_operations(&mut router, 1, |_| BAD);
     assert_eq!(router.excused(), before);
 }
@@ -560,6 +560,10 @@
     fail_operations(&mut router, 2, |_| BAD);
     let (attempt, _) = sent(&arrive(&mut router, CALL, true));
     let long_after = 31_000_000;
+    assert!(
+        !router.any_failing(long_after),
+        "no request needs to be named"
+    );
     router.on(
         long_after,
         Event::Named {
