--- a/crates/daemon/src/control/quarantine.rs
+++ b/crates/daemon/src/control/quarantine.rs
@@ -9,15 +9,12 @@
 use super::jittered;
 use crate::core::Core;
 use crate::metrics::count;
-use crate::quarantine::StoredSuspect;
+use crate::quarantine::{KEPT_MS, StoredSuspect};
 
 /// Rows read at a start, at most.
 const ROWS: usize = 256;
 /// Pause before a call that failed is made again, in milliseconds.
 const PAUSE_MS: u64 = 1_000;
-/// Time for which a row is kept, in milliseconds: longer than the longest quarantine of usual
-/// settings.
-const KEPT_MS: u64 = 24 * 3_600_000;
 
 /// Reads what earlier runs stored, then stores what is quarantined here, until the daemon ends.
 pub(super) async fn keep(core: Arc<Core>) {
--- a/crates/daemon/src/directory/quarantined.rs
+++ b/crates/daemon/src/directory/quarantined.rs
@@ -15,7 +15,7 @@
 use super::state::{DirectoryState, TABLE};
 use crate::core::Core;
 use crate::metrics::count;
-use crate::quarantine::{QuarantineState, StoredSuspect};
+use crate::quarantine::{KEPT_MS, QuarantineState, StoredSuspect};
 use crate::sync::lock;
 
 /// Keys of these rows, before the number of the place.
@@ -24,9 +24,6 @@
 const PLACES: u64 = 32;
 /// Suspects in one place at most, the latest.
 const SUSPECTS: usize = 4;
-/// Age after which a suspect that nobody took away is dropped, in milliseconds: longer than
-/// the longest quarantine of usual settings.
-const OLD_MS: u64 = 24 * 3_600_000;
 /// Pauses after a failed write: the first, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
@@ -102,7 +99,7 @@
 fn wanted(quarantine: &QuarantineState, before: &Place, print: Fingerprint, wall_ms: u64) -> Place {
     let request = print.to_string();
     let others = before.suspects.iter().filter(|one| one.request != request);
-    let others = others.filter(|one| wall_ms.saturating_sub(one.at_ms) < OLD_MS);
+    let others = others.filter(|one| wall_ms.saturating_sub(one.at_ms) < KEPT_MS);
     let mut suspects: Vec<StoredSuspect> = others.cloned().collect();
     suspects.extend(quarantine.to_store(print));
     suspects.sort_by_key(|one| one.at_ms);
--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -26,7 +26,7 @@
 use crate::sync::lock;
 
 pub use request::Request;
-pub use stored::StoredSuspect;
+pub use stored::{KEPT_MS, StoredSuspect};
 
 const US_PER_MS: Micros = 1_000;
 /// Messages with news that are passed on in a second at most: a target that ends brings one
--- a/crates/daemon/src/quarantine/stored.rs
+++ b/crates/daemon/src/quarantine/stored.rs
@@ -7,6 +7,10 @@
 use super::{Origin, QuarantineState};
 use crate::sync::lock;
 
+/// Time for which what is stored is kept, in milliseconds: longer than the longest quarantine
+/// of usual settings.
+pub const KEPT_MS: u64 = 24 * 3_600_000;
+
 /// A quarantined request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoredSuspect {
--- /dev/null
+++ b/crates/policy/tests/goals/main.rs
@@ -0,0 +1,25 @@
+//! Goals, slowness and ranks: what is chosen, held and refused.
+
+mod admission;
+mod choice;
+
+use lynxcleat_policy::{CallKind, CallTerms, TargetId, WayPrices};
+
+const MS: u64 = 1_000;
+/// Ways to other places have a price.
+const PRICES: WayPrices = WayPrices {
+    far_percent: 20,
+    region_percent: 90,
+};
+const KIND: CallKind = CallKind(1);
+const NEAR: TargetId = TargetId(0);
+const FAR: TargetId = TargetId(1);
+
+fn terms(goal: u64, priority: u32) -> CallTerms {
+    CallTerms {
+        goal: Some(goal),
+        kind: KIND,
+        priority,
+        ..CallTerms::default()
+    }
+}
