--- a/crates/cli/tests/pages.rs
+++ b/crates/cli/tests/pages.rs
@@ -26,7 +26,17 @@
         "platform" => root().join("platform"),
         _ => root().join("crates").join(package),
     };
-    Some(folder.join("tests").join(format!("{file}.rs")))
+    Some(test_target(&folder.join("tests"), file))
+}
+
+/// The file from which Cargo builds the test `name`: one that has grown large is a folder
+/// with a `main.rs`.
+fn test_target(tests: &Path, name: &str) -> PathBuf {
+    let in_parts = tests.join(name).join("main.rs");
+    if in_parts.is_file() {
+        return in_parts;
+    }
+    tests.join(format!("{name}.rs"))
 }
 
 #[test]
