One end of a target counts once, calls go on to targets that are up: the tests, failing

A request that ends the only target of a new version takes all calls there with it, and each counted as a failure of the version. Measured: 4 calls in hand, one end, status row 'reverted'.

Targets that are down: with three of ten down at a time and seven nearly idle, 709 of 800 calls served (88.6 %).

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! process or as processes of their own.
 #![allow(dead_code, unused_imports)]
 
+mod evenly;
 mod http;
 mod odd;
 mod peer;
@@ -20,6 +21,7 @@
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
+pub use evenly::{Sent, call_evenly};
 pub use http::{Reply, call, parse, raw, try_call};
 pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_path};
 pub use peer::Peer;
