One end of a target is one failure of its version

Cause: a half counted a failed call for each call in hand when its target ended. A request that ends the target, or any other end, so spoke against the version as often as there were calls in hand; four are enough to set a target aside, and a version with one target was reverted.

Change: only the call that finds the end counts, and none where a suspect runs there. Versions that fail or are slow are reverted as before (the other tests of platform/rollout).

--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -1,11 +1,12 @@
 //! Delivering a call that has a slot to the target, and what its end tells.
 
 use lynxcleat_once::OpId;
-use lynxcleat_policy::{AdmitEvent, AttemptId, EndId, Micros, Outcome, RefusalReason};
+use lynxcleat_policy::{AdmitEvent, AttemptId, Micros, Outcome, RefusalReason};
 use lynxcleat_wire::{BodyToCome, CallFrame};
 
 use super::bodies::Expected;
 use super::cut::note_cut;
+use super::ends::Found;
 use super::exchange::{Exchange, Request, RequestBody};
 use super::serve::{
     BODY_RETRY_AFTER_US, DOWN_RETRY_AFTER_US, Ended, Incoming, NOT_READY_RETRY_AFTER_US,
@@ -54,9 +55,7 @@
             Exchange::Lost if !is_cut_off => self.end_of_target().await,
             _ => None,
         };
-        // An end under a suspect tells of the request, and nothing of the target's version.
-        let is_excused = end.is_some() && self.half.suspects.any_runs();
-        if self.core.rollouts.any() && !is_excused {
+        if self.core.rollouts.any() && self.speaks_of_version(end) {
             let cut = is_cut_off.then_some(took_us);
             let ended = self.rollout_outcome(&exchange, cut, served_from.map(|_| took_us));
             if let Some(outcome) = ended {
@@ -77,10 +76,17 @@
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
             Exchange::NoBody => refused(RefusalReason::TooLate, BODY_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
-            Exchange::Lost => Ended::Lost(end),
+            Exchange::Lost => Ended::Lost(end.map(|end| end.id)),
         }
     }
 
+    /// Whether the end of a call tells anything of the target's version. One end of the target
+    /// is one failure: counted for each call in hand, an end with four calls reverted a good
+    /// version. An end under a suspect tells of the request.
+    fn speaks_of_version(&self, end: Option<Found>) -> bool {
+        end.is_none_or(|end| end.is_new && !self.half.suspects.any_runs())
+    }
+
     /// What an exchange says of the version of the target; nothing where the target did not
     /// run the call.
     fn rollout_outcome(
@@ -105,7 +111,7 @@
     }
 
     /// The end of the target under a call whose answer was lost; nothing where it lives.
-    async fn end_of_target(&self) -> Option<EndId> {
+    async fn end_of_target(&self) -> Option<Found> {
         // One that ends as planned may end with calls in hand.
         if self.half.is_leaving() || !self.half.pool.is_refused().await {
             return None;
@@ -115,7 +121,7 @@
             self.core.metrics.target_ends.inc();
             log::info!(end = found.id.0; "target ended");
         }
-        Some(found.id)
+        Some(found)
     }
 
     /// Whether the sender gave the call up, or its time is over.
--- a/crates/daemon/src/half/ends.rs
+++ b/crates/daemon/src/half/ends.rs
@@ -17,6 +17,7 @@
 }
 
 /// One end, as one of its calls finds it.
+#[derive(Clone, Copy)]
 pub(super) struct Found {
     /// Its name.
     pub id: EndId,
