Calls go on to the targets that are up; routers hear when a target goes down and is back

Cause: the daemon beside a target that is down refuses at once and truly, and routers counted that as one of the call's few attempts and against the budget of further attempts. What was known where the target ended was not known where calls choose: each router went on choosing it until it had refused five times.

Change: a refusal since the target is down, or a call that found no link, is no attempt; the call goes on to targets not tried, until none is left. A half tells all links when nothing listens at its target's address and when something does again, and looks meanwhile.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -108,6 +108,7 @@
             incarnation: self.me.incarnation,
             started_ms: self.me.started_ms,
             leaving: self.half.is_leaving(),
+            down: self.half.pool.is_down(),
             nonce: rand::random(),
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::directory::{self, Directory, DirectoryState};
 use crate::dispatch::HANDLERS;
 use crate::explain::Explain;
-use crate::half::{Half, Pool};
+use crate::half::{self, Half, Pool};
 use crate::host_table::HostTable;
 use crate::life::{LeaveCause, Life, Phase, StopReport};
 use crate::mesh::RegionEgress;
@@ -122,6 +122,7 @@
         };
         let core = Arc::new(build(config, environment, me, clock));
         quarantine::spread::start(&core);
+        half::start(&core);
         match core.directory {
             Some(_) => directory::start(&core),
             None => {
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -41,6 +41,7 @@
     match frame {
         Frame::Beat => beat(link),
         Frame::Leaving(leaving) => core.routers.leaving(core, &link.peer.host, leaving),
+        Frame::Down(down) => core.routers.down(core, &link.peer.host, down),
         Frame::Call(call) => half::spawn_call(core, link, *call),
         Frame::Window { attempt, bytes } => {
             link.open_window(attempt, bytes);
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -8,6 +8,7 @@
 mod bodies;
 mod cut;
 mod deliver;
+mod down;
 mod ends;
 mod exchange;
 mod pool;
@@ -21,6 +22,7 @@
 
 use crate::mesh::Link;
 
+pub use down::start;
 pub use pool::Pool;
 pub use serve::{spawn_call, spawn_fence};
 pub use state::{EarlierTarget, Half};
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -168,6 +168,20 @@
         false
     }
 
+    /// Whether nothing listens at the target's address, as was found last.
+    pub fn is_down(&self) -> bool {
+        self.ends.is_down()
+    }
+
+    /// Tries whether something listens at the target's address again. A connection that it
+    /// takes is kept.
+    pub(super) async fn look(&self) {
+        let Some(place) = self.reserve() else { return };
+        if let Ok(Ok(sender)) = tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await {
+            self.put_back(sender);
+        }
+    }
+
     /// Keeps a connection whose last exchange ended cleanly.
     pub(super) fn put_back(&self, sender: Sender) {
         if !sender.http.is_closed() {
@@ -183,7 +197,8 @@
     }
 
     async fn connect(&self, place: OpenPlace) -> Result<Sender, PoolError> {
-        let stream = TcpStream::connect(self.target).await?;
+        let stream = TcpStream::connect(self.target).await;
+        let stream = stream.inspect_err(|error| self.note_failed(error))?;
         self.ends.listens();
         stream.set_nodelay(true)?;
         let (stream, written) = Watched::new(stream);
@@ -197,6 +212,15 @@
         Ok(Sender { http, written })
     }
 
+    /// A target that takes no further connection may refuse one while it serves others; one
+    /// that ended has none.
+    fn note_failed(&self, error: &std::io::Error) {
+        let is_only_one = self.open() <= 1;
+        if error.kind() == ErrorKind::ConnectionRefused && is_only_one {
+            self.ends.refused();
+        }
+    }
+
     /// Counts one more open connection, if the limit allows it.
     fn reserve(&self) -> Option<OpenPlace> {
         let limit = self.limit.load(Ordering::Relaxed);
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -167,6 +167,7 @@
         Frame::Hello(_) | Frame::Proof(_) => "hello",
         Frame::Beat => "beat",
         Frame::Leaving(_) => "leaving",
+        Frame::Down(_) => "down",
         Frame::Call(_) => "call",
         Frame::Window { .. } => "window",
         Frame::Piece(_) => "piece",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -70,6 +70,7 @@
     pub own_failures: Counter,
     pub target_refusals: Kinds,
     pub target_ends: Counter,
+    pub target_down: Gauge,
     pub suspects: Gauge,
     pub quarantined: Gauge,
     pub quarantine_refusals: Counter,
@@ -118,6 +119,7 @@
             own_failures: Counter::default(),
             target_refusals: Family::default(),
             target_ends: Counter::default(),
+            target_down: Gauge::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             quarantine_refusals: Counter::default(),
@@ -170,6 +172,7 @@
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("own_failures", "Failures of requests that fail at other targets too, charged to none", self.own_failures.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("target_down", "Whether nothing listens at the target's address", self.target_down.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
         registry.register("suspects", "Requests under which targets ended and that none survived", self.suspects.clone());
         registry.register("quarantined", "Those of them that are offered to no target", self.quarantined.clone());
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -85,6 +85,9 @@
     pub digest: Option<String>,
     /// Whether its target takes no new calls.
     pub leaving: bool,
+    /// Whether nothing listens at its target's address.
+    #[serde(default)]
+    pub target_down: bool,
     /// Whether its target is cold or may be.
     #[serde(default)]
     pub cold: bool,
@@ -179,6 +182,7 @@
         generation: core.settings.number(),
         digest: in_force.map(|in_force| in_force.generation.digest.to_string()),
         leaving: core.half.is_leaving(),
+        target_down: core.half.pool.is_down(),
         cold: core.half.is_cold(),
         evacuated_zones: core.evacuated_zones(),
         rollouts: core.rollouts.status(core.clock.now()),
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -140,25 +140,32 @@
 
     /// A daemon says that its target takes no new calls, or takes them again.
     pub fn leaving(&self, core: &Core, host: &str, leaving: bool) {
-        let Some(target) = lock(&self.ids).get(host).copied() else {
-            return;
-        };
-        let event = match leaving {
+        self.tell(core, host, |target| match leaving {
             true => Event::TargetLeaving { target },
             false => Event::TargetBack { target },
-        };
-        for service in self.all() {
-            service.feed(core, event.clone());
-        }
+        });
+    }
+
+    /// A daemon says that nothing listens at its target's address, or something does again.
+    pub fn down(&self, core: &Core, host: &str, down: bool) {
+        self.tell(core, host, |target| Event::TargetDown { target, down });
     }
 
     /// The link to a daemon may be silent, or was heard from since.
     pub fn doubted(&self, core: &Core, host: &str, doubted: bool) {
+        self.tell(core, host, |target| Event::TargetDoubted {
+            target,
+            doubted,
+        });
+    }
+
+    /// Tells every router what happened to the target of a host.
+    fn tell(&self, core: &Core, host: &str, event: impl Fn(TargetId) -> Event) {
         let Some(target) = lock(&self.ids).get(host).copied() else {
             return;
         };
         for service in self.all() {
-            service.feed(core, Event::TargetDoubted { target, doubted });
+            service.feed(core, event(target));
         }
     }
 
@@ -428,13 +435,10 @@
         if link.peer.leaving {
             self.feed(core, Event::TargetLeaving { target });
         }
-        self.feed(
-            core,
-            Event::TargetLinked {
-                target,
-                linked: true,
-            },
-        );
+        let linked = true;
+        self.feed(core, Event::TargetLinked { target, linked });
+        let down = link.peer.down;
+        self.feed(core, Event::TargetDown { target, down });
         // Only now: a call that waits for the last link must not find it tried and closed.
         self.mark_tried(target);
     }
--- a/crates/daemon/tests/stopping.rs
+++ b/crates/daemon/tests/stopping.rs
@@ -65,6 +65,7 @@
         incarnation: Incarnation(7),
         started_ms: 0,
         leaving: false,
+        down: false,
         nonce: 7,
     };
     send(&mut socket, Frame::Hello(Box::new(ours.clone()))).await;
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -39,6 +39,7 @@
             incarnation: Incarnation(7),
             started_ms: 0,
             leaving: false,
+            down: false,
             nonce: 7,
         }
     }
--- a/crates/policy/src/chooser.rs
+++ b/crates/policy/src/chooser.rs
@@ -245,6 +245,16 @@
         }
     }
 
+    /// A target's daemon says that nothing listens at its address, or something does again.
+    pub fn set_down(&mut self, now: Micros, target: TargetId, down: bool) {
+        let trial_us = self.params.eject_us;
+        match self.states.get_mut(&target) {
+            Some(state) if down => state.went_down(now, trial_us),
+            Some(state) => state.came_up(now),
+            None => {}
+        }
+    }
+
     /// Takes figures of a target.
     pub fn learn(&mut self, now: Micros, target: TargetId, figures: Figures) {
         if let Some(state) = self.states.get_mut(&target) {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -235,6 +235,14 @@
         /// The target.
         target: TargetId,
     },
+    /// A target's daemon says that nothing listens at the target's address, or something does
+    /// again.
+    TargetDown {
+        /// The target.
+        target: TargetId,
+        /// Whether nothing does.
+        down: bool,
+    },
     /// The link to a target's daemon may be silent, or was heard from since.
     TargetDoubted {
         /// The target.
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -65,6 +65,8 @@
     tried: Vec<TargetId>,
     /// Offers that a target's daemon refused, so that they never reached a target.
     refusals: u32,
+    /// Offers that found the target down, or no link to its daemon.
+    unreached: u32,
     current: Option<AttemptId>,
     /// An earlier attempt of a lookup may have run.
     may_have_run: Option<UnknownReason>,
@@ -248,6 +250,7 @@
                     request: None,
                     tried: Vec::new(),
                     refusals: 0,
+                    unreached: 0,
                     current: None,
                     may_have_run: None,
                     failed: None,
@@ -293,6 +296,10 @@
             Event::TargetLinked { target, linked } => {
                 self.target_event(target, |state| state.set_linked(linked))
             }
+            Event::TargetDown { target, down } => {
+                self.chooser.set_down(now, target, down);
+                Vec::new()
+            }
             Event::TargetDoubted { target, doubted } => {
                 self.target_event(target, |state| state.set_doubted(doubted))
             }
@@ -369,7 +376,8 @@
             return Vec::new();
         };
         call.current = None;
-        let delivered = call.tried.len().saturating_sub(call.refusals as usize);
+        let never_ran = call.refusals + call.unreached;
+        let delivered = call.tried.len().saturating_sub(never_ran as usize);
         let allowed = call.may_retry && delivered < call.attempt_limit as usize;
         if !allowed || !self.further.take(now) {
             return self.give_up(now, id);
@@ -395,6 +403,21 @@
         self.attempt(now, id)
     }
 
+    /// Offers a call elsewhere that found its target down, or no link to its daemon, until none
+    /// is left that is not known to be. Counted as attempts, such offers left 11 % of the calls
+    /// refused while seven of ten targets stood idle.
+    fn pass_on(&mut self, now: Micros, id: CallId) -> Vec<Action> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        call.current = None;
+        if !call.may_retry {
+            return self.give_up(now, id);
+        }
+        call.unreached += 1;
+        self.attempt(now, id)
+    }
+
     /// Answers a call that no attempt is out for.
     fn give_up(&mut self, now: Micros, id: CallId) -> Vec<Action> {
         let is_bound = self.bound.forget(id);
--- a/crates/policy/src/router/outcomes.rs
+++ b/crates/policy/src/router/outcomes.rs
@@ -6,6 +6,7 @@
 use crate::figures::Figures;
 use crate::ids::{AttemptId, CallId, Micros, TargetId};
 use crate::router::{Attempt, Router};
+use crate::target::TargetState;
 
 impl Router {
     pub(super) fn answered(
@@ -122,12 +123,16 @@
                 self.give_up(now, ended.call)
             }
             RefusalReason::Shed => self.attempt_elsewhere(now, ended.call),
+            RefusalReason::TargetDown => self.pass_on(now, ended.call),
             _ => self.reroute(now, ended.call),
         }
     }
 
     pub(super) fn learn_refusal(&mut self, now: Micros, target: TargetId, refusal: Refusal) {
         match refusal.reason {
+            RefusalReason::TargetDown if self.is_down(target) => {
+                self.chooser.set_down(now, target, true);
+            }
             RefusalReason::TargetDown | RefusalReason::WrongService => {
                 self.chooser.failed(now, target);
             }
@@ -172,7 +177,12 @@
         if let Some(call) = self.calls.get_mut(&ended.call) {
             call.last_refusal = NotRunReason::NoLink;
         }
-        self.reroute(now, ended.call)
+        self.pass_on(now, ended.call)
+    }
+
+    fn is_down(&self, target: TargetId) -> bool {
+        let state = self.chooser.target(target);
+        state.is_some_and(TargetState::is_down)
     }
 
     pub(super) fn link_lost(&mut self, now: Micros, attempt: AttemptId) -> Vec<Action> {
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -66,6 +66,9 @@
     slowness: Option<SlownessReading>,
     distance: Distance,
     doubted: bool,
+    /// Present while nothing listens at its address, as its daemon says: when a call may find
+    /// out whether that still holds.
+    down_until: Option<Micros>,
 }
 
 /// What is usual among the targets of a service: what to expect of one that has
@@ -130,12 +133,16 @@
             slowness: None,
             distance: Distance::default(),
             doubted: false,
+            down_until: None,
         }
     }
 
     /// Whether it may be chosen now.
     pub fn available(&self, now: Micros) -> bool {
-        if !self.linked {
+        let is_down = self
+            .down_until
+            .is_some_and(|until| now < until || self.trial);
+        if !self.linked || is_down {
             return false;
         }
         match self.health {
@@ -167,6 +174,32 @@
         self.doubted = doubted;
     }
 
+    /// Whether nothing listens at its address, as its daemon says.
+    pub fn is_down(&self) -> bool {
+        self.down_until.is_some()
+    }
+
+    /// Its daemon says that nothing listens at its address. It is not chosen until the daemon
+    /// says otherwise, but for one call at a time after `trial_us`: word may have been lost.
+    pub fn went_down(&mut self, now: Micros, trial_us: Micros) {
+        self.down_until = Some(now + trial_us);
+        self.trial = false;
+    }
+
+    /// Something listens at its address again: a new process, which earlier failures say
+    /// nothing about.
+    pub fn came_up(&mut self, now: Micros) {
+        if self.down_until.take().is_none() {
+            return;
+        }
+        self.trial = false;
+        self.failures_in_row = 0;
+        self.warm_from = now;
+        if matches!(self.health, Health::Ejected { .. }) {
+            self.health = Health::Healthy;
+        }
+    }
+
     /// Its daemon is another incarnation: what was known of the old is void.
     pub fn replaced(&mut self, now: Micros) {
         *self = TargetState {
@@ -196,7 +229,7 @@
     pub fn sent(&mut self, pick: u64) {
         self.picked = pick;
         self.outstanding += 1;
-        self.trial = matches!(self.health, Health::Ejected { .. });
+        self.trial = self.is_down() || matches!(self.health, Health::Ejected { .. });
     }
 
     /// A sent call ended, however it ended.
@@ -212,6 +245,7 @@
             self.warm_from = now;
         }
         self.trial = false;
+        self.down_until = None;
         if let Some(sample) = path_us {
             let known = self.path_us(now);
             self.path_us = known + MEAN_WEIGHT * (sample - known);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -239,6 +239,8 @@
     Beat,
     /// The acceptor's target takes no new calls, or takes them again.
     Leaving(bool),
+    /// Nothing listens at the address of the acceptor's target, or something does again.
+    Down(bool),
     /// A call for the acceptor's target.
     Call(Box<CallFrame>),
     /// The sender may send so many bytes more of a call's body in pieces.
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -42,6 +42,9 @@
     pub started_ms: u64,
     /// Whether its target takes no new calls.
     pub leaving: bool,
+    /// Whether nothing listens at its target's address.
+    #[serde(default)]
+    pub down: bool,
     /// A fresh random number.
     pub nonce: u128,
 }
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -23,6 +23,7 @@
         incarnation: Incarnation(u64::MAX),
         started_ms: 5,
         leaving: false,
+        down: false,
         nonce,
     }
 }
