A target that starts again under its name is another incarnation

Cause: reports were ordered by their numbers alone, and what ended was remembered by the name alone. Numbers start anew with each start, so a target that started again was taken for its former life: its wish to drain was acknowledged and not heeded, and one that had left stayed unheard.

Change: an incarnation is a name and the time of its start, in reports, in what is remembered as ended, in the daemon's own row, and where coldness starts anew. A start that is not told changes nothing.

--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -21,8 +21,11 @@
 struct Member {
     #[serde(flatten)]
     entry: HostEntry,
-    /// Incarnation of its target.
+    /// Name of its target.
     instance: String,
+    /// When its target started, in milliseconds since 1970, where it said so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    started_ms: Option<u64>,
 }
 
 /// The row of this daemon, of which nothing is known yet.
@@ -63,6 +66,7 @@
     Some(Member {
         entry,
         instance: target.instance,
+        started_ms: target.started_ms,
     })
 }
 
@@ -149,6 +153,7 @@
         let core = Arc::clone(core);
         let earlier = EarlierTarget {
             instance: member.instance,
+            started_ms: member.started_ms,
             service: member.entry.service,
             version: member.entry.version,
         };
@@ -179,7 +184,7 @@
     };
     let effect = core
         .half
-        .with_reports(|reports| reports.mark_ended(&member.instance, ended));
+        .with_reports(|reports| reports.mark_ended(&member.instance, member.started_ms, ended));
     if effect == Some(ReportEffect::Changed) {
         core.apply_target();
     }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -120,13 +120,13 @@
 pub async fn report(core: &Core, report: TargetReport) {
     let instance = report.instance.clone();
     let state = report.state;
-    let sequence = report.sequence;
+    let (sequence, started_ms) = (report.sequence, report.started_ms);
     let cold_ms = report.cold_ms;
     let taken = core.half.take_report(core, report).await;
     if taken != ReportEffect::Changed {
         return;
     }
-    log::info!(instance = instance.as_str(), state:? = state, sequence:?, cold_ms; "target reported");
+    log::info!(instance = instance.as_str(), state:? = state, sequence:?, started_ms:?, cold_ms; "target reported");
     core.apply_target();
     let _ = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
 }
--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -37,8 +37,10 @@
 
 /// The target as an earlier run of this daemon left word of it.
 pub struct EarlierTarget {
-    /// Its incarnation.
+    /// Its name.
     pub instance: String,
+    /// When it started, in milliseconds since 1970, where it said so.
+    pub started_ms: Option<u64>,
     /// Its service.
     pub service: String,
     /// Version of its software; empty where that is not known.
@@ -220,14 +222,14 @@
         &self,
         change: impl FnOnce(&mut TargetReports) -> ReportEffect,
     ) -> ReportEffect {
-        let name = |reports: &TargetReports| {
-            let in_place = reports.in_place();
-            in_place.map(|target| target.instance.clone())
-        };
         let changed = self.with_reports(|reports| {
-            let before = name(reports);
+            let before = reports.in_place().cloned();
             let effect = change(reports);
-            (effect, before.is_some() && before != name(reports))
+            let pair = before.as_ref().zip(reports.in_place());
+            (
+                effect,
+                pair.is_some_and(|(before, now)| now.is_other_than(before)),
+            )
         });
         let Some((effect, is_other)) = changed else {
             return ReportEffect::Nothing;
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -140,6 +140,7 @@
         }
         let report = TargetReport {
             instance: earlier.instance.clone(),
+            started_ms: earlier.started_ms,
             service: Some(earlier.service.clone()),
             version: Some(earlier.version.clone()),
             state: ReportedState::Ready,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -2,7 +2,8 @@
 //! from what the target reports of itself.
 //!
 //! Reports come late, twice and out of order. Three rules follow: a report counts
-//! only if its sequence number is higher than any seen of that incarnation;
+//! only if its sequence number is higher than any seen of that incarnation (a name, and the
+//! time of its start: a target may start again under the name that it had);
 //! draining and gone are final for an incarnation; and an incarnation that was
 //! replaced by a later one never comes back. A daemon that has heard nothing
 //! since its own start gives its target no calls.
@@ -33,8 +34,11 @@
 /// One report of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetReport {
-    /// The target's incarnation.
+    /// The target's name.
     pub instance: String,
+    /// When it started, in milliseconds since 1970 by its own clock; absent where it does not
+    /// say.
+    pub started_ms: Option<u64>,
     /// Service that it runs; absent where the report does not say.
     pub service: Option<String>,
     /// Version of its software; absent where the report does not say.
@@ -67,8 +71,10 @@
 /// The target that is in place.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct InPlace {
-    /// Its incarnation.
+    /// Its name.
     pub instance: String,
+    /// When it started; absent where it never said.
+    pub started_ms: Option<u64>,
     /// Its service; absent where it never said.
     pub service: Option<String>,
     /// Version of its software; absent where it never said.
@@ -80,13 +86,28 @@
     sequence: u64,
 }
 
+impl InPlace {
+    /// Whether it is another incarnation than the one that was in place before.
+    pub fn is_other_than(&self, before: &InPlace) -> bool {
+        self.instance != before.instance || is_later(self.started_ms, before.started_ms)
+    }
+}
+
+/// An incarnation that ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    started_ms: Option<u64>,
+    state: ReportedState,
+}
+
 /// All that a daemon knows from its target's reports.
 #[derive(Debug, Default)]
 pub struct TargetReports {
     in_place: Option<InPlace>,
     /// Report of another incarnation, until it is known which one stands at the address.
     rival: Option<TargetReport>,
-    ended: HashMap<String, ReportedState>,
+    /// By name, of the last incarnation of that name that ended.
+    ended: HashMap<String, Ended>,
 }
 
 impl TargetReports {
@@ -102,12 +123,18 @@
     }
 
     /// An earlier run of this daemon left word that an incarnation ended.
-    pub fn mark_ended(&mut self, instance: &str, state: ReportedState) -> ReportEffect {
-        self.remember_ended(instance, state);
+    pub fn mark_ended(
+        &mut self,
+        instance: &str,
+        started_ms: Option<u64>,
+        state: ReportedState,
+    ) -> ReportEffect {
+        self.remember_ended(instance, started_ms, state);
         let Some(target) = self.in_place.as_mut() else {
             return ReportEffect::Nothing;
         };
-        if target.instance != instance || target.state != ReportedState::Ready {
+        let is_meant = target.instance == instance && !is_later(target.started_ms, started_ms);
+        if !is_meant || target.state != ReportedState::Ready {
             return ReportEffect::Nothing;
         }
         target.state = state;
@@ -117,14 +144,24 @@
     /// The target at the address answered as another incarnation than the one in
     /// place: what is in place is no longer there.
     pub fn mark_replaced(&mut self, instance: &str) -> ReportEffect {
-        self.mark_ended(instance, ReportedState::Gone)
+        let in_place = self.in_place.as_ref();
+        let named = in_place.filter(|target| target.instance == instance);
+        let started_ms = named.and_then(|target| target.started_ms);
+        self.mark_ended(instance, started_ms, ReportedState::Gone)
     }
 
     /// Takes one report.
     pub fn take(&mut self, report: TargetReport) -> ReportEffect {
         match self.in_place.as_ref() {
-            Some(target) if target.instance == report.instance => self.of_same(report),
-            _ => self.of_another(report),
+            Some(target) if target.instance != report.instance => self.of_another(report),
+            Some(target) if is_later(target.started_ms, report.started_ms) => ReportEffect::Nothing,
+            // Its reports are numbered anew, and what the former one said binds it no more.
+            // Without this, a target whose drain was acknowledged was given calls.
+            Some(target) if is_later(report.started_ms, target.started_ms) => {
+                self.place(report, None)
+            }
+            Some(_) => self.of_same(report),
+            None => self.of_another(report),
         }
     }
 
@@ -139,6 +176,7 @@
             return ReportEffect::Nothing;
         }
         target.sequence = report.sequence.unwrap_or(target.sequence);
+        target.started_ms = target.started_ms.or(report.started_ms);
         let was = target.state;
         let slots = report.slots.or(target.slots);
         let same = later(was, report.state) == was && slots == target.slots;
@@ -147,21 +185,22 @@
         }
         target.slots = slots;
         target.state = later(was, report.state);
-        let (instance, state) = (target.instance.clone(), target.state);
+        let (instance, started_ms, state) =
+            (target.instance.clone(), target.started_ms, target.state);
         if state != ReportedState::Ready {
-            self.remember_ended(&instance, state);
+            self.remember_ended(&instance, started_ms, state);
         }
         ReportEffect::Changed
     }
 
     fn of_another(&mut self, report: TargetReport) -> ReportEffect {
-        let ended = self.ended.get(&report.instance).copied();
+        let ended = self.ended_state(&report);
         let stands = self.in_place.is_some();
         if stands && ended.is_some() {
             return ReportEffect::Nothing;
         }
         if stands && report.state != ReportedState::Ready {
-            self.remember_ended(&report.instance, report.state);
+            self.remember_ended(&report.instance, report.started_ms, report.state);
             return ReportEffect::Nothing;
         }
         if self.open().is_some() {
@@ -169,7 +208,7 @@
             return ReportEffect::Rival;
         }
         if let Some(before) = self.in_place.take() {
-            self.remember_ended(&before.instance, ReportedState::Gone);
+            self.remember_ended(&before.instance, before.started_ms, ReportedState::Gone);
         }
         self.place(report, ended)
     }
@@ -178,7 +217,7 @@
     /// daemon left word of, and that it is well. It is taken as in place before it reports
     /// again.
     pub fn confirm(&mut self, report: TargetReport) -> ReportEffect {
-        if self.in_place.is_some() || self.ended.contains_key(&report.instance) {
+        if self.in_place.is_some() || self.ended_state(&report).is_some() {
             return ReportEffect::Nothing;
         }
         self.place(report, None)
@@ -195,14 +234,13 @@
         if at_address.is_some_and(|instance| instance != rival.instance) {
             return ReportEffect::Nothing;
         }
-        let ended = self.ended.get(&rival.instance).copied();
-        if ended.is_some() {
+        if self.ended_state(&rival).is_some() {
             return ReportEffect::Nothing;
         }
         if let Some(before) = self.in_place.take()
             && at_address.is_some()
         {
-            self.remember_ended(&before.instance, ReportedState::Gone);
+            self.remember_ended(&before.instance, before.started_ms, ReportedState::Gone);
         }
         self.place(rival, None)
     }
@@ -211,10 +249,11 @@
     fn place(&mut self, report: TargetReport, ended: Option<ReportedState>) -> ReportEffect {
         let state = ended.map_or(report.state, |ended| later(ended, report.state));
         if state != ReportedState::Ready {
-            self.remember_ended(&report.instance, state);
+            self.remember_ended(&report.instance, report.started_ms, state);
         }
         self.in_place = Some(InPlace {
             instance: report.instance,
+            started_ms: report.started_ms,
             service: report.service,
             version: report.version,
             state,
@@ -224,15 +263,37 @@
         ReportEffect::Changed
     }
 
-    fn remember_ended(&mut self, instance: &str, state: ReportedState) {
+    /// How the sender of a report ended; nothing where it did not, or started again since.
+    fn ended_state(&self, report: &TargetReport) -> Option<ReportedState> {
+        let ended = self.ended.get(&report.instance)?;
+        let started_again = is_later(report.started_ms, ended.started_ms);
+        (!started_again).then_some(ended.state)
+    }
+
+    fn remember_ended(&mut self, instance: &str, started_ms: Option<u64>, state: ReportedState) {
         if self.ended.len() >= ENDED_LIMIT && !self.ended.contains_key(instance) {
             return;
         }
-        let known = self.ended.entry(instance.to_owned()).or_insert(state);
-        *known = later(*known, state);
+        let ended = Ended { started_ms, state };
+        let known = self.ended.entry(instance.to_owned()).or_insert(ended);
+        if is_later(known.started_ms, started_ms) {
+            return;
+        }
+        *known = match is_later(started_ms, known.started_ms) {
+            true => ended,
+            false => Ended {
+                started_ms: known.started_ms.or(started_ms),
+                state: later(known.state, state),
+            },
+        };
     }
 }
 
+/// Whether one start is known to come after another of the same target.
+fn is_later(one: Option<u64>, other: Option<u64>) -> bool {
+    matches!((one, other), (Some(one), Some(other)) if one > other)
+}
+
 /// The state that is further on a target's way from ready to gone.
 fn later(one: ReportedState, other: ReportedState) -> ReportedState {
     use ReportedState::{Draining, Gone, Ready};
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -10,6 +10,7 @@
 fn report(instance: u8, state: ReportedState, sequence: Option<u64>) -> TargetReport {
     TargetReport {
         instance: format!("i-{instance}"),
+        started_ms: None,
         version: None,
         service: Some("stock".to_owned()),
         state,
@@ -106,7 +107,7 @@
     reports.take(report(1, ReportedState::Draining, Some(1)));
     assert_eq!(open(&reports), None, "its reports count as before");
     let mut marked = TargetReports::default();
-    marked.mark_ended("i-1", ReportedState::Draining);
+    marked.mark_ended("i-1", None, ReportedState::Draining);
     assert_eq!(marked.confirm(well()), ReportEffect::Nothing);
     let mut reported = TargetReports::default();
     reported.take(report(2, ReportedState::Draining, Some(1)));
@@ -117,12 +118,12 @@
 #[test]
 fn a_mark_left_by_an_earlier_run_holds_whichever_comes_first() {
     let mut marked_first = TargetReports::default();
-    marked_first.mark_ended("i-1", ReportedState::Draining);
+    marked_first.mark_ended("i-1", None, ReportedState::Draining);
     marked_first.take(report(1, ReportedState::Ready, Some(5)));
     assert_eq!(open(&marked_first), None);
     let mut reported_first = TargetReports::default();
     reported_first.take(report(1, ReportedState::Ready, Some(5)));
-    let effect = reported_first.mark_ended("i-1", ReportedState::Draining);
+    let effect = reported_first.mark_ended("i-1", None, ReportedState::Draining);
     assert_eq!(effect, ReportEffect::Changed);
     assert_eq!(open(&reported_first), None);
 }
@@ -164,3 +165,63 @@
         }
     }
 }
+
+fn report_of_start(started_ms: u64, state: ReportedState, sequence: u64) -> TargetReport {
+    TargetReport {
+        started_ms: Some(started_ms),
+        ..report(1, state, Some(sequence))
+    }
+}
+
+#[test]
+fn what_an_earlier_run_of_the_daemon_left_word_of_binds_that_start_only() {
+    let mut reports = TargetReports::default();
+    reports.mark_ended("i-1", Some(100), ReportedState::Draining);
+    reports.take(report_of_start(100, ReportedState::Ready, 7));
+    assert_eq!(open(&reports), None);
+    reports.take(report_of_start(200, ReportedState::Ready, 1));
+    assert_eq!(open(&reports), Some("i-1"));
+    let late = reports.mark_ended("i-1", Some(100), ReportedState::Gone);
+    assert_eq!(late, ReportEffect::Nothing);
+    assert_eq!(open(&reports), Some("i-1"));
+}
+
+#[test]
+fn a_target_that_started_again_is_another_than_before_but_not_for_saying_when() {
+    let mut reports = TargetReports::default();
+    reports.confirm(report(1, ReportedState::Ready, None));
+    let confirmed = reports.in_place().cloned().expect("it is in place");
+    reports.take(report_of_start(100, ReportedState::Ready, 3));
+    let said = reports.in_place().cloned().expect("it is in place");
+    assert!(!said.is_other_than(&confirmed), "the same, as far as known");
+    reports.take(report_of_start(200, ReportedState::Ready, 1));
+    let again = reports.in_place().expect("it is in place");
+    assert!(again.is_other_than(&said));
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(3), cases: 1_000, failure_persistence: None, ..Config::default() })]
+
+    /// Reports of several starts under one name, in any order: the latest start that was heard
+    /// of decides, by its own numbers, and what ended under it stays ended.
+    #[test]
+    fn the_latest_start_decides(
+        steps in prop::collection::vec((1..5_u64, any::<bool>(), 0..10_u64), 1..60)
+    ) {
+        let mut reports = TargetReports::default();
+        let mut latest: Option<(u64, u64, bool)> = None;
+        for (start, drains, number) in steps {
+            let state = if drains { ReportedState::Draining } else { ReportedState::Ready };
+            reports.take(report_of_start(start, state, number));
+            latest = Some(match latest {
+                Some((known, last, ended)) if known == start && number > last => {
+                    (known, number, ended || drains)
+                }
+                Some(known) if known.0 >= start => known,
+                _ => (start, number, drains),
+            });
+            let is_open = latest.is_some_and(|(_, _, ended)| !ended);
+            prop_assert_eq!(reports.open().is_some(), is_open);
+        }
+    }
+}
