Time for which a host was suspended counts, and is noticed

Cause: the daemon's clock was the steady one, which stands still while a host is suspended. To the daemon no time had passed when it woke: calls whose deadlines were over were still sent, ages were too young, and wall time, carried forward by the same clock, was behind for good.

Change: the clock reads the time since the host's start, suspensions included (rustix, in the tree already for the soak). A look each 200 ms at the difference to the steady clock notices one, logs its length, counts it, and doubts links, idle connections, feeds and whether the target is warm. Measured (daemon/suspension, the clock handed in): a held call whose deadline passes in a suspension of 20 s is not run after it. Shown by taking the clock's reading out, not by a test on the code before, which had no place to hand a clock in.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::callers::{self, BodyRoom};
-use crate::clock::Clock;
+use crate::clock::{Clock, ReadTime, since_boot};
 use crate::config::Config;
 use crate::control::{self, MeasureBudget};
 use crate::core::{Core, Identity};
@@ -33,6 +33,7 @@
 use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings_state::SettingsState;
+use crate::suspension;
 
 /// Seconds that one request to the platform may take.
 const PLATFORM_LIMIT_S: u64 = 2;
@@ -70,6 +71,8 @@
     pub dialect: Dialect,
     /// The directory; without one, the product's own platform is polled.
     pub directory: Option<Directory>,
+    /// Reads the time that decisions go by.
+    pub read_time: ReadTime,
 }
 
 impl Default for Environment {
@@ -77,6 +80,7 @@
         Environment {
             dialect: Dialect::own(),
             directory: None,
+            read_time: since_boot,
         }
     }
 }
@@ -112,7 +116,7 @@
         let callers_listener = listen(config.callers, "callers").await?;
         let mesh_listener = listen(config.mesh, "daemons").await?;
         let ops = Ops::listen(config.ops)?;
-        let clock = Clock::start();
+        let clock = Clock::start_by(environment.read_time);
         let me = Identity {
             incarnation: Incarnation(rand::random()),
             started_ms: clock.wall_ms(),
@@ -123,6 +127,7 @@
         let core = Arc::new(build(config, environment, me, clock));
         quarantine::spread::start(&core);
         half::start(&core);
+        tokio::spawn(suspension::follow(Arc::clone(&core)));
         match core.directory {
             Some(_) => directory::start(&core),
             None => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,8 +33,10 @@
 mod rollout;
 mod route;
 mod settings_state;
+mod suspension;
 mod sync;
 
+pub use clock::{Clock, ReadTime, since_boot};
 pub use config::{Config, ConfigError, ConfigFault, RawConfig};
 pub use core::Identity;
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
--- a/crates/daemon/src/mesh/dial.rs
+++ b/crates/daemon/src/mesh/dial.rs
@@ -97,10 +97,15 @@
         }
         self.tried_at.store(now, Ordering::Relaxed);
         log::info!(peer = link.peer.host.as_str(); "connections doubted");
+        self.doubt_all(core);
+        core.half.pool.drop_idle();
+    }
+
+    /// Every link may be silent.
+    pub fn doubt_all(&self, core: &Core) {
         for link in self.all() {
             self.doubt(core, &link);
         }
-        core.half.pool.drop_idle();
     }
 
     /// Sends something on a link that may be silent, and has calls go elsewhere until
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -71,6 +71,7 @@
     pub target_refusals: Kinds,
     pub target_ends: Counter,
     pub target_down: Gauge,
+    pub suspensions: Counter,
     pub suspects: Gauge,
     pub quarantined: Gauge,
     pub quarantine_refusals: Counter,
@@ -120,6 +121,7 @@
             target_refusals: Family::default(),
             target_ends: Counter::default(),
             target_down: Gauge::default(),
+            suspensions: Counter::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             quarantine_refusals: Counter::default(),
@@ -174,6 +176,7 @@
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
         registry.register("target_down", "Whether nothing listens at the target's address", self.target_down.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
+        registry.register("suspensions", "Times that the host was suspended", self.suspensions.clone());
         registry.register("suspects", "Requests under which targets ended and that none survived", self.suspects.clone());
         registry.register("quarantined", "Those of them that are offered to no target", self.quarantined.clone());
         registry.register("quarantine_refusals", "Callers' calls refused since their request is quarantined", self.quarantine_refusals.clone());
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lynxcleat_daemon::{Config, Daemon, RawConfig, Status};
+use lynxcleat_daemon::{Config, Daemon, Environment, RawConfig, ReadTime, Status, since_boot};
 use lynxcleat_settings::Tree;
 use lynxcleat_standin::{PlatformStandin, TargetOptions, TargetStandin, wait_until};
 use lynxcleat_store::{AcceptRequest, Accepted, HostEntry, HostState, Platform, accept};
@@ -78,6 +78,7 @@
     pub counted: Option<(Crossed, Crossed)>,
     counter: Option<Counter>,
     key: String,
+    read_time: ReadTime,
 }
 
 /// Bytes that crossed a counter, with their times.
@@ -97,6 +98,8 @@
     pub seeds: bool,
     /// Whether each place is a region of its own.
     pub regions: bool,
+    /// Reads the time that daemons in this process go by.
+    pub read_time: ReadTime,
 }
 
 impl Plan {
@@ -110,6 +113,7 @@
             processes: false,
             seeds: false,
             regions: false,
+            read_time: since_boot,
         }
     }
 
@@ -155,6 +159,7 @@
             counted: None,
             counter: None,
             key: KEY.to_owned(),
+            read_time: self.read_time,
         };
         fleet.accept(0, self.tree.clone(), "first");
         fleet
@@ -276,7 +281,12 @@
 
     pub fn start_here(&self, worker: &Worker) -> Daemon {
         let config = Config::resolve(worker.raw.clone(), Path::new(".")).expect("config");
-        let started = self.runtime.block_on(Daemon::start(config));
+        let environment = Environment {
+            read_time: self.read_time,
+            ..Environment::default()
+        };
+        let starting = Daemon::start_in(config, environment);
+        let started = self.runtime.block_on(starting);
         started.expect("daemon")
     }
 
