--- a/crates/daemon/src/half/down.rs
+++ b/crates/daemon/src/half/down.rs
@@ -17,6 +17,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause: a look costs a few system calls on this host.
 const MOST_PAUSE: Duration = Duration::from_secs(1);
+/// Least time from a return to the next word of an outage: a target that goes down and up by
+/// turns brings few messages, and routers learn by refusals meanwhile.
+const TELL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Starts following whether the target listens.
 pub fn start(core: &Arc<Core>) {
@@ -35,6 +38,7 @@
         let down_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
         log::info!(down_ms; "target back");
         tell(&core, false);
+        tokio::time::sleep(TELL_PAUSE).await;
     }
 }
 
