--- a/crates/policy/tests/rollout/world.rs
+++ b/crates/policy/tests/rollout/world.rs
@@ -14,6 +14,7 @@
 use super::{BASELINE, MS, ROLL_BACK, SECOND, SERVICE, SHARE, SLACK, TELL, TICK, USUAL_US};
 
 mod bad_versions;
+mod links;
 
 /// What is wrong with a version.
 #[derive(Clone, Copy, Debug)]
@@ -154,60 +155,6 @@
         self.queue.insert((at, self.queued), (to, message));
     }
 
-    fn is_cut(&self, daemon: usize) -> bool {
-        let cut = self.daemons[daemon].cut;
-        cut.is_some_and(|(from, to)| (from..to).contains(&self.now))
-    }
-
-    fn store_answers(&self, daemon: usize) -> bool {
-        let silent = self.trouble.store_silent;
-        !self.is_cut(daemon) && !silent.is_some_and(|(from, to)| (from..to).contains(&self.now))
-    }
-
-    /// Tells all others, now and then twice; who is cut off hears nothing.
-    fn tell(&mut self, from: usize, message: &Message) {
-        if self.is_cut(from) {
-            return;
-        }
-        for to in 0..self.daemons.len() {
-            if to == from || self.is_cut(to) {
-                continue;
-            }
-            let delay = self.rng.random_range(1..40) * MS;
-            self.send(to, delay, message.clone());
-            if self.rng.random_bool(0.1) {
-                let later = self.rng.random_range(1..900) * MS;
-                self.send(to, later, message.clone());
-            }
-        }
-    }
-
-    fn news_of(&self, daemon: usize) -> Option<RolloutNews> {
-        let known = self.daemons[daemon].rollouts.of(SERVICE)?;
-        Some(known.news(self.now))
-    }
-
-    fn tell_news(&mut self, from: usize) {
-        if let Some(news) = self.news_of(from) {
-            self.tell(from, &Message::News(news));
-        }
-    }
-
-    /// A link is new: both ends say what they know.
-    fn greet(&mut self, daemon: usize) {
-        let others: Vec<usize> = (0..self.daemons.len())
-            .filter(|other| *other != daemon)
-            .collect();
-        for other in others {
-            if let Some(news) = self.news_of(other) {
-                self.send(daemon, 5 * MS, Message::News(news));
-            }
-            if let Some(news) = self.news_of(daemon) {
-                self.send(other, 5 * MS, Message::News(news));
-            }
-        }
-    }
-
     fn run(mut self) -> End {
         let order = RolloutOrder {
             service: SERVICE.to_owned(),
