--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -184,6 +184,10 @@
     let late = reports.mark_ended("i-1", Some(100), ReportedState::Gone);
     assert_eq!(late, ReportEffect::Nothing);
     assert_eq!(open(&reports), Some("i-1"));
+    let mut unheard = TargetReports::default();
+    unheard.mark_ended("i-1", Some(100), ReportedState::Draining);
+    unheard.take(report_of_start(200, ReportedState::Ready, 1));
+    assert_eq!(open(&unheard), Some("i-1"), "the start before left");
 }
 
 #[test]
