Sight of what settings cost between daemons and from the store

Logs and metrics could not tell the hypotheses of the incident apart: nothing said who asked whom for settings, what was sent, given up or read. Each question to a peer, each copy sent and each row read is now a log line with bytes and time; metrics count them and stand first, since what was fetched of the metrics in the incident ends before the bytes by kind of message. No change of logic.

--- a/crates/daemon/src/control/settings.rs
+++ b/crates/daemon/src/control/settings.rs
@@ -5,7 +5,7 @@
 //! between daemons keep the spread fast all the same.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lynxcleat_policy::Cost;
 use lynxcleat_settings::{Digest, Generation, OfferError};
@@ -70,9 +70,13 @@
 /// A peer's message carries a newer generation: waits for the directory where this daemon
 /// follows it, and asks a peer for the tree.
 pub fn fetch_from_peer(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
+    core.metrics
+        .newest_generation
+        .set((theirs as i64).max(core.metrics.newest_generation.get()));
     if !core.settings.begin_fetch(theirs) {
         return;
     }
+    log::info!(peer = link.peer.host.as_str(), generation = theirs, in_force = core.settings.number(); "newer settings heard of");
     let core = Arc::clone(core);
     let link = Arc::clone(link);
     tokio::spawn(async move {
@@ -88,13 +92,9 @@
         } else {
             tokio::time::sleep(jittered(PEER_SPREAD_MS)).await;
             let source = source(core, link, theirs);
-            let copied = fetch(&source, Some(SMALL_TREE_BYTES));
-            match tokio::time::timeout(SMALL_COPY_LIMIT, copied).await {
-                Ok(Some(copy)) => take_copy(core, &source, copy),
-                Ok(None) => log::info!(peer = source.peer.host.as_str(); "no copy of the settings"),
-                Err(_) => {
-                    log::info!(peer = source.peer.host.as_str(); "no copy of the settings in time")
-                }
+            if let Some(copy) = fetch(core, &source, Some(SMALL_TREE_BYTES), SMALL_COPY_LIMIT).await
+            {
+                take_copy(core, &source, copy);
             }
         }
         if theirs > core.settings.number() {
@@ -103,7 +103,7 @@
         }
     }
     if theirs > core.settings.number()
-        && let Some(copy) = fetch(link, None).await
+        && let Some(copy) = fetch(core, link, None, PEER_LIMIT).await
     {
         take_copy(core, link, copy);
     }
@@ -174,7 +174,7 @@
             let seed = seed.clone();
             tokio::spawn(async move {
                 let link = Links::dial(&core, &seed).await.ok()?;
-                let copy = fetch(&link, None).await?;
+                let copy = fetch(&core, &link, None, PEER_LIMIT).await?;
                 Some((link, copy))
             })
         })
@@ -189,13 +189,31 @@
     }
 }
 
-/// The tree in force at a peer, if its text has no more bytes than `limit`.
-async fn fetch(link: &Link, limit: Option<u64>) -> Option<TreeCopy> {
+/// The tree in force at a peer, if its text has no more bytes than `limit` and comes in time.
+async fn fetch(
+    core: &Core,
+    link: &Link,
+    limit: Option<u64>,
+    in_time: Duration,
+) -> Option<TreeCopy> {
+    let begun = Instant::now();
     let asked = link.ask(|ask| Frame::FetchTree { ask, limit });
-    match tokio::time::timeout(PEER_LIMIT, asked).await {
-        Ok(Ok(Frame::Tree { copy, .. })) => copy,
-        _ => None,
-    }
+    let (outcome, copy) = match tokio::time::timeout(in_time, asked).await {
+        Ok(Ok(Frame::Tree { copy, .. })) if copy.is_some() => ("taken", copy),
+        Ok(Ok(_)) => ("none", None),
+        Ok(Err(_)) => ("lost", None),
+        Err(_) => ("late", None),
+    };
+    count(&core.metrics.settings_asks, outcome);
+    log::info!(
+        peer = link.peer.host.as_str(),
+        outcome,
+        generation = copy.as_ref().map_or(0, |copy| copy.generation),
+        bytes = copy.as_ref().map_or(0, |copy| copy.text.len()),
+        ms = begun.elapsed().as_millis() as u64;
+        "settings asked of a peer"
+    );
+    copy
 }
 
 fn take_copy(core: &Arc<Core>, link: &Link, copy: TreeCopy) {
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -74,6 +74,7 @@
 }
 
 fn take_settings(core: &Arc<Core>, directory: &DirectoryState, value: &[u8]) {
+    let begun = Instant::now();
     let translated = match (directory.directory.settings.read)(value) {
         Ok(translated) => translated,
         Err(error) => {
@@ -82,6 +83,7 @@
         }
     };
     let (text, digest) = digest(&translated.tree);
+    log::info!(generation = translated.number, bytes = value.len(), ms = begun.elapsed().as_millis() as u64; "settings read from the store");
     let generation = Generation {
         number: translated.number,
         digest,
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -128,5 +128,11 @@
         digest: in_force.generation.digest.to_string(),
         text: in_force.generation.text.clone(),
     });
+    if let Some(copy) = &copy {
+        let bytes = copy.text.len() as u64;
+        core.metrics.settings_copies_sent.inc();
+        core.metrics.settings_bytes_sent.inc_by(bytes);
+        log::info!(peer = link.peer.host.as_str(), generation = copy.generation, bytes; "settings sent to a peer");
+    }
     let _ = link.send(Frame::Tree { ask, copy });
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -59,6 +59,12 @@
 #[allow(missing_docs)]
 pub struct Metrics {
     registry: Mutex<Registry>,
+    /// Newest generation of settings that any peer told of.
+    pub newest_generation: Gauge,
+    /// Questions for settings to peers, by what became of them.
+    pub settings_asks: Kinds,
+    pub settings_copies_sent: Counter,
+    pub settings_bytes_sent: Counter,
     pub calls: Family<CallLabels, Counter>,
     pub call_seconds: Histogram,
     pub pipelined_calls: Counter,
@@ -110,6 +116,10 @@
     fn default() -> Self {
         let metrics = Metrics {
             registry: Mutex::default(),
+            newest_generation: Gauge::default(),
+            settings_asks: Family::default(),
+            settings_copies_sent: Counter::default(),
+            settings_bytes_sent: Counter::default(),
             calls: Family::default(),
             call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             pipelined_calls: Counter::default(),
@@ -165,6 +175,12 @@
     fn register(&self) {
         let mut root = lock(&self.registry);
         let registry = root.sub_registry_with_prefix("lynxcleat");
+        // These stand first: what is kept of the text after a failure may be cut.
+        registry.register("generation", "Generation of settings in force", self.generation.clone());
+        registry.register("newest_generation", "Newest generation of settings that a peer told of", self.newest_generation.clone());
+        registry.register("settings_asks", "Questions for settings to peers, by what became of them", self.settings_asks.clone());
+        registry.register("settings_copies_sent", "Answers to peers that asked for settings", self.settings_copies_sent.clone());
+        registry.register("settings_bytes_sent", "Bytes of settings sent to peers", self.settings_bytes_sent.clone());
         registry.register("calls", "Callers' calls by service and outcome", self.calls.clone());
         registry.register_with_unit("call", "Time from a call's arrival to its answer", Unit::Seconds, self.call_seconds.clone());
         registry.register("pipelined_calls", "Callers' calls begun while others before them on their connection ran", self.pipelined_calls.clone());
@@ -193,7 +209,6 @@
         registry.register("bodies_cut", "Bodies in pieces that did not reach the target whole, by who ended them", self.bodies_cut.clone());
         registry.register("in_flight", "Calls at the target", self.in_flight.clone());
         registry.register("held", "Calls held for the target", self.held.clone());
-        registry.register("generation", "Generation of settings in force", self.generation.clone());
         registry.register("measure_messages", "Measuring: messages spent", self.measure_messages.clone());
         registry.register("measure_bytes", "Measuring: bytes spent", self.measure_bytes.clone());
         registry.register("measure_cpu_us", "Measuring: processor time charged, in microseconds", self.measure_cpu_us.clone());
