A change of settings costs a link what changed, and a daemon what changed

Callers were answered by settings up to 19 s old, at daemons that were not ready for as long. Each change made every daemon take the whole tree: from the store, or from the few peers that had it, as one message of 756 kB on links of 10 Mbit/s. An asker gave up after 0.4 or 2 s and asked anew; the copy was sent all the same. The link of the asked daemon carried nothing else for up to 19 s, so that it neither answered whether it was ready nor heard of the next change itself.

Now a daemon that is behind names the tree that it has, and a peer that had it too sends what changed since, in parts of some 32 kB before packing; others compare sums of 257 units of the tree. What came stays, whoever sends the rest and whatever generation that one has by then. A daemon sends 250 kB a second to all peers together, and says when there is room; those that have a generation pass it on. Trees share what is equal (levels, buckets of routes), and lookups, effective values and the digest follow a change at the cost of what changed. The row of the store is read in a thread of its own, and its rows that stand as they stood are not read again. The text of the whole is not kept. Trees of more than 50,000 routes, hosts of more than 253 and prefixes of more than 2,048 bytes are refused.

--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -21,7 +21,7 @@
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
 use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, UploadReader};
-use crate::settings_state::InForce;
+use crate::settings::state::InForce;
 
 /// Path under which the daemon itself answers callers.
 const OWN_PREFIX: &str = "/.lynxcleat/";
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -6,7 +6,6 @@
 mod hosts;
 mod load;
 mod quarantine;
-mod settings;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,10 +13,10 @@
 use rand::RngExt;
 
 use crate::core::Core;
+use crate::settings::poll;
 
 pub use budget::{MeasureBudget, Purpose};
 pub use load::{asks_for_load, start as start_load};
-pub use settings::fetch_from_peer;
 
 /// Part of an interval by which it varies, so that daemons do not poll in step.
 const JITTER: f64 = 0.2;
@@ -25,11 +24,11 @@
 /// the platform takes.
 const FLEET_READS_PER_S: u64 = 400;
 /// Pause before asking again what the budget refused.
-const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+pub(crate) const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
 /// Starts the control tasks of a daemon.
 pub fn start(core: &Arc<Core>) {
-    tokio::spawn(settings::follow(Arc::clone(core)));
+    tokio::spawn(poll::follow(Arc::clone(core)));
     tokio::spawn(hosts::follow(Arc::clone(core)));
     tokio::spawn(health::follow(Arc::clone(core)));
     tokio::spawn(quarantine::keep(Arc::clone(core)));
@@ -38,13 +37,13 @@
 
 /// An interval of polls in milliseconds: the configured one, or a longer one where
 /// the fleet is so large that all daemons together would read too often.
-fn fleet_interval_ms(core: &Core, configured_ms: u64) -> u64 {
+pub(crate) fn fleet_interval_ms(core: &Core, configured_ms: u64) -> u64 {
     let shared_ms = core.hosts.len() as u64 * 1_000 / FLEET_READS_PER_S;
     configured_ms.max(shared_ms)
 }
 
 /// An interval in milliseconds, with jitter.
-fn jittered(interval_ms: u64) -> Duration {
+pub(crate) fn jittered(interval_ms: u64) -> Duration {
     let factor = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
     Duration::from_millis(interval_ms).mul_f64(factor)
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -28,7 +28,7 @@
 use crate::quarantine::QuarantineState;
 use crate::rollout::state::RolloutStates;
 use crate::route::service::Routers;
-use crate::settings_state::SettingsState;
+use crate::settings::state::SettingsState;
 
 /// Who this daemon is. Addresses are the bound ones, not the configured ones.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,7 +32,7 @@
 use crate::quarantine::{self, QuarantineState};
 use crate::rollout::RolloutStates;
 use crate::route::Routers;
-use crate::settings_state::SettingsState;
+use crate::settings::state::SettingsState;
 use crate::suspension;
 
 /// Seconds that one request to the platform may take.
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lynxcleat_settings::{Generation, digest};
 use lynxcleat_store::{Ask, Duty, Follower, RowStoreError, StoredRow};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -13,6 +12,7 @@
 use super::{member, operator, publish, quarantined, spread};
 use crate::core::Core;
 use crate::metrics::count;
+use crate::settings::take_row;
 use crate::sync::lock;
 
 /// Time between two looks of a watcher at the settings: a change is known in time though
@@ -54,7 +54,7 @@
         operator::take_rows(&core, directory, &news);
         let newest = news.into_iter().rfind(|change| change.key == row.key);
         if let Some(value) = newest.and_then(|change| change.value) {
-            take_settings(&core, directory, &value);
+            take_row(&core, directory, value).await;
             tokio::time::sleep(SETTINGS_GATHER).await;
         }
     }
@@ -73,30 +73,6 @@
     let _ = tokio::time::timeout(FIRST_START_PEERS, told).await;
 }
 
-fn take_settings(core: &Arc<Core>, directory: &DirectoryState, value: &[u8]) {
-    let begun = Instant::now();
-    let translated = match (directory.directory.settings.read)(value) {
-        Ok(translated) => translated,
-        Err(error) => {
-            log::error!("settings refused: {error}");
-            return;
-        }
-    };
-    let (text, digest) = digest(&translated.tree);
-    log::info!(generation = translated.number, bytes = value.len(), ms = begun.elapsed().as_millis() as u64; "settings read from the store");
-    let generation = Generation {
-        number: translated.number,
-        digest,
-        text,
-        tree: translated.tree,
-    };
-    match core.settings.offer(generation) {
-        Ok(true) => core.apply_settings(),
-        Ok(false) => {}
-        Err(error) => log::error!("settings refused: {error}"),
-    }
-}
-
 /// Follows members and key until the daemon ends.
 pub(super) async fn members(core: Arc<Core>) {
     let Some(directory) = &core.directory else {
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -63,8 +63,10 @@
 #[error("the settings cannot be read: {0}")]
 pub struct TranslateError(#[source] pub Box<dyn std::error::Error + Send + Sync>);
 
-/// Reads the value of a settings row.
-pub type ReadSettings = Arc<dyn Fn(&[u8]) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
+/// Reads the value of a settings row. It is given the tree in force, so that what did not change
+/// is taken from there.
+pub type ReadSettings =
+    Arc<dyn Fn(&[u8], Option<&Tree>) -> Result<TranslatedTree, TranslateError> + Send + Sync>;
 
 /// What operators write: the row that holds the accepted settings, and rows beside it.
 #[derive(Clone)]
@@ -162,6 +164,11 @@
         &self.directory.store
     }
 
+    /// Reads the value of the row that holds the settings.
+    pub fn settings_reader(&self) -> ReadSettings {
+        Arc::clone(&self.directory.settings.read)
+    }
+
     /// Where the status of rollouts is written.
     pub fn rollout_status(&self) -> &StatusRows {
         &self.directory.rollout_status
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use lynxcleat_wire::{Frame, TreeCopy};
+use lynxcleat_wire::Frame;
 
-use crate::control;
 use crate::core::Core;
 use crate::directory;
 use crate::half;
@@ -13,6 +12,7 @@
 use crate::once;
 use crate::quarantine;
 use crate::rollout;
+use crate::settings;
 
 /// The parts of this daemon that links tell.
 pub const HANDLERS: Handlers = Handlers {
@@ -28,11 +28,11 @@
     quarantine::spread::greet(core, link);
 }
 
-/// A message carried a generation; a newer one is fetched from its sender.
+/// A message carried a generation; a newer one is asked for.
 fn generation(core: &Arc<Core>, link: &Arc<Link>, theirs: u64) {
     link.tell_generation(theirs);
     if theirs > core.settings.number() {
-        control::fetch_from_peer(core, link, theirs);
+        settings::heard_of(core, link, theirs);
     }
 }
 
@@ -85,7 +85,7 @@
         Frame::Guarded { ask, ticket, call } => {
             once::spawn_guarded(core, link, ask, ticket, *call);
         }
-        Frame::FetchTree { ask, limit } => send_tree(core, link, ask, limit),
+        Frame::AskSettings(ask) => settings::answer(core, link, ask),
         Frame::Zones(news) => directory::take_zones(core, link, news),
         Frame::Rollouts(news) => rollout::take_news(core, link, &news),
         Frame::RolloutEvidence(evidence) => rollout::take_evidence(core, &evidence),
@@ -93,7 +93,9 @@
         Frame::Suspects(news) => quarantine::spread::take_news(core, link, &news),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows { after } => directory::send_rows(core, link, after),
-        Frame::Fenced { ask, .. } | Frame::GuardedReply { ask, .. } | Frame::Tree { ask, .. } => {
+        Frame::Fenced { ask, .. }
+        | Frame::GuardedReply { ask, .. }
+        | Frame::Settings { ask, .. } => {
             let taken = link.reply(ask, frame);
             count_late(core, taken, "reply");
         }
@@ -116,23 +118,3 @@
         count(&core.metrics.dropped_answers, kind);
     }
 }
-
-fn send_tree(core: &Core, link: &Link, ask: u64, limit: Option<u64>) {
-    let in_force = core.settings.current();
-    let wanted = in_force.filter(|in_force| {
-        let size = in_force.generation.text.len() as u64;
-        limit.is_none_or(|limit| size <= limit)
-    });
-    let copy = wanted.map(|in_force| TreeCopy {
-        generation: in_force.generation.number,
-        digest: in_force.generation.digest.to_string(),
-        text: in_force.generation.text.clone(),
-    });
-    if let Some(copy) = &copy {
-        let bytes = copy.text.len() as u64;
-        core.metrics.settings_copies_sent.inc();
-        core.metrics.settings_bytes_sent.inc_by(bytes);
-        log::info!(peer = link.peer.host.as_str(), generation = copy.generation, bytes; "settings sent to a peer");
-    }
-    let _ = link.send(Frame::Tree { ask, copy });
-}
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -15,7 +15,7 @@
 use crate::kept::{Keeping, Kept};
 use crate::mesh::link::Link;
 use crate::metrics::count;
-use crate::settings_state::InForce;
+use crate::settings::state::InForce;
 
 impl InForce {
     /// Where a call of a route and a service may be served, as this generation says.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,7 +20,6 @@
 mod homes;
 mod host_table;
 pub mod http1;
-mod in_force;
 mod kept;
 mod life;
 pub mod logging;
@@ -32,7 +31,7 @@
 mod quarantine;
 mod rollout;
 mod route;
-mod settings_state;
+mod settings;
 mod suspension;
 mod sync;
 
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -178,7 +178,7 @@
         Frame::Lost(_) | Frame::Ended { .. } => "lost",
         Frame::Fence { .. } | Frame::Fenced { .. } => "fence",
         Frame::Guarded { .. } | Frame::GuardedReply { .. } => "guarded",
-        Frame::FetchTree { .. } | Frame::Tree { .. } => "tree",
+        Frame::AskSettings(_) | Frame::Settings { .. } => "settings",
         Frame::Zones(_) => "zones",
         Frame::Rollouts(_) => "rollouts",
         Frame::RolloutEvidence(_) => "rollout-evidence",
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -81,6 +81,12 @@
     pub started_ms: u64,
     /// Generation of settings in force; 0 before the first.
     pub generation: u64,
+    /// Newest generation that a peer told of; above the one in force while it is behind.
+    #[serde(default)]
+    pub newest_generation: u64,
+    /// Routes of the generation in force.
+    #[serde(default)]
+    pub routes: usize,
     /// Digest of that generation.
     pub digest: Option<String>,
     /// Whether its target takes no new calls.
@@ -180,6 +186,10 @@
         incarnation: core.me.incarnation.to_string(),
         started_ms: core.me.started_ms,
         generation: core.settings.number(),
+        newest_generation: core.settings.wanted().max(core.settings.number()),
+        routes: in_force
+            .as_ref()
+            .map_or(0, |known| known.generation.tree.route_count()),
         digest: in_force.map(|in_force| in_force.generation.digest.to_string()),
         leaving: core.half.is_leaving(),
         target_down: core.half.pool.is_down(),
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -27,7 +27,7 @@
 use crate::host_table::candidate;
 use crate::mesh::link::Link;
 use crate::mesh::links::Links;
-use crate::settings_state::InForce;
+use crate::settings::state::InForce;
 use crate::sync::lock;
 
 /// Bytes charged for making a link again: web socket, hellos, proofs, and TCP's
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,20 @@
+//! How settings come to be in force.
+//!
+//! News come with every message between daemons ([`catch_up`]), from the row of a store
+//! ([`row`]) or from our own platform's pointer ([`poll`]). A daemon that is behind asks a peer
+//! for what differs, part by part ([`sources`] decides whom), and a daemon that has it sends no
+//! more than its rate allows ([`serve`], [`copy_rate`]). [`state`] holds what is in force, and
+//! [`in_force`] tells the other parts of the daemon.
+
+mod catch_up;
+pub(crate) mod copy_rate;
+mod in_force;
+pub(crate) mod poll;
+mod row;
+mod serve;
+mod sources;
+pub(crate) mod state;
+
+pub use catch_up::heard_of;
+pub use row::take_row;
+pub use serve::answer;
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -12,7 +12,10 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::edit::TreeEdit;
 use crate::error::SettingsError;
+use crate::route::{ROUTES, Route};
+use crate::route_set::{RouteChange, RouteSet};
 use crate::tree::Tree;
 
 /// One path whose value differs between two trees.
@@ -66,6 +69,13 @@
 
 /// The changes that lead from `old` to `new`, sorted by path.
 pub fn diff(old: &Tree, new: &Tree) -> Vec<Change> {
+    let mut changes = level_changes(old, new);
+    changes.extend(route_changes(old, new));
+    changes.sort_by(|one, other| one.path.cmp(&other.path));
+    changes
+}
+
+fn level_changes(old: &Tree, new: &Tree) -> Vec<Change> {
     let paths: BTreeSet<&String> = old.entries().keys().chain(new.entries().keys()).collect();
     paths
         .into_iter()
@@ -78,6 +88,19 @@
         .collect()
 }
 
+fn route_changes(old: &Tree, new: &Tree) -> Vec<Change> {
+    let changes = RouteSet::changes(old.route_set(), new.route_set()).into_iter();
+    let change = |change: RouteChange| {
+        let named = change.new.as_ref().or(change.old.as_ref())?;
+        Some(Change {
+            path: format!("{ROUTES}{}", named.name),
+            old: change.old.as_ref().map(|named| named.route.to_json()),
+            new: change.new.as_ref().map(|named| named.route.to_json()),
+        })
+    };
+    changes.filter_map(change).collect()
+}
+
 /// Puts the edit `base` → `mine` on top of `theirs`.
 ///
 /// # Errors
@@ -88,6 +111,7 @@
         .map(|change| (change.path.clone(), change))
         .collect();
     let mut entries = theirs.entries().clone();
+    let mut routes = TreeEdit::of(theirs);
     for change in diff(base, mine) {
         if let Some(other) = their_changes.get(&change.path)
             && other.new != change.new
@@ -97,13 +121,17 @@
                 mine: Box::new(change),
             });
         }
-        match change.new {
-            Some(value) => entries.insert(change.path, value),
-            None => entries.remove(&change.path),
-        };
+        match (change.path.strip_prefix(ROUTES), change.new) {
+            (Some(name), Some(value)) => {
+                routes.put_route(name, Route::parse(&change.path, &value)?)?;
+            }
+            (Some(name), None) => routes.remove_route(name),
+            (None, Some(value)) => drop(entries.insert(change.path, value)),
+            (None, None) => drop(entries.remove(&change.path)),
+        }
     }
     check_levels(&entries)?;
-    Ok(Tree::from_entries(entries)?)
+    Ok(Tree::from_entries(entries, routes.tree())?)
 }
 
 /// Every entry below a place or service needs that level to be present.
--- a/crates/settings/src/generations.rs
+++ b/crates/settings/src/generations.rs
@@ -15,10 +15,9 @@
 pub struct Generation {
     /// Its number, from 1.
     pub number: u64,
-    /// Digest of its text.
+    /// Digest by which its content is known: of the text under which it is stored, or of its
+    /// entries where they are read from a store that has a form of its own.
     pub digest: Digest,
-    /// Its canonical text.
-    pub text: String,
     /// The tree.
     pub tree: Tree,
 }
@@ -61,11 +60,19 @@
         Ok(Generation {
             number,
             digest,
-            text,
             tree,
         })
     }
 
+    /// A tree that no text is stored of.
+    pub fn of_tree(number: u64, tree: Tree) -> Self {
+        Generation {
+            number,
+            digest: tree.entries_digest(),
+            tree,
+        }
+    }
+
     /// Whether `self` takes the place of `current`.
     ///
     /// # Errors
--- a/crates/settings/src/homes.rs
+++ b/crates/settings/src/homes.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::error::{Fault, SettingsError};
-use crate::route::{ROUTES, Route};
+use crate::route::{NamedRoute, ROUTES, Route};
 use crate::tree::{Tree, service_path};
 
 const REGION: &str = "region";
@@ -38,13 +38,8 @@
 
     /// Whether some level or route names home regions.
     pub fn has_home_regions(&self) -> bool {
-        self.entries().iter().any(|(path, value)| {
-            let list = match path.starts_with(ROUTES) {
-                true => value.get(HOMES),
-                false => is_list(path).then_some(value),
-            };
-            list.is_some_and(|list| !names(list).is_empty())
-        })
+        let mut lists = self.entries().iter().filter(|(path, _)| is_list(path));
+        self.route_set().any_homes() || lists.any(|(_, list)| !names(list).is_empty())
     }
 
     fn inherited(&self, place: &str, service: &str, name: &str) -> Option<&Value> {
@@ -65,12 +60,12 @@
         check_known(path, &names(value), &known)?;
     }
     let stands = Stands::of(tree);
-    for (path, value) in tree.entries() {
-        if path.starts_with(ROUTES) {
-            let route = Route::parse(path, value)?;
-            check_known(path, &route.home_regions, &known)?;
-            check_route(tree, path, &route, &stands)?;
-        }
+    let mut routes: Vec<&NamedRoute> = tree.routes().collect();
+    routes.sort_by_key(|named| &named.name);
+    for named in routes {
+        let path = format!("{ROUTES}{}", named.name);
+        check_known(&path, &named.route.home_regions, &known)?;
+        check_route(tree, &path, &named.route, &stands)?;
     }
     Ok(())
 }
@@ -201,7 +196,7 @@
 }
 
 fn is_list(path: &str) -> bool {
-    !path.starts_with(ROUTES) && path.ends_with(".home_regions")
+    path.ends_with(".home_regions")
 }
 
 fn names(list: &Value) -> Vec<String> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,20 +6,30 @@
 //! without I/O, so that the operators' program and the daemons cannot disagree.
 
 mod change;
+mod copy;
 mod digest;
+mod edit;
 mod effective;
 mod error;
 mod field;
 mod generations;
 mod homes;
 mod route;
+mod route_set;
+mod route_table;
+mod sum;
 mod tree;
 
 pub use change::{Change, Conflict, diff, merge};
+pub use copy::{
+    CopiedBucket, CopiedRoute, CopyAsk, CopyBase, CopyError, CopyStep, TreeCopy, TreePart,
+};
 pub use digest::{Digest, digest};
+pub use edit::TreeEdit;
 pub use effective::{Effective, Once, Origin, Resolved};
 pub use error::{Fault, SettingsError};
 pub use field::{FIELDS, FieldSpec, Kind, field};
 pub use generations::{Generation, OfferError};
-pub use route::{NamedRoute, Route, RouteEffects, RoutePart, RouteTable};
+pub use route::{NamedRoute, Route, RouteEffects, RoutePart};
+pub use route_table::RouteTable;
 pub use tree::{Tree, valid_name};
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -1,27 +1,50 @@
 //! The tree itself, kept flat: one entry a path. Differences, merges and
 //! origins are then operations on sorted maps; the nested JSON form exists only
 //! at the edges.
+//!
+//! Trees that follow each other share what is equal: the levels, and buckets of routes.
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, OnceLock};
 
 use serde_json::{Map, Value, json};
+use sha2::{Digest as _, Sha256};
 
+use crate::digest::Digest;
 use crate::effective::Effective;
 use crate::error::{Fault, SettingsError};
 use crate::field::{field, wrong_type};
 use crate::homes;
-use crate::route::{ROUTES, Route};
+use crate::route::{NamedRoute, ROUTES, Route};
+use crate::route_set::{BUCKETS, RouteSet};
+use crate::sum::Sum;
 
 const ROOT: &str = "root";
 const NAME_LIMIT: usize = 63;
+/// Most routes of a tree: a daemon holds about 0.7 KiB for each.
+const ROUTES_LIMIT: usize = 50_000;
+
+/// The settings of all levels, with their sum once it was asked for.
+#[derive(Clone, Debug, Default)]
+struct Levels {
+    entries: BTreeMap<String, Value>,
+    sum: OnceLock<Sum>,
+}
 
 /// A checked tree of settings.
 ///
 /// A key is the path of a level (`places.howrah`) with an empty object, or the
-/// path of a field (`places.howrah.slots`) with its value.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// path of a field (`places.howrah.slots`) with its value. Routes have names of their own.
+#[derive(Clone, Debug, Default)]
 pub struct Tree {
-    entries: BTreeMap<String, Value>,
+    levels: Arc<Levels>,
+    routes: RouteSet,
+}
+
+impl PartialEq for Tree {
+    fn eq(&self, other: &Self) -> bool {
+        self.has_levels_of(other) && self.routes == other.routes
+    }
 }
 
 impl Tree {
@@ -40,6 +63,17 @@
     /// # Errors
     /// The first fault, with its path.
     pub fn from_json(value: &Value) -> Result<Tree, SettingsError> {
+        let mut tree = Tree::levels_from_json(value)?;
+        let root = object(ROOT, value)?;
+        for (name, route) in children(ROOT, root, "routes")? {
+            tree.put(&format!("{ROUTES}{name}"), route.clone())?;
+        }
+        tree.check_consistent()?;
+        Ok(tree)
+    }
+
+    /// The levels alone of the nested JSON form, without what depends on each other.
+    pub(crate) fn levels_from_json(value: &Value) -> Result<Tree, SettingsError> {
         let mut tree = Tree::default();
         let root = object(ROOT, value)?;
         only_keys(ROOT, root, &["settings", "places", "routes"])?;
@@ -47,34 +81,42 @@
         for (name, place) in children(ROOT, root, "places")? {
             tree.read_place(&name, place)?;
         }
-        for (name, route) in children(ROOT, root, "routes")? {
-            tree.put(&format!("{ROUTES}{name}"), route.clone())?;
-        }
-        tree.check_consistent()?;
         Ok(tree)
     }
 
-    /// Rebuilds a tree from its flat entries, with every check made again.
+    /// Rebuilds a tree from the flat entries of its levels and with the routes of another,
+    /// with every check of the levels made again.
     ///
     /// # Errors
     /// The first fault, with its path.
-    pub fn from_entries(entries: BTreeMap<String, Value>) -> Result<Tree, SettingsError> {
+    pub(crate) fn from_entries(
+        entries: BTreeMap<String, Value>,
+        routes: &Tree,
+    ) -> Result<Tree, SettingsError> {
         let mut tree = Tree::default();
         for (path, value) in entries {
             tree.put(&path, value)?;
         }
+        tree.routes = routes.routes.clone();
         tree.check_consistent()?;
         Ok(tree)
     }
 
     /// The nested JSON form. Keys are sorted, so equal trees give equal text.
     pub fn to_json(&self) -> Value {
+        let mut root = self.levels_json();
+        if self.routes.len() > 0 {
+            let routes = self.routes.iter();
+            let routes = routes.map(|named| (named.name.clone(), named.route.to_json()));
+            root["routes"] = Value::Object(routes.collect());
+        }
+        root
+    }
+
+    /// The nested JSON form without the routes.
+    pub(crate) fn levels_json(&self) -> Value {
         let mut root = json!({"settings": {}, "places": {}});
-        for (path, value) in &self.entries {
-            if let Some(name) = path.strip_prefix(ROUTES) {
-                root["routes"][name] = value.clone();
-                continue;
-            }
+        for (path, value) in &self.levels.entries {
             let (level, name) = split_field(path);
             let at = level_mut(&mut root, level);
             if let Some(name) = name {
@@ -84,14 +126,67 @@
         root
     }
 
-    /// The flat entries by path.
-    pub fn entries(&self) -> &BTreeMap<String, Value> {
-        &self.entries
+    /// The flat entries of the levels by path; routes are left out.
+    pub(crate) fn entries(&self) -> &BTreeMap<String, Value> {
+        &self.levels.entries
+    }
+
+    /// The route of a name.
+    pub fn route(&self, name: &str) -> Option<&NamedRoute> {
+        self.routes.get(name).map(|named| &**named)
+    }
+
+    /// All routes, in no order that means anything.
+    pub fn routes(&self) -> impl Iterator<Item = &NamedRoute> {
+        self.routes.iter().map(|named| &**named)
+    }
+
+    /// How many routes there are.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
     }
 
-    /// The value set at exactly this path, not an inherited one.
+    pub(crate) fn route_set(&self) -> &RouteSet {
+        &self.routes
+    }
+
+    /// Whether the levels have the same settings as those of another tree.
+    pub fn has_levels_of(&self, other: &Tree) -> bool {
+        let is_shared = Arc::ptr_eq(&self.levels, &other.levels);
+        is_shared || self.levels.entries == other.levels.entries
+    }
+
+    /// Digest of all entries, whatever their text. It costs the sums of the buckets, and
+    /// nothing for each route.
+    pub fn entries_digest(&self) -> Digest {
+        let mut hasher = Sha256::new();
+        hasher.update(self.levels_sum().to_bytes());
+        for bucket in 0..BUCKETS {
+            hasher.update(self.routes.bucket_sum(bucket).to_bytes());
+        }
+        Digest::from_hex(hex::encode(hasher.finalize()))
+    }
+
+    pub(crate) fn levels_sum(&self) -> Sum {
+        let sum = || Sum::of(ROOT, self.levels_json().to_string().as_bytes());
+        *self.levels.sum.get_or_init(sum)
+    }
+
+    pub(crate) fn take_levels(&mut self, other: &Tree) {
+        self.levels = Arc::clone(&other.levels);
+    }
+
+    pub(crate) fn share_route(&mut self, named: Arc<NamedRoute>) {
+        self.routes.put(named);
+    }
+
+    pub(crate) fn remove_route(&mut self, name: &str) -> Option<Arc<NamedRoute>> {
+        self.routes.remove(name)
+    }
+
+    /// The value set at exactly this path of a level, not an inherited one.
     pub fn get(&self, path: &str) -> Option<&Value> {
-        self.entries.get(path)
+        self.levels.entries.get(path)
     }
 
     /// Sets one field, and adds its place and service where they are new.
@@ -113,7 +208,10 @@
     pub fn unset(&mut self, path: &str) -> Result<Option<Value>, SettingsError> {
         check_path(path)?;
         let mut next = self.clone();
-        let old = next.entries.remove(path);
+        let old = match path.strip_prefix(ROUTES) {
+            Some(name) => next.remove_route(name).map(|named| named.route.to_json()),
+            None => next.levels_mut().remove(path),
+        };
         next.check_consistent()?;
         *self = next;
         Ok(old)
@@ -133,7 +231,7 @@
     pub fn knows_service(&self, service: &str) -> bool {
         self.places()
             .iter()
-            .any(|place| self.entries.contains_key(&service_path(place, service)))
+            .any(|place| self.get(&service_path(place, service)).is_some())
     }
 
     /// The levels that govern a service at a place, from the root down. A
@@ -147,9 +245,9 @@
     }
 
     fn names_below<'a>(&'a self, prefix: &str) -> Vec<&'a str> {
-        self.entries
-            .keys()
-            .filter_map(|path| path.strip_prefix(prefix))
+        let below = self.entries().range(prefix.to_owned()..);
+        below
+            .map_while(|(path, _)| path.strip_prefix(prefix))
             .filter(|rest| !rest.contains('.'))
             .collect()
     }
@@ -182,7 +280,7 @@
 
     fn put(&mut self, path: &str, value: Value) -> Result<(), SettingsError> {
         if let Some(name) = path.strip_prefix(ROUTES) {
-            return self.put_route(path, name, value);
+            return self.put_route(path, name, &value);
         }
         let (level, name) = split_field(path);
         let Some(name) = name else {
@@ -192,16 +290,24 @@
         spec.check(&value)
             .map_err(|fault| SettingsError::at(path, fault))?;
         self.add_level(level)?;
-        self.entries.insert(path.to_owned(), spec.normal(value));
+        let normal = spec.normal(value);
+        self.levels_mut().insert(path.to_owned(), normal);
         Ok(())
     }
 
-    fn put_route(&mut self, path: &str, name: &str, value: Value) -> Result<(), SettingsError> {
+    /// The entries of the levels, to be changed.
+    fn levels_mut(&mut self) -> &mut BTreeMap<String, Value> {
+        let levels = Arc::make_mut(&mut self.levels);
+        levels.sum = OnceLock::new();
+        &mut levels.entries
+    }
+
+    fn put_route(&mut self, path: &str, name: &str, value: &Value) -> Result<(), SettingsError> {
         if !valid_name(name) {
             return Err(SettingsError::at(path, Fault::BadName));
         }
-        Route::parse(path, &value)?;
-        self.entries.insert(path.to_owned(), value);
+        let route = Route::parse(path, value)?;
+        self.share_route(Arc::new(NamedRoute::new(name, route)?));
         Ok(())
     }
 
@@ -217,15 +323,35 @@
             return Err(SettingsError::at(path, Fault::BadName));
         }
         let place = format!("places.{}", names[0]);
-        self.entries.entry(place).or_insert_with(|| json!({}));
-        self.entries
-            .entry(path.to_owned())
-            .or_insert_with(|| json!({}));
+        let entries = self.levels_mut();
+        entries.entry(place).or_insert_with(|| json!({}));
+        entries.entry(path.to_owned()).or_insert_with(|| json!({}));
         Ok(())
     }
 
-    /// Checks fields that depend on each other wherever they come together.
     fn check_consistent(&self) -> Result<(), SettingsError> {
+        self.check_size()?;
+        self.check_levels()?;
+        homes::check(self)
+    }
+
+    /// Checks that the tree is no larger than every daemon can hold.
+    pub(crate) fn check_size(&self) -> Result<(), SettingsError> {
+        let found = self.routes.len();
+        if found <= ROUTES_LIMIT {
+            return Ok(());
+        }
+        let fault = Fault::OutOfRange {
+            found: found as u64,
+            min: 0,
+            max: ROUTES_LIMIT as u64,
+            unit: "routes",
+        };
+        Err(SettingsError::at("routes", fault))
+    }
+
+    /// Checks fields that depend on each other wherever they come together.
+    pub(crate) fn check_levels(&self) -> Result<(), SettingsError> {
         let mut levels = vec![(String::new(), String::new())];
         for place in self.places() {
             levels.push((place.to_owned(), String::new()));
@@ -235,7 +361,7 @@
         for (place, service) in levels {
             Effective::of(self, &place, &service).check(&place, &service)?;
         }
-        homes::check(self)
+        Ok(())
     }
 }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -14,6 +14,17 @@
     /// Bytes follow the message.
     #[error("{0} bytes follow the message")]
     Trailing(usize),
+    /// Packed content cannot be unpacked.
+    #[error("malformed packed content: {0}")]
+    Packed(#[from] lz4_flex::block::DecompressError),
+    /// Packed content says that it is larger than any may be.
+    #[error("{found} bytes of packed content, {limit} allowed")]
+    TooLarge {
+        /// Bytes that it says it has.
+        found: usize,
+        /// Bytes that are allowed.
+        limit: usize,
+    },
     /// The message cannot be encoded.
     #[error("cannot encode: {0}")]
     Encode(#[from] ciborium::ser::Error<std::io::Error>),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,6 +9,7 @@
 use serde_bytes::ByteBuf;
 
 use crate::hello::{Hello, Proof};
+use crate::settings_part::{SettingsAsk, SettingsReply};
 
 /// One message with the sender's generation of settings.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -169,17 +170,6 @@
     NotMine,
 }
 
-/// A tree of settings on its way to a peer.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TreeCopy {
-    /// Its generation.
-    pub generation: u64,
-    /// Digest of the text.
-    pub digest: String,
-    /// The canonical JSON text.
-    pub text: String,
-}
-
 /// One row of the members' table on its way to a peer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RowFrame {
@@ -329,20 +319,14 @@
         /// The verdict.
         verdict: GuardedVerdict,
     },
-    /// Asks for the tree in force.
-    FetchTree {
-        /// Number of the ask.
-        ask: u64,
-        /// Largest text that is wanted, in bytes, where there is a limit.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        limit: Option<u64>,
-    },
-    /// The tree in force, if there is one.
-    Tree {
+    /// Asks for the settings in force, as far as they differ from what the asker has.
+    AskSettings(SettingsAsk),
+    /// What the other side has of them.
+    Settings {
         /// Number of the ask.
         ask: u64,
-        /// The copy.
-        copy: Option<TreeCopy>,
+        /// The reply.
+        reply: SettingsReply,
     },
     /// Availability zones that were evacuated, or are no more, as the sender knows.
     Zones(Vec<ZoneNews>),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,11 +8,13 @@
 mod frame;
 mod hello;
 mod prints;
+mod settings_part;
 
 pub use codec::{CodecError, decode, encode};
 pub use frame::{
     Answer, BodyToCome, CallFrame, Envelope, Frame, GuardedVerdict, Header, IdleFrame, PieceFrame,
-    RequestHead, RowFrame, RowsFrame, TreeCopy,
+    RequestHead, RowFrame, RowsFrame,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
 pub use prints::request_prints;
+pub use settings_part::{SettingsAsk, SettingsPart, SettingsReply};
