A doubt ends a wait of the store, not an answer that is on its way

Cause: a failure of one feed, or news that no peer can give, ends the other feed's call, so that it is made anew on another connection. It also ended a call whose answer was half read; in the incident the late daemon logged feed asked anew six times in 15 s. A call now says when its answer begins, and from then on a doubt does not end it.

--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lynxcleat_store::{Ask, Duty, Follower, RowStoreError, StoredRow};
+use lynxcleat_store::{
+    Answering, Ask, Duty, Follower, RowStoreError, RowVersion, RowsAt, StoredRow,
+};
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -253,15 +255,33 @@
             Ask::Changes { after } => {
                 count(&self.core.metrics.store_calls, self.names.wait);
                 let wait = self.wait(wait);
-                let changes = tokio::select! {
-                    changes = store.changes(self.table, after, wait) => changes?,
-                    _ = self.doubted.changed() => return Err(FeedError::Doubted),
-                };
+                let changes = self.await_changes(after, wait).await?;
                 Ok(lock(self.follower).changed(changes))
             }
         }
     }
 
+    /// Waits for changes until there is a doubt; an answer on its way is beyond doubt.
+    async fn await_changes(
+        &mut self,
+        after: RowVersion,
+        wait: Duration,
+    ) -> Result<RowsAt, FeedError> {
+        let answering = Answering::default();
+        let store = &self.directory.directory.store;
+        let mut changes = store.changes(self.table, after, wait, &answering);
+        loop {
+            tokio::select! {
+                changes = &mut changes => return Ok(changes?),
+                _ = self.doubted.changed() => {
+                    if !answering.has_begun() {
+                        return Err(FeedError::Doubted);
+                    }
+                }
+            }
+        }
+    }
+
     fn wait(&mut self, usual: Option<Duration>) -> Duration {
         let wait = lock(self.follower).wait(usual);
         match std::mem::replace(&mut self.asked, true) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -26,7 +26,9 @@
 pub use own_row::OwnRow;
 pub use release::{AcceptRequest, Accepted, accept, accepted_change, history, read_tree};
 pub use row_copy::{DeltaTaken, Missing, RowCopy, RowDelta};
-pub use row_store::{RowStore, RowStoreError, RowVersion, RowWrite, RowsAt, StoreCall, StoredRow};
+pub use row_store::{
+    Answering, RowStore, RowStoreError, RowVersion, RowWrite, RowsAt, StoreCall, StoredRow,
+};
 pub use rows::{
     AuditEntry, ClaimRow, GenerationRow, Pointer, UnsettledRow, audit_key, claim_key,
     generation_key, keys, unsettled_key,
--- a/crates/store/src/row_store.rs
+++ b/crates/store/src/row_store.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use thiserror::Error;
@@ -69,18 +70,35 @@
     Malformed(String),
 }
 
+/// Whether the answer of a call has begun to come.
+#[derive(Debug, Default)]
+pub struct Answering(AtomicBool);
+
+impl Answering {
+    /// Its first bytes came.
+    pub fn begin(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether they did.
+    pub fn has_begun(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// A store of versioned rows. Answers may be old after history was lost.
 pub trait RowStore: Send + Sync {
     /// All rows of a table.
     fn read<'a>(&'a self, table: &'a str) -> StoreCall<'a, RowsAt>;
 
     /// Rows of a table that changed after a version, as soon as there are any;
-    /// none where `wait` passes without a change.
+    /// none where `wait` passes without a change. The answer says when it begins.
     fn changes<'a>(
         &'a self,
         table: &'a str,
         after: RowVersion,
         wait: Duration,
+        answering: &'a Answering,
     ) -> StoreCall<'a, RowsAt>;
 
     /// Writes one row if its condition holds, and returns its new version.
