The test of the rate of copies asks for more than the rate

Without the rate it passed: what it asked for came to 200 kB a second, and 500 are allowed. A test alone changes.

--- a/crates/policy/tests/settings_copies.rs
+++ b/crates/policy/tests/settings_copies.rs
@@ -77,7 +77,7 @@
     /// In any second and whatever is asked for, what is sent stays within the rate, a twentieth
     /// of a second ahead of it, and the last part.
     #[test]
-    fn what_is_sent_keeps_to_the_rate(asks in prop::collection::vec((0..200_u64, 1..40_000_usize), 1..300)) {
+    fn what_is_sent_keeps_to_the_rate(asks in prop::collection::vec((0..20_u64, 1..40_000_usize), 1..300)) {
         const BYTES_PER_S: usize = 500_000;
         const LARGEST: usize = 40_000;
         let mut rate = CopyRate::default();
