--- a/crates/daemon/src/settings/poll.rs
+++ b/crates/daemon/src/settings/poll.rs
@@ -26,6 +26,7 @@
 const FIRST_POLL_MS: u64 = 300;
 /// Longest wait for a peer's copy of the tree.
 const PEER_LIMIT: Duration = Duration::from_secs(10);
+
 /// Why a generation could not be taken up.
 #[derive(Debug, Error)]
 enum TakeError {
--- a/crates/daemon/src/settings/serve.rs
+++ b/crates/daemon/src/settings/serve.rs
@@ -59,7 +59,7 @@
 /// What a peer lacks; nothing where the tree that it has is not known here.
 fn part_for(core: &Core, tree: &Tree, wanted: &CopyAsk) -> Option<TreePart> {
     match &wanted.base {
-        CopyBase::Units(sums) => Some(tree.part_beyond(wanted.first, sums, PART_BYTES)),
+        CopyBase::Units(sums) => Some(tree.part_by_sums(wanted.first, sums, PART_BYTES)),
         CopyBase::Tree(digest) => {
             let before = core.settings.earlier(digest.as_str())?;
             Some(tree.part_since(&before, wanted.first, PART_BYTES))
--- a/crates/settings/src/copy.rs
+++ b/crates/settings/src/copy.rs
@@ -83,7 +83,7 @@
 impl Tree {
     /// The first units that differ from some others by their sums, with no more bytes than
     /// `limit` before the last of them.
-    pub fn part_beyond(&self, first: u16, sums: &[u64], limit: usize) -> TreePart {
+    pub fn part_by_sums(&self, first: u16, sums: &[u64], limit: usize) -> TreePart {
         let sum = |unit: u16| sums.get(usize::from(unit - first));
         let differs = |unit| sum(unit).is_some_and(|sum| *sum != self.unit_sum(unit));
         self.part(first, limit, differs, |bucket| self.whole_bucket(bucket))
@@ -279,7 +279,8 @@
         }
     }
 
-    /// Parts are of several generations, so that any unit may differ.
+    /// Any unit may differ: parts are of several generations, or did not fit the tree that the
+    /// copy began with.
     fn compare_units(&mut self) -> CopyStep {
         self.base = None;
         self.next = LEVELS;
--- a/crates/settings/tests/copies.rs
+++ b/crates/settings/tests/copies.rs
@@ -84,7 +84,7 @@
         let CopyBase::Units(sums) = asked.base else {
             unreachable!("a base is a tree or units")
         };
-        return source.part_beyond(asked.first, &sums, PART_BYTES);
+        return source.part_by_sums(asked.first, &sums, PART_BYTES);
     };
     let known = earlier.iter().find(|tree| tree.entries_digest() == digest);
     if let Some(known) = known {
