--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -2,7 +2,7 @@
 //! of RFC 9457 with a machine-readable outcome.
 
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use lynxcleat_policy::{Micros, NotRunReason};
 use lynxcleat_wire::{Answer, Header};
@@ -47,6 +47,12 @@
     NoService(String),
     /// No route is for the request's host and path.
     NoRoute,
+    /// The call carries no valid key of an organisation.
+    NoKey(KeyFault),
+    /// The organisation has used up its quota.
+    OverQuota { retry_after_us: Micros },
+    /// The settings are too stale to exclude that the key was revoked.
+    KeysInDoubt,
     /// The body is larger than the settings allow.
     TooLarge { limit: usize },
     /// The body took too long.
@@ -72,6 +78,30 @@
     Unknown { retry_after_us: Option<Micros> },
 }
 
+/// Why the key of a call was rejected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum KeyFault {
+    /// The call carries no key.
+    Missing,
+    /// The call carries several keys, or one of invalid length.
+    Malformed,
+    /// The key belongs to no organisation.
+    Unknown,
+}
+
+impl KeyFault {
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            KeyFault::Missing => "missing",
+            KeyFault::Malformed => "malformed",
+            KeyFault::Unknown => "unknown",
+        }
+    }
+}
+
+/// Value of `WWW-Authenticate` in 401 responses (RFC 9110, section 11.6.1).
+const CHALLENGE: &str = "Key realm=\"lynxcleat\"";
+const KEYS_IN_DOUBT_RETRY_AFTER_US: Micros = 500_000;
 const NOT_READY_RETRY_AFTER_US: Micros = 1_000_000;
 const NO_ROOM_RETRY_AFTER_US: Micros = 200_000;
 
@@ -111,6 +141,9 @@
         });
         let mut answer = build(told.status, PROBLEM_JSON, body.to_string());
         let headers = answer.headers_mut();
+        if told.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(CHALLENGE));
+        }
         if let Some(after_us) = told.retry_after_us {
             headers.insert(RETRY_AFTER, dialect.retry_after(after_us));
         }
@@ -157,6 +190,24 @@
                 "no route is for this host and path".to_owned(),
                 None,
             ),
+            Problem::NoKey(fault) => not_run(
+                StatusCode::UNAUTHORIZED,
+                "no-key",
+                format!("the key of an organisation is {}", fault.label()),
+                None,
+            ),
+            Problem::OverQuota { retry_after_us } => not_run(
+                StatusCode::TOO_MANY_REQUESTS,
+                "over-quota",
+                "the organisation made as many calls as it may".to_owned(),
+                Some(*retry_after_us),
+            ),
+            Problem::KeysInDoubt => not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "keys-in-doubt",
+                "nothing was heard of the accepted settings for too long to trust a key".to_owned(),
+                Some(KEYS_IN_DOUBT_RETRY_AFTER_US),
+            ),
             Problem::TooLarge { limit } => not_run(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "too-large",
--- a/crates/daemon/src/callers/classify.rs
+++ b/crates/daemon/src/callers/classify.rs
@@ -19,6 +19,8 @@
 
 /// Longest idempotency key, in bytes.
 const KEY_LIMIT: usize = 255;
+/// Maximum length of an organisation key, in bytes.
+const CALLER_KEY_LIMIT: usize = 1_024;
 
 /// How a call's effects are treated.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +35,28 @@
     Key(String),
 }
 
+/// Organisation key carried by a request.
+pub(super) enum CallerKey {
+    None,
+    One(Vec<u8>),
+    /// Several keys, or one that is empty or too long.
+    Malformed,
+}
+
+impl CallerKey {
+    fn of(headers: &HeaderMap, dialect: &Dialect) -> Self {
+        let mut values = headers.get_all(&dialect.caller_key).iter();
+        let Some(value) = values.next() else {
+            return CallerKey::None;
+        };
+        let key = value.as_bytes();
+        match values.next().is_none() && (1..=CALLER_KEY_LIMIT).contains(&key.len()) {
+            true => CallerKey::One(key.to_vec()),
+            false => CallerKey::Malformed,
+        }
+    }
+}
+
 /// A request's head, checked.
 pub(super) struct Classified {
     /// Host that the request names, in lower case and without a port.
@@ -43,6 +67,7 @@
     /// Whether its method asks for no effects.
     pub is_safe: bool,
     pub length: Option<u64>,
+    pub key: CallerKey,
     pub head: RequestHead,
 }
 
@@ -59,6 +84,7 @@
         may_retry: !retries.is_some_and(|retry| headers.contains_key(retry)),
         is_safe: is_safe(&parts.method),
         length: length(headers)?,
+        key: CallerKey::of(headers, dialect),
         head: RequestHead {
             method: parts.method.as_str().to_owned(),
             path: parts
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod calls;
 mod classify;
+mod organisation;
 mod pieces;
 pub(crate) mod room;
 mod serve;
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -5,8 +5,8 @@
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
 use lynxcleat_policy::{CallId, CallKind, Homes, Micros};
-use lynxcleat_settings::{Effective, NamedRoute, Route, RouteEffects};
-use lynxcleat_wire::BodyToCome;
+use lynxcleat_settings::{Effective, NamedOrganisation, NamedRoute, Route, RouteEffects};
+use lynxcleat_wire::{BodyToCome, CallingOrganisation};
 use rand::RngExt;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
@@ -14,12 +14,14 @@
 use super::answer::{self, HttpAnswer, Outcome, Problem};
 use super::body::{self, CallerBody};
 use super::classify::{self, Classified, Effects};
+use super::organisation;
 use super::pieces::{self, BodyEnd};
 use super::room::Taken;
 use crate::core::Core;
 use crate::http1::RequestBody;
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
+use crate::quota;
 use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, UploadReader};
 use crate::settings::state::InForce;
 
@@ -64,6 +66,7 @@
     effective: Arc<Effective>,
     generation: u64,
     service: Arc<ServiceRouter>,
+    organisation: Option<Arc<NamedOrganisation>>,
     terms: Terms,
 }
 
@@ -179,8 +182,14 @@
         effective,
         generation,
         service,
+        organisation,
         terms,
     } = pinned;
+    let token = quota::take(core, organisation.as_ref())
+        .await
+        .map_err(|over| Problem::OverQuota {
+            retry_after_us: over.retry_after_us,
+        })?;
     let deadline_ms = call
         .deadline_ms
         .unwrap_or(effective.deadline_ms)
@@ -200,6 +209,7 @@
         homes: terms.homes,
         nested,
         caller_service: caller_service(core),
+        organisation: organisation.as_deref().map(calling_organisation),
         generation,
         head: call.head,
         ahead: is_ahead,
@@ -218,9 +228,20 @@
         }
     };
     drop(room);
+    if let Err(Problem::NotRun { .. }) = &answered {
+        token.return_to_lease();
+    }
     answered
 }
 
+/// The organisation in its wire form.
+fn calling_organisation(named: &NamedOrganisation) -> CallingOrganisation {
+    CallingOrganisation {
+        name: named.name.clone(),
+        priority: named.organisation.priority,
+    }
+}
+
 /// Tells of a call that waited for its turn on its connection.
 fn note_wait(core: &Core, name: &str, waited_us: Micros) {
     if waited_us < WAIT_US {
@@ -343,6 +364,8 @@
     let Some(effective) = in_force.service(name) else {
         return Err(Problem::NoService(name.to_owned()));
     };
+    let is_public = route.as_ref().is_some_and(|named| named.route.public);
+    let organisation = organisation::check(core, &in_force, &effective, &call.key, is_public)?;
     let terms = match &route {
         Some(named) => Terms {
             timeout_ms: named.route.timeout_ms,
@@ -369,6 +392,7 @@
         service: core.routers.get(core, name, &effective),
         generation: in_force.generation.number,
         effective,
+        organisation,
         call,
         terms,
     })
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::once::state::Once;
 use crate::quarantine::QuarantineState;
+use crate::quota::state::QuotaState;
 use crate::rollout::state::RolloutStates;
 use crate::route::service::Routers;
 use crate::settings::state::SettingsState;
@@ -75,6 +76,8 @@
     pub half: Half,
     /// Guard, tickets and claims.
     pub once: Once,
+    /// Quota leases and buckets of organisations.
+    pub quota: QuotaState,
     /// What it sends to other regions.
     pub region_egress: RegionEgress,
     /// The budget of measuring.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -30,6 +30,8 @@
 use crate::once::{self, Once};
 use crate::ops::{Ops, OpsError, OpsHandle, Status, status};
 use crate::quarantine::{self, QuarantineState};
+use crate::quota;
+use crate::quota::state::QuotaState;
 use crate::rollout::RolloutStates;
 use crate::route::Routers;
 use crate::settings::state::SettingsState;
@@ -126,6 +128,7 @@
         };
         let core = Arc::new(build(config, environment, me, clock));
         quarantine::spread::start(&core);
+        quota::start(&core);
         half::start(&core);
         tokio::spawn(suspension::follow(Arc::clone(&core)));
         match core.directory {
@@ -315,6 +318,7 @@
             me.mesh.to_string(),
             config.shared_key.as_ref(),
         ),
+        quota: QuotaState::new(clock),
         region_egress: RegionEgress::new(clock),
         budget: MeasureBudget::new(clock),
         metrics: Metrics::default(),
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -7,7 +7,9 @@
 use lynxcleat_policy::Micros;
 use thiserror::Error;
 
-use crate::headers::{CALL, DEADLINE, OUTCOME, PREFIX, RETRY, RETRY_AFTER_MS};
+use crate::headers::{
+    CALL, CALLER_KEY, DEADLINE, ORGANISATION, OUTCOME, PREFIX, RETRY, RETRY_AFTER_MS,
+};
 
 /// What a target says that did not run a call, in our own interface.
 const NOT_RUN: &str = "not-run";
@@ -75,6 +77,10 @@
     pub instance: Option<HeaderName>,
     /// Service of the host where the call began, to targets.
     pub caller_service: Option<HeaderName>,
+    /// Key of the calling organisation, from callers.
+    pub caller_key: HeaderName,
+    /// Name of the calling organisation, to targets.
+    pub organisation: Option<HeaderName>,
     /// Marks a further attempt, from and to targets.
     pub retry: Option<HeaderName>,
     /// The target's load, from targets.
@@ -102,6 +108,8 @@
             callers_name_calls: false,
             instance: None,
             caller_service: None,
+            caller_key: HeaderName::from_static(CALLER_KEY),
+            organisation: Some(HeaderName::from_static(ORGANISATION)),
             retry: Some(HeaderName::from_static(RETRY)),
             load: None,
             cold_left_ms: None,
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -103,6 +103,13 @@
     }
 }
 
+/// Time since the store is last known to have answered one of its followers; zero if no directory
+/// is followed.
+pub fn silence(core: &Core) -> Duration {
+    let directory = core.directory.as_ref();
+    directory.map_or(Duration::ZERO, |directory| directory.silence(core))
+}
+
 /// Starts following the directory.
 pub fn start(core: &Arc<Core>) {
     core.set_leaving(LeaveCause::Report, true);
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::metrics::count;
 use crate::once;
 use crate::quarantine;
+use crate::quota;
 use crate::rollout;
 use crate::settings;
 
@@ -93,8 +94,10 @@
         Frame::Suspects(news) => quarantine::spread::take_news(core, link, &news),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows { after } => directory::send_rows(core, link, after),
+        Frame::AskQuota(ask) => quota::answer(core, link, ask),
         Frame::Fenced { ask, .. }
         | Frame::GuardedReply { ask, .. }
+        | Frame::Quota { ask, .. }
         | Frame::Settings { ask, .. } => {
             let taken = link.reply(ask, frame);
             count_late(core, taken, "reply");
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -234,6 +234,7 @@
             body_limit: self.settings.body_limit_bytes,
             instance,
             caller_service: call.caller_service,
+            organisation: call.organisation.map(|calling| calling.name),
         }
     }
 
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -34,6 +34,8 @@
     pub body_limit: usize,
     pub instance: Option<String>,
     pub caller_service: Option<String>,
+    /// Name of the calling organisation.
+    pub organisation: Option<String>,
 }
 
 /// The body that is written.
@@ -260,6 +262,7 @@
         left_us,
         instance,
         caller_service,
+        organisation,
         ..
     } = request;
     let body = match (body, pieces) {
@@ -280,6 +283,9 @@
     if let (Some(name), Some(value)) = (&dialect.caller_service, caller_service) {
         http = http.header(name, value);
     }
+    if let (Some(name), Some(value)) = (&dialect.organisation, organisation) {
+        http = http.header(name, value);
+    }
     http.header(&dialect.deadline, left_ms)
         .header(&dialect.call, call)
         .body(body)
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -22,6 +22,8 @@
 use crate::quarantine;
 use crate::sync::lock;
 
+/// Number of distinct priorities of an organisation or a route; higher values are clamped.
+const PRIORITY_LEVELS: u32 = 1 << 16;
 /// Longest wait before an ask about a running operation is answered "running".
 const FENCE_WAIT: Duration = Duration::from_millis(250);
 /// Hint for callers whose operation cannot be admitted here.
@@ -360,6 +362,10 @@
             head: &call.head,
             body: &call.body,
             caller_service: call.caller_service.as_deref(),
+            organisation: call
+                .organisation
+                .as_ref()
+                .map(|calling| calling.name.as_str()),
             prints,
         })
     }
@@ -399,7 +405,7 @@
         CallTerms {
             goal: call.goal_left_us.map(|left_us| now + left_us),
             kind: call.kind,
-            priority: call.priority,
+            priority: combined_priority(call),
             nested: self.half.is_nested(call),
             elsewhere: call.elsewhere,
         }
@@ -435,3 +441,11 @@
         }
     }
 }
+
+/// Priority of a call among those of a service: by organisation first, then by route.
+fn combined_priority(call: &CallFrame) -> u32 {
+    let organisation = call.organisation.as_ref();
+    let organisation_priority =
+        organisation.map_or(0, |calling| calling.priority.min(PRIORITY_LEVELS - 1));
+    organisation_priority * PRIORITY_LEVELS + call.priority.min(PRIORITY_LEVELS - 1)
+}
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -11,6 +11,10 @@
 pub const RETRY: &str = "lynxcleat-retry";
 /// Ticket of a once-only operation. From callers; a fresh one to callers.
 pub const TICKET: &str = "lynxcleat-ticket";
+/// Key of the calling organisation. From callers.
+pub const CALLER_KEY: &str = "lynxcleat-key";
+/// Name of the calling organisation. To targets.
+pub const ORGANISATION: &str = "lynxcleat-organisation";
 /// Plain idempotency key, from callers.
 pub const KEY: &str = "idempotency-key";
 /// `run`, `not-run` or `unknown`. To callers; `not-run` also from targets that
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod ops;
 mod process;
 mod quarantine;
+mod quota;
 mod rollout;
 mod route;
 mod settings;
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -184,6 +184,7 @@
         Frame::RolloutEvidence(_) => "rollout-evidence",
         Frame::RolloutIdle(_) => "rollout-idle",
         Frame::Suspects(_) => "suspects",
+        Frame::AskQuota(_) | Frame::Quota { .. } => "quota",
         Frame::Rows(_) | Frame::AskRows { .. } => "rows",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -82,6 +82,9 @@
     pub quarantined: Gauge,
     pub quarantine_refusals: Counter,
     pub home_refusals: Kinds,
+    pub key_refusals: Kinds,
+    pub quota_refusals: Counter,
+    pub quota_asks: Kinds,
     pub dropped_answers: Kinds,
     pub links: Gauge,
     pub links_refused: Kinds,
@@ -136,6 +139,9 @@
             quarantined: Gauge::default(),
             quarantine_refusals: Counter::default(),
             home_refusals: Family::default(),
+            key_refusals: Family::default(),
+            quota_refusals: Counter::default(),
+            quota_asks: Family::default(),
             dropped_answers: Family::default(),
             links: Gauge::default(),
             links_refused: Family::default(),
@@ -197,6 +203,9 @@
         registry.register("quarantined", "Those of them that are offered to no target", self.quarantined.clone());
         registry.register("quarantine_refusals", "Callers' calls refused since their request is quarantined", self.quarantine_refusals.clone());
         registry.register("home_refusals", "Calls refused for want of a target in their home regions, and at one outside", self.home_refusals.clone());
+        registry.register("key_refusals", "Calls refused for want of a key in force, by reason", self.key_refusals.clone());
+        registry.register("quota_refusals", "Calls refused since their organisation made as many as it may", self.quota_refusals.clone());
+        registry.register("quota_asks", "Questions for tokens of organisations, by what became of them", self.quota_asks.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
--- a/crates/daemon/src/quarantine/request.rs
+++ b/crates/daemon/src/quarantine/request.rs
@@ -25,6 +25,8 @@
     pub body: &'a [u8],
     /// Service of the host where it began, where targets are told it.
     pub caller_service: Option<&'a str>,
+    /// Name of the calling organisation.
+    pub organisation: Option<&'a str>,
     /// Its fingerprints once they are known.
     pub prints: &'a OnceLock<RequestPrints>,
 }
@@ -37,7 +39,13 @@
                 let name = HeaderName::from_bytes(name.as_bytes());
                 name.is_ok_and(|name| (self.dialect.is_ours)(&name))
             };
-            request_prints(self.head, self.body, self.caller_service, is_ours)
+            request_prints(
+                self.head,
+                self.body,
+                self.caller_service,
+                self.organisation,
+                is_ours,
+            )
         })
     }
 
--- /dev/null
+++ b/crates/daemon/src/quota/keepers.rs
@@ -0,0 +1,87 @@
+//! Tracking of the bucket owners, and the links between them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lynxcleat_policy::BucketOwners;
+use lynxcleat_store::HostState;
+
+use super::state::limit_of;
+use crate::core::Core;
+use crate::mesh::Links;
+
+/// Interval between refreshes of the owners.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Starts the periodic refresh of the bucket owners.
+pub fn start(core: &Arc<Core>) {
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        loop {
+            refresh(&core).await;
+            tokio::time::sleep(REFRESH_INTERVAL).await;
+        }
+    });
+}
+
+async fn refresh(core: &Arc<Core>) {
+    let Some(in_force) = core.settings.current() else {
+        return;
+    };
+    let tree = &in_force.generation.tree;
+    let mut all = tree.organisations();
+    if !all.any(|named| limit_of(&named.organisation).is_some()) {
+        return;
+    }
+    let owners = update(core);
+    if owners.contains(&core.config.host) {
+        connect_owners(core, &owners).await;
+    }
+    core.quota.retain(|name| tree.organisation(name).is_some());
+}
+
+/// Selects the bucket owners from the live members and stores them.
+fn update(core: &Core) -> Arc<BucketOwners> {
+    let members = core.hosts.all();
+    let live = members
+        .iter()
+        .filter(|entry| entry.state == HostState::Live);
+    let owners = BucketOwners::of(live.map(|entry| entry.host.as_str()));
+    core.quota.set_bucket_owners(owners)
+}
+
+/// Bucket owners as of the last refresh; selected now if there was none.
+pub(super) fn current(core: &Core) -> Arc<BucketOwners> {
+    let owners = core.quota.bucket_owners();
+    match owners.hosts().is_empty() {
+        true => update(core),
+        false => owners,
+    }
+}
+
+/// Connects this owner to the others, so that it can count those that it reaches.
+async fn connect_owners(core: &Arc<Core>, owners: &BucketOwners) {
+    for host in owners.hosts() {
+        let entry = core.hosts.get(host);
+        if let Some(entry) = entry.filter(|entry| core.links.live(&entry.mesh).is_none()) {
+            let core = Arc::clone(core);
+            tokio::spawn(async move {
+                let _ = Links::dial(&core, &entry.mesh).await;
+            });
+        }
+    }
+}
+
+/// Fraction of a limit that this daemon may grant.
+pub(super) fn share(core: &Core) -> f64 {
+    let owners = current(core);
+    let is_reachable = |host: &&String| {
+        **host == core.config.host
+            || core
+                .hosts
+                .get(host)
+                .is_some_and(|entry| core.links.live(&entry.mesh).is_some())
+    };
+    let reached = owners.hosts().iter().filter(is_reachable).count();
+    owners.share(reached, core.hosts.len())
+}
--- /dev/null
+++ b/crates/daemon/src/quota/state.rs
@@ -0,0 +1,93 @@
+//! Quota state of a daemon.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use lynxcleat_policy::{BucketOwners, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit};
+use lynxcleat_settings::Organisation;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::sync::lock;
+
+/// Lease of one organisation, shared by the calls that take tokens from it.
+#[derive(Default)]
+pub(super) struct SharedLease {
+    pub(super) lease: Mutex<QuotaLease>,
+    /// Notifies waiting calls of a response.
+    pub(super) answered: Notify,
+}
+
+/// Leases, and the buckets that this daemon owns.
+pub struct QuotaState {
+    clock: Clock,
+    leases: Mutex<HashMap<String, Arc<SharedLease>>>,
+    buckets: Mutex<HashMap<String, QuotaBucket>>,
+    bucket_owners: Mutex<Arc<BucketOwners>>,
+}
+
+impl QuotaState {
+    /// Creates a state without leases or buckets.
+    pub fn new(clock: Clock) -> Self {
+        QuotaState {
+            clock,
+            leases: Mutex::default(),
+            buckets: Mutex::default(),
+            bucket_owners: Mutex::default(),
+        }
+    }
+
+    pub(super) fn lease(&self, organisation: &str) -> Arc<SharedLease> {
+        let mut leases = lock(&self.leases);
+        if let Some(lease) = leases.get(organisation) {
+            return Arc::clone(lease);
+        }
+        let lease = Arc::<SharedLease>::default();
+        leases.insert(organisation.to_owned(), Arc::clone(&lease));
+        lease
+    }
+
+    /// Grants tokens from this daemon's bucket.
+    pub(super) fn grant(
+        &self,
+        organisation: &str,
+        limit: QuotaLimit,
+        share: f64,
+        (wanted, returned): (u32, u32),
+    ) -> QuotaGrant {
+        let now = self.clock.now();
+        let mut buckets = lock(&self.buckets);
+        let bucket = match buckets.get_mut(organisation) {
+            Some(bucket) => bucket,
+            None => buckets
+                .entry(organisation.to_owned())
+                .or_insert_with(|| QuotaBucket::new(limit, share, now)),
+        };
+        bucket.grant(now, limit, share, wanted, returned)
+    }
+
+    pub(super) fn bucket_owners(&self) -> Arc<BucketOwners> {
+        Arc::clone(&lock(&self.bucket_owners))
+    }
+
+    pub(super) fn set_bucket_owners(&self, bucket_owners: BucketOwners) -> Arc<BucketOwners> {
+        let bucket_owners = Arc::new(bucket_owners);
+        *lock(&self.bucket_owners) = Arc::clone(&bucket_owners);
+        bucket_owners
+    }
+
+    /// Drops the leases and buckets of organisations that no longer exist.
+    pub(super) fn retain(&self, exists: impl Fn(&str) -> bool) {
+        lock(&self.leases).retain(|name, _| exists(name));
+        lock(&self.buckets).retain(|name, _| exists(name));
+    }
+}
+
+/// The limit of an organisation, or `None` if it is unlimited.
+pub(super) fn limit_of(organisation: &Organisation) -> Option<QuotaLimit> {
+    let limit = QuotaLimit {
+        rate_per_1000_s: organisation.rate_per_1000_s,
+        burst: organisation.burst,
+    };
+    (limit.rate_per_1000_s > 0).then_some(limit)
+}
--- a/crates/daemon/src/route/offer.rs
+++ b/crates/daemon/src/route/offer.rs
@@ -95,6 +95,7 @@
             left_us: self.call.deadline.saturating_sub(self.core.clock.now()),
             operation: self.call.operation,
             caller_service: self.call.caller_service.clone(),
+            organisation: self.call.organisation.clone(),
             head,
             body,
             to_come,
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -12,7 +12,7 @@
     Action, AttemptId, CallId, CallKind, EndId, Event, Homes, Micros, NotRunReason, RequestPrints,
     Source, Standing, TargetId, UnknownReason, Verdict,
 };
-use lynxcleat_wire::{Answer, RequestHead};
+use lynxcleat_wire::{Answer, CallingOrganisation, RequestHead};
 use serde_bytes::ByteBuf;
 
 use super::ahead::SentAhead;
@@ -54,6 +54,8 @@
     pub nested: bool,
     /// Service of the host where it began, where targets want to know it.
     pub caller_service: Option<String>,
+    /// The calling organisation, if its key was checked.
+    pub organisation: Option<CallingOrganisation>,
     /// Generation of settings it is pinned to.
     pub generation: u64,
     /// Head of the request.
@@ -126,6 +128,10 @@
     verdict
 }
 
+fn organisation_name(organisation: &Option<CallingOrganisation>) -> Option<&str> {
+    organisation.as_ref().map(|calling| calling.name.as_str())
+}
+
 /// An attempt that was made.
 pub(super) struct OutAttempt {
     pub(super) attempt: AttemptId,
@@ -251,6 +257,7 @@
             head: &call.head,
             body: &call.body,
             caller_service: call.caller_service.as_deref(),
+            organisation: organisation_name(&call.organisation),
             prints: &self.prints,
         })
     }
--- a/crates/daemon/src/settings/state.rs
+++ b/crates/daemon/src/settings/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use lynxcleat_policy::CopyRate;
-use lynxcleat_settings::{Effective, Generation, OfferError, RouteTable, Tree};
+use lynxcleat_settings::{Effective, Generation, KeyTable, OfferError, RouteTable, Tree};
 use tokio::sync::watch;
 
 use crate::sync::lock;
@@ -22,6 +22,8 @@
     pub own: Arc<Effective>,
     /// Its routes.
     pub routes: RouteTable,
+    /// Lookup table of organisation keys.
+    pub keys: KeyTable,
     /// Whether it names home regions anywhere.
     pub has_homes: bool,
     /// Digest of its entries, by which peers check their copies.
@@ -43,9 +45,11 @@
         let own = same_levels.map(|before| Arc::clone(&before.own));
         let services = same_levels.map(|before| lock(&before.services).clone());
         let routes = before.map(|before| before.routes.followed_by(tree));
+        let keys = before.map(|before| before.keys.followed_by(tree));
         InForce {
             own: own.unwrap_or_else(|| Arc::new(Effective::of(tree, place, service))),
             routes: routes.unwrap_or_else(|| RouteTable::of(tree)),
+            keys: keys.unwrap_or_else(|| KeyTable::of(tree)),
             has_homes: tree.has_home_regions(),
             entries_digest: tree.entries_digest().to_string(),
             place: place.to_owned(),
--- a/crates/daemon/tests/crashing.rs
+++ b/crates/daemon/tests/crashing.rs
@@ -346,7 +346,7 @@
 /// What a router tells of a call under which one target ended.
 fn suspect(call: &CallFrame) -> SuspectNews {
     let is_ours = |name: &str| name.starts_with("lynxcleat-");
-    let prints = request_prints(&call.head, &call.body, None, is_ours);
+    let prints = request_prints(&call.head, &call.body, None, None, is_ours);
     SuspectNews {
         ends: vec![SeenEnd {
             end: EndId(call.attempt.0),
--- a/crates/daemon/tests/large_bodies/half.rs
+++ b/crates/daemon/tests/large_bodies/half.rs
@@ -29,6 +29,7 @@
         left_us: 10_000_000,
         operation: None,
         caller_service: None,
+        organisation: None,
         head: RequestHead {
             method: "POST".to_owned(),
             path: "/up/".to_owned(),
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -164,6 +164,7 @@
             left_us: LEFT_US,
             operation: None,
             caller_service: None,
+            organisation: None,
             head: RequestHead {
                 method: "GET".to_owned(),
                 path: "/x/".to_owned(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod pipeline;
 mod policy_name;
 mod quarantine;
+mod quota;
 mod redial;
 mod region_budget;
 mod report;
@@ -79,6 +80,10 @@
 pub use quarantine::{
     Changed, Listed, Quarantine, QuarantineLimits, SeenEnd, Standing, SuspectNews,
 };
+pub use quota::{
+    BucketOwners, LeaseStep, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
+    owner_count,
+};
 pub use redial::{Redial, RedialEvent};
 pub use region_budget::RegionBudget;
 pub use report::{InPlace, ReportEffect, ReportedState, TargetReport, TargetReports};
--- /dev/null
+++ b/crates/policy/src/quota/mod.rs
@@ -0,0 +1,13 @@
+//! Fleet-wide call quotas of organisations.
+//!
+//! One daemon owns the token bucket of an organisation ([`QuotaBucket`]), selected from the members
+//! by rendezvous hashing ([`BucketOwners`]). The other daemons lease tokens from it and prefetch
+//! them at high call rates ([`QuotaLease`]), so that most calls do not wait for a round trip.
+
+mod bucket;
+mod keepers;
+mod lease;
+
+pub use bucket::{QuotaBucket, QuotaGrant, QuotaLimit};
+pub use keepers::{BucketOwners, owner_count};
+pub use lease::{LeaseStep, QuotaLease, TokenRequest};
--- /dev/null
+++ b/crates/policy/tests/quota.rs
@@ -0,0 +1,268 @@
+//! Fleet-wide quotas: bounds on the calls admitted in any window.
+
+use std::collections::VecDeque;
+
+use lynxcleat_policy::{
+    BucketOwners, LeaseStep, Micros, QuotaBucket, QuotaLease, QuotaLimit, owner_count,
+};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+
+const SECOND: Micros = 1_000_000;
+/// Time from a token request to its response.
+const ROUND_TRIP: Micros = 2_000;
+/// Counting window, in seconds.
+const WINDOW_S: u64 = 5;
+/// Tolerance of the window bound beyond rate and burst: a fraction, and a number of calls.
+const EXCESS: f64 = 0.1;
+const SLACK: f64 = 20.0;
+
+fn limit(rate_per_s: u64, burst: u64) -> QuotaLimit {
+    QuotaLimit {
+        rate_per_1000_s: rate_per_s * 1_000,
+        burst,
+    }
+}
+
+/// Simulates, in virtual time, daemons that share one bucket.
+struct Fleet {
+    limit: QuotaLimit,
+    bucket: QuotaBucket,
+    leases: Vec<QuotaLease>,
+    /// Responses in transit: arrival time, daemon, tokens, retry delay.
+    responses: VecDeque<(Micros, usize, u32, Micros)>,
+    /// Waiting calls per daemon.
+    waiting: Vec<u32>,
+    ran_at: Vec<Micros>,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(limit: QuotaLimit, daemons: usize) -> Self {
+        Fleet {
+            limit,
+            bucket: QuotaBucket::new(limit, 1.0, 0),
+            leases: vec![QuotaLease::default(); daemons],
+            responses: VecDeque::new(),
+            waiting: vec![0; daemons],
+            ran_at: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn call(&mut self, now: Micros, daemon: usize) {
+        self.deliver(now);
+        self.leases[daemon].record_call(now);
+        self.take(now, daemon);
+    }
+
+    fn take(&mut self, now: Micros, daemon: usize) {
+        let ask = match self.leases[daemon].take(now) {
+            LeaseStep::Taken { ask } => {
+                self.ran_at.push(now);
+                ask
+            }
+            LeaseStep::Wait { ask } => {
+                self.waiting[daemon] += 1;
+                ask
+            }
+            LeaseStep::Limited { .. } => {
+                self.refused += 1;
+                None
+            }
+        };
+        if let Some(request) = ask {
+            let (tokens, returned) = (request.tokens, request.returned);
+            let grant = self.bucket.grant(now, self.limit, 1.0, tokens, returned);
+            let response = (now + ROUND_TRIP, daemon, grant.tokens, grant.retry_after_us);
+            self.responses.push_back(response);
+        }
+    }
+
+    fn deliver(&mut self, now: Micros) {
+        while self.responses.front().is_some_and(|(at, ..)| *at <= now) {
+            let (at, daemon, tokens, retry_after_us) = self.responses.pop_front().expect("one");
+            self.leases[daemon].apply_grant(at, tokens, retry_after_us);
+            for _ in 0..std::mem::take(&mut self.waiting[daemon]) {
+                self.take(at, daemon);
+            }
+        }
+    }
+
+    /// Maximum number of calls run in any window.
+    fn busiest_window(&self) -> usize {
+        let mut begin = 0;
+        let mut most = 0;
+        for (end, at) in self.ran_at.iter().enumerate() {
+            while self.ran_at[begin] + WINDOW_S * SECOND < *at {
+                begin += 1;
+            }
+            most = most.max(end + 1 - begin);
+        }
+        most
+    }
+
+    fn allowed(&self) -> f64 {
+        let per_s = self.limit.rate_per_1000_s as f64 / 1_000.0;
+        (per_s * WINDOW_S as f64 + self.limit.burst as f64) * (1.0 + EXCESS) + SLACK
+    }
+}
+
+/// Sends calls to random daemons at exponential intervals; `rates` lists calls per second and
+/// duration in seconds.
+fn run_load(fleet: &mut Fleet, rates: &[(u64, u64)], seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut now = 0;
+    for (per_s, seconds) in rates {
+        let end = now + seconds * SECOND;
+        while now < end {
+            let gap = -(1.0 - rng.random::<f64>()).ln() / *per_s as f64;
+            now += (gap * SECOND as f64) as Micros + 1;
+            let daemon = rng.random_range(0..fleet.leases.len());
+            fleet.call(now, daemon);
+        }
+    }
+    fleet.deliver(now + SECOND);
+}
+
+#[rstest]
+#[case::many_daemons_few_calls(1, 1, 1_000)]
+#[case::few_daemons(264, 264, 5)]
+#[case::sixty_two_daemons(264, 264, 62)]
+#[case::many_daemons(1_000, 500, 1_000)]
+fn an_organisation_that_asks_for_five_times_its_quota_gets_it_and_no_more(
+    #[case] rate: u64,
+    #[case] burst: u64,
+    #[case] daemons: usize,
+) {
+    let mut fleet = Fleet::new(limit(rate, burst), daemons);
+    run_load(&mut fleet, &[(rate, 3), (rate * 5, 20)], 7);
+    let most = fleet.busiest_window() as f64;
+    assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
+    let expected = rate * 20;
+    let ran = fleet.ran_at.len() as f64;
+    assert!(
+        ran >= expected as f64 * 0.95,
+        "{ran} calls ran, expected {expected}"
+    );
+}
+
+#[rstest]
+#[case(1, 5, 62)]
+#[case(20, 20, 62)]
+#[case(264, 264, 62)]
+#[case(100, 100, 1_000)]
+fn an_organisation_within_its_quota_is_never_refused(
+    #[case] rate: u64,
+    #[case] burst: u64,
+    #[case] daemons: usize,
+) {
+    let mut fleet = Fleet::new(limit(rate, burst), daemons);
+    run_load(&mut fleet, &[((rate * 5).div_ceil(8), 30)], 3);
+    let all = fleet.ran_at.len() + fleet.refused;
+    assert!(
+        fleet.refused * 200 <= all,
+        "{} of {all} refused",
+        fleet.refused
+    );
+}
+
+#[test]
+fn a_lower_limit_holds_one_window_later() {
+    let mut fleet = Fleet::new(limit(1_000, 1_000), 62);
+    run_load(&mut fleet, &[(1_500, 5)], 1);
+    fleet.limit = limit(50, 50);
+    fleet.ran_at.clear();
+    let mut rng = StdRng::seed_from_u64(2);
+    for step in 0..15_000 {
+        let daemon = rng.random_range(0..62);
+        fleet.call(6 * SECOND + step * 1_000, daemon);
+    }
+    fleet.ran_at.retain(|at| *at >= 11 * SECOND);
+    let most = fleet.busiest_window() as f64;
+    assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
+}
+
+#[test]
+fn tokens_of_calls_that_no_target_ran_serve_others() {
+    let mut fleet = Fleet::new(limit(10, 10), 1);
+    let mut returned = 0;
+    for step in 0..100 {
+        let now = step * SECOND / 20;
+        fleet.call(now, 0);
+        let ran = fleet.ran_at.len();
+        if ran > 0 && step.is_multiple_of(2) && returned < 30 {
+            returned += 1;
+            fleet.leases[0].return_token(now);
+        }
+    }
+    fleet.deliver(6 * SECOND);
+    let ran = fleet.ran_at.len();
+    // 5 initial tokens, then 10 per second until the last call at 4.95 s.
+    assert!(ran >= 54 + returned, "{ran} with {returned} returned");
+}
+
+#[test]
+fn retry_times_of_refused_callers_are_spaced_at_the_rate() {
+    let limit = limit(10, 1);
+    let mut bucket = QuotaBucket::new(limit, 1.0, 0);
+    bucket.grant(0, limit, 1.0, 1, 0);
+    let waits: Vec<Micros> = (0..4)
+        .map(|_| bucket.grant(0, limit, 1.0, 1, 0).retry_after_us)
+        .collect();
+    let are_spaced = waits.windows(2).all(|pair| pair[0] + 90_000 <= pair[1]);
+    assert!(are_spaced && waits[0] >= 90_000, "{waits:?}");
+}
+
+#[test]
+fn bucket_owners_on_both_sides_of_a_partition_bound_the_excess() {
+    let hosts: Vec<String> = (0..62).map(|number| format!("host-{number}")).collect();
+    let owners = BucketOwners::of(hosts.iter().map(String::as_str));
+    let all = owners.hosts().len();
+    assert_eq!(all, owner_count(62));
+    for side in 0..=all {
+        let shares = [side, all - side].map(|reached| owners.share(reached, 62));
+        let sum: f64 = shares.iter().sum();
+        assert!(sum <= 1.5, "{side} of {all}: {shares:?}");
+    }
+    assert!(owners.share(0, 62) <= 1.0 / 62.0);
+}
+
+#[test]
+fn bucket_owners_do_not_depend_on_member_order_and_are_few() {
+    let hosts: Vec<String> = (0..984).map(|number| format!("host-{number}")).collect();
+    let forward = BucketOwners::of(hosts.iter().map(String::as_str));
+    let backward = BucketOwners::of(hosts.iter().rev().map(String::as_str));
+    assert_eq!(forward, backward);
+    assert_eq!(forward.hosts().len(), 32);
+    let firsts: std::collections::BTreeSet<&str> = (0..500)
+        .map(|number| format!("organisation-{number}"))
+        .map(|name| forward.preference_order(&name)[0])
+        .map(|host| {
+            hosts
+                .iter()
+                .find(|known| *known == host)
+                .expect("a member")
+                .as_str()
+        })
+        .collect();
+    assert!(firsts.len() > 24, "{} own a bucket", firsts.len());
+}
+
+proptest! {
+    #[test]
+    fn no_window_has_more_calls_than_the_bound(
+        rate in 1_u64..400,
+        burst in 0_u64..400,
+        daemons in 1_usize..80,
+        loads in proptest::collection::vec((1_u64..1_500, 1_u64..6), 1..5),
+        seed in any::<u64>(),
+    ) {
+        let mut fleet = Fleet::new(limit(rate, burst), daemons);
+        run_load(&mut fleet, &loads, seed);
+        let most = fleet.busiest_window() as f64;
+        prop_assert!(most <= fleet.allowed(), "{} of {}", most, fleet.allowed());
+    }
+}
--- a/crates/settings/benches/change.rs
+++ b/crates/settings/benches/change.rs
@@ -28,6 +28,7 @@
         parts: vec![part("stock", weight), part("price", 10)],
         home_regions: Vec::new(),
         large_bodies: false,
+        public: false,
     }
 }
 
--- a/crates/settings/src/change.rs
+++ b/crates/settings/src/change.rs
@@ -7,13 +7,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use thiserror::Error;
 
 use crate::edit::TreeEdit;
+use crate::entry_set::EntryChange;
 use crate::error::SettingsError;
+use crate::organisation::{NamedOrganisation, ORGANISATIONS, Organisation, OrganisationSet};
 use crate::route::{ROUTES, Route};
 use crate::route_set::{RouteChange, RouteSet};
 use crate::tree::Tree;
@@ -71,6 +74,7 @@
 pub fn diff(old: &Tree, new: &Tree) -> Vec<Change> {
     let mut changes = level_changes(old, new);
     changes.extend(route_changes(old, new));
+    changes.extend(organisation_changes(old, new));
     changes.sort_by(|one, other| one.path.cmp(&other.path));
     changes
 }
@@ -101,6 +105,20 @@
     changes.filter_map(change).collect()
 }
 
+fn organisation_changes(old: &Tree, new: &Tree) -> Vec<Change> {
+    let changes = OrganisationSet::changes(old.organisation_set(), new.organisation_set());
+    let change = |change: EntryChange<NamedOrganisation>| {
+        let named = change.new.as_ref().or(change.old.as_ref())?;
+        let json = |named: &Arc<NamedOrganisation>| named.organisation.to_json();
+        Some(Change {
+            path: format!("{ORGANISATIONS}{}", named.name),
+            old: change.old.as_ref().map(json),
+            new: change.new.as_ref().map(json),
+        })
+    };
+    changes.into_iter().filter_map(change).collect()
+}
+
 /// Puts the edit `base` → `mine` on top of `theirs`.
 ///
 /// # Errors
@@ -111,7 +129,7 @@
         .map(|change| (change.path.clone(), change))
         .collect();
     let mut entries = theirs.entries().clone();
-    let mut routes = TreeEdit::of(theirs);
+    let mut named_entries = TreeEdit::of(theirs);
     for change in diff(base, mine) {
         if let Some(other) = their_changes.get(&change.path)
             && other.new != change.new
@@ -121,17 +139,30 @@
                 mine: Box::new(change),
             });
         }
-        match (change.path.strip_prefix(ROUTES), change.new) {
-            (Some(name), Some(value)) => {
-                routes.put_route(name, Route::parse(&change.path, &value)?)?;
+        if let Some(name) = change.path.strip_prefix(ROUTES) {
+            match change.new {
+                Some(value) => {
+                    named_entries.put_route(name, Route::parse(&change.path, &value)?)?
+                }
+                None => named_entries.remove_route(name),
+            }
+        } else if let Some(name) = change.path.strip_prefix(ORGANISATIONS) {
+            match change.new {
+                Some(value) => {
+                    let organisation = Organisation::parse(&change.path, &value)?;
+                    named_entries.put_organisation(name, organisation)?;
+                }
+                None => named_entries.remove_organisation(name),
+            }
+        } else {
+            match change.new {
+                Some(value) => drop(entries.insert(change.path, value)),
+                None => drop(entries.remove(&change.path)),
             }
-            (Some(name), None) => routes.remove_route(name),
-            (None, Some(value)) => drop(entries.insert(change.path, value)),
-            (None, None) => drop(entries.remove(&change.path)),
         }
     }
     check_levels(&entries)?;
-    Ok(Tree::from_entries(entries, routes.tree())?)
+    Ok(Tree::from_entries(entries, named_entries.tree())?)
 }
 
 /// Every entry below a place or service needs that level to be present.
--- a/crates/settings/src/copy.rs
+++ b/crates/settings/src/copy.rs
@@ -1,10 +1,10 @@
 //! Copying a tree part by part: the side that has a newer one sends the parts that differ.
 //!
-//! A tree is divided into units: its levels, and each bucket of its routes. The side that wants
-//! a newer tree names the one that it has, and is sent what changed since, a bounded number of
-//! bytes at a time; where the other side does not know that tree, it states the sums of its
-//! units, and is sent those that differ. What it has got stays, whichever side sends the rest
-//! and whatever generation that side has by then.
+//! A tree is divided into units: its levels, and each bucket of its routes and of its
+//! organisations. The side that wants a newer tree names the one that it has, and is sent what
+//! changed since, a bounded number of bytes at a time; where the other side does not know that
+//! tree, it states the sums of its units, and is sent those that differ. What it has got stays,
+//! whichever side sends the rest and whatever generation that side has by then.
 
 use std::sync::Arc;
 
@@ -14,14 +14,37 @@
 
 use crate::digest::Digest;
 use crate::edit::TreeEdit;
+use crate::entry_set::Entry;
 use crate::error::SettingsError;
+use crate::organisation::{NamedOrganisation, ORGANISATION_BUCKETS, Organisation, OrganisationSet};
 use crate::route::{NamedRoute, Route};
 use crate::route_set::{BUCKETS, bucket_of};
 use crate::tree::Tree;
 
-/// Unit of the levels; those of the buckets follow.
+/// Unit of the levels, followed by the units of the route buckets and of the organisation buckets.
 const LEVELS: u16 = 0;
-const UNITS: u16 = 1 + BUCKETS as u16;
+const FIRST_ORGANISATION_UNIT: u16 = 1 + BUCKETS as u16;
+const UNITS: u16 = FIRST_ORGANISATION_UNIT + ORGANISATION_BUCKETS as u16;
+
+/// Content of a unit, by its number.
+enum Unit {
+    /// The settings of all levels.
+    Levels,
+    /// A bucket of routes.
+    Routes(u16),
+    /// A bucket of organisations.
+    Organisations(u16),
+}
+
+impl Unit {
+    fn of(number: u16) -> Unit {
+        match number {
+            LEVELS => Unit::Levels,
+            bucket if bucket < FIRST_ORGANISATION_UNIT => Unit::Routes(bucket - 1),
+            bucket => Unit::Organisations(bucket - FIRST_ORGANISATION_UNIT),
+        }
+    }
+}
 
 /// What the side that wants a tree has.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -52,16 +75,31 @@
     pub route: Route,
 }
 
+/// An organisation in a copied bucket.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CopiedOrganisation {
+    /// Its name.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Its settings.
+    #[serde(rename = "o")]
+    pub organisation: Organisation,
+}
+
 /// One bucket, or what changed in it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct CopiedBucket {
+pub struct CopiedBucket<C = CopiedRoute> {
     /// Its number.
     #[serde(rename = "b")]
     pub number: u16,
-    /// Its routes, or those that changed.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    pub routes: Vec<CopiedRoute>,
-    /// Names of the routes that were removed; absent where `routes` are all of the bucket.
+    /// Its entries, or those that changed.
+    #[serde(
+        rename = "r",
+        default = "Vec::new",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub entries: Vec<C>,
+    /// Names of the removed entries; absent if `entries` is the whole bucket.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub removed: Option<Vec<String>>,
 }
@@ -72,9 +110,12 @@
     /// Nested JSON text of the levels, where they differ.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub levels: Option<String>,
-    /// Buckets that differ.
+    /// Route buckets that differ.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub buckets: Vec<CopiedBucket>,
+    /// Organisation buckets that differ.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub organisations: Vec<CopiedBucket<CopiedOrganisation>>,
     /// The unit from which on nothing was compared; absent where all was.
     #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
     pub next: Option<u16>,
@@ -86,23 +127,21 @@
     pub fn part_by_sums(&self, first: u16, sums: &[u64], limit: usize) -> TreePart {
         let sum = |unit: u16| sums.get(usize::from(unit - first));
         let differs = |unit| sum(unit).is_some_and(|sum| *sum != self.unit_sum(unit));
-        self.part(first, limit, differs, |bucket| self.whole_bucket(bucket))
+        self.part(None, first, limit, differs)
     }
 
     /// The same for what changed since another tree.
     pub fn part_since(&self, before: &Tree, first: u16, limit: usize) -> TreePart {
         let differs = |unit| before.unit_sum(unit) != self.unit_sum(unit);
-        self.part(first, limit, differs, |bucket| {
-            self.changed_bucket(before, bucket)
-        })
+        self.part(Some(before), first, limit, differs)
     }
 
     fn part(
         &self,
+        before: Option<&Tree>,
         first: u16,
         limit: usize,
         differs: impl Fn(u16) -> bool,
-        copy: impl Fn(u16) -> (CopiedBucket, usize),
     ) -> TreePart {
         let mut part = TreePart::default();
         let mut bytes = 0;
@@ -111,73 +150,87 @@
                 part.next = Some(unit);
                 break;
             }
-            if unit == LEVELS {
+            bytes += self.copy_unit(before, Unit::of(unit), &mut part);
+        }
+        part
+    }
+
+    /// Adds a unit to a part, or only its changes since `before`. Returns the size in bytes.
+    fn copy_unit(&self, before: Option<&Tree>, unit: Unit, part: &mut TreePart) -> usize {
+        match unit {
+            Unit::Levels => {
                 let text = self.levels_json().to_string();
-                bytes += text.len();
-                part.levels = Some(text);
-            } else {
-                let (copied, size) = copy(unit - 1);
-                bytes += size;
+                part.levels.insert(text).len()
+            }
+            Unit::Routes(number) => {
+                let bucket = |tree: &Tree| tree.route_set().bucket(usize::from(number)).to_vec();
+                let (copied, bytes) =
+                    copy_bucket(number, before.map(bucket), bucket(self), copy_route);
                 part.buckets.push(copied);
+                bytes
+            }
+            Unit::Organisations(number) => {
+                let bucket =
+                    |tree: &Tree| tree.organisation_set().bucket(usize::from(number)).to_vec();
+                let (copied, bytes) =
+                    copy_bucket(number, before.map(bucket), bucket(self), copy_organisation);
+                part.organisations.push(copied);
+                bytes
             }
         }
-        part
     }
 
     fn unit_sum(&self, unit: u16) -> u64 {
-        match unit {
-            LEVELS => self.levels_sum().short(),
-            bucket => self.route_set().bucket_sum(usize::from(bucket) - 1).short(),
-        }
+        let sum = match Unit::of(unit) {
+            Unit::Levels => self.levels_sum(),
+            Unit::Routes(bucket) => self.route_set().bucket_sum(usize::from(bucket)),
+            Unit::Organisations(bucket) => self.organisation_set().bucket_sum(usize::from(bucket)),
+        };
+        sum.short()
     }
 
     fn unit_sums(&self, first: u16) -> Vec<u64> {
         (first..UNITS).map(|unit| self.unit_sum(unit)).collect()
     }
-
-    /// A bucket with all its routes, and its size in bytes.
-    fn whole_bucket(&self, number: u16) -> (CopiedBucket, usize) {
-        let routes = self.route_set().bucket(usize::from(number));
-        copied(number, routes.iter(), None)
-    }
-
-    /// What changed in a bucket, and its size in bytes.
-    fn changed_bucket(&self, before: &Tree, number: u16) -> (CopiedBucket, usize) {
-        let [old, new] = [before, self].map(|tree| tree.route_set().bucket(usize::from(number)));
-        let changed = new
-            .iter()
-            .filter(|named| before.route(&named.name) != Some(&***named));
-        let removed = old
-            .iter()
-            .filter(|named| self.route(&named.name).is_none())
-            .map(|named| named.name.clone())
-            .collect();
-        copied(number, changed, Some(removed))
-    }
 }
 
-fn copied<'a>(
+/// Copies a bucket, or only its changes since `before`. Returns the copy and its size in bytes.
+fn copy_bucket<E: Entry, C>(
     number: u16,
-    routes: impl Iterator<Item = &'a Arc<NamedRoute>>,
-    removed: Option<Vec<String>>,
-) -> (CopiedBucket, usize) {
-    let mut bytes = 0;
-    let copy = |named: &Arc<NamedRoute>| {
-        bytes += named.bytes;
-        CopiedRoute {
-            name: named.name.clone(),
-            route: named.route.clone(),
-        }
-    };
-    let routes = routes.map(copy).collect();
+    before: Option<Vec<Arc<E>>>,
+    now: Vec<Arc<E>>,
+    copy: fn(&E) -> C,
+) -> (CopiedBucket<C>, usize) {
+    let is_in = |entries: &[Arc<E>], name: &str| entries.iter().any(|entry| entry.name() == name);
+    let is_new = |entry: &&Arc<E>| before.as_ref().is_none_or(|before| !before.contains(entry));
+    let changed: Vec<&Arc<E>> = now.iter().filter(is_new).collect();
+    let removed = before.as_ref().map(|before| {
+        let missing = before.iter().filter(|entry| !is_in(&now, entry.name()));
+        missing.map(|entry| entry.name().to_owned()).collect()
+    });
+    let bytes = changed.iter().map(|entry| entry.bytes()).sum();
     let bucket = CopiedBucket {
         number,
-        routes,
+        entries: changed.into_iter().map(|entry| copy(entry)).collect(),
         removed,
     };
     (bucket, bytes)
 }
 
+fn copy_route(named: &NamedRoute) -> CopiedRoute {
+    CopiedRoute {
+        name: named.name.clone(),
+        route: named.route.clone(),
+    }
+}
+
+fn copy_organisation(named: &NamedOrganisation) -> CopiedOrganisation {
+    CopiedOrganisation {
+        name: named.name.clone(),
+        organisation: named.organisation.clone(),
+    }
+}
+
 /// Why a part was not taken, or the whole is not what it should be.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum CopyError {
@@ -187,8 +240,8 @@
     /// The levels are not JSON.
     #[error("the levels are not JSON: {0}")]
     NotJson(String),
-    /// A bucket that no tree has, or a route in a bucket that is not its own.
-    #[error("a route or bucket out of place in bucket {0}")]
+    /// A bucket that no tree has, or an entry in a bucket that is not its own.
+    #[error("an entry or bucket out of place in bucket {0}")]
     Misplaced(u16),
     /// All units were compared and the whole still has another digest.
     #[error("the copy has digest {found}, its source {stated}")]
@@ -263,7 +316,10 @@
             self.edit.set_levels(&nested)?;
         }
         for bucket in part.buckets {
-            self.take_bucket(bucket)?;
+            self.take_routes(bucket)?;
+        }
+        for bucket in part.organisations {
+            self.take_organisations(bucket)?;
         }
         let before = self.generation.replace(generation);
         if before.is_some_and(|before| before != generation) {
@@ -287,20 +343,17 @@
         CopyStep::More
     }
 
-    fn take_bucket(&mut self, bucket: CopiedBucket) -> Result<(), CopyError> {
+    fn take_routes(&mut self, bucket: CopiedBucket) -> Result<(), CopyError> {
         let number = usize::from(bucket.number);
         let is_own = |copied: &CopiedRoute| bucket_of(&copied.name) == number;
-        if number >= BUCKETS || !bucket.routes.iter().all(is_own) {
+        if number >= BUCKETS || !bucket.entries.iter().all(is_own) {
             return Err(CopyError::Misplaced(bucket.number));
         }
-        let removed = match bucket.removed {
-            Some(removed) => removed,
-            None => self.absent(number, &bucket.routes),
-        };
-        for name in removed {
+        let present = self.edit.tree().route_set().bucket(number);
+        for name in removed_names(present, &bucket, |copied| &copied.name) {
             self.edit.remove_route(&name);
         }
-        for copied in bucket.routes {
+        for copied in bucket.entries {
             let present = self.edit.tree().route(&copied.name);
             if present.is_none_or(|named| named.route != copied.route) {
                 self.edit.put_route(&copied.name, copied.route)?;
@@ -309,12 +362,28 @@
         Ok(())
     }
 
-    /// Names of the routes of a bucket that are not among these.
-    fn absent(&self, bucket: usize, routes: &[CopiedRoute]) -> Vec<String> {
-        let present = self.edit.tree().route_set().bucket(bucket);
-        let is_absent = |name: &String| routes.iter().all(|copied| copied.name != *name);
-        let names = present.iter().map(|named| &named.name);
-        names.filter(|name| is_absent(name)).cloned().collect()
+    fn take_organisations(
+        &mut self,
+        bucket: CopiedBucket<CopiedOrganisation>,
+    ) -> Result<(), CopyError> {
+        let number = usize::from(bucket.number);
+        let is_own =
+            |copied: &CopiedOrganisation| OrganisationSet::bucket_of(&copied.name) == number;
+        if number >= ORGANISATION_BUCKETS || !bucket.entries.iter().all(is_own) {
+            return Err(CopyError::Misplaced(bucket.number));
+        }
+        let present = self.edit.tree().organisation_set().bucket(number);
+        for name in removed_names(present, &bucket, |copied| &copied.name) {
+            self.edit.remove_organisation(&name);
+        }
+        for copied in bucket.entries {
+            let present = self.edit.tree().organisation(&copied.name);
+            if present.is_none_or(|named| named.organisation != copied.organisation) {
+                self.edit
+                    .put_organisation(&copied.name, copied.organisation)?;
+            }
+        }
+        Ok(())
     }
 
     fn whole(&self, stated: &Digest) -> Result<CopyStep, CopyError> {
@@ -328,3 +397,20 @@
         Ok(CopyStep::Whole(self.edit.clone().finish()?))
     }
 }
+
+/// Names of the present entries that a copied bucket removes.
+fn removed_names<E: Entry, C>(
+    present: &[Arc<E>],
+    bucket: &CopiedBucket<C>,
+    name_of: fn(&C) -> &str,
+) -> Vec<String> {
+    if let Some(removed) = &bucket.removed {
+        return removed.clone();
+    }
+    let is_copied = |name: &str| bucket.entries.iter().any(|copied| name_of(copied) == name);
+    let names = present.iter().map(|entry| entry.name());
+    names
+        .filter(|name| !is_copied(name))
+        .map(str::to_owned)
+        .collect()
+}
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -6,6 +6,7 @@
 
 use crate::error::SettingsError;
 use crate::homes;
+use crate::organisation::{self, NamedOrganisation, Organisation};
 use crate::route::{NamedRoute, Route};
 use crate::tree::Tree;
 
@@ -71,6 +72,50 @@
         self.tree.remove_route(name);
     }
 
+    /// Adds an organisation, replacing any of the same name.
+    ///
+    /// # Errors
+    /// Fails if the name or the organisation is invalid.
+    pub fn put_organisation(
+        &mut self,
+        name: &str,
+        organisation: Organisation,
+    ) -> Result<(), SettingsError> {
+        let named = NamedOrganisation::new(name, organisation)?;
+        self.tree.share_organisation(Arc::new(named));
+        Ok(())
+    }
+
+    /// Adds an organisation that is already checked, unless an equal one is present.
+    pub fn put_named_organisation(&mut self, named: &Arc<NamedOrganisation>) {
+        if self.tree.organisation(&named.name) != Some(&**named) {
+            self.tree.share_organisation(Arc::clone(named));
+        }
+    }
+
+    /// Number of organisations.
+    pub fn organisation_count(&self) -> usize {
+        self.tree.organisation_count()
+    }
+
+    /// Removes the organisations for which `keep` is false.
+    pub fn retain_organisations(&mut self, keep: impl Fn(&NamedOrganisation) -> bool) {
+        let gone: Vec<String> = self
+            .tree
+            .organisations()
+            .filter(|named| !keep(named))
+            .map(|named| named.name.clone())
+            .collect();
+        for name in gone {
+            self.tree.remove_organisation(&name);
+        }
+    }
+
+    /// Removes an organisation, if present.
+    pub fn remove_organisation(&mut self, name: &str) {
+        self.tree.remove_organisation(name);
+    }
+
     /// Puts the settings of all levels in the place of the present ones, in their nested JSON
     /// form.
     ///
@@ -93,6 +138,9 @@
             false => self.tree.check_levels()?,
         }
         homes::check(&self.tree)?;
+        if self.tree.organisation_set() != self.before.organisation_set() {
+            organisation::check_keys(self.tree.organisation_set())?;
+        }
         Ok(self.tree)
     }
 }
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -17,6 +17,16 @@
     Required,
 }
 
+/// Whether a call must carry a key of an organisation.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallerKeys {
+    /// Keys are ignored.
+    None,
+    /// Calls without a valid key are refused, except those without a key on public routes.
+    Required,
+}
+
 /// The level from which a value comes.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -76,6 +86,8 @@
     pub canary_percent: u32,
     pub canary_slack: u32,
     pub rollback_ms: u64,
+    pub caller_keys: CallerKeys,
+    pub key_doubt_ms: u64,
     pub once: Once,
     pub once_retention_ms: u64,
     pub once_memory_entries: usize,
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -9,7 +9,9 @@
     #[error("unknown field; `lynxcleat settings fields` lists the known ones")]
     UnknownField,
     /// A key of the tree's own structure is not known.
-    #[error("unknown key; expected `settings`, `places`, `services` or `routes` for this level")]
+    #[error(
+        "unknown key; expected `settings`, `places`, `services`, `routes` or `organisations` for this level"
+    )]
     UnknownKey,
     /// The JSON type is not the one the field takes.
     #[error("expected {expected}, found {found}")]
@@ -48,6 +50,20 @@
     /// A route does not have the form of one.
     #[error("not a route: {0}")]
     BadRoute(String),
+    /// The value is not a valid organisation.
+    #[error("not an organisation: {0}")]
+    BadOrganisation(String),
+    /// The name of an organisation is not valid in a header.
+    #[error(
+        "an organisation's name must have 1 to 128 characters from a-z, A-Z, 0-9, '-', '_' and '.'"
+    )]
+    BadOrganisationName,
+    /// A key belongs to two organisations.
+    #[error("one of its keys is also a key of organisation {other:?}")]
+    SharedKey {
+        /// The other organisation.
+        other: String,
+    },
     /// The name of a region is empty, too long, or holds white space.
     #[error("a region's name has 1 to 63 characters without white space")]
     BadRegion,
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -134,6 +134,8 @@
     whole("canary_percent", "%", (0, 100), 10, "calls of a service that targets of a new version may get while a rollout runs, as a share"),
     whole("canary_slack", "calls", (0, 1_000_000), 50, "calls that they may get beyond that, of all daemons together; kept as a reserve, no daemon spends it"),
     whole("rollback_ms", "ms", (100, 600_000), 5_000, "time after its 50th bad answer from which a new version may get no more calls; a promise to operators that daemons keep by reverting sooner"),
+    choice("caller_keys", &["none", "required"], "whether calls must carry a key of an organisation, but for those of public routes"),
+    whole("key_doubt_ms", "ms", (0, DAY_MS), 0, "time without word of the accepted settings after which calls with a key are refused; 0 for never"),
     choice("once", &["allowed", "required"], "whether a call with side effects must carry a ticket or a key"),
     whole("once_retention_ms", "ms", (1_000, 7 * DAY_MS), 600_000, "time for which a once-only operation is remembered"),
     whole("once_memory_entries", "operations", (16, 10_000_000), 100_000, "once-only operations remembered before new ones are refused"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,10 +10,13 @@
 mod digest;
 mod edit;
 mod effective;
+mod entry_set;
 mod error;
 mod field;
 mod generations;
 mod homes;
+mod key_table;
+mod organisation;
 mod route;
 mod route_set;
 mod route_table;
@@ -22,14 +25,17 @@
 
 pub use change::{Change, Conflict, diff, merge};
 pub use copy::{
-    CopiedBucket, CopiedRoute, CopyAsk, CopyBase, CopyError, CopyStep, TreeCopy, TreePart,
+    CopiedBucket, CopiedOrganisation, CopiedRoute, CopyAsk, CopyBase, CopyError, CopyStep,
+    TreeCopy, TreePart,
 };
 pub use digest::{Digest, digest};
 pub use edit::TreeEdit;
-pub use effective::{Effective, Once, Origin, Resolved};
+pub use effective::{CallerKeys, Effective, Once, Origin, Resolved};
 pub use error::{Fault, SettingsError};
 pub use field::{FIELDS, FieldSpec, Kind, field};
 pub use generations::{Generation, OfferError};
+pub use key_table::KeyTable;
+pub use organisation::{KeyDigest, NamedOrganisation, NotAKeyDigest, Organisation};
 pub use route::{NamedRoute, Route, RouteEffects, RoutePart};
 pub use route_table::RouteTable;
 pub use tree::{Tree, valid_name};
--- /dev/null
+++ b/crates/settings/src/organisation.rs
@@ -0,0 +1,199 @@
+//! Organisations: their keys, quotas and priorities.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
+use sha2::{Digest as _, Sha256};
+use thiserror::Error;
+
+use crate::entry_set::{Entry, EntrySet};
+use crate::error::{Fault, SettingsError};
+use crate::sum::Sum;
+
+/// Path prefix of organisations in a tree.
+pub(crate) const ORGANISATIONS: &str = "organisations.";
+/// Maximum length of an organisation name, in bytes; the name is sent to targets in a header.
+const NAME_LIMIT: usize = 128;
+/// Maximum number of keys per organisation.
+const KEYS_LIMIT: u64 = 64;
+/// Maximum rate, in calls per 1,000 seconds.
+const RATE_LIMIT: u64 = 1_000_000_000_000;
+/// Maximum burst, in calls.
+const BURST_LIMIT: u64 = 1_000_000_000;
+/// Number of buckets of an [`OrganisationSet`].
+pub(crate) const ORGANISATION_BUCKETS: usize = 64;
+
+/// The organisations of a tree by name.
+pub(crate) type OrganisationSet = EntrySet<NamedOrganisation, ORGANISATION_BUCKETS>;
+
+/// SHA-256 digest of a key, stored in the settings instead of the key.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeyDigest([u8; 32]);
+
+/// The text is not a valid key digest.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("a key's digest has 64 hexadecimal digits")]
+pub struct NotAKeyDigest;
+
+impl KeyDigest {
+    /// The digest of a key.
+    pub fn of(key: &[u8]) -> Self {
+        KeyDigest(Sha256::digest(key).into())
+    }
+
+    pub(crate) fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+/// Formats only the first four bytes, enough to distinguish keys in a log.
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({}..)", hex::encode(&self.0[..4]))
+    }
+}
+
+impl FromStr for KeyDigest {
+    type Err = NotAKeyDigest;
+
+    fn from_str(text: &str) -> Result<Self, NotAKeyDigest> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| NotAKeyDigest)?;
+        Ok(KeyDigest(bytes))
+    }
+}
+
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// One organisation.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// Digests of the keys that authenticate its callers.
+    #[serde(default)]
+    pub key_digests: Vec<KeyDigest>,
+    /// Fleet-wide limit of calls per 1,000 seconds; 0 for unlimited.
+    #[serde(default)]
+    pub rate_per_1000_s: u64,
+    /// Calls allowed at once in excess of the rate.
+    #[serde(default)]
+    pub burst: u64,
+    /// Priority of its calls, which takes precedence over that of their routes; 0 is the highest.
+    #[serde(default)]
+    pub priority: u32,
+}
+
+impl Organisation {
+    /// Parses an organisation without checking its limits.
+    pub(crate) fn parse(path: &str, value: &Value) -> Result<Self, SettingsError> {
+        Organisation::deserialize(value)
+            .map_err(|error| SettingsError::at(path, Fault::BadOrganisation(error.to_string())))
+    }
+
+    /// Its form in JSON.
+    pub(crate) fn to_json(&self) -> Value {
+        serde_json::to_value(self).expect("an organisation has no keys but texts")
+    }
+
+    fn fault(&self) -> Option<Fault> {
+        let above = |found: u64, max, unit| {
+            (found > max).then_some(Fault::OutOfRange {
+                found,
+                min: 0,
+                max,
+                unit,
+            })
+        };
+        above(self.key_digests.len() as u64, KEYS_LIMIT, "keys")
+            .or_else(|| above(self.rate_per_1000_s, RATE_LIMIT, "calls/1000 s"))
+            .or_else(|| above(self.burst, BURST_LIMIT, "calls"))
+    }
+}
+
+/// A validated organisation with its name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NamedOrganisation {
+    /// Name in the tree.
+    pub name: String,
+    /// The organisation.
+    pub organisation: Organisation,
+    sum: Sum,
+    bytes: usize,
+}
+
+impl NamedOrganisation {
+    /// Checks an organisation and its name.
+    ///
+    /// # Errors
+    /// Fails with the first fault of the name or of the organisation.
+    pub fn new(name: &str, organisation: Organisation) -> Result<Self, SettingsError> {
+        let fault = match names_organisation(name) {
+            true => organisation.fault(),
+            false => Some(Fault::BadOrganisationName),
+        };
+        if let Some(fault) = fault {
+            return Err(SettingsError::at(format!("{ORGANISATIONS}{name}"), fault));
+        }
+        let json = serde_json::to_vec(&organisation).expect("it has no keys but texts");
+        Ok(NamedOrganisation {
+            name: name.to_owned(),
+            sum: Sum::of(name, &json),
+            bytes: json.len(),
+            organisation,
+        })
+    }
+}
+
+impl Entry for NamedOrganisation {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn sum(&self) -> Sum {
+        self.sum
+    }
+
+    fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+/// Checks that no key belongs to two organisations.
+pub(crate) fn check_keys(organisations: &OrganisationSet) -> Result<(), SettingsError> {
+    let mut owners = std::collections::HashMap::new();
+    for named in organisations.iter() {
+        for digest in &named.organisation.key_digests {
+            let other = owners.insert(digest, &named.name);
+            if let Some(other) = other.filter(|other| **other != named.name) {
+                let path = format!("{ORGANISATIONS}{}", named.name);
+                let other = other.clone();
+                return Err(SettingsError::at(path, Fault::SharedKey { other }));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn names_organisation(name: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    (1..=NAME_LIMIT).contains(&name.len()) && name.bytes().all(is_allowed)
+}
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::entry_set::{Entry, name_hash};
 use crate::error::{Fault, SettingsError};
 use crate::homes::names_region;
 use crate::sum::Sum;
@@ -65,6 +66,9 @@
     /// Whether bodies may be so large that they are passed on in pieces.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub large_bodies: bool,
+    /// Whether its calls are accepted without an organisation key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 impl Route {
@@ -122,9 +126,9 @@
     /// The route.
     pub route: Route,
     /// Sum over name and route.
-    pub(crate) sum: Sum,
+    sum: Sum,
     /// Length of its JSON form, in bytes.
-    pub(crate) bytes: usize,
+    bytes: usize,
 }
 
 impl NamedRoute {
@@ -143,7 +147,7 @@
         let json = serde_json::to_vec(&route).expect("a route has no keys but texts");
         Ok(NamedRoute {
             name: name.to_owned(),
-            kind: kind_of(name),
+            kind: name_hash(name),
             sum: Sum::of(name, &json),
             bytes: json.len(),
             route,
@@ -151,11 +155,16 @@
     }
 }
 
-/// A number for a route's name, the same at every daemon (FNV-1a, 32 bits).
-pub(crate) fn kind_of(name: &str) -> u32 {
-    const OFFSET: u32 = 0x811c_9dc5;
-    const PRIME: u32 = 0x0100_0193;
-    name.bytes().fold(OFFSET, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
-    })
+impl Entry for NamedRoute {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn sum(&self) -> Sum {
+        self.sum
+    }
+
+    fn bytes(&self) -> usize {
+        self.bytes
+    }
 }
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -15,6 +15,9 @@
 use crate::error::{Fault, SettingsError};
 use crate::field::{field, wrong_type};
 use crate::homes;
+use crate::organisation::{
+    self, NamedOrganisation, ORGANISATION_BUCKETS, ORGANISATIONS, Organisation, OrganisationSet,
+};
 use crate::route::{NamedRoute, ROUTES, Route};
 use crate::route_set::{BUCKETS, RouteSet};
 use crate::sum::Sum;
@@ -23,6 +26,8 @@
 const NAME_LIMIT: usize = 63;
 /// Most routes of a tree: a daemon holds about 0.7 KiB for each.
 const ROUTES_LIMIT: usize = 50_000;
+/// Maximum number of organisations in a tree.
+const ORGANISATIONS_LIMIT: usize = 50_000;
 
 /// The settings of all levels, with their sum once it was asked for.
 #[derive(Clone, Debug, Default)]
@@ -39,11 +44,14 @@
 pub struct Tree {
     levels: Arc<Levels>,
     routes: RouteSet,
+    organisations: OrganisationSet,
 }
 
 impl PartialEq for Tree {
     fn eq(&self, other: &Self) -> bool {
-        self.has_levels_of(other) && self.routes == other.routes
+        self.has_levels_of(other)
+            && self.routes == other.routes
+            && self.organisations == other.organisations
     }
 }
 
@@ -68,6 +76,9 @@
         for (name, route) in children(ROOT, root, "routes")? {
             tree.put(&format!("{ROUTES}{name}"), route.clone())?;
         }
+        for (name, organisation) in children(ROOT, root, "organisations")? {
+            tree.put(&format!("{ORGANISATIONS}{name}"), organisation.clone())?;
+        }
         tree.check_consistent()?;
         Ok(tree)
     }
@@ -76,7 +87,11 @@
     pub(crate) fn levels_from_json(value: &Value) -> Result<Tree, SettingsError> {
         let mut tree = Tree::default();
         let root = object(ROOT, value)?;
-        only_keys(ROOT, root, &["settings", "places", "routes"])?;
+        only_keys(
+            ROOT,
+            root,
+            &["settings", "places", "routes", "organisations"],
+        )?;
         tree.read_fields(ROOT, root)?;
         for (name, place) in children(ROOT, root, "places")? {
             tree.read_place(&name, place)?;
@@ -84,20 +99,21 @@
         Ok(tree)
     }
 
-    /// Rebuilds a tree from the flat entries of its levels and with the routes of another,
-    /// with every check of the levels made again.
+    /// Rebuilds a tree from the flat entries of its levels and with the routes and organisations
+    /// of another, with every check of the levels made again.
     ///
     /// # Errors
     /// The first fault, with its path.
     pub(crate) fn from_entries(
         entries: BTreeMap<String, Value>,
-        routes: &Tree,
+        named_entries: &Tree,
     ) -> Result<Tree, SettingsError> {
         let mut tree = Tree::default();
         for (path, value) in entries {
             tree.put(&path, value)?;
         }
-        tree.routes = routes.routes.clone();
+        tree.routes = named_entries.routes.clone();
+        tree.organisations = named_entries.organisations.clone();
         tree.check_consistent()?;
         Ok(tree)
     }
@@ -110,6 +126,11 @@
             let routes = routes.map(|named| (named.name.clone(), named.route.to_json()));
             root["routes"] = Value::Object(routes.collect());
         }
+        if self.organisations.len() > 0 {
+            let all = self.organisations.iter();
+            let all = all.map(|named| (named.name.clone(), named.organisation.to_json()));
+            root["organisations"] = Value::Object(all.collect());
+        }
         root
     }
 
@@ -146,6 +167,25 @@
         self.routes.len()
     }
 
+    /// Finds an organisation by name.
+    pub fn organisation(&self, name: &str) -> Option<&NamedOrganisation> {
+        self.organisations.get(name).map(|named| &**named)
+    }
+
+    /// All organisations, in unspecified order.
+    pub fn organisations(&self) -> impl Iterator<Item = &NamedOrganisation> {
+        self.organisations.iter().map(|named| &**named)
+    }
+
+    /// Number of organisations.
+    pub fn organisation_count(&self) -> usize {
+        self.organisations.len()
+    }
+
+    pub(crate) fn organisation_set(&self) -> &OrganisationSet {
+        &self.organisations
+    }
+
     pub(crate) fn route_set(&self) -> &RouteSet {
         &self.routes
     }
@@ -164,6 +204,9 @@
         for bucket in 0..BUCKETS {
             hasher.update(self.routes.bucket_sum(bucket).to_bytes());
         }
+        for bucket in 0..ORGANISATION_BUCKETS {
+            hasher.update(self.organisations.bucket_sum(bucket).to_bytes());
+        }
         Digest::from_hex(hex::encode(hasher.finalize()))
     }
 
@@ -180,6 +223,14 @@
         self.routes.put(named);
     }
 
+    pub(crate) fn share_organisation(&mut self, named: Arc<NamedOrganisation>) {
+        self.organisations.put(named);
+    }
+
+    pub(crate) fn remove_organisation(&mut self, name: &str) -> Option<Arc<NamedOrganisation>> {
+        self.organisations.remove(name)
+    }
+
     pub(crate) fn remove_route(&mut self, name: &str) -> Option<Arc<NamedRoute>> {
         self.routes.remove(name)
     }
@@ -208,9 +259,13 @@
     pub fn unset(&mut self, path: &str) -> Result<Option<Value>, SettingsError> {
         check_path(path)?;
         let mut next = self.clone();
-        let old = match path.strip_prefix(ROUTES) {
-            Some(name) => next.remove_route(name).map(|named| named.route.to_json()),
-            None => next.levels_mut().remove(path),
+        let old = if let Some(name) = path.strip_prefix(ROUTES) {
+            next.remove_route(name).map(|named| named.route.to_json())
+        } else if let Some(name) = path.strip_prefix(ORGANISATIONS) {
+            let removed = next.remove_organisation(name);
+            removed.map(|named| named.organisation.to_json())
+        } else {
+            next.levels_mut().remove(path)
         };
         next.check_consistent()?;
         *self = next;
@@ -282,6 +337,12 @@
         if let Some(name) = path.strip_prefix(ROUTES) {
             return self.put_route(path, name, &value);
         }
+        if let Some(name) = path.strip_prefix(ORGANISATIONS) {
+            let organisation = Organisation::parse(path, &value)?;
+            let named = NamedOrganisation::new(name, organisation)?;
+            self.share_organisation(Arc::new(named));
+            return Ok(());
+        }
         let (level, name) = split_field(path);
         let Some(name) = name else {
             return self.add_level(level);
@@ -332,22 +393,15 @@
     fn check_consistent(&self) -> Result<(), SettingsError> {
         self.check_size()?;
         self.check_levels()?;
+        organisation::check_keys(&self.organisations)?;
         homes::check(self)
     }
 
     /// Checks that the tree is no larger than every daemon can hold.
     pub(crate) fn check_size(&self) -> Result<(), SettingsError> {
-        let found = self.routes.len();
-        if found <= ROUTES_LIMIT {
-            return Ok(());
-        }
-        let fault = Fault::OutOfRange {
-            found: found as u64,
-            min: 0,
-            max: ROUTES_LIMIT as u64,
-            unit: "routes",
-        };
-        Err(SettingsError::at("routes", fault))
+        check_count(self.routes.len(), ROUTES_LIMIT, "routes")?;
+        let found = self.organisations.len();
+        check_count(found, ORGANISATIONS_LIMIT, "organisations")
     }
 
     /// Checks fields that depend on each other wherever they come together.
@@ -365,6 +419,19 @@
     }
 }
 
+fn check_count(found: usize, limit: usize, unit: &'static str) -> Result<(), SettingsError> {
+    if found <= limit {
+        return Ok(());
+    }
+    let fault = Fault::OutOfRange {
+        found: found as u64,
+        min: 0,
+        max: limit as u64,
+        unit,
+    };
+    Err(SettingsError::at(unit, fault))
+}
+
 /// Whether `name` can name a place or a service: it must stand in a host name.
 pub fn valid_name(name: &str) -> bool {
     let starts_well = name.starts_with(|c: char| c.is_ascii_lowercase());
@@ -398,7 +465,7 @@
 }
 
 fn check_path(path: &str) -> Result<(), SettingsError> {
-    if path.starts_with(ROUTES) {
+    if path.starts_with(ROUTES) || path.starts_with(ORGANISATIONS) {
         return Ok(());
     }
     match split_field(path) {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -83,6 +83,9 @@
     /// Service of the host where the call began, where targets want to know it.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub caller_service: Option<String>,
+    /// The calling organisation, if its key was checked.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<CallingOrganisation>,
     /// Head of the request.
     #[serde(rename = "h")]
     pub head: RequestHead,
@@ -94,6 +97,34 @@
     pub to_come: Option<BodyToCome>,
 }
 
+/// Organisation on whose behalf a call is made.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallingOrganisation {
+    /// Name of the organisation.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// Priority, which takes precedence over that of the route; 0 is the highest.
+    #[serde(rename = "p", default)]
+    pub priority: u32,
+}
+
+/// Requests tokens from the daemon that owns the bucket of an organisation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaAsk {
+    /// Number of the ask.
+    #[serde(rename = "a")]
+    pub ask: u64,
+    /// Name of the organisation.
+    #[serde(rename = "o")]
+    pub organisation: String,
+    /// Tokens requested.
+    #[serde(rename = "w")]
+    pub tokens: u32,
+    /// Unused tokens returned.
+    #[serde(rename = "r", default)]
+    pub returned: u32,
+}
+
 /// What is said beforehand of a body in pieces.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BodyToCome {
@@ -340,6 +371,21 @@
     Rows(RowsFrame),
     /// Requests under which targets ended, as the sender knows.
     Suspects(Vec<SuspectNews>),
+    /// Requests quota tokens of an organisation.
+    AskQuota(QuotaAsk),
+    /// Grants quota tokens of an organisation.
+    Quota {
+        /// Number of the ask.
+        #[serde(rename = "a")]
+        ask: u64,
+        /// Tokens granted, one per call.
+        #[serde(rename = "t")]
+        tokens: u32,
+        /// Delay until another token may be available, in microseconds, if fewer were granted than
+        /// requested.
+        #[serde(rename = "b")]
+        retry_after_us: u64,
+    },
     /// Asks for the changes of the members' table.
     AskRows {
         /// The version after which; absent where the whole table is needed.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use codec::{CodecError, decode, encode};
 pub use frame::{
-    Answer, BodyToCome, CallFrame, Envelope, Frame, GuardedVerdict, Header, IdleFrame, PieceFrame,
-    RequestHead, RowFrame, RowsFrame,
+    Answer, BodyToCome, CallFrame, CallingOrganisation, Envelope, Frame, GuardedVerdict, Header,
+    IdleFrame, PieceFrame, QuotaAsk, RequestHead, RowFrame, RowsFrame,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
 pub use prints::request_prints;
--- a/crates/wire/src/prints.rs
+++ b/crates/wire/src/prints.rs
@@ -10,12 +10,13 @@
 /// Bytes of half a fingerprint.
 const HALF: usize = 8;
 
-/// Fingerprints of a request that comes from a service. Headers for which `is_ours` holds
-/// differ from one sending to the next and are left out.
+/// Fingerprints of a request that comes from a service and an organisation. Headers for which
+/// `is_ours` holds differ from one sending to the next and are left out.
 pub fn request_prints(
     head: &RequestHead,
     body: &[u8],
     caller_service: Option<&str>,
+    organisation: Option<&str>,
     is_ours: impl Fn(&str) -> bool,
 ) -> RequestPrints {
     let mut digest = Sha256::new();
@@ -32,6 +33,7 @@
         put(&mut digest, value);
     }
     put(&mut digest, caller_service.unwrap_or_default().as_bytes());
+    put(&mut digest, organisation.unwrap_or_default().as_bytes());
     RequestPrints {
         content,
         full: finish(digest),
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -20,6 +20,7 @@
         left_us: 1,
         operation: None,
         caller_service: None,
+        organisation: None,
         head: RequestHead {
             method: "GET".to_owned(),
             path: "/".to_owned(),
--- a/crates/wire/tests/prints.rs
+++ b/crates/wire/tests/prints.rs
@@ -18,7 +18,7 @@
 
 fn prints(head: &RequestHead, body: &str, service: &str) -> RequestPrints {
     let is_ours = |name: &str| name.starts_with("lynxcleat-");
-    request_prints(head, body.as_bytes(), Some(service), is_ours)
+    request_prints(head, body.as_bytes(), Some(service), None, is_ours)
 }
 
 const HEADERS: &[(&str, &str)] = &[("host", "stock"), ("authorization", "a")];
