Compare bucketed keys instead of sending whole member tables

Cause: a copy of the member table that was read whole attaches a digest of all its rows to its deltas, because it does not know which rows were removed before. While a fleet starts, each copy is ahead of the others in some row, so digests differed and each mismatch transferred the whole table, some 300 kB at 984 members. Taking the table turned the receiver into a copy that needs a digest itself. Neighbours selected while few members were known remained neighbours, including those in other zones.

Change: - A digest covers rows up to the version at which its sender read the table. On a mismatch the two sides compare the sums of 64 buckets and the keys in the buckets that differ. - A neighbour that neither side wants is dropped. - Four or more rows are compressed; settings and rows share one compression module. - At a first start only the two members that watch the store read the settings at once. The others wait 3 s from their first link. - Followers that do not watch batch news for up to 2 s.

No test covers several daemons that drop neighbours.

--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -33,8 +33,11 @@
 /// Time over which these readings are spread, so that the first finds no key and makes one,
 /// and the others find it.
 const FIRST_START_SPREAD: Duration = Duration::from_millis(1_000);
-/// Time left to the peers to tell the settings in such a start.
-const FIRST_START_PEERS: Duration = Duration::from_millis(1_500);
+/// How long such a start waits for settings from peers, counted from the first link to a peer:
+/// settings propagate through the fleet as links are established.
+const FIRST_START_PEER_WAIT: Duration = Duration::from_secs(3);
+/// How long such a start waits for the first link to a peer.
+const FIRST_START_LINK_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Follows the row of the accepted settings until the daemon ends.
 pub(super) async fn settings(core: Arc<Core>) {
@@ -62,17 +65,34 @@
     }
 }
 
-/// Leaves it to the first members to read the settings where all start at once.
+/// Leaves it to the watching members to read the settings when all members start at once. The
+/// wider set of followers is not used: while only part of the members is known, many daemons
+/// count themselves among the first eight.
 async fn await_first_settings(core: &Core, directory: &DirectoryState) {
     let mut raised = core.settings.subscribe();
     while !directory.members_read.load(Ordering::Relaxed) {
         tokio::time::sleep(DUTY_PAUSE / 10).await;
     }
-    if directory.follows_settings(core) {
+    if directory.watches_settings(core) {
         return;
     }
-    let told = raised.wait_for(|number| *number > 0);
-    let _ = tokio::time::timeout(FIRST_START_PEERS, told).await;
+    tokio::select! {
+        _ = raised.wait_for(|number| *number > 0) => {}
+        () = peer_wait_elapsed(directory) => {}
+    }
+}
+
+/// Returns once the time to wait for settings from peers has elapsed.
+async fn peer_wait_elapsed(directory: &DirectoryState) {
+    let mut deadline = Instant::now() + FIRST_START_LINK_WAIT;
+    let mut has_link = false;
+    while Instant::now() < deadline {
+        if !has_link && directory.neighbours.any() {
+            has_link = true;
+            deadline = Instant::now() + FIRST_START_PEER_WAIT;
+        }
+        tokio::time::sleep(DUTY_PAUSE / 10).await;
+    }
 }
 
 /// Follows members and key until the daemon ends.
@@ -103,7 +123,8 @@
         }
         spread::heard(&core, directory, core.clock.now(), before);
         if has_news {
-            let pause = lock(feed.follower).gather(begun.elapsed());
+            let is_watcher = directory.watches_settings(&core);
+            let pause = lock(feed.follower).gather(begun.elapsed(), is_watcher);
             tokio::time::sleep(pause).await;
         }
     }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -29,6 +29,7 @@
 use crate::rollout;
 use crate::sync::lock;
 
+pub use neighbours::end_neighbour;
 pub use operator_row::{OperatorRow, OperatorRowError, ReadOperatorRow, WantedRollout};
 pub use spread::{send_rows, take_rows};
 pub use state::{
@@ -59,6 +60,12 @@
         matches!(self.duty(core, follow::SETTINGS_WATCH), Duty::Follow { .. })
     }
 
+    /// Whether this daemon polls the store for settings at the watch interval.
+    pub fn watches_settings(&self, core: &Core) -> bool {
+        let duty = self.duty(core, follow::SETTINGS_WATCH);
+        matches!(duty, Duty::Follow { wait: Some(wait) } if wait == follow::SETTINGS_WATCH)
+    }
+
     /// Time since the store last answered somebody who follows it, as far as is known here.
     fn silence(&self, core: &Core) -> Duration {
         let heard_at = self.heard_at.load(Ordering::Relaxed);
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -1,8 +1,9 @@
 //! The neighbours of a daemon: the few peers with which it shares what the store says of
 //! the members.
 //!
-//! Whom it looks for is decided by [`lynxcleat_policy::neighbours`]; whoever sends news is a
-//! neighbour as well.
+//! [`lynxcleat_policy::neighbours`] selects the peers that a daemon wants as neighbours; a peer that
+//! wants this daemon is a neighbour as well. A neighbour that neither side wants is dropped: the
+//! selection changes with every member that becomes known while a fleet starts.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
     Candidate, Cost, FAR_NEIGHBOURS, NEAR_NEIGHBOURS, REGION_NEIGHBOURS, TargetId, neighbours,
 };
 use lynxcleat_store::{HostEntry, HostState};
+use lynxcleat_wire::Frame;
 
 use super::spread;
 use crate::control::Purpose;
@@ -36,37 +38,57 @@
 
 /// Keeps links to neighbours until the daemon ends.
 pub(super) async fn keep(core: Arc<Core>) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
     let mut unreached = Unreached::new();
     loop {
         if core.shared_key().is_some() {
             unreached.retain(|_, tried| tried.elapsed() < PASSED_OVER);
             let wanted = wanted(&core);
-            keep_some(&core, &wanted.near, NEAR_NEIGHBOURS, &mut unreached).await;
-            keep_some(&core, &wanted.far, FAR_NEIGHBOURS, &mut unreached).await;
-            keep_some(&core, &wanted.regions, REGION_NEIGHBOURS, &mut unreached).await;
+            let groups = [
+                (&wanted.near, NEAR_NEIGHBOURS),
+                (&wanted.far, FAR_NEIGHBOURS),
+                (&wanted.regions, REGION_NEIGHBOURS),
+            ];
+            let mut kept = Vec::new();
+            for (members, count) in groups {
+                kept.extend(keep_some(&core, members, count, &mut unreached).await);
+            }
+            // Members discovered since may rank before those already linked.
+            for link in directory.neighbours.drop_unwanted(&kept) {
+                let _ = link.send(Frame::EndNeighbour);
+            }
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
 }
 
-/// Sees to it that links to the first `count` members that can be reached stand.
+/// Handles a peer's notice that it no longer wants this daemon as a neighbour.
+pub fn end_neighbour(core: &Core, link: &Link) {
+    if let Some(directory) = &core.directory {
+        directory.neighbours.clear_wanted_by_peer(link);
+    }
+}
+
+/// Maintains links to the first `count` reachable members and returns the link ids.
 async fn keep_some(
     core: &Arc<Core>,
     members: &[HostEntry],
     count: usize,
     unreached: &mut Unreached,
-) {
-    let mut standing = 0;
+) -> Vec<u64> {
+    let mut standing = Vec::new();
     for member in members {
-        if standing == count {
-            return;
+        if standing.len() == count {
+            break;
         }
         if unreached.contains_key(&member.host) {
             continue;
         }
         match link_to(core, member).await {
             Some(link) => {
-                standing += 1;
+                standing.push(link.id);
                 join(core, &link);
             }
             None => {
@@ -74,6 +96,7 @@
             }
         }
     }
+    standing
 }
 
 async fn link_to(core: &Arc<Core>, member: &HostEntry) -> Option<Arc<Link>> {
@@ -99,7 +122,7 @@
     let Some(directory) = &core.directory else {
         return;
     };
-    if directory.neighbours.add(link) {
+    if directory.neighbours.mark_wanted(link) {
         let through = lock(&directory.members).through();
         spread::send(core, directory, link, through);
     }
--- a/crates/daemon/src/directory/spread.rs
+++ b/crates/daemon/src/directory/spread.rs
@@ -9,14 +9,17 @@
 use std::time::Duration;
 
 use lynxcleat_policy::Micros;
-use lynxcleat_store::{Missing, RowDelta, RowVersion, StoredRow};
-use lynxcleat_wire::{Frame, RowFrame, RowsFrame};
+use lynxcleat_store::{
+    DeltaTaken, Follower, KeyAsk, KeyReply, Missing, RowDelta, RowDigest, RowVersion, StoredRow,
+};
+use lynxcleat_wire::{Frame, RowDigestFrame, RowFrame, RowKeysFrame, RowsAsk, RowsFrame};
 use serde_bytes::ByteBuf;
 
 use super::state::DirectoryState;
 use super::{member, publish, quarantined};
 use crate::core::Core;
 use crate::mesh::Link;
+use crate::metrics::count;
 use crate::sync::lock;
 
 /// Gain in how lately the store was heard that is passed on without other news: a third of
@@ -28,13 +31,13 @@
     let Some(directory) = &core.directory else {
         return;
     };
-    let is_new = directory.neighbours.add(link);
+    let is_new = frame.wanted && directory.neighbours.mark_wanted_by_peer(link);
     let told_at = core.clock.now().saturating_sub(frame.age_ms * 1_000);
     let theirs = frame.through;
     let (before, taken, through) = {
         let mut members = lock(&directory.members);
         let before = members.through();
-        let taken = members.take_delta(delta(frame));
+        let taken = take_frame(&mut members, frame);
         (before, taken, members.through())
     };
     let gained = match through >= theirs {
@@ -49,34 +52,72 @@
         tell(core, directory, before, Some(link.id));
     }
     if let Some(missing) = taken.missing {
-        ask_for(link, missing);
+        count(&core.metrics.rows_missing, missing_kind(&missing));
+        let _ = link.send(Frame::AskRows(rows_ask(missing)));
     } else if through > theirs || is_new {
         // A new neighbour also hears of the generation of settings, with any message.
         send(core, directory, link, theirs);
     }
 }
 
-/// Asks a neighbour for what is missing here.
-fn ask_for(link: &Link, missing: Missing) {
-    let after = match missing {
-        Missing::Changes { after } => Some(after),
-        Missing::Removals => None,
+fn take_frame(members: &mut Follower, mut frame: RowsFrame) -> DeltaTaken {
+    let Some(keys) = frame.keys.take() else {
+        return members.take_delta(delta(frame));
     };
-    let _ = link.send(Frame::AskRows { after });
+    let reply = KeyReply {
+        delta: delta(frame),
+        buckets: keys.buckets.into_vec(),
+        keys: keys.keys,
+    };
+    DeltaTaken {
+        news: members.take_keys(reply),
+        missing: None,
+    }
 }
 
-/// A neighbour asks for the changes after a version, or for the whole table.
-pub fn send_rows(core: &Core, link: &Link, after: Option<RowVersion>) {
+fn missing_kind(missing: &Missing) -> &'static str {
+    match missing {
+        Missing::Changes { .. } => "changes",
+        Missing::Removals(_) => "removals",
+    }
+}
+
+/// Builds the request to a neighbour for missing changes or removals.
+fn rows_ask(missing: Missing) -> RowsAsk {
+    match missing {
+        Missing::Changes { after } => RowsAsk {
+            after,
+            sums: Vec::new(),
+        },
+        Missing::Removals(ask) => RowsAsk {
+            after: ask.after,
+            sums: ask.sums,
+        },
+    }
+}
+
+/// Answers a neighbour's request for the changes after a version and, if it sent bucket sums, for
+/// the keys in the buckets that differ.
+pub fn send_rows(core: &Core, link: &Link, ask: &RowsAsk) {
     let Some(directory) = &core.directory else {
         return;
     };
-    match after {
-        Some(after) => send(core, directory, link, after),
-        None => {
-            let whole = lock(&directory.members).copy().whole();
-            let _ = link.send(frame(core, directory, whole));
-        }
+    if ask.sums.is_empty() {
+        return send(core, directory, link, ask.after);
     }
+    let reply = lock(&directory.members).copy().key_reply(&KeyAsk {
+        after: ask.after,
+        sums: ask.sums.clone(),
+    });
+    let keys = RowKeysFrame {
+        buckets: ByteBuf::from(reply.buckets),
+        keys: reply.keys,
+    };
+    let rows = RowsFrame {
+        keys: Some(keys),
+        ..frame(core, directory, reply.delta)
+    };
+    send_frame(directory, link, rows);
 }
 
 /// Tells all neighbours but one of the changes after a version.
@@ -90,14 +131,19 @@
     let delta = lock(&directory.members).copy().delta_after(after);
     let frame = frame(core, directory, delta);
     for link in links.iter().filter(|link| Some(link.id) != except) {
-        let _ = link.send(frame.clone());
+        send_frame(directory, link, frame.clone());
     }
 }
 
 /// Tells one neighbour of the changes after a version.
 pub(super) fn send(core: &Core, directory: &DirectoryState, link: &Link, after: RowVersion) {
     let delta = lock(&directory.members).copy().delta_after(after);
-    let _ = link.send(frame(core, directory, delta));
+    send_frame(directory, link, frame(core, directory, delta));
+}
+
+fn send_frame(directory: &DirectoryState, link: &Link, frame: RowsFrame) {
+    let wanted = directory.neighbours.is_wanted(link);
+    let _ = link.send(Frame::Rows(RowsFrame { wanted, ..frame }));
 }
 
 /// The store answered a call that was made at some time; neighbours hear of it, and of what
@@ -110,15 +156,20 @@
     }
 }
 
-fn frame(core: &Core, directory: &DirectoryState, delta: RowDelta) -> Frame {
+fn frame(core: &Core, directory: &DirectoryState, delta: RowDelta) -> RowsFrame {
     let age = directory.silence(core);
-    Frame::Rows(RowsFrame {
+    RowsFrame {
         after: delta.after,
         through: delta.through,
+        wanted: false,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         rows: delta.rows.into_iter().map(row_frame).collect(),
-        digest: delta.digest,
-    })
+        digest: delta.digest.map(|digest| RowDigestFrame {
+            through: digest.through,
+            sum: digest.sum,
+        }),
+        keys: None,
+    }
 }
 
 fn row_frame(row: StoredRow) -> RowFrame {
@@ -139,6 +190,9 @@
         after: frame.after,
         through: frame.through,
         rows: frame.rows.into_iter().map(row).collect(),
-        digest: frame.digest,
+        digest: frame.digest.map(|digest| RowDigest {
+            through: digest.through,
+            sum: digest.sum,
+        }),
     }
 }
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -18,23 +18,37 @@
 
 /// Table of the members and the key.
 pub(super) const TABLE: &str = "lynxcleat";
+
+/// A link over which changes of the members are exchanged while either side wants it.
+struct Neighbour {
+    link: Arc<Link>,
+    /// Whether this daemon selected the peer.
+    is_wanted: bool,
+    /// Whether the peer selected this daemon.
+    is_wanted_by_peer: bool,
+}
+
 /// The links to neighbours, by number.
 #[derive(Default)]
 pub(super) struct Neighbours {
-    links: Mutex<HashMap<u64, Arc<Link>>>,
+    links: Mutex<HashMap<u64, Neighbour>>,
 }
 
 impl Neighbours {
     /// Whether any link to a neighbour stands.
     pub(super) fn any(&self) -> bool {
-        lock(&self.links).values().any(|link| !link.is_closed())
+        let links = lock(&self.links);
+        links.values().any(|neighbour| !neighbour.link.is_closed())
     }
 
     /// The links that stand.
     pub(super) fn links(&self) -> Vec<Arc<Link>> {
         let mut links = lock(&self.links);
-        links.retain(|_, link| !link.is_closed());
-        links.values().cloned().collect()
+        links.retain(|_, neighbour| !neighbour.link.is_closed());
+        let neighbours = links.values();
+        neighbours
+            .map(|neighbour| Arc::clone(&neighbour.link))
+            .collect()
     }
 
     /// Whether a link is one to a neighbour.
@@ -42,10 +56,57 @@
         lock(&self.links).contains_key(&link.id)
     }
 
-    /// Takes a link as one to a neighbour. Returns whether it was none before.
-    pub(super) fn add(&self, link: &Arc<Link>) -> bool {
-        let added = lock(&self.links).insert(link.id, Arc::clone(link));
-        added.is_none()
+    /// Whether this daemon wants the peer of a link as a neighbour.
+    pub(super) fn is_wanted(&self, link: &Link) -> bool {
+        let links = lock(&self.links);
+        links
+            .get(&link.id)
+            .is_some_and(|neighbour| neighbour.is_wanted)
+    }
+
+    /// Records that this daemon wants the peer. Returns whether the link is a new neighbour.
+    pub(super) fn mark_wanted(&self, link: &Arc<Link>) -> bool {
+        self.update(link, |neighbour| neighbour.is_wanted = true)
+    }
+
+    /// Records that the peer wants this daemon. Returns whether the link is a new neighbour.
+    pub(super) fn mark_wanted_by_peer(&self, link: &Arc<Link>) -> bool {
+        self.update(link, |neighbour| neighbour.is_wanted_by_peer = true)
+    }
+
+    fn update(&self, link: &Arc<Link>, mark: impl FnOnce(&mut Neighbour)) -> bool {
+        let mut links = lock(&self.links);
+        let is_new = !links.contains_key(&link.id);
+        mark(links.entry(link.id).or_insert_with(|| Neighbour {
+            link: Arc::clone(link),
+            is_wanted: false,
+            is_wanted_by_peer: false,
+        }));
+        is_new
+    }
+
+    /// Clears the mark of neighbours whose link ids are not in `wanted`, and removes neighbours that
+    /// neither side wants. Returns the links whose mark was cleared.
+    pub(super) fn drop_unwanted(&self, wanted: &[u64]) -> Vec<Arc<Link>> {
+        let mut links = lock(&self.links);
+        let mut dropped = Vec::new();
+        for (id, neighbour) in links.iter_mut() {
+            if neighbour.is_wanted && !wanted.contains(id) {
+                neighbour.is_wanted = false;
+                dropped.push(Arc::clone(&neighbour.link));
+            }
+        }
+        links.retain(|_, neighbour| neighbour.is_wanted || neighbour.is_wanted_by_peer);
+        dropped
+    }
+
+    /// Records that the peer no longer wants this daemon.
+    pub(super) fn clear_wanted_by_peer(&self, link: &Link) {
+        let mut links = lock(&self.links);
+        if let Some(neighbour) = links.get_mut(&link.id) {
+            neighbour.is_wanted_by_peer = false;
+        }
+        links.retain(|_, neighbour| neighbour.is_wanted || neighbour.is_wanted_by_peer);
     }
 }
 
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -93,7 +93,8 @@
         Frame::RolloutIdle(idle) => rollout::take_idle(core, link, idle),
         Frame::Suspects(news) => quarantine::spread::take_news(core, link, &news),
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
-        Frame::AskRows { after } => directory::send_rows(core, link, after),
+        Frame::AskRows(ask) => directory::send_rows(core, link, &ask),
+        Frame::EndNeighbour => directory::end_neighbour(core, link),
         Frame::AskQuota(ask) => quota::answer(core, link, ask),
         Frame::Fenced { ask, .. }
         | Frame::GuardedReply { ask, .. }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -185,6 +185,6 @@
         Frame::RolloutIdle(_) => "rollout-idle",
         Frame::Suspects(_) => "suspects",
         Frame::AskQuota(_) | Frame::Quota { .. } => "quota",
-        Frame::Rows(_) | Frame::AskRows { .. } => "rows",
+        Frame::Rows(_) | Frame::AskRows(_) | Frame::EndNeighbour => "rows",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -86,6 +86,7 @@
     pub quota_refusals: Counter,
     pub quota_asks: Kinds,
     pub dropped_answers: Kinds,
+    pub rows_missing: Kinds,
     pub links: Gauge,
     pub links_refused: Kinds,
     pub links_silent: Counter,
@@ -143,6 +144,7 @@
             quota_refusals: Counter::default(),
             quota_asks: Family::default(),
             dropped_answers: Family::default(),
+            rows_missing: Family::default(),
             links: Gauge::default(),
             links_refused: Family::default(),
             links_silent: Counter::default(),
@@ -207,6 +209,7 @@
         registry.register("quota_refusals", "Calls refused since their organisation made as many as it may", self.quota_refusals.clone());
         registry.register("quota_asks", "Questions for tokens of organisations, by what became of them", self.quota_asks.clone());
         registry.register("dropped_answers", "Answers that nobody waited for", self.dropped_answers.clone());
+        registry.register("rows_missing", "Questions to neighbours for what their news of the members did not tell, by kind", self.rows_missing.clone());
         registry.register("links", "Links to other daemons", self.links.clone());
         registry.register("links_refused", "Links refused", self.links_refused.clone());
         registry.register("links_silent", "Links lost since the other side acknowledged nothing", self.links_silent.clone());
--- a/crates/load/src/spread.rs
+++ b/crates/load/src/spread.rs
@@ -223,7 +223,7 @@
         }
         match taken.missing {
             Some(Missing::Changes { after }) => self.tell(from, number, after),
-            Some(Missing::Removals) => unreachable!("no row is removed here"),
+            Some(Missing::Removals(_)) => unreachable!("no row is removed here"),
             None if self.members[number].copy.through() > theirs => {
                 self.tell(number, from, theirs);
             }
--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::row_copy::{DeltaTaken, RowCopy, RowDelta};
+use crate::row_copy::{DeltaTaken, KeyReply, RowCopy, RowDelta};
 use crate::row_store::{RowStoreError, RowVersion, RowsAt, StoredRow};
 
 /// Pause after a first failure, and the longest one.
@@ -19,6 +19,8 @@
 /// starts, its members write one after the other, and each change ends a wait.
 const FIRST_GATHER: Duration = Duration::from_millis(300);
 const LONGEST_GATHER: Duration = Duration::from_millis(600);
+/// Longest pause at a member that does not watch: it receives news from watchers meanwhile.
+const LONGEST_GATHER_NON_WATCHER: Duration = Duration::from_secs(2);
 /// A wait for news of this length ends a row of them.
 const QUIET: Duration = Duration::from_secs(1);
 
@@ -98,6 +100,11 @@
         self.copy.take_delta(delta)
     }
 
+    /// Applies a peer's reply to a key comparison and returns the rows that changed.
+    pub fn take_keys(&mut self, reply: KeyReply) -> Vec<StoredRow> {
+        self.copy.take_keys(reply)
+    }
+
     /// What is known of the table, for peers.
     pub fn copy(&self) -> &RowCopy {
         &self.copy
@@ -105,12 +112,13 @@
 
     /// News came after the call for them had waited for `waited`. Returns how long to
     /// pause before the next call, so that news that come together are read together.
-    pub fn gather(&mut self, waited: Duration) -> Duration {
+    pub fn gather(&mut self, waited: Duration, is_watcher: bool) -> Duration {
         let gathers = self.gathers && waited < QUIET;
         self.gathers = true;
-        match gathers {
-            true => LONGEST_GATHER,
-            false => FIRST_GATHER,
+        match (gathers, is_watcher) {
+            (false, _) => FIRST_GATHER,
+            (true, true) => LONGEST_GATHER,
+            (true, false) => LONGEST_GATHER_NON_WATCHER,
         }
     }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -25,7 +25,7 @@
 pub use follower::{Ask, Follower};
 pub use own_row::OwnRow;
 pub use release::{AcceptRequest, Accepted, accept, accepted_change, history, read_tree};
-pub use row_copy::{DeltaTaken, Missing, RowCopy, RowDelta};
+pub use row_copy::{DeltaTaken, KeyAsk, KeyReply, Missing, RowCopy, RowDelta, RowDigest};
 pub use row_store::{
     Answering, RowStore, RowStoreError, RowVersion, RowWrite, RowsAt, StoreCall, StoredRow,
 };
--- a/crates/store/src/row_copy.rs
+++ b/crates/store/src/row_copy.rs
@@ -3,39 +3,72 @@
 //! Answers can be old after the store lost its history, and what peers pass on can be
 //! lost, repeated or out of order. So a row counts only if its version is above the one
 //! held, and the version up to which the copy is complete only rises.
+//!
+//! A copy that was read whole does not know which rows were removed before. Its deltas carry a
+//! digest of the rows up to the version of that read. If the receiver's digest differs, the two
+//! compare per-bucket sums and then the keys in the buckets that differ, so that the cost of a
+//! missed removal does not include sending the whole table.
 
-use std::collections::BTreeMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::collections::{BTreeMap, HashSet};
 
 use crate::row_store::{RowVersion, RowsAt, StoredRow};
 
-/// What a peer knows of a table: all changes after one version and up to another, or the
-/// whole table.
+/// Number of hash buckets for the keys of a table. Must be the same at every daemon. The sums take
+/// 512 bytes in a request, before encoding.
+const BUCKETS: usize = 64;
+
+/// Digest of the rows that are present and have not changed since a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RowDigest {
+    /// Rows with a later version are excluded.
+    pub through: RowVersion,
+    /// XOR of the hashes of key and version of the included rows.
+    pub sum: u64,
+}
+
+/// What a peer knows of a table: all changes after one version and up to another.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RowDelta {
-    /// What took place up to this version is left out; absent where it is the whole table,
-    /// in which rows that were removed are missing.
-    pub after: Option<RowVersion>,
+    /// Changes up to this version are excluded.
+    pub after: RowVersion,
     /// Nothing up to this version is missing.
     pub through: RowVersion,
     /// The rows; a row that was removed after `after` has no value.
     pub rows: Vec<StoredRow>,
-    /// Digest of all rows that the sender has, where it may not have heard of some that
-    /// were removed after `after`.
-    pub digest: Option<u64>,
+    /// Present if the sender may have missed removals after `after`.
+    pub digest: Option<RowDigest>,
 }
 
 /// What is missing after a delta was taken, so that it must be asked for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Missing {
     /// Changes before the delta.
     Changes {
         /// The version up to which the copy is complete.
         after: RowVersion,
     },
-    /// Removals that the sender cannot tell one by one: the whole table is needed.
-    Removals,
+    /// Removals that the sender cannot list: keys have to be compared.
+    Removals(KeyAsk),
+}
+
+/// Request for the keys in the buckets that differ.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyAsk {
+    /// The version up to which the asker's copy is complete.
+    pub after: RowVersion,
+    /// Sums of the asker's buckets, indexed by bucket number.
+    pub sums: Vec<u64>,
+}
+
+/// Reply to a [`KeyAsk`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KeyReply {
+    /// The changes after the asker's version.
+    pub delta: RowDelta,
+    /// Numbers of the buckets that differ.
+    pub buckets: Vec<u8>,
+    /// All keys in those buckets.
+    pub keys: Vec<String>,
 }
 
 /// What became of a delta.
@@ -90,66 +123,114 @@
 
     /// Takes what a peer passed on.
     pub fn take_delta(&mut self, delta: RowDelta) -> DeltaTaken {
-        let Some(after) = delta.after else {
-            let table = RowsAt {
-                rows: delta.rows,
-                version: delta.through,
-            };
-            return DeltaTaken {
-                news: self.take_table(table),
-                missing: None,
-            };
-        };
         let news = self.take_rows(delta.rows);
-        let missing = self.missing_after(after, delta.digest);
-        if missing.is_none() && delta.through > self.through {
-            self.through = delta.through;
-            if delta.digest.is_some() {
-                self.whole_at = delta.through;
-            }
+        let missing = self.missing_after(delta.after, delta.digest);
+        if missing.is_none() {
+            self.advance_through(delta.through, delta.digest.is_some());
         }
         DeltaTaken { news, missing }
     }
 
     /// What is missing when the rows after a version were taken.
-    fn missing_after(&self, after: RowVersion, digest: Option<u64>) -> Option<Missing> {
+    fn missing_after(&self, after: RowVersion, digest: Option<RowDigest>) -> Option<Missing> {
         if after > self.through {
             let after = self.through;
             return Some(Missing::Changes { after });
         }
-        let has_all = digest.is_none_or(|digest| digest == self.digest());
-        (!has_all).then_some(Missing::Removals)
+        let has_all = digest.is_none_or(|digest| digest == self.digest(digest.through));
+        (!has_all).then(|| Missing::Removals(self.key_ask()))
+    }
+
+    fn key_ask(&self) -> KeyAsk {
+        KeyAsk {
+            after: self.through,
+            sums: self.bucket_sums(),
+        }
+    }
+
+    /// Marks the copy as complete up to a version. `may_miss_removals` is set if removals before
+    /// that version may be unknown here, so that deltas from before it need a digest.
+    fn advance_through(&mut self, through: RowVersion, may_miss_removals: bool) {
+        if through > self.through {
+            self.through = through;
+            if may_miss_removals {
+                self.whole_at = through;
+            }
+        }
+    }
+
+    /// The rows that have not been removed.
+    fn present(&self) -> impl Iterator<Item = &StoredRow> {
+        self.rows.values().filter(|row| row.value.is_some())
+    }
+
+    /// Digest of the present rows up to a version, independent of their order.
+    fn digest(&self, through: RowVersion) -> RowDigest {
+        let rows = self.present().filter(|row| row.version <= through);
+        let sum = rows.fold(0, |sum, row| sum ^ row_hash(row));
+        RowDigest { through, sum }
+    }
+
+    /// XOR of the row hashes in each bucket.
+    fn bucket_sums(&self) -> Vec<u64> {
+        let mut sums = vec![0; BUCKETS];
+        for row in self.present() {
+            sums[bucket_index(&row.key)] ^= row_hash(row);
+        }
+        sums
+    }
+
+    /// Answers a peer's request to compare keys.
+    pub fn key_reply(&self, ask: &KeyAsk) -> KeyReply {
+        let own_sums = self.bucket_sums();
+        let differs = |bucket: &usize| ask.sums.get(*bucket) != own_sums.get(*bucket);
+        let buckets: Vec<usize> = (0..BUCKETS).filter(differs).collect();
+        let in_differing_bucket = |row: &&StoredRow| buckets.contains(&bucket_index(&row.key));
+        let keys = self
+            .present()
+            .filter(in_differing_bucket)
+            .map(|row| row.key.clone());
+        KeyReply {
+            delta: RowDelta {
+                digest: None,
+                ..self.delta_after(ask.after)
+            },
+            keys: keys.collect(),
+            buckets: buckets.iter().map(|bucket| *bucket as u8).collect(),
+        }
     }
 
-    /// Digest of the rows that are there, whatever their order.
-    fn digest(&self) -> u64 {
-        let there = self.rows.values().filter(|row| row.value.is_some());
-        there.fold(0, |digest, row| {
-            let mut hasher = DefaultHasher::new();
-            (&row.key, row.version).hash(&mut hasher);
-            digest ^ hasher.finish()
-        })
+    /// Takes a peer's reply to a key comparison. Rows in the compared buckets that are older than
+    /// the reply and not among its keys were removed. Returns the news.
+    pub fn take_keys(&mut self, reply: KeyReply) -> Vec<StoredRow> {
+        let KeyReply {
+            delta,
+            buckets,
+            keys,
+        } = reply;
+        let mut news = self.take_rows(delta.rows);
+        let keys: HashSet<String> = keys.into_iter().collect();
+        let is_removed = |row: &&StoredRow| {
+            let bucket = bucket_index(&row.key) as u8;
+            row.version < delta.through && buckets.contains(&bucket) && !keys.contains(&row.key)
+        };
+        let removed = self.present().filter(is_removed);
+        let removed: Vec<StoredRow> = removed.map(|row| removed_at(row, delta.through)).collect();
+        news.extend(self.take_rows(removed));
+        if delta.after <= self.through {
+            self.advance_through(delta.through, true);
+        }
+        news
     }
 
     /// The changes after a version, for a peer that is complete up to there.
     pub fn delta_after(&self, after: RowVersion) -> RowDelta {
         let changed = self.rows.values().filter(|row| row.version > after);
         RowDelta {
-            after: Some(after),
+            after,
             through: self.through,
             rows: changed.cloned().collect(),
-            digest: (after < self.whole_at).then(|| self.digest()),
-        }
-    }
-
-    /// The whole table, for a peer.
-    pub fn whole(&self) -> RowDelta {
-        let there = self.rows.values().filter(|row| row.value.is_some());
-        RowDelta {
-            after: None,
-            through: self.through,
-            rows: there.cloned().collect(),
-            digest: None,
+            digest: (after < self.whole_at).then(|| self.digest(self.whole_at)),
         }
     }
 
@@ -168,14 +249,36 @@
 
     /// Rows that are held, were there before this state, and are missing from it.
     fn missing_from(&self, table: &RowsAt) -> Vec<StoredRow> {
-        let there = |key: &str| table.rows.iter().any(|row| row.key == key);
-        let held = self.rows.values().filter(|row| row.value.is_some());
-        held.filter(|row| row.version < table.version && !there(&row.key))
-            .map(|row| StoredRow {
-                key: row.key.clone(),
-                value: None,
-                version: table.version,
-            })
+        let there: HashSet<&str> = table.rows.iter().map(|row| row.key.as_str()).collect();
+        let held = self.present();
+        held.filter(|row| row.version < table.version && !there.contains(row.key.as_str()))
+            .map(|row| removed_at(row, table.version))
             .collect()
     }
 }
+
+fn removed_at(row: &StoredRow, version: RowVersion) -> StoredRow {
+    StoredRow {
+        key: row.key.clone(),
+        value: None,
+        version,
+    }
+}
+
+/// 64-bit FNV-1a. The standard library's hasher may differ between builds, and daemons compare
+/// these hashes: a bucket that two of them number differently would remove rows that are there.
+fn fnv1a(bytes: impl Iterator<Item = u8>) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
+
+fn row_hash(row: &StoredRow) -> u64 {
+    fnv1a(row.key.bytes().chain(row.version.to_le_bytes()))
+}
+
+fn bucket_index(key: &str) -> usize {
+    (fnv1a(key.bytes()) % BUCKETS as u64) as usize
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -215,24 +215,69 @@
     pub version: u64,
 }
 
-/// All changes of the members' table after one version and up to another, or all of it.
+/// Digest of the sender's rows up to a version.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowDigestFrame {
+    /// Rows with a later version are excluded.
+    #[serde(rename = "t")]
+    pub through: u64,
+    /// XOR of the hashes of key and version of the included rows.
+    #[serde(rename = "s")]
+    pub sum: u64,
+}
+
+/// All changes of the members' table after one version and up to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RowsFrame {
-    /// What took place up to this version is left out; absent where it is the whole table.
-    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
-    pub after: Option<u64>,
+    /// Changes up to this version are excluded.
+    #[serde(rename = "a")]
+    pub after: u64,
     /// Nothing up to this version is missing.
     #[serde(rename = "t")]
     pub through: u64,
+    /// Whether the sender wants the receiver as a neighbour.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub wanted: bool,
     /// Time since the store last answered somebody who follows it, in milliseconds.
     #[serde(rename = "o")]
     pub age_ms: u64,
     /// The rows that changed.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(
+        rename = "r",
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        with = "crate::rows"
+    )]
     pub rows: Vec<RowFrame>,
-    /// Digest of all rows, where the sender may not know of some removals.
+    /// Present if the sender may have missed removals.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
-    pub digest: Option<u64>,
+    pub digest: Option<RowDigestFrame>,
+    /// Present in the reply to a request with bucket sums.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub keys: Option<RowKeysFrame>,
+}
+
+/// The keys of the members' table in the buckets that differ.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowKeysFrame {
+    /// Numbers of the buckets.
+    #[serde(rename = "b")]
+    pub buckets: ByteBuf,
+    /// All keys in those buckets.
+    #[serde(rename = "k")]
+    pub keys: Vec<String>,
+}
+
+/// Request for changes of the members' table and, optionally, for the keys in the buckets that
+/// differ.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RowsAsk {
+    /// Changes after this version are requested.
+    #[serde(rename = "a")]
+    pub after: u64,
+    /// Sums of the asker's buckets; empty if keys are not to be compared.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub sums: Vec<u64>,
 }
 
 /// The half of a target that calls are moved away from has none in hand and takes none.
@@ -387,9 +432,7 @@
         retry_after_us: u64,
     },
     /// Asks for the changes of the members' table.
-    AskRows {
-        /// The version after which; absent where the whole table is needed.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        after: Option<u64>,
-    },
+    AskRows(RowsAsk),
+    /// The sender no longer wants the receiver as a neighbour.
+    EndNeighbour,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,13 +7,16 @@
 mod codec;
 mod frame;
 mod hello;
+mod packed;
 mod prints;
+mod rows;
 mod settings_part;
 
 pub use codec::{CodecError, decode, encode};
 pub use frame::{
     Answer, BodyToCome, CallFrame, CallingOrganisation, Envelope, Frame, GuardedVerdict, Header,
-    IdleFrame, PieceFrame, QuotaAsk, RequestHead, RowFrame, RowsFrame,
+    IdleFrame, PieceFrame, QuotaAsk, RequestHead, RowDigestFrame, RowFrame, RowKeysFrame, RowsAsk,
+    RowsFrame,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
 pub use prints::request_prints;
--- a/crates/wire/src/settings_part.rs
+++ b/crates/wire/src/settings_part.rs
@@ -5,10 +5,7 @@
 use serde_bytes::ByteBuf;
 
 use crate::codec::CodecError;
-
-/// Largest part once it is unpacked, in bytes: a part ends with the unit that passes the
-/// sender's limit, and a unit is a 256th of the routes, or all levels.
-const UNPACKED_BYTES: usize = 4 << 20;
+use crate::packed::{pack, unpack};
 
 /// Asks for what the asker lacks of the settings in force.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -93,13 +90,11 @@
         entries_digest: &str,
         part: &TreePart,
     ) -> Result<Self, CodecError> {
-        let mut plain = Vec::new();
-        ciborium::into_writer(part, &mut plain)?;
         Ok(SettingsPart {
             generation: generation.number,
             digest: generation.digest.to_string(),
             entries_digest: entries_digest.to_owned(),
-            body: ByteBuf::from(lz4_flex::compress_prepend_size(&plain)),
+            body: ByteBuf::from(pack(part)?),
         })
     }
 
@@ -113,15 +108,7 @@
     /// # Errors
     /// Bytes that are no part.
     pub fn unpack(&self) -> Result<TreePart, CodecError> {
-        let (found, rest) = lz4_flex::block::uncompressed_size(&self.body)?;
-        if found > UNPACKED_BYTES {
-            return Err(CodecError::TooLarge {
-                found,
-                limit: UNPACKED_BYTES,
-            });
-        }
-        let plain = lz4_flex::decompress(rest, found)?;
-        Ok(ciborium::from_reader(plain.as_slice())?)
+        unpack(&self.body)
     }
 }
 
