--- a/crates/daemon/src/quota/ask.rs
+++ b/crates/daemon/src/quota/ask.rs
@@ -7,7 +7,7 @@
 use lynxcleat_settings::NamedOrganisation;
 use lynxcleat_wire::{Frame, QuotaAsk};
 
-use super::keepers;
+use super::owners;
 use super::state::{SharedLease, limit_of};
 use crate::core::Core;
 use crate::mesh::{Link, Links};
@@ -36,7 +36,7 @@
 }
 
 async fn ask(core: &Arc<Core>, named: &NamedOrganisation, request: TokenRequest) -> QuotaGrant {
-    let owners = keepers::current(core);
+    let owners = owners::current(core);
     let order = owners.preference_order(&named.name);
     for host in order.into_iter().take(OWNERS_TRIED) {
         if host == core.config.host {
@@ -116,6 +116,6 @@
             retry_after_us: 0,
         };
     };
-    let share = keepers::share(core);
+    let share = owners::share(core);
     core.quota.grant(&named.name, limit, share, wanted)
 }
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -4,10 +4,10 @@
 //! falls back to a local bucket with a small share of the limit.
 
 mod ask;
-mod keepers;
+mod owners;
 pub(crate) mod state;
 mod take;
 
 pub use ask::answer;
-pub use keepers::start;
+pub use owners::start;
 pub use take::take;
--- a/crates/policy/src/quota/mod.rs
+++ b/crates/policy/src/quota/mod.rs
@@ -5,9 +5,9 @@
 //! them at high call rates ([`QuotaLease`]), so that most calls do not wait for a round trip.
 
 mod bucket;
-mod keepers;
 mod lease;
+mod owners;
 
 pub use bucket::{QuotaBucket, QuotaGrant, QuotaLimit};
-pub use keepers::{BucketOwners, owner_count};
 pub use lease::{LeaseStep, QuotaLease, TokenRequest};
+pub use owners::{BucketOwners, owner_count};
