Test that unused leased tokens are returned

Removing the return of expired tokens (unused-tokens-are-given-back in scripts/take-out.list) failed no test: the test named there covers calls that no target ran. The new test fails without the return.

--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -185,6 +185,19 @@
     assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
 }
 
+/// Guards against losing leased tokens that expire unused.
+#[test]
+fn expired_tokens_are_returned_with_the_next_request() {
+    let mut lease = QuotaLease::default();
+    assert!(matches!(lease.take(0), LeaseStep::Wait { ask: Some(_) }));
+    lease.apply_grant(0, 10, 0);
+    assert!(matches!(lease.take(0), LeaseStep::Taken { .. }));
+    let LeaseStep::Wait { ask: Some(request) } = lease.take(10 * SECOND) else {
+        panic!("expected a token request after the lease expired");
+    };
+    assert_eq!((request.tokens, request.returned), (1, 9));
+}
+
 #[test]
 fn tokens_of_calls_that_no_target_ran_serve_others() {
     let mut fleet = Fleet::new(limit(10, 10), 1);
