Forward token requests through other owners if the owner is unreachable

Cause: a daemon that could not reach the owner of a bucket asked the next owner, which grants the full limit if it reaches a majority of the owners. When two zones could not reach each other but a third reached both, the owners of both zones saw a majority, so two buckets granted tokens.

Change: up to four other owners are asked to forward the request. Only if none of them reaches the owner, the first one that responded grants from its own bucket. The requesting daemon counts as one that responded if it is among them, and uses its own bucket if there is no other grant. A host that did not respond is not asked again for half a second, and calls wait 200 ms at most.

The outcome no-link of quota_asks is gone; forwarded and deputy are new.

--- a/crates/daemon/src/quota/ask.rs
+++ b/crates/daemon/src/quota/ask.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_policy::{QuotaGrant, TokenRequest};
+use lynxcleat_policy::{Micros, QuotaGrant, TokenRequest};
 use lynxcleat_settings::NamedOrganisation;
 use lynxcleat_wire::{Frame, QuotaAsk};
 
@@ -14,10 +14,14 @@
 use crate::metrics::count;
 use crate::sync::lock;
 
-/// Owners tried before the daemon falls back to its local bucket.
-const OWNERS_TRIED: usize = 2;
-/// Timeout for the response of an owner, connection setup included; bounds how long calls wait.
+/// Maximum number of other owners asked to forward a request when the owner does not respond.
+const RELAYS_TRIED: usize = 4;
+/// Time during which no requests are sent to a host that did not respond, in microseconds.
+const HOST_BACKOFF_US: Micros = 500_000;
+/// Timeout for the response of a host, connection setup included.
 const ANSWER_LIMIT: Duration = Duration::from_millis(100);
+/// Timeout for all hosts together, after which the local bucket is used; bounds how long calls wait.
+const ASK_LIMIT: Duration = Duration::from_millis(200);
 
 /// Requests tokens in a background task and notifies the calls that wait for them.
 pub(super) fn spawn(
@@ -38,50 +42,118 @@
 async fn ask(core: &Arc<Core>, named: &NamedOrganisation, request: TokenRequest) -> QuotaGrant {
     let owners = owners::current(core);
     let order = owners.preference_order(&named.name);
-    for host in order.into_iter().take(OWNERS_TRIED) {
-        if host == core.config.host {
-            break;
+    let (grant, outcome) = match order.split_first() {
+        Some((owner, others)) => {
+            let asked = ask_owner_or_relays(core, named, request, (owner, others));
+            tokio::time::timeout(ASK_LIMIT, asked)
+                .await
+                .unwrap_or((None, "no-answer"))
         }
-        let asked = tokio::time::timeout(ANSWER_LIMIT, ask_owner(core, host, named, request));
-        match asked.await {
-            Ok(Some(grant)) => {
-                count(&core.metrics.quota_asks, "answered");
-                return grant;
+        None => (None, "own-bucket"),
+    };
+    count(&core.metrics.quota_asks, outcome);
+    grant.unwrap_or_else(|| grant_locally(core, named, (request.tokens, request.returned)))
+}
+
+/// Requests tokens from the owner, directly or through other owners, to avoid grants from a second
+/// bucket during a partial partition. If no relay reaches the owner, the first one in preference
+/// order that responded, this daemon included, grants from its own bucket. Returns the grant and
+/// the outcome for the metrics; without a grant, the caller uses the bucket of this daemon.
+async fn ask_owner_or_relays(
+    core: &Arc<Core>,
+    named: &NamedOrganisation,
+    request: TokenRequest,
+    (owner, others): (&str, &[&str]),
+) -> (Option<QuotaGrant>, &'static str) {
+    if owner == core.config.host {
+        return (None, "own-bucket");
+    }
+    if let AskOutcome::Granted(grant) = ask_host(core, owner, owner, named, request).await {
+        return (Some(grant), "answered");
+    }
+    let mut fallbacks = Vec::new();
+    for host in others.iter().take(RELAYS_TRIED) {
+        if *host == core.config.host {
+            fallbacks.push(*host);
+            continue;
+        }
+        match ask_host(core, host, owner, named, request).await {
+            AskOutcome::Granted(grant) => return (Some(grant), "forwarded"),
+            AskOutcome::OwnerUnreachable => fallbacks.push(*host),
+            AskOutcome::NoAnswer => {}
+        }
+    }
+    match fallbacks.first() {
+        Some(fallback) if *fallback != core.config.host => {
+            match ask_host(core, fallback, fallback, named, request).await {
+                AskOutcome::Granted(grant) => (Some(grant), "deputy"),
+                _ => (None, "no-answer"),
             }
-            Ok(None) => count(&core.metrics.quota_asks, "no-link"),
-            Err(_) => count(&core.metrics.quota_asks, "no-answer"),
+        }
+        _ => (None, "no-answer"),
+    }
+}
+
+/// Outcome of a token request to one host.
+enum AskOutcome {
+    Granted(QuotaGrant),
+    /// The host responded but could not get a response from the owner.
+    OwnerUnreachable,
+    NoAnswer,
+}
+
+async fn ask_host(
+    core: &Arc<Core>,
+    host: &str,
+    owner: &str,
+    named: &NamedOrganisation,
+    request: TokenRequest,
+) -> AskOutcome {
+    let now = core.clock.now();
+    if core.quota.is_backed_off(host, now) {
+        return AskOutcome::NoAnswer;
+    }
+    let asked = tokio::time::timeout(
+        ANSWER_LIMIT,
+        send_request(core, host, owner, named, request),
+    )
+    .await;
+    match asked {
+        Ok(Some(Frame::Quota {
+            unreachable: false,
+            tokens,
+            retry_after_us,
+            ..
+        })) => AskOutcome::Granted(QuotaGrant {
+            tokens,
+            retry_after_us,
+        }),
+        Ok(Some(_)) => AskOutcome::OwnerUnreachable,
+        Ok(None) | Err(_) => {
+            core.quota.back_off(host, now + HOST_BACKOFF_US);
+            AskOutcome::NoAnswer
         }
     }
-    count(&core.metrics.quota_asks, "own-bucket");
-    grant_locally(core, named, (request.tokens, request.returned))
 }
 
-async fn ask_owner(
+async fn send_request(
     core: &Arc<Core>,
     host: &str,
+    owner: &str,
     named: &NamedOrganisation,
     request: TokenRequest,
-) -> Option<QuotaGrant> {
+) -> Option<Frame> {
     let link = link_to(core, host).await?;
     let asked = link.ask(|ask| {
         Frame::AskQuota(QuotaAsk {
             ask,
             organisation: named.name.clone(),
+            owner: owner.to_owned(),
             tokens: request.tokens,
             returned: request.returned,
         })
     });
-    match asked.await {
-        Ok(Frame::Quota {
-            tokens,
-            retry_after_us,
-            ..
-        }) => Some(QuotaGrant {
-            tokens,
-            retry_after_us,
-        }),
-        _ => None,
-    }
+    asked.await.ok()
 }
 
 async fn link_to(core: &Arc<Core>, host: &str) -> Option<Arc<Link>> {
@@ -92,8 +164,23 @@
     }
 }
 
-/// Answers a token request of another daemon.
-pub fn answer(core: &Core, link: &Link, ask: QuotaAsk) {
+/// Answers a token request of another daemon or forwards it to the owner of the bucket.
+pub fn answer(core: &Arc<Core>, link: &Arc<Link>, ask: QuotaAsk) {
+    if ask.owner == core.config.host {
+        let reply = answer_as_owner(core, &ask);
+        let _ = link.send(reply);
+        return;
+    }
+    let entry = core.hosts.get(&ask.owner);
+    let owner_link = entry.and_then(|entry| core.links.live(&entry.mesh));
+    let link = Arc::clone(link);
+    tokio::spawn(async move {
+        let reply = forward(owner_link, &ask).await;
+        let _ = link.send(reply);
+    });
+}
+
+fn answer_as_owner(core: &Core, ask: &QuotaAsk) -> Frame {
     let in_force = core.settings.current();
     let tree = in_force.as_ref().map(|in_force| &in_force.generation.tree);
     let named = tree.and_then(|tree| tree.organisation(&ask.organisation));
@@ -102,11 +189,46 @@
         // The two daemons have different generations of the settings.
         None => QuotaGrant::default(),
     };
-    let _ = link.send(Frame::Quota {
+    Frame::Quota {
         ask: ask.ask,
         tokens: grant.tokens,
         retry_after_us: grant.retry_after_us,
+        unreachable: false,
+    }
+}
+
+/// Forwards a request to the owner. Reports the owner as unreachable if there is no link to it or
+/// no response in time.
+async fn forward(owner_link: Option<Arc<Link>>, request: &QuotaAsk) -> Frame {
+    let unreachable = Frame::Quota {
+        ask: request.ask,
+        tokens: 0,
+        retry_after_us: 0,
+        unreachable: true,
+    };
+    let Some(link) = owner_link else {
+        return unreachable;
+    };
+    let answered = link.ask(|ask| {
+        Frame::AskQuota(QuotaAsk {
+            ask,
+            ..request.clone()
+        })
     });
+    match tokio::time::timeout(ANSWER_LIMIT / 2, answered).await {
+        Ok(Ok(Frame::Quota {
+            tokens,
+            retry_after_us,
+            unreachable,
+            ..
+        })) => Frame::Quota {
+            ask: request.ask,
+            tokens,
+            retry_after_us,
+            unreachable,
+        },
+        _ => unreachable,
+    }
 }
 
 fn grant_locally(core: &Core, named: &NamedOrganisation, wanted: (u32, u32)) -> QuotaGrant {
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -3,13 +3,16 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::{BucketOwners, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit};
+use lynxcleat_policy::{BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit};
 use lynxcleat_settings::Organisation;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::sync::lock;
 
+/// Time for which expired backoff entries are kept, in microseconds.
+const BACKOFF_RETENTION_US: Micros = 60_000_000;
+
 /// Lease of one organisation, shared by the calls that take tokens from it.
 #[derive(Default)]
 pub(super) struct SharedLease {
@@ -24,6 +27,8 @@
     leases: Mutex<HashMap<String, Arc<SharedLease>>>,
     buckets: Mutex<HashMap<String, QuotaBucket>>,
     bucket_owners: Mutex<Arc<BucketOwners>>,
+    /// Time until which no requests are sent to a host that did not respond.
+    host_backoffs: Mutex<HashMap<String, Micros>>,
 }
 
 impl QuotaState {
@@ -34,6 +39,7 @@
             leases: Mutex::default(),
             buckets: Mutex::default(),
             bucket_owners: Mutex::default(),
+            host_backoffs: Mutex::default(),
         }
     }
 
@@ -76,6 +82,18 @@
         bucket_owners
     }
 
+    pub(super) fn is_backed_off(&self, host: &str, now: Micros) -> bool {
+        lock(&self.host_backoffs)
+            .get(host)
+            .is_some_and(|until| now < *until)
+    }
+
+    pub(super) fn back_off(&self, host: &str, until: Micros) {
+        let mut backoffs = lock(&self.host_backoffs);
+        backoffs.retain(|_, expiry| *expiry + BACKOFF_RETENTION_US > until);
+        backoffs.insert(host.to_owned(), until);
+    }
+
     /// Drops the leases and buckets of organisations that no longer exist.
     pub(super) fn retain(&self, exists: impl Fn(&str) -> bool) {
         lock(&self.leases).retain(|name, _| exists(name));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -117,6 +117,9 @@
     /// Name of the organisation.
     #[serde(rename = "o")]
     pub organisation: String,
+    /// Host of the daemon that owns the bucket; other daemons forward the request to it.
+    #[serde(rename = "k")]
+    pub owner: String,
     /// Tokens requested.
     #[serde(rename = "w")]
     pub tokens: u32,
@@ -430,6 +433,9 @@
         /// requested.
         #[serde(rename = "b")]
         retry_after_us: u64,
+        /// Whether the request could not be forwarded to the owner, so no tokens were granted.
+        #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+        unreachable: bool,
     },
     /// Asks for the changes of the members' table.
     AskRows(RowsAsk),
