Wait for both calls to reach the target before they are compared

Cause: the test waits for the answer to /large and then expects that /held has begun as well; the target's thread for it may run later.

Change: it waits until two calls have begun.

--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -355,6 +355,8 @@
     let at_bound = || worker.metric("lynxcleat_pipelines_at_bound_total") == 1.0;
     assert!(wait_until(PATIENCE, at_bound));
     // Side by side, they come to the target in any order.
+    let both_begun = || SEEN.lock().expect("seen").len() >= 2;
+    assert!(wait_until(PATIENCE, both_begun), "both come to the target");
     let mut seen = SEEN.lock().expect("seen").clone();
     seen.sort();
     assert_eq!(seen, ["begin /held", "begin /large"]);
