Show what targets state in their answers, and which calls they get

Logs and metrics could not tell the three hypotheses of the incident apart: no line said that a target named a limit, and calls to a target were not counted by kind. Headers of a limit and of leaving are read and shown; no decision uses them yet. A text that is no rate is counted and logged once.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -4,15 +4,18 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use lynxcleat_policy::Micros;
+use lynxcleat_policy::{Micros, RateLimit};
 use thiserror::Error;
 
 use crate::headers::{
-    CALL, CALLER_KEY, DEADLINE, ORGANISATION, OUTCOME, PREFIX, RETRY, RETRY_AFTER_MS,
+    CALL, CALLER_KEY, DEADLINE, LEAVING, ORGANISATION, OUTCOME, PREFIX, RATE_LIMIT, RETRY,
+    RETRY_AFTER_MS,
 };
 
 /// What a target says that did not run a call, in our own interface.
 const NOT_RUN: &str = "not-run";
+/// Value of the header of a target that is leaving.
+const IS_LEAVING: &str = "1";
 
 /// What a target tells of its load on an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -40,6 +43,11 @@
 #[error("{0:?} is no number of milliseconds for which a target is cold")]
 pub struct NotColdTime(pub String);
 
+/// A target stated a rate limit in a text that is no rate.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{0:?} is no number of calls a second")]
+pub struct NotARate(pub String);
+
 /// How a target's answer is to be taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -89,6 +97,10 @@
     pub cold_left_ms: Option<HeaderName>,
     /// Incarnation of the target, from targets that are asked for their load.
     pub told_instance: Option<HeaderName>,
+    /// Calls a second that the target takes from all daemons together, from targets.
+    pub rate_limit: HeaderName,
+    /// Says that the target is leaving, from targets.
+    pub leaving: HeaderName,
     /// How a target's answer is to be taken.
     pub answer_kind: fn(&Parts) -> AnswerKind,
     /// Headers of ours that are neither taken from callers nor from targets.
@@ -114,6 +126,8 @@
             load: None,
             cold_left_ms: None,
             told_instance: None,
+            rate_limit: HeaderName::from_static(RATE_LIMIT),
+            leaving: HeaderName::from_static(LEAVING),
             answer_kind: own_answer_kind,
             is_ours: |name| name.as_str().starts_with(PREFIX),
             own_interface: true,
@@ -160,6 +174,26 @@
         Some(value.to_str().ok()?.to_owned())
     }
 
+    /// The rate limit that an answer states.
+    ///
+    /// # Errors
+    /// A header that is no rate.
+    pub fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<RateLimit>, NotARate> {
+        let Some(value) = headers.get(&self.rate_limit) else {
+            return Ok(None);
+        };
+        let fault = || NotARate(String::from_utf8_lossy(value.as_bytes()).into_owned());
+        let text = value.to_str().map_err(|_| fault())?;
+        let per_s: f64 = text.trim().parse().map_err(|_| fault())?;
+        RateLimit::from_per_s(per_s).ok_or_else(fault).map(Some)
+    }
+
+    /// Whether an answer says that the target is leaving.
+    pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        let value = headers.get(&self.leaving);
+        value.is_some_and(|value| value == IS_LEAVING)
+    }
+
     /// The value of `Retry-After`: whole seconds, or fractions where allowed.
     pub fn retry_after(&self, after_us: Micros) -> HeaderValue {
         if !self.fractional_retry_after {
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -1,5 +1,6 @@
 //! Delivering a call that has a slot to the target, and what its end tells.
 
+use hyper::HeaderMap;
 use lynxcleat_once::OpId;
 use lynxcleat_policy::{AdmissionEvent, AttemptId, Micros, Outcome, RefusalReason};
 use lynxcleat_wire::{BodyAnnouncement, CallFrame};
@@ -8,11 +9,13 @@
 use super::cut::note_cut;
 use super::ends::Found;
 use super::exchange::{Exchange, Request, RequestBody};
+use super::notices::Answerer;
 use super::serve::{
     BODY_RETRY_AFTER_US, DOWN_RETRY_AFTER_US, Ended, Incoming, NOT_READY_RETRY_AFTER_US,
     ONCE_RETRY_AFTER_US, OUTCOME_WAIT_US, refused,
 };
 use crate::dialect::TargetLoad;
+use crate::metrics::count;
 use crate::sync::lock;
 
 impl Incoming<'_> {
@@ -28,6 +31,10 @@
             self.done(None);
             return refused(RefusalReason::Leaving, NOT_READY_RETRY_AFTER_US);
         };
+        count(
+            &self.core.metrics.target_deliveries,
+            self.delivery_kind(&call),
+        );
         let (kind, attempt) = (call.kind, call.attempt);
         let begun = self.core.clock.now();
         let (exchange, served_from) = match call.to_come {
@@ -80,6 +87,16 @@
         }
     }
 
+    /// What kind of delivery a call is, for the metrics.
+    fn delivery_kind(&self, call: &CallFrame) -> &'static str {
+        match call {
+            CallFrame { canary: true, .. } => "canary",
+            CallFrame { number: 2.., .. } => "again",
+            call if self.half.is_nested(call) => "nested",
+            _ => "first",
+        }
+    }
+
     /// Whether the end of a call tells anything of the target's version. One end of the target
     /// is one failure: counted for each call in hand, an end with four calls reverted a good
     /// version. An end under a suspect tells of the request.
@@ -139,10 +156,14 @@
         instance: Option<String>,
     ) -> Exchange {
         let body = RequestBody::Whole(std::mem::take(&mut call.body).into_vec());
-        let request = self.request(call, instance, body);
+        let request = self.request(call, instance.clone(), body);
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
         let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
-        let exchange = self.half.pool.exchange(&self.core.dialect, request, sends);
+        let hears = self.hears(instance);
+        let exchange = self
+            .half
+            .pool
+            .exchange(&self.core.dialect, request, (sends, hears));
         if op.is_some() {
             return tokio::select! {
                 exchange = exchange => exchange,
@@ -177,10 +198,14 @@
         let (attempt, name) = (call.attempt, call.call.clone());
         let bodies = &self.half.bodies;
         let expected = bodies.expect(self.link, attempt, (to_come, window));
-        let request = self.request(call, instance, RequestBody::Pieces(&expected));
+        let request = self.request(call, instance.clone(), RequestBody::Pieces(&expected));
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
         let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
-        let exchange = self.half.pool.exchange(&self.core.dialect, request, sends);
+        let hears = self.hears(instance);
+        let exchange = self
+            .half
+            .pool
+            .exchange(&self.core.dialect, request, (sends, hears));
         let (exchange, ended_by) = tokio::select! {
             exchange = exchange => (exchange, "target"),
             by = self.unwanted(op, &expected) => (Exchange::Lost, by),
@@ -212,6 +237,18 @@
         by
     }
 
+    /// Takes what an answer says of the target. It answers a call that is about to be sent.
+    fn hears(&self, instance: Option<String>) -> impl Fn(&HeaderMap) {
+        let sent_at = self.core.clock.now();
+        move |headers| {
+            let answerer = Answerer {
+                instance: instance.as_deref(),
+                sent_at,
+            };
+            self.half.hear(self.core, headers, answerer);
+        }
+    }
+
     /// How long the answer of the target is waited for.
     fn awaited_until(&self, op: Option<OpId>) -> Micros {
         match op {
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -5,7 +5,8 @@
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::TrySendError;
-use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Response, Uri};
 use lynxcleat_policy::Micros;
 use lynxcleat_wire::{Answer, Header, RequestHead};
@@ -87,13 +88,14 @@
 type HttpRequest = hyper::Request<TargetBody>;
 
 impl Pool {
-    /// Writes a request and reads the whole answer; `sends` is called once it is written. If the
-    /// future is dropped, the connection is closed.
+    /// Writes a request and reads the whole answer; `sends` is called once it is written, and
+    /// `hears` with the headers of an answer of the incarnation meant. If the future is dropped,
+    /// the connection is closed.
     pub(super) async fn exchange(
         &self,
         dialect: &Dialect,
         request: Request<'_>,
-        sends: impl Fn(),
+        (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
     ) -> Exchange {
         let body_limit = request.body_limit;
         let is_head = request.head.method == "HEAD";
@@ -128,8 +130,18 @@
                     if answers_another(dialect, &response, &call) {
                         return Exchange::Lost;
                     }
+                    let (parts, body) = response.into_parts();
+                    let kind = (dialect.answer_kind)(&parts);
+                    if kind != AnswerKind::OtherInstance {
+                        hears(&parts.headers);
+                    }
                     return self
-                        .finish(dialect, (sender, expected), response, (body_limit, is_head))
+                        .finish(
+                            dialect,
+                            (sender, expected),
+                            (kind, parts, body),
+                            (body_limit, is_head),
+                        )
                         .await;
                 }
                 // Given back unwritten: the target had closed an idle connection.
@@ -182,10 +194,9 @@
         &self,
         dialect: &Dialect,
         (sender, expected): (Sender, Option<&Expected>),
-        response: Response<Incoming>,
+        (kind, parts, body): (AnswerKind, Parts, Incoming),
         (body_limit, is_head): (usize, bool),
     ) -> Exchange {
-        let (parts, body) = response.into_parts();
         let body = match Limited::new(body, body_limit).collect().await {
             Ok(whole) => whole.to_bytes(),
             Err(error) => {
@@ -198,7 +209,7 @@
         if expected.is_none_or(Expected::is_handed_over) {
             self.put_back(sender);
         }
-        match (dialect.answer_kind)(&parts) {
+        match kind {
             AnswerKind::Ran => {}
             AnswerKind::NotRun { retry_after_us } => {
                 let retry_after_us = retry_after_us.unwrap_or(SHED_RETRY_AFTER_US);
@@ -304,7 +315,7 @@
 
 /// Headers for the caller. The length is that of the body we send, except for
 /// HEAD, whose answer has a length and no body.
-fn end_to_end(dialect: &Dialect, headers: &hyper::HeaderMap, is_head: bool) -> Vec<Header> {
+fn end_to_end(dialect: &Dialect, headers: &HeaderMap, is_head: bool) -> Vec<Header> {
     let listed = listed_in_connection(headers);
     let passes = |name: &HeaderName| {
         let length = name == CONTENT_LENGTH && !is_head;
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -11,6 +11,7 @@
 mod down;
 mod ends;
 mod exchange;
+mod notices;
 mod pool;
 mod serve;
 pub(crate) mod state;
--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::bodies::Bodies;
+use super::notices::Notices;
 use super::pool::Pool;
 use super::suspects::Suspects;
 use crate::clock::Clock;
@@ -74,6 +75,8 @@
     pub(super) look_wanted: Notify,
     /// Bodies in pieces on their way to the target.
     pub bodies: Bodies,
+    /// What the target says of itself in its answers.
+    pub(super) notices: Mutex<Notices>,
     /// The turn of suspect requests.
     pub(super) suspects: Suspects,
     /// Connections to the target.
@@ -118,6 +121,7 @@
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
             bodies: Bodies::new(clock),
+            notices: Mutex::default(),
             suspects: Suspects::default(),
             pool,
         }
@@ -238,6 +242,7 @@
             return ReportEffect::Ignored;
         };
         if is_other {
+            self.forget_notices();
             self.admit(AdmissionEvent::Replaced);
         }
         effect
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -27,6 +27,11 @@
 pub const CALL: &str = "lynxcleat-call";
 /// When to come back, in milliseconds. To callers and from targets that shed.
 pub const RETRY_AFTER_MS: &str = "lynxcleat-retry-after-ms";
+/// Calls a second that the target takes from all daemons together, a decimal number. From
+/// targets, for as long as the limit holds.
+pub const RATE_LIMIT: &str = "lynxcleat-rate-limit";
+/// `1` in the answers of a target that is leaving.
+pub const LEAVING: &str = "lynxcleat-leaving";
 /// Prefix of all our headers.
 pub const PREFIX: &str = "lynxcleat-";
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -40,7 +40,7 @@
 pub use config::{Config, ConfigError, ConfigFault, RawConfig};
 pub use core::Identity;
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
-pub use dialect::{AnswerKind, Dialect, LoadHeader, NotColdTime, TargetLoad};
+pub use dialect::{AnswerKind, Dialect, LoadHeader, NotARate, NotColdTime, TargetLoad};
 pub use directory::{
     Directory, OperatorRow, OperatorRowError, ReadOperatorRow, SettingsRow, StatusRows,
     TranslateError, TranslatedTree, WantedRollout,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 
+use lynxcleat_policy::RateLimit;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -12,6 +13,9 @@
 
 use crate::sync::lock;
 
+/// Value of the gauge of the target's rate limit where it states none.
+const NO_LIMIT: i64 = -1;
+
 /// Labels of a call's outcome.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct CallLabels {
@@ -75,6 +79,12 @@
     /// Failures that requests brought about themselves, charged to no target.
     pub own_failures: Counter,
     pub target_refusals: Kinds,
+    /// Calls delivered to the target, by kind.
+    pub target_deliveries: Kinds,
+    /// Answers of the target that say something of it, by what.
+    pub target_notices: Kinds,
+    /// Calls in 1,000 s that the target takes; -1 where it states no limit.
+    pub target_rate_limit: Gauge,
     pub target_ends: Counter,
     pub target_down: Gauge,
     pub suspensions: Counter,
@@ -133,6 +143,9 @@
             retries: Counter::default(),
             own_failures: Counter::default(),
             target_refusals: Family::default(),
+            target_deliveries: Family::default(),
+            target_notices: Family::default(),
+            target_rate_limit: Gauge::default(),
             target_ends: Counter::default(),
             target_down: Gauge::default(),
             suspensions: Counter::default(),
@@ -173,6 +186,7 @@
             store_steps_in: Counter::default(),
             unlogged: Counter::default(),
         };
+        metrics.show_rate_limit(None);
         metrics.register();
         metrics
     }
@@ -198,6 +212,9 @@
         registry.register("retries", "Further attempts sent", self.retries.clone());
         registry.register("own_failures", "Failures of requests that fail at other targets too, charged to none", self.own_failures.clone());
         registry.register("target_refusals", "Calls that the target half did not run", self.target_refusals.clone());
+        registry.register("target_deliveries", "Calls delivered to the target: first attempts, further ones, nested calls, canaries", self.target_deliveries.clone());
+        registry.register("target_notices", "Answers of the target that state a rate limit, one that is no rate, or that it leaves", self.target_notices.clone());
+        registry.register("target_rate_limit", "Calls in 1,000 s that the target says it takes; -1 without a limit", self.target_rate_limit.clone());
         registry.register("target_down", "Whether nothing listens at the target's address", self.target_down.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
         registry.register("suspensions", "Times that the host was suspended", self.suspensions.clone());
@@ -238,6 +255,12 @@
         registry.register("platform_failures", "Failed calls to the platform", self.platform_failures.clone());
     }
 
+    /// Shows the rate limit that the target states.
+    pub fn show_rate_limit(&self, limit: Option<RateLimit>) {
+        let per_1000_s = limit.map_or(NO_LIMIT, |limit| limit.calls_per_1000_s as i64);
+        self.target_rate_limit.set(per_1000_s);
+    }
+
     /// The Prometheus text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -236,6 +236,7 @@
     let outbound = &call.call;
     CallFrame {
         attempt: AttemptId(0),
+        number: 1,
         call: outbound.name.clone(),
         service: call.service.name.clone(),
         kind: outbound.kind,
--- a/crates/daemon/src/route/offer.rs
+++ b/crates/daemon/src/route/offer.rs
@@ -80,6 +80,7 @@
         }
         CallFrame {
             attempt,
+            number: self.number(),
             call: self.call.name.clone(),
             service: self.service.name.clone(),
             kind: self.call.kind,
@@ -102,6 +103,13 @@
         }
     }
 
+    /// Number of the newest attempt. A call that belongs to a further attempt of a call higher
+    /// up counts as one itself.
+    fn number(&self) -> u32 {
+        let own = self.attempts.len() as u32;
+        own + u32::from(!self.call.may_retry)
+    }
+
     /// Passes on how much of the body may be sent.
     pub(super) fn open_window(&self, attempt: AttemptId, bytes: u64) {
         let Some(out) = self.out(attempt) else { return };
--- a/crates/daemon/tests/large_bodies/half.rs
+++ b/crates/daemon/tests/large_bodies/half.rs
@@ -17,6 +17,7 @@
 fn call_in_pieces(attempt: AttemptId, length: u64) -> CallFrame {
     CallFrame {
         attempt,
+        number: 1,
         call: format!("call-{}", attempt.0),
         service: "stock".to_owned(),
         kind: CallKind::default(),
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -152,6 +152,7 @@
         );
         CallFrame {
             attempt: AttemptId(number),
+            number: 1,
             call: format!("by-hand-{number}"),
             service: "stock".to_owned(),
             kind,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod subset;
 mod target;
 mod target_load;
+mod target_notice;
 mod utility;
 
 pub use ack_timeout::AckTimeout;
@@ -103,4 +104,5 @@
 pub use subset::{Candidate, Location, MIN_OTHER_REGION_TARGETS, subset};
 pub use target::{Health, ServiceAverages, TargetState};
 pub use target_load::TargetLoad;
+pub use target_notice::{RateLimit, StatedLimit};
 pub use utility::CallTiming;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -49,6 +49,9 @@
     /// Identifier of the call in logs and explanations.
     #[serde(rename = "i")]
     pub call: String,
+    /// Number of the attempt among those of the call, from 1; 0 from daemons that do not tell it.
+    #[serde(rename = "f", default)]
+    pub number: u32,
     /// Requested service.
     #[serde(rename = "s")]
     pub service: String,
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -8,6 +8,7 @@
 fn call_envelope(homes: Homes) -> Envelope {
     let call = CallFrame {
         attempt: AttemptId(1),
+        number: 1,
         call: "c".to_owned(),
         service: "s".to_owned(),
         kind: CallKind::default(),
