--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -50,8 +50,11 @@
                 "    considered {:20} score {:.0}{}",
                 scored.host,
                 scored.score,
-                scored.way()
+                scored.remarks()
             );
         }
+        for host in &attempt.passed_over {
+            println!("    passed over {host}: its rate limit is used up");
+        }
     }
 }
--- a/crates/cli/src/explain_log.rs
+++ b/crates/cli/src/explain_log.rs
@@ -99,6 +99,9 @@
             "    to {} after {} us: {result}",
             attempt.host, attempt.sent_us
         );
+        for host in attempt.passed_over {
+            println!("      passed over {host}: its rate limit is used up");
+        }
         for one in attempt.considered {
             println!(
                 "      considered {:20} score {:.3} load {:.1} slowness {:.1} told {} ms before{}",
@@ -107,7 +110,7 @@
                 one.load,
                 one.slowness,
                 one.slowness_age_us / 1_000,
-                one.way()
+                one.remarks()
             );
         }
     }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -48,7 +48,10 @@
             link.open_window(attempt, bytes);
         }
         Frame::Piece(piece) => core.half.bodies.take_piece(&core.metrics, link, piece),
-        Frame::Load(figures) => core.routers.load(core, &link.peer.host, figures),
+        Frame::Load(figures) => {
+            core.routers.heard(&link.peer.host, Some(figures));
+            core.routers.load(core, &link.peer.host, figures);
+        }
         Frame::Cancel(attempt) => core.half.cancel(link.id, attempt),
         Frame::Answer {
             attempt,
@@ -57,6 +60,7 @@
             there_us,
             work_us,
         } => {
+            core.routers.heard(&link.peer.host, figures);
             let kind = SignalKind::Answer {
                 answer,
                 figures,
@@ -71,6 +75,7 @@
             refusal,
             figures,
         } => {
+            core.routers.heard(&link.peer.host, figures);
             let taken = link.signal(attempt, SignalKind::Refused { refusal, figures });
             count_late(core, taken, "refusal");
         }
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -30,15 +30,23 @@
     /// How far away it is.
     #[serde(default, skip_serializing_if = "Distance::is_own_zone")]
     pub distance: Distance,
+    /// Calls a second that it says it takes from all daemons together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_per_s: Option<f64>,
 }
 
 impl ScoredHost {
-    /// How far away it is, in words that end a line; empty within the router's zone.
-    pub fn way(&self) -> String {
-        match self.distance {
+    /// How far away it is and its rate limit, in words that end a line; empty within the
+    /// router's zone and without a limit.
+    pub fn remarks(&self) -> String {
+        let way = match self.distance {
             Distance::OwnZone => String::new(),
             distance => format!(", {}", distance.name()),
-        }
+        };
+        let limit = self
+            .limit_per_s
+            .map(|limit| format!(", states {limit} calls/s"));
+        way + &limit.unwrap_or_default()
     }
 }
 
@@ -49,6 +57,9 @@
     pub host: String,
     /// Targets scored for this attempt.
     pub considered: Vec<ScoredHost>,
+    /// Targets that were not offered this call, since others use up the rates that they state.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub passed_over: Vec<String>,
     /// When it was sent, in microseconds since the call arrived.
     pub sent_us: u64,
     /// How it ended; absent while it is out.
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -245,7 +245,7 @@
                 instance: instance.as_deref(),
                 sent_at,
             };
-            self.half.hear(self.core, headers, answerer);
+            self.half.hear(self.core, headers, &answerer);
         }
     }
 
--- a/crates/daemon/src/half/notices.rs
+++ b/crates/daemon/src/half/notices.rs
@@ -1,13 +1,24 @@
-//! What the target says of itself in its answers: the rate that it takes, and that it leaves.
+//! What the target states in its answers: the rate that it takes, and that it leaves.
+//!
+//! A statement is of the incarnation in place, and ends with it. What a daemon heard it tells
+//! the routers with the target's load. Routers repeat it with their calls, so that a daemon
+//! that was started again knows it before it delivers one.
 
 use hyper::HeaderMap;
-use lynxcleat_policy::{Micros, RateLimit, StatedLimit};
+use lynxcleat_policy::{AdmissionEvent, Micros, RateLimit, StatedLimit, TargetNotice};
+use lynxcleat_wire::Frame;
 
 use super::state::Half;
 use crate::core::Core;
 use crate::metrics::count;
 use crate::sync::lock;
 
+/// Fingerprint of a target without a name: its restarts cannot be told apart.
+const NAMELESS: u64 = 0;
+/// Least time between two messages to all routers that a limit began or ended. Replies tell
+/// those that send calls meanwhile.
+const ANNOUNCE_PAUSE_US: Micros = 200_000;
+
 /// Who answered which call.
 pub(super) struct Answerer<'a> {
     /// The incarnation that the call was meant for, where it has a name.
@@ -16,35 +27,94 @@
     pub sent_at: Micros,
 }
 
-/// What the incarnation in place said.
+/// What the incarnation in place stated.
 #[derive(Default)]
 pub(super) struct Notices {
     limit: StatedLimit,
     leaving: bool,
+    /// Whether this run of the daemon had an answer of it.
+    is_heard: bool,
+    /// Whether routers are told: an incarnation stated something, or a router believes so.
+    is_told: bool,
+    announced_at: Option<Micros>,
     /// The last text for a limit that was no rate; each is logged once.
     no_rate: Option<String>,
 }
 
 impl Half {
     /// Takes what the headers of an answer say of the target.
-    pub(super) fn hear(&self, core: &Core, headers: &HeaderMap, answerer: Answerer<'_>) {
+    pub(super) fn hear(&self, core: &Core, headers: &HeaderMap, answerer: &Answerer<'_>) {
         if !self.is_in_place(answerer.instance) {
             return;
         }
-        self.hear_limit(core, headers, &answerer);
+        lock(&self.notices).is_heard = true;
+        self.hear_limit(core, headers, answerer);
         if core.dialect.is_leaving(headers) {
-            self.hear_leaving(core, &answerer);
+            count(&core.metrics.target_notices, "leaving");
+            self.set_said_leaving();
+        }
+    }
+
+    /// Takes what a router heard of the target, which may have been before this daemon started.
+    pub(super) fn learn_notice(&self, core: &Core, notice: TargetNotice) {
+        if notice.is_blank() {
+            return;
+        }
+        let is_heard = {
+            let mut notices = lock(&self.notices);
+            notices.is_told = true;
+            notices.is_heard
+        };
+        if notice.incarnation != self.incarnation_print() {
+            return;
+        }
+        if !is_heard && self.rate_limit().is_none() {
+            self.state_limit(core, self.clock.now(), notice.limit);
         }
     }
 
     /// Another incarnation stands in place, which has said nothing yet.
-    pub(super) fn forget_notices(&self) {
-        *lock(&self.notices) = Notices::default();
+    pub(super) fn forget_notices(&self, core: &Core) {
+        let mut notices = lock(&self.notices);
+        *notices = Notices {
+            is_told: notices.is_told,
+            ..Notices::default()
+        };
+        drop(notices);
+        self.admit(AdmissionEvent::RateLimit(None));
+        core.metrics.show_rate_limit(None);
+    }
+
+    /// What routers are told of the target's statements; nothing where there never were any.
+    pub(super) fn notice(&self) -> Option<TargetNotice> {
+        let (limit, leaving) = {
+            let notices = lock(&self.notices);
+            if !notices.is_told {
+                return None;
+            }
+            (notices.limit.current(), notices.leaving)
+        };
+        Some(TargetNotice {
+            incarnation: self.incarnation_print(),
+            limit,
+            share: self.offer_share(),
+            leaving,
+        })
+    }
+
+    /// The rate limit that the target states.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        lock(&self.notices).limit.current()
     }
 
     fn hear_limit(&self, core: &Core, headers: &HeaderMap, answerer: &Answerer<'_>) {
-        let stated = match core.dialect.rate_limit(headers) {
-            Ok(stated) => stated,
+        match core.dialect.rate_limit(headers) {
+            Ok(stated) => {
+                if stated.is_some() {
+                    count(&core.metrics.target_notices, "rate-limit");
+                }
+                self.state_limit(core, answerer.sent_at, stated);
+            }
             Err(error) => {
                 count(&core.metrics.target_notices, "no-rate");
                 let mut notices = lock(&self.notices);
@@ -52,30 +122,62 @@
                     log::warn!("rate limit of the target: {error}");
                     notices.no_rate = Some(error.0);
                 }
+            }
+        }
+    }
+
+    /// Puts a limit in force, or its end, that was stated in answer to a call sent at `sent_at`.
+    fn state_limit(&self, core: &Core, sent_at: Micros, stated: Option<RateLimit>) {
+        let now = self.clock.now();
+        let before = {
+            let mut notices = lock(&self.notices);
+            let before = notices.limit.current();
+            if !notices.limit.record(now, sent_at, stated) {
                 return;
             }
+            notices.is_told = true;
+            before
         };
-        if stated.is_some() {
-            count(&core.metrics.target_notices, "rate-limit");
+        self.admit(AdmissionEvent::RateLimit(stated));
+        core.metrics.show_rate_limit(stated);
+        if before.is_some() == stated.is_some() {
+            log::debug!(calls_per_s:? = stated.map(RateLimit::per_s); "rate limit of the target");
+            return;
         }
-        let now = self.clock.now();
-        let changed = lock(&self.notices)
-            .limit
-            .record(now, answerer.sent_at, stated);
-        if changed {
-            core.metrics.show_rate_limit(stated);
-            log::info!(
-                calls_per_s:? = stated.map(RateLimit::per_s),
-                instance:? = answerer.instance;
-                "rate limit of the target"
-            );
+        log::info!(calls_per_s:? = stated.map(RateLimit::per_s); "rate limit of the target");
+        self.announce(core, now);
+    }
+
+    /// Tells every router that a limit began or ended.
+    fn announce(&self, core: &Core, now: Micros) {
+        let due = {
+            let mut notices = lock(&self.notices);
+            let is_due = |at: Micros| now >= at + ANNOUNCE_PAUSE_US;
+            let due = notices.announced_at.is_none_or(is_due);
+            if due {
+                notices.announced_at = Some(now);
+            }
+            due
+        };
+        if due {
+            core.links.announce(&Frame::Load(self.figures()));
         }
     }
 
-    fn hear_leaving(&self, core: &Core, answerer: &Answerer<'_>) {
-        count(&core.metrics.target_notices, "leaving");
-        if !std::mem::replace(&mut lock(&self.notices).leaving, true) {
-            log::info!(instance:? = answerer.instance; "the target says that it leaves");
+    fn set_said_leaving(&self) {
+        {
+            let mut notices = lock(&self.notices);
+            notices.is_told = true;
+            if std::mem::replace(&mut notices.leaving, true) {
+                return;
+            }
         }
+        log::info!("the target says that it leaves");
+    }
+
+    /// Fingerprint of the incarnation in place.
+    fn incarnation_print(&self) -> u64 {
+        let print = self.with_reports(|reports| reports.current()?.fingerprint().into());
+        print.flatten().unwrap_or(NAMELESS)
     }
 }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -85,7 +85,7 @@
     let ahead = ahead::expect(&core, &link, &call);
     let busy = core.life.target_calls.enter();
     tokio::spawn(async move {
-        let attempt = call.attempt;
+        let (attempt, number) = (call.attempt, call.number);
         let name = call.call.clone();
         let whole = ahead::collect(&core, call, ahead, (&link, &cancelled)).await;
         // The time of a body on the link is the link's: the router learns it as such.
@@ -96,7 +96,7 @@
         };
         log_ended(&core, &link, &name, &ended);
         lock(&core.half.cancels).remove(&key);
-        reply(&core, &link, attempt, arrived, ended);
+        reply(&core, &link, attempt, arrived, for_sender(number, ended));
         drop(busy);
     });
 }
@@ -129,6 +129,17 @@
     }
 }
 
+/// Refusals for a rate limit are news to daemons that do not number their attempts.
+fn for_sender(number: u32, ended: Ended) -> Ended {
+    match ended {
+        Ended::Refused(refusal) if number == 0 => Ended::Refused(Refusal {
+            reason: refusal.reason.or_known_before(),
+            ..refusal
+        }),
+        ended => ended,
+    }
+}
+
 fn reply(core: &Core, link: &Link, attempt: AttemptId, arrived: Micros, ended: Ended) {
     let there_us = core.clock.now().saturating_sub(arrived);
     let there_us = u32::try_from(there_us).unwrap_or(u32::MAX);
@@ -188,7 +199,10 @@
     let Ended::Refused(refusal) = ended else {
         return false;
     };
-    matches!(refusal.reason, RefusalReason::Busy | RefusalReason::Cold)
+    matches!(
+        refusal.reason,
+        RefusalReason::Busy | RefusalReason::Cold | RefusalReason::RateLimited
+    )
 }
 
 /// Whether a line of its own told of it.
@@ -202,6 +216,7 @@
         RefusalReason::Busy => "busy",
         RefusalReason::TooLate => "too-late",
         RefusalReason::Cold => "cold",
+        RefusalReason::RateLimited => "rate-limited",
         RefusalReason::Leaving => "leaving",
         RefusalReason::TargetDown => "target-down",
         RefusalReason::Shed => "shed",
@@ -233,6 +248,9 @@
     let Some(settings) = half.settings() else {
         return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
     };
+    if let Some(notice) = call.notice {
+        half.learn_notice(core, notice);
+    }
     let deadline = core.clock.now() + call.left_us;
     if !core.life.outlasts(deadline) {
         return refused(RefusalReason::Busy, STOPPING_RETRY_AFTER_US);
@@ -409,6 +427,7 @@
             priority: combined_priority(call),
             nested: self.half.is_nested(call),
             elsewhere: call.elsewhere,
+            share: call.share,
         }
     }
 
--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -8,8 +8,8 @@
 use lynxcleat_once::{Fence, FenceLimits, FenceReply, Operation};
 use lynxcleat_policy::{
     AdmissionAction, AdmissionController, AdmissionEvent, AdmissionLimits, AttemptId,
-    CallAttributes, CallId, CallOrigins, DistanceCosts, Micros, NextRecheck, Refusal, ReportEffect,
-    TargetLoad, TargetReports,
+    CallAttributes, CallId, CallOrigins, DistanceCosts, Micros, NextRecheck, OfferShare, Refusal,
+    ReportEffect, TargetLoad, TargetReports,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame};
@@ -20,6 +20,7 @@
 use super::pool::Pool;
 use super::suspects::Suspects;
 use crate::clock::Clock;
+use crate::core::Core;
 use crate::kept::Kept;
 use crate::route::params::way_prices;
 use crate::sync::lock;
@@ -193,9 +194,18 @@
         lock(&self.admit).is_leaving()
     }
 
-    /// The target's load.
+    /// The target's load, with what it states.
     pub fn figures(&self) -> TargetLoad {
-        lock(&self.admit).figures(self.clock.now())
+        let load = lock(&self.admit).figures(self.clock.now());
+        TargetLoad {
+            notice: self.notice(),
+            ..load
+        }
+    }
+
+    /// The share of their calls that routers should offer.
+    pub(super) fn offer_share(&self) -> OfferShare {
+        lock(&self.admit).offer_share(self.clock.now())
     }
 
     /// Whether a target makes a call while it runs one of its own: it came from a target's
@@ -227,6 +237,7 @@
     /// Changes what is known of the reports; another incarnation in place starts anew.
     pub(super) fn change_reports(
         &self,
+        core: &Core,
         change: impl FnOnce(&mut TargetReports) -> ReportEffect,
     ) -> ReportEffect {
         let changed = self.with_reports(|reports| {
@@ -242,7 +253,7 @@
             return ReportEffect::Ignored;
         };
         if is_other {
-            self.forget_notices();
+            self.forget_notices(core);
             self.admit(AdmissionEvent::Replaced);
         }
         effect
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -52,7 +52,10 @@
             bytes: FIGURES_BYTES as u64,
             cpu_us: FIGURES_CPU_US,
         };
-        core.budget.ask_figures(cost).then(|| self.figures())
+        let figures = self.figures();
+        // Statements of the target bind the routers, so they are not part of measuring.
+        let states = figures.notice.is_some();
+        (states || core.budget.ask_figures(cost)).then_some(figures)
     }
 
     /// Asks the target for its load, if the measuring budget allows it, and tells the
@@ -108,14 +111,16 @@
             sequence: report.sequence.unwrap_or(u64::MAX),
         };
         let is_first = self.with_reports(|reports| reports.current().is_none()) == Some(true);
-        let mut effect = self.change_reports(|reports| reports.apply(report));
+        let mut effect = self.change_reports(core, |reports| reports.apply(report));
         if is_first {
             self.admit(AdmissionEvent::FirstReport(first));
         }
         if effect == ReportEffect::Conflict {
             let at_address = self.ask_instance(core).await;
             log::info!(reported = reported.as_str(), at_address:? = at_address; "another target reported");
-            effect = self.change_reports(|reports| reports.resolve_conflict(at_address.as_deref()));
+            effect = self.change_reports(core, |reports| {
+                reports.resolve_conflict(at_address.as_deref())
+            });
         }
         if effect != ReportEffect::Ignored && self.is_in_place(Some(&reported)) {
             self.learn_cold(left_us);
@@ -149,7 +154,7 @@
             cold_ms: told.cold_left_us.unwrap_or(0) / 1_000,
         };
         let cold_left_us = told.cold_left_us;
-        let effect = self.change_reports(|reports| reports.confirm(report));
+        let effect = self.change_reports(core, |reports| reports.confirm(report));
         if effect == ReportEffect::Changed {
             match cold_left_us {
                 Some(left_us) => self.learn_cold(left_us),
--- a/crates/daemon/src/route/offer.rs
+++ b/crates/daemon/src/route/offer.rs
@@ -30,6 +30,7 @@
         let sent = link.is_some_and(|link| {
             let frame = CallFrame {
                 canary: self.service.with(|router| router.is_new_version(target)),
+                notice: self.core.routers.notice(&link.peer.host),
                 ..self.frame(attempt, elsewhere)
             };
             // The half hears of a suspect before it has the call.
@@ -89,6 +90,8 @@
             homes: self.call.homes.clone(),
             canary: false,
             elsewhere,
+            notice: None,
+            share: self.share,
             goal_left_us: self
                 .call
                 .goal
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -10,7 +10,8 @@
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
     Action, AnswerStatus, AttemptId, CallId, CallKind, Event, Homes, Micros, NotRunReason,
-    QuarantineStatus, RequestFingerprints, TargetExitId, TargetId, UnknownReason, Verdict,
+    OfferShare, QuarantineStatus, RequestFingerprints, TargetExitId, TargetId, UnknownReason,
+    Verdict,
 };
 use lynxcleat_wire::{Answer, CallingOrganisation, RequestHead};
 use serde_bytes::ByteBuf;
@@ -119,6 +120,7 @@
         sender,
         attempts: Vec::new(),
         answer: None,
+        share: OfferShare::ALL,
         prints: OnceLock::new(),
         finished: false,
     };
@@ -152,6 +154,8 @@
     pub(super) sender: flume::Sender<Signal>,
     pub(super) attempts: Vec<OutAttempt>,
     pub(super) answer: Option<(AttemptId, Answer)>,
+    /// Share of the calls out of which the newest attempt is offered.
+    pub(super) share: OfferShare,
     pub(super) trace: Trace,
     pub(super) prints: OnceLock<RequestFingerprints>,
     pub(super) finished: bool,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -12,8 +12,9 @@
 use log::Level;
 use lynxcleat_once::Incarnation;
 use lynxcleat_policy::{
-    Action, Candidate, Cost, Distance, Event, Homes, Location, Micros, ReconnectBackoff,
-    ReconnectEvent, Router, ScoredTarget, TargetId, TargetLoad, subset_with_homes,
+    Action, Candidate, Cost, Distance, Event, Homes, Location, Micros, OfferShare,
+    ReconnectBackoff, ReconnectEvent, Router, ScoredTarget, TargetId, TargetLoad, TargetNotice,
+    subset_with_homes,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_store::{HostEntry, HostState};
@@ -75,6 +76,10 @@
     pub retries: u64,
     /// Failures that the request brought about itself.
     pub own_failures: u64,
+    /// Targets that were not offered the call for their rate limits.
+    pub passed_over: Vec<TargetId>,
+    /// Share of the calls out of which the target was offered this one.
+    pub share: OfferShare,
 }
 
 /// The router of one service with its links.
@@ -93,6 +98,8 @@
 pub struct Routers {
     services: Mutex<HashMap<String, Arc<ServiceRouter>>>,
     ids: Mutex<HashMap<String, TargetId>>,
+    /// What the targets of hosts state, as their daemons told last.
+    notices: Mutex<HashMap<String, TargetNotice>>,
 }
 
 impl Routers {
@@ -169,6 +176,24 @@
         }
     }
 
+    /// Keeps what the target of a host states. A daemon that says nothing of it may have been
+    /// started since it was stated.
+    pub fn heard(&self, host: &str, figures: Option<TargetLoad>) {
+        let Some(notice) = figures.and_then(|figures| figures.notice) else {
+            return;
+        };
+        let mut notices = lock(&self.notices);
+        match notice.is_blank() {
+            true => notices.remove(host),
+            false => notices.insert(host.to_owned(), notice),
+        };
+    }
+
+    /// What the target of a host states.
+    pub fn notice(&self, host: &str) -> Option<TargetNotice> {
+        lock(&self.notices).get(host).copied()
+    }
+
     /// A daemon tells the load of its target.
     pub fn load(&self, core: &Core, host: &str, figures: TargetLoad) {
         let Some(target) = lock(&self.ids).get(host).copied() else {
@@ -215,6 +240,10 @@
             true => router.scored_targets().to_vec(),
             false => Vec::new(),
         };
+        let passed_over = match sends {
+            true => router.passed_over().to_vec(),
+            false => Vec::new(),
+        };
         let failing = router.has_failing_requests(now);
         self.any_failing.store(failing, Ordering::Relaxed);
         Decided {
@@ -222,6 +251,8 @@
             considered,
             retries: router.counts().retries - before.retries,
             own_failures: router.counts().own_failures - before.own_failures,
+            passed_over,
+            share: router.selected_share(),
         }
     }
 
--- a/crates/daemon/src/route/told.rs
+++ b/crates/daemon/src/route/told.rs
@@ -1,6 +1,6 @@
 //! Asking the router's decisions about a call, and what is told of them afterwards.
 
-use lynxcleat_policy::{Action, Event, NotRunReason};
+use lynxcleat_policy::{Action, Event, NotRunReason, RateLimit, TargetId};
 
 use super::run::{InHand, RouteVerdict};
 use crate::explain::{AttemptTrace, ScoredHost, Trace};
@@ -23,6 +23,7 @@
         }
         let actions = decided.actions;
         if let Some(Action::Send { target, .. }) = actions.first() {
+            self.share = decided.share;
             let considered = decided
                 .considered
                 .into_iter()
@@ -33,11 +34,13 @@
                     slowness: one.slowness,
                     slowness_age_us: one.slowness_age_us,
                     distance: one.distance,
+                    limit_per_s: one.limit.map(RateLimit::per_s),
                 })
                 .collect();
             self.trace.attempts.push(AttemptTrace {
                 host: self.service.host(*target),
                 considered,
+                passed_over: self.hosts(&decided.passed_over),
                 sent_us: now.saturating_sub(self.began),
                 result: None,
             });
@@ -45,6 +48,13 @@
         actions
     }
 
+    fn hosts(&self, targets: &[TargetId]) -> Vec<String> {
+        targets
+            .iter()
+            .map(|target| self.service.host(*target))
+            .collect()
+    }
+
     pub(super) fn note(&mut self, result: &str) {
         if let Some(last) = self.trace.attempts.last_mut() {
             last.result = Some(result.to_owned());
--- a/crates/daemon/tests/large_bodies/half.rs
+++ b/crates/daemon/tests/large_bodies/half.rs
@@ -18,6 +18,8 @@
     CallFrame {
         attempt,
         number: 1,
+        notice: None,
+        share: Default::default(),
         call: format!("call-{}", attempt.0),
         service: "stock".to_owned(),
         kind: CallKind::default(),
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -153,6 +153,8 @@
         CallFrame {
             attempt: AttemptId(number),
             number: 1,
+            notice: None,
+            share: Default::default(),
             call: format!("by-hand-{number}"),
             service: "stock".to_owned(),
             kind,
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -1,7 +1,7 @@
 //! The load cases in which policies are compared, and their figures.
 
 use lynxcleat_policy::{
-    AdmissionLimits, DistanceCosts, Micros, Policy, RouterParams, SelectionParams,
+    AdmissionLimits, DistanceCosts, Micros, Policy, RateLimit, RouterParams, SelectionParams,
 };
 use serde::Serialize;
 
@@ -165,6 +165,17 @@
             options.targets[0].factor = 4.0;
             options.targets[0].odd = (3 * SECOND, 4 * SECOND);
         }),
+        case("rate-limit", whole, |options, d| {
+            options.rates = vec![(0, 0.3 * d.capacity())];
+            options.allow_reroutes();
+            let limit = RateLimit::from_per_s(0.01 * d.capacity());
+            options.targets[0].limits = vec![(SECOND / 2, limit)];
+        }),
+        case("leaves", whole, |options, d| {
+            options.rates = vec![(0, 0.3 * d.capacity())];
+            options.targets[0].leaves_at = 3 * SECOND;
+            options.targets[0].odd = (3 * SECOND, Micros::MAX);
+        }),
         case("far", whole, |options, d| {
             options.rates = vec![(0, 0.5 * d.capacity())];
             options.targets[0].path_us = 1_000;
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -10,8 +10,9 @@
 
 use lynxcleat_policy::{
     Action, AdmissionAction, AdmissionController, AdmissionEvent, AdmissionLimits, AnswerStatus,
-    AttemptId, CallAttributes, CallId, CallKind, DistanceCosts, Event, Micros, Refusal, Router,
-    RouterParams, TargetId, TargetLoad, Verdict,
+    AttemptId, CallAttributes, CallId, CallKind, DistanceCosts, Event, Micros, OfferShare,
+    RateLimit, Refusal, Router, RouterParams, StatedLimit, TargetId, TargetLoad, TargetNotice,
+    Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +37,10 @@
     pub odd: (Micros, Micros),
     /// When it joins; 0 for one that is there from the start.
     pub joins_at: Micros,
+    /// Limits that its answers state, each from a time on; `None` ends one.
+    pub limits: Vec<(Micros, Option<RateLimit>)>,
+    /// From when on its answers say that it leaves.
+    pub leaves_at: Micros,
 }
 
 impl Default for FakeTarget {
@@ -46,6 +51,8 @@
             fail_after_us: None,
             odd: (0, Micros::MAX),
             joins_at: 0,
+            limits: Vec::new(),
+            leaves_at: Micros::MAX,
         }
     }
 }
@@ -79,6 +86,13 @@
     pub seed: u64,
 }
 
+impl ServiceOptions {
+    /// Lets routers offer a call elsewhere that a target's daemon refused.
+    pub fn allow_reroutes(&mut self) {
+        self.params.reroute_limit = self.targets.len() as u32;
+    }
+}
+
 /// What a run measured.
 #[derive(Clone, Debug, Default)]
 pub struct Measured {
@@ -108,6 +122,8 @@
     pub figures: u64,
     /// Attempts by target from 100 ms after the targets' odd time began.
     pub by_target: Vec<u64>,
+    /// When calls were delivered to each target.
+    pub delivered: Vec<Vec<Micros>>,
     /// Served calls as (arrival, latency), for recovery times.
     pub series: Vec<(Micros, Micros)>,
 }
@@ -137,6 +153,12 @@
         call: CallId,
     },
     Join,
+    Recheck {
+        target: usize,
+    },
+    Told {
+        target: usize,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -144,6 +166,7 @@
     router: usize,
     attempt: AttemptId,
     deadline: Micros,
+    share: OfferShare,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -157,6 +180,10 @@
     fake: FakeTarget,
     admit: AdmissionController,
     inside: HashMap<CallId, (Sent, Micros, Micros)>,
+    stated: StatedLimit,
+    leaving: bool,
+    /// When its held calls are looked at again; nothing while that is not planned.
+    recheck_at: Option<Micros>,
 }
 
 struct Caller {
@@ -213,10 +240,14 @@
                 fake: fake.clone(),
                 admit: AdmissionController::new(limits),
                 inside: HashMap::new(),
+                stated: StatedLimit::default(),
+                leaving: false,
+                recheck_at: None,
             })
             .collect();
         let measured = Measured {
             by_target: vec![0; targets.len()],
+            delivered: vec![Vec::new(); targets.len()],
             ..Measured::default()
         };
         FakeService {
@@ -267,6 +298,8 @@
             What::Back { sent, reply } => self.back(sent, reply),
             What::Deadline { router, call } => self.feed(router, Event::DeadlineExpired { call }),
             What::Join => self.join(),
+            What::Recheck { target } => self.recheck(target),
+            What::Told { target } => self.tell_routers(target),
         }
     }
 
@@ -354,6 +387,7 @@
             router,
             attempt,
             deadline,
+            share: self.routers[router].selected_share(),
         };
         let arrives = self.now + fake.path_us;
         self.at(arrives, What::AtTarget { target, sent });
@@ -373,7 +407,10 @@
             } else {
                 sent.deadline
             },
-            attributes: CallAttributes::default(),
+            attributes: CallAttributes {
+                share: sent.share,
+                ..CallAttributes::default()
+            },
         };
         self.admit(target, offer);
     }
@@ -390,10 +427,83 @@
                 }
             }
         }
+        self.plan_recheck(target);
+    }
+
+    fn recheck(&mut self, target: usize) {
+        self.targets[target].recheck_at = None;
+        self.admit(target, AdmissionEvent::Recheck);
+    }
+
+    /// Plans the next look at held calls that wait for a rate limit.
+    fn plan_recheck(&mut self, target: usize) {
+        let state = &mut self.targets[target];
+        let next = state.admit.next_recheck(self.now);
+        let Some(next) = next.filter(|next| !next.needs_reading) else {
+            return;
+        };
+        if state.recheck_at.is_none_or(|planned| next.at < planned) {
+            state.recheck_at = Some(next.at);
+            self.at(next.at, What::Recheck { target });
+        }
+    }
+
+    /// Takes what an answer of a target says of it, to a call sent at `sent_at`.
+    fn hear(&mut self, target: usize, sent_at: Micros) {
+        let now = self.now;
+        let state = &mut self.targets[target];
+        let mut begun = state.fake.limits.iter().rev();
+        let limit = begun
+            .find(|(from, _)| *from <= now)
+            .and_then(|(_, limit)| *limit);
+        let had_limit = state.stated.current().is_some();
+        let leaves = now >= state.fake.leaves_at && !state.leaving;
+        state.leaving |= leaves;
+        let changed = state.stated.record(now, sent_at, limit);
+        if changed {
+            self.admit(target, AdmissionEvent::RateLimit(limit));
+        }
+        if leaves {
+            self.admit(target, AdmissionEvent::Leave);
+        }
+        if leaves || (changed && had_limit != limit.is_some()) {
+            let path_us = self.targets[target].fake.path_us;
+            self.at(now + path_us, What::Told { target });
+        }
+    }
+
+    /// Every router hears that a limit of a target began or ended, or that it leaves.
+    fn tell_routers(&mut self, target: usize) {
+        let id = TargetId(target as u32);
+        let load = self.load_of(target);
+        let leaving = self.targets[target].leaving;
+        for router in &mut self.routers {
+            router.on(self.now, Event::LoadReported { target: id, load });
+            if leaving {
+                router.on(self.now, Event::TargetDraining { target: id });
+            }
+        }
+    }
+
+    /// The load of a target as its daemon tells it.
+    fn load_of(&self, target: usize) -> TargetLoad {
+        let state = &self.targets[target];
+        let notice = TargetNotice {
+            limit: state.stated.current(),
+            share: state.admit.offer_share(self.now),
+            leaving: state.leaving,
+            ..TargetNotice::default()
+        };
+        let states_any = !state.fake.limits.is_empty();
+        TargetLoad {
+            notice: states_any.then_some(notice),
+            ..state.admit.figures(self.now)
+        }
     }
 
     fn deliver(&mut self, target: usize, local: CallId) {
         let now = self.now;
+        self.measured.delivered[target].push(now);
         let fake = &self.targets[target].fake;
         let odd = (fake.odd.0..fake.odd.1).contains(&now);
         let factor = if odd { fake.factor } else { 1.0 };
@@ -435,13 +545,14 @@
             Reply::Failed
         };
         self.admit(target, done);
+        self.hear(target, delivered);
         self.reply(target, sent, reply);
     }
 
     fn reply(&mut self, target: usize, sent: Sent, reply: Reply) {
         if self.rng.random_range(0.0..1.0) < self.options.figures_share {
             self.measured.figures += 1;
-            let figures = self.targets[target].admit.figures(self.now);
+            let figures = self.load_of(target);
             self.figures.insert(sent.attempt.0, figures);
         }
         let arrives = self.now + self.targets[target].fake.path_us;
--- a/crates/policy/benches/decide.rs
+++ b/crates/policy/benches/decide.rs
@@ -17,6 +17,7 @@
     service_us: 5_000,
     slowness_percent: 0,
     slowness_age_ms: 0,
+    notice: None,
 };
 
 fn router(policy: Policy, targets: u32) -> Router {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,11 +16,14 @@
 use crate::event::{Refusal, RefusalReason};
 use crate::hold_queue::{CallAttributes, HeldCall, HoldQueue};
 use crate::ids::{CallId, Micros};
+use crate::rate_limit::TargetRateLimiter;
 use crate::service_time::{CallKind, ServiceTimes};
 use crate::slow_period::SlowPeriodModel;
 use crate::slowness::{SlownessDistribution, SlownessReading};
 use crate::start_decision::{StartDecision, StartRequest, TargetConditions};
 use crate::target_load::TargetLoad;
+use crate::target_notice::OfferShare;
+use crate::urgency::Urgency;
 use crate::utility::{CallTiming, remaining_us};
 
 /// Minimum weight of one sample in the moving average of the service time.
@@ -80,6 +83,7 @@
     usual_slowness: SlownessDistribution,
     spells: SlowPeriodModel,
     cold_start: ColdStartLimiter,
+    rate_limit: TargetRateLimiter,
     recent_refusals: f64,
     recent_deliveries: f64,
     counts_updated_at: Micros,
@@ -101,6 +105,7 @@
             usual_slowness: SlownessDistribution::default(),
             spells: SlowPeriodModel::default(),
             cold_start: ColdStartLimiter::default(),
+            rate_limit: TargetRateLimiter::default(),
             recent_refusals: 0.0,
             recent_deliveries: 0.0,
             counts_updated_at: 0,
@@ -117,6 +122,8 @@
                 attributes,
             } => {
                 self.cold_start.record_offer(now, attributes.nested);
+                let urgency = Urgency::from(&attributes);
+                self.rate_limit.record_offer(now, attributes.share, urgency);
                 let held = self.queue.new_entry(now, call, deadline, attributes);
                 actions.extend(self.offer(now, held));
             }
@@ -141,7 +148,11 @@
             }
             AdmissionEvent::DaemonStarted => self.cold_start.record_daemon_start(now),
             AdmissionEvent::FirstReport(first) => self.cold_start.record_first_report(first),
-            AdmissionEvent::Replaced => self.cold_start.reset(),
+            AdmissionEvent::Replaced => {
+                self.cold_start.reset();
+                self.rate_limit.set_limit(now, None);
+            }
+            AdmissionEvent::RateLimit(limit) => self.rate_limit.set_limit(now, limit),
             AdmissionEvent::ColdReported { left_us } => self.cold_start.set_cold_left(now, left_us),
             AdmissionEvent::ColdUncertain => self.cold_start.mark_uncertain(),
         }
@@ -164,9 +175,16 @@
             service_us: self.service_us,
             slowness_percent: (reading.factor * 100.0) as u32,
             slowness_age_ms: u32::try_from(age_us / 1_000).unwrap_or(u32::MAX),
+            notice: None,
         }
     }
 
+    /// The share of their calls that routers should offer, so that the rate limit of the target
+    /// is used up and few calls are refused for it.
+    pub fn offer_share(&self, now: Micros) -> OfferShare {
+        self.rate_limit.offer_share(now)
+    }
+
     /// Returns whether the call is queued, in which case withdrawing it means that it never
     /// ran.
     pub fn is_held(&self, call: CallId) -> bool {
@@ -219,12 +237,8 @@
             return Some(refuse(call, RefusalReason::Leaving, LEAVING_RETRY_AFTER_US));
         }
         let wait = self.expected_wait(now, &held);
-        let has_cold_capacity = self.cold_start.has_capacity(now, held.attributes.nested);
-        let no_slot_reason = match has_cold_capacity {
-            true => RefusalReason::Busy,
-            false => RefusalReason::Cold,
-        };
-        if has_cold_capacity && self.has_free_slot(now) {
+        let blocked_by = self.blocking_limit(now, &held);
+        if blocked_by.is_none() && self.has_free_slot(now) {
             match self.decide(now, &held) {
                 StartDecision::Now => return Some(self.deliver(now, held)),
                 StartDecision::Reroute => return Some(self.redirect(now, &held)),
@@ -237,21 +251,49 @@
         }
         let finish = now + wait + self.expected_service_us(now, held.attributes.kind);
         if finish > held.goal() {
-            let reason = match has_cold_capacity {
-                true => RefusalReason::TooLate,
-                false => RefusalReason::Cold,
-            };
-            return Some(refuse(call, reason, self.retry_after(wait)));
+            let reason = blocked_by.unwrap_or(RefusalReason::TooLate);
+            return Some(self.refuse_for(now, reason, &held, wait));
         }
         let can_redirect =
             held.attributes.elsewhere == Elsewhere::Near && held.attributes.goal.is_some();
-        if can_redirect && !(has_cold_capacity && self.has_free_slot(now)) {
-            return Some(refuse(call, no_slot_reason, self.retry_after(wait)));
+        if can_redirect && !(blocked_by.is_none() && self.has_free_slot(now)) {
+            let reason = blocked_by.unwrap_or(RefusalReason::Busy);
+            return Some(refuse(call, reason, self.retry_after(wait)));
         }
         self.queue.push(held);
         None
     }
 
+    /// The limit on the rate of calls that keeps the call from being delivered now, if any.
+    fn blocking_limit(&self, now: Micros, held: &HeldCall) -> Option<RefusalReason> {
+        if !self
+            .rate_limit
+            .has_token(now, Urgency::from(&held.attributes))
+        {
+            return Some(RefusalReason::RateLimited);
+        }
+        let has_capacity = self.cold_start.has_capacity(now, held.attributes.nested);
+        (!has_capacity).then_some(RefusalReason::Cold)
+    }
+
+    /// Refuses a call that cannot wait until the limit allows it.
+    fn refuse_for(
+        &mut self,
+        now: Micros,
+        reason: RefusalReason,
+        held: &HeldCall,
+        wait: Micros,
+    ) -> AdmissionAction {
+        let after_us = match reason {
+            RefusalReason::RateLimited if held.attributes.elsewhere.is_nowhere() => {
+                let urgency = Urgency::from(&held.attributes);
+                self.rate_limit.next_retry_after(now, urgency)
+            }
+            _ => self.retry_after(wait),
+        };
+        refuse(held.call, reason, after_us)
+    }
+
     /// Decides what to do with a call while a slot is free.
     fn decide(&self, now: Micros, held: &HeldCall) -> StartDecision {
         let choice = self.choice(now, held.deadline, &held.attributes, held.initial_goal_us());
@@ -338,6 +380,7 @@
             sent: false,
         };
         self.cold_start.record_admission(held.attributes.nested);
+        self.rate_limit.take(now);
         self.in_flight.insert(call, in_flight);
         AdmissionAction::Deliver { call }
     }
@@ -360,12 +403,20 @@
             .next_capacity_at(now, held.attributes.nested);
         let cold_us =
             (capacity_at - now) + self.cold_start.interval_us(now) * ahead.len() as Micros;
+        let limited_us = cold_us.max(self.token_wait(now, held, ahead.len()));
         if ahead.len() + self.in_flight.len() < limit as usize {
-            return cold_us;
+            return limited_us;
         }
         let ahead_us: Micros = ahead.into_iter().sum();
         let slot_us = (ahead_us + Micros::from(self.service_us)) / Micros::from(limit);
-        slot_us.max(cold_us)
+        slot_us.max(limited_us)
+    }
+
+    /// Time until the rate limit allows a call that has others before it.
+    fn token_wait(&self, now: Micros, held: &HeldCall, ahead: usize) -> Micros {
+        let urgency = Urgency::from(&held.attributes);
+        let token_at = self.rate_limit.next_token_at(now, urgency);
+        (token_at - now) + self.rate_limit.interval_us() * ahead as Micros
     }
 
     /// Expected service time of a call of this kind if a slot is free: started now or after
@@ -384,16 +435,21 @@
     }
 
     /// Returns when queued calls must be reconsidered even if no event occurs, because they
-    /// wait for the cold-start limit or for the end of a slow spell. `None` if no queued
+    /// wait for a limit on the rate of calls or for the end of a slow spell. `None` if no queued
     /// call waits for either.
     pub fn next_recheck(&self, now: Micros) -> Option<NextRecheck> {
         if self.queue.is_empty() || !self.has_free_slot(now) {
             return None;
         }
-        let capacity_at = self
+        let cold_at = self
             .queue
             .has_nested()
             .map(|nested| self.cold_start.next_capacity_at(now, nested));
+        let urgencies = self.queue.attributes().map(Urgency::from);
+        let token_at = urgencies
+            .map(|urgency| self.rate_limit.next_token_at(now, urgency))
+            .min();
+        let capacity_at = cold_at.max(token_at);
         if let Some(at) = capacity_at.filter(|at| *at > now) {
             return Some(NextRecheck {
                 at,
@@ -459,12 +515,13 @@
             let after = self.retry_after(0);
             actions.push(refuse(call, RefusalReason::TooLate, after));
         }
+        self.refuse_beyond_rate(now, actions);
         let service_us = |kind| self.expected_service_us(now, kind);
         for held in self.queue.in_dispatch_order(now, service_us) {
             if !self.has_free_slot(now) {
                 return;
             }
-            if !self.cold_start.has_capacity(now, held.attributes.nested) {
+            if self.blocking_limit(now, &held).is_some() {
                 continue;
             }
             let action = match self.decide(now, &held) {
@@ -478,6 +535,27 @@
         }
     }
 
+    /// Refuses queued calls that the rate limit will not let through before their goal, because
+    /// more urgent calls came after them.
+    fn refuse_beyond_rate(&mut self, now: Micros, actions: &mut Vec<AdmissionAction>) {
+        if self.rate_limit.limit().is_none() {
+            return;
+        }
+        let service_us = |kind| self.expected_service_us(now, kind);
+        let order = self.queue.in_dispatch_order(now, service_us);
+        let mut ahead = 0;
+        for held in order {
+            let wait = self.token_wait(now, &held, ahead);
+            let service_us = self.expected_service_us(now, held.attributes.kind);
+            if now + wait + service_us <= held.goal() {
+                ahead += 1;
+                continue;
+            }
+            self.queue.remove(held.call);
+            actions.push(self.refuse_for(now, RefusalReason::RateLimited, &held, wait));
+        }
+    }
+
     fn mark_sent(&mut self, now: Micros, call: CallId) {
         let Some(delivered) = self.in_flight.get_mut(&call) else {
             return;
--- a/crates/policy/src/admission_event.rs
+++ b/crates/policy/src/admission_event.rs
@@ -6,6 +6,7 @@
 use crate::hold_queue::CallAttributes;
 use crate::ids::{CallId, Micros};
 use crate::slowness::SlownessReading;
+use crate::target_notice::RateLimit;
 
 /// Limits of one target, taken from the settings.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,6 +75,8 @@
     FirstReport(FirstReport),
     /// The target has been replaced by another incarnation.
     Replaced,
+    /// The target states another rate limit, or none any more.
+    RateLimit(Option<RateLimit>),
     /// The target reported its remaining cold time.
     ColdReported {
         /// Remaining time in microseconds; 0 if the target is warm.
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -21,6 +21,8 @@
     TooLate,
     /// The target is still warming up and has as many calls as it can take.
     Cold,
+    /// The target has as many calls as the rate that it states allows.
+    RateLimited,
     /// The target is draining and takes no new calls.
     Leaving,
     /// The target's own daemon could not reach it.
@@ -39,6 +41,16 @@
     Quarantined,
 }
 
+impl RefusalReason {
+    /// The reason for a daemon of an earlier build, which does not know all.
+    pub fn or_known_before(self) -> Self {
+        match self {
+            RefusalReason::RateLimited => RefusalReason::Full,
+            known => known,
+        }
+    }
+}
+
 /// A definite statement that a call was not run, with a retry hint.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
--- a/crates/policy/src/hold_queue.rs
+++ b/crates/policy/src/hold_queue.rs
@@ -7,6 +7,7 @@
 use crate::elsewhere::Elsewhere;
 use crate::ids::{CallId, Micros};
 use crate::service_time::CallKind;
+use crate::target_notice::OfferShare;
 
 /// Attributes of a call besides its deadline.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -22,6 +23,8 @@
     pub nested: bool,
     /// Where the router can offer the call if it is refused here.
     pub elsewhere: Elsewhere,
+    /// Share of its calls out of which the router offered this one.
+    pub share: OfferShare,
 }
 
 /// Factor by which the time until the goal of a nested call is extended. What matters is
@@ -124,6 +127,11 @@
         (!self.calls.is_empty()).then_some(any)
     }
 
+    /// Returns the attributes of the queued calls.
+    pub fn attributes(&self) -> impl Iterator<Item = &CallAttributes> {
+        self.calls.iter().map(|held| &held.attributes)
+    }
+
     /// Returns whether the call is queued.
     pub fn contains(&self, call: CallId) -> bool {
         self.calls.iter().any(|held| held.call == call)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod policy_name;
 mod quarantine;
 mod quota;
+mod rate_limit;
 mod reconnect;
 mod region_budget;
 mod report;
@@ -46,6 +47,7 @@
 mod target;
 mod target_load;
 mod target_notice;
+mod urgency;
 mod utility;
 
 pub use ack_timeout::AckTimeout;
@@ -83,6 +85,7 @@
     BucketOwners, LeaseOutcome, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
     owner_count,
 };
+pub use rate_limit::TargetRateLimiter;
 pub use reconnect::{ReconnectBackoff, ReconnectEvent};
 pub use region_budget::RegionBudget;
 pub use report::{CurrentTarget, ReportEffect, ReportedState, TargetReport, TargetReports};
@@ -104,5 +107,6 @@
 pub use subset::{Candidate, Location, MIN_OTHER_REGION_TARGETS, subset};
 pub use target::{Health, ServiceAverages, TargetState};
 pub use target_load::TargetLoad;
-pub use target_notice::{RateLimit, StatedLimit};
+pub use target_notice::{OfferShare, RateLimit, StatedLimit, TargetNotice};
+pub use urgency::Urgency;
 pub use utility::CallTiming;
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -23,6 +23,7 @@
 use crate::service_time::CallKind;
 use crate::target::TargetState;
 use crate::target_load::TargetLoad;
+use crate::target_notice::OfferShare;
 
 use request_failures::RequestFailures;
 
@@ -204,6 +205,16 @@
         &self.scored_targets
     }
 
+    /// Targets that the last call was not offered to for their rate limits.
+    pub fn passed_over(&self) -> &[TargetId] {
+        self.selector.passed_over()
+    }
+
+    /// Share of the calls out of which the last selected target was offered its call.
+    pub fn selected_share(&self) -> OfferShare {
+        self.selector.selected_share()
+    }
+
     /// Counters since the router was created.
     pub fn counts(&self) -> RouterCounts {
         self.counts
@@ -361,7 +372,7 @@
             true => {
                 let targets = self.selector.targets();
                 let excluded = self.home_calls.excluded(id, &call.tried, targets);
-                self.selector.elsewhere(now, &excluded)
+                self.selector.elsewhere_unlimited(now, &excluded)
             }
             false => Elsewhere::Nowhere,
         };
--- a/crates/policy/src/router/outcomes.rs
+++ b/crates/policy/src/router/outcomes.rs
@@ -149,6 +149,7 @@
                 });
             }
             RefusalReason::Busy
+            | RefusalReason::RateLimited
             | RefusalReason::TooLate
             | RefusalReason::Once
             | RefusalReason::OutsideHome
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -19,6 +19,7 @@
 use crate::slowness::{SlownessDistribution, WeightedSlowness};
 use crate::target::{Health, ServiceAverages, TargetState};
 use crate::target_load::TargetLoad;
+use crate::target_notice::{OfferShare, RateLimit};
 use crate::utility::{CallTiming, expected_utility, remaining_us};
 
 /// Maximum number of targets scored by [`Policy::ExpectedFinish`].
@@ -105,6 +106,9 @@
     /// How far away it is.
     #[serde(default, skip_serializing_if = "Distance::is_own_zone")]
     pub distance: Distance,
+    /// Rate limit that it states.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RateLimit>,
 }
 
 /// One router's view of the targets of one service.
@@ -123,6 +127,13 @@
     /// Whether targets whose link may be silent are skipped because another is available.
     skips_suspected: bool,
     max_distance: Distance,
+    /// Rate-limited targets that the selection in progress skips, because other calls use up
+    /// their limits.
+    skipped_limited: Vec<TargetId>,
+    /// Those that the last selection skipped.
+    passed_over: Vec<TargetId>,
+    /// Share of the calls out of which the last selected target was offered its call.
+    selected_share: OfferShare,
     /// Which targets a rollout allows for the next selection.
     filter: TargetFilter,
     rng: SmallRng,
@@ -143,6 +154,9 @@
             picks: 0,
             skips_suspected: false,
             max_distance: Distance::OtherRegion,
+            skipped_limited: Vec::new(),
+            passed_over: Vec::new(),
+            selected_share: OfferShare::ALL,
             filter: TargetFilter::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -211,11 +225,36 @@
 
     /// Where a call that must avoid `excluded` can go.
     pub fn elsewhere(&self, now: Micros, excluded: &[TargetId]) -> Elsewhere {
-        let all = self.order.iter();
-        let eligible = all.filter(|target| self.is_eligible(now, **target, excluded));
+        self.nearest_of(now, excluded, |_| true)
+    }
+
+    /// Where a call that must avoid `excluded` can go without finding a rate limit used up.
+    pub fn elsewhere_unlimited(&self, now: Micros, excluded: &[TargetId]) -> Elsewhere {
+        self.nearest_of(now, excluded, |state| state.share().is_all())
+    }
+
+    fn nearest_of(
+        &self,
+        now: Micros,
+        excluded: &[TargetId],
+        counts: impl Fn(&TargetState) -> bool,
+    ) -> Elsewhere {
+        let eligible = self.order.iter().filter(|target| {
+            counts(&self.states[*target]) && self.is_eligible(now, **target, excluded)
+        });
         Elsewhere::from_nearest(eligible.map(|target| self.states[target].distance()).min())
     }
 
+    /// Targets that the last call was not offered to for their rate limits.
+    pub fn passed_over(&self) -> &[TargetId] {
+        &self.passed_over
+    }
+
+    /// Share of the calls out of which the last selected target was offered its call.
+    pub fn selected_share(&self) -> OfferShare {
+        self.selected_share
+    }
+
     /// The state of one target.
     pub fn target(&self, target: TargetId) -> Option<&TargetState> {
         self.states.get(&target)
@@ -277,12 +316,30 @@
         let excluded = request.excluded;
         scored.clear();
         self.skips_suspected = self.any_unsuspected(now, excluded);
+        let is_drawn = self.draw_skipped_limited(now, excluded);
+        let selected = self.select_eligible(now, request, scored);
+        self.passed_over = std::mem::take(&mut self.skipped_limited);
+        let state = self.states.get_mut(&selected?)?;
+        self.selected_share = match is_drawn {
+            true => state.share(),
+            false => OfferShare::ALL,
+        };
+        self.picks += 1;
+        state.record_sent(self.picks);
+        selected
+    }
+
+    fn select_eligible(
+        &mut self,
+        now: Micros,
+        request: SelectionRequest<'_>,
+        scored: &mut Vec<ScoredTarget>,
+    ) -> Option<TargetId> {
+        let excluded = request.excluded;
         if let Some(trial) = self.due_trial(now, excluded) {
-            self.picks += 1;
-            self.states.get_mut(&trial)?.record_sent(self.picks);
             return Some(trial);
         }
-        let selected = match self.params.policy {
+        match self.params.policy {
             Policy::RoundRobin => self.next_round_robin(now, excluded),
             Policy::Random => self.sample(now, excluded, 1).first().copied(),
             Policy::PowerOfTwo => {
@@ -301,10 +358,30 @@
                 let sample = self.sample(now, excluded, GOAL_SAMPLE_SIZE);
                 self.first_within(EQUAL_WORTH_MARGIN, now, request, sample, scored)
             }
-        }?;
-        self.picks += 1;
-        self.states.get_mut(&selected)?.record_sent(self.picks);
-        Some(selected)
+        }
+    }
+
+    /// Draws which rate-limited targets this call skips. Returns whether the draw counts:
+    /// if it leaves no target, the call is offered all the same, and the daemon of a limited
+    /// target decides by its urgency.
+    fn draw_skipped_limited(&mut self, now: Micros, excluded: &[TargetId]) -> bool {
+        for target in &self.order {
+            let share = self.states[target].share();
+            if !share.is_all() && !self.rng.random_bool(share.fraction()) {
+                self.skipped_limited.push(*target);
+            }
+        }
+        if self.skipped_limited.is_empty() {
+            return true;
+        }
+        let leaves_any = self
+            .order
+            .iter()
+            .any(|target| self.is_eligible(now, *target, excluded));
+        if !leaves_any {
+            self.skipped_limited.clear();
+        }
+        leaves_any
     }
 
     /// Returns an ejected target whose ejection time is over. It gets one trial call whatever
@@ -326,6 +403,7 @@
         let state = &self.states[&target];
         let is_skipped = self.skips_suspected && state.is_suspected();
         let is_skipped = is_skipped || !self.filter.allows(target);
+        let is_skipped = is_skipped || self.skipped_limited.contains(&target);
         !is_skipped && !excluded.contains(&target) && self.is_usable(now, state)
     }
 
@@ -451,6 +529,7 @@
                 slowness: reading.map_or(0.0, |reading| reading.factor),
                 slowness_age_us: reading.map_or(0, |reading| now.saturating_sub(reading.at)),
                 distance: state.distance(),
+                limit: state.limit(),
             }
         }));
         let scores = scored.iter().map(|one| one.score);
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -7,6 +7,7 @@
 use crate::ids::Micros;
 use crate::slowness::SlownessReading;
 use crate::target_load::TargetLoad;
+use crate::target_notice::{OfferShare, RateLimit};
 use crate::utility::TargetEstimate;
 
 /// Half-life of a load report, in service times: calls come and go within one.
@@ -66,6 +67,9 @@
     slowness: Option<SlownessReading>,
     distance: Distance,
     suspected: bool,
+    /// Limit that it states, and the share of calls that it is offered because of that.
+    limit: Option<RateLimit>,
+    share: OfferShare,
     /// Present while its daemon reports that nothing listens at its address: when a trial call
     /// may check whether that is still true.
     down_until: Option<Micros>,
@@ -134,6 +138,8 @@
             slowness: None,
             distance: Distance::default(),
             suspected: false,
+            limit: None,
+            share: OfferShare::ALL,
             down_until: None,
         }
     }
@@ -307,6 +313,10 @@
             at: now,
         });
         self.slowness = load.slowness(now).or(self.slowness);
+        if let Some(notice) = load.notice {
+            self.limit = notice.limit;
+            self.share = notice.share;
+        }
         if load.service_us > 0 {
             self.service_us = Some(f64::from(load.service_us));
             self.service_at = now;
@@ -374,6 +384,16 @@
         self.distance
     }
 
+    /// The rate limit that it states.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// The share of calls that it is offered.
+    pub fn share(&self) -> OfferShare {
+        self.share
+    }
+
     /// The last reading of its slowness.
     pub fn slowness(&self) -> Option<SlownessReading> {
         self.slowness
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::Micros;
 use crate::slowness::SlownessReading;
+use crate::target_notice::TargetNotice;
 
 /// A target's load at one moment, counted by its own daemon.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,6 +28,9 @@
     /// Age of `slowness_percent` in milliseconds.
     #[serde(rename = "y", default, skip_serializing_if = "is_zero")]
     pub slowness_age_ms: u32,
+    /// What the target states in its answers, if it or an earlier one ever stated anything.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub notice: Option<TargetNotice>,
 }
 
 fn is_zero(value: &u32) -> bool {
--- a/crates/policy/src/target_notice.rs
+++ b/crates/policy/src/target_notice.rs
@@ -75,3 +75,70 @@
         true
     }
 }
+
+/// Parts in a whole share.
+const WHOLE_PERMILLE: u32 = 1_000;
+
+/// Share of a router's calls for which a target may be selected.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct OfferShare {
+    permille: u32,
+}
+
+impl OfferShare {
+    /// All calls.
+    pub const ALL: OfferShare = OfferShare {
+        permille: WHOLE_PERMILLE,
+    };
+
+    /// Creates a share from a fraction. The smallest share is one thousandth, so that a target
+    /// is never forgotten.
+    pub fn from_fraction(fraction: f64) -> Self {
+        let permille = fraction * f64::from(WHOLE_PERMILLE);
+        OfferShare {
+            permille: (permille as u32).clamp(1, WHOLE_PERMILLE),
+        }
+    }
+
+    /// The share as a fraction.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.permille.clamp(1, WHOLE_PERMILLE)) / f64::from(WHOLE_PERMILLE)
+    }
+
+    /// Whether it is all calls.
+    pub fn is_all(&self) -> bool {
+        self.permille >= WHOLE_PERMILLE
+    }
+}
+
+impl Default for OfferShare {
+    fn default() -> Self {
+        OfferShare::ALL
+    }
+}
+
+/// What a target's daemon tells of the statements of its target, and what a router that heard it
+/// tells the daemon of a later run.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetNotice {
+    /// Fingerprint of the incarnation that the statements are of; 0 for a target without a name.
+    #[serde(rename = "i", default)]
+    pub incarnation: u64,
+    /// Limit that it states.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RateLimit>,
+    /// Share of their calls that routers should offer.
+    #[serde(rename = "o", default, skip_serializing_if = "OfferShare::is_all")]
+    pub share: OfferShare,
+    /// Whether it states that it is leaving.
+    #[serde(rename = "g", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
+impl TargetNotice {
+    /// Whether nothing is stated.
+    pub fn is_blank(&self) -> bool {
+        self.limit.is_none() && !self.leaving
+    }
+}
--- a/crates/policy/tests/goals/choice.rs
+++ b/crates/policy/tests/goals/choice.rs
@@ -81,6 +81,7 @@
             service_us: 100_000,
             slowness_percent,
             slowness_age_ms: 0,
+            notice: None,
         },
     }
 }
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -334,6 +334,7 @@
             service_us,
             slowness_percent: 0,
             slowness_age_ms: 0,
+            notice: None,
         },
     };
     router.on(0, load_report(0, 0, 1_000));
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -42,6 +42,9 @@
     }
 }
 
+/// What the target states in an answer, as headers.
+pub type Notices = Vec<(&'static str, String)>;
+
 /// What becomes of a call.
 pub enum Done {
     /// A whole answer.
@@ -59,7 +62,7 @@
 }
 
 type Body = http_body_util::combinators::BoxBody<Bytes, CutShort>;
-type Work = (Call, flume::Sender<Done>);
+type Work = (Call, flume::Sender<(Done, Notices)>);
 
 /// The answer ends here on purpose.
 #[derive(Debug, thiserror::Error)]
@@ -89,7 +92,7 @@
     /// Listens on `address` and answers with `slots` threads.
     pub fn start<F>(address: &str, slots: usize, answer: F) -> Result<Self, StandinError>
     where
-        F: Fn(&Call) -> Done + Send + Sync + 'static,
+        F: Fn(&Call) -> (Done, Notices) + Send + Sync + 'static,
     {
         let failed = |error: std::io::Error| StandinError::Listen {
             address: address.to_owned(),
@@ -180,7 +183,7 @@
 /// Threads end when the last connection has let go of the queue.
 fn start_slots<F>(slots: usize, answer: F) -> flume::Sender<Work>
 where
-    F: Fn(&Call) -> Done + Send + Sync + 'static,
+    F: Fn(&Call) -> (Done, Notices) + Send + Sync + 'static,
 {
     let (work, queue) = flume::unbounded::<Work>();
     let answer = Arc::new(answer);
@@ -217,7 +220,21 @@
     let (reply, done) = flume::bounded(1);
     let call = Call { parts, body };
     life.work.send((call, reply)).map_err(|_| CutShort)?;
-    match done.recv_async().await.unwrap_or(Done::Drop) {
+    let (done, notices) = done
+        .recv_async()
+        .await
+        .unwrap_or((Done::Drop, Notices::new()));
+    let mut response = respond(done, life)?;
+    for (name, value) in notices {
+        if let Ok(value) = hyper::header::HeaderValue::from_str(&value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    Ok(response)
+}
+
+fn respond(done: Done, life: &Arc<Life>) -> Result<Response<Body>, CutShort> {
+    match done {
         Done::Answer(answer) => Ok(Response::new(whole(answer))),
         Done::Status(status) => Ok(with_status(status)),
         Done::Shed => {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -17,7 +17,7 @@
 
 use crate::error::StandinError;
 use crate::http::{Listening, json_body, respond_json, respond_status};
-use crate::serving::{Call, Done, Serving};
+use crate::serving::{Call, Done, Notices, Serving};
 use crate::sync::lock;
 
 const CONTROL_WORKERS: usize = 2;
@@ -68,6 +68,10 @@
     pub fails_on: String,
     /// How they fail.
     pub failure: BadRun,
+    /// What its answers state as its rate limit; nothing where it is empty.
+    pub rate_limit: String,
+    /// Says in its answers that it leaves.
+    pub says_leaving: bool,
     /// Load that its health endpoint claims, instead of the true one.
     pub false_load: Option<u32>,
 }
@@ -86,6 +90,15 @@
 }
 
 impl TargetFaults {
+    fn notices(&self) -> Notices {
+        let limit = (!self.rate_limit.is_empty())
+            .then(|| ("lynxcleat-rate-limit", self.rate_limit.clone()));
+        let leaving = self
+            .says_leaving
+            .then(|| ("lynxcleat-leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
     /// How a request fails here; nothing where it does not.
     fn failure_of(&self, call: &Call) -> Option<BadRun> {
         let fails = !self.fails_on.is_empty() && call.parts.uri.path() == self.fails_on;
@@ -205,7 +218,7 @@
 
 impl State {
     /// Serves one call in the thread of a slot.
-    fn serve(&self, call: &Call) -> Done {
+    fn serve(&self, call: &Call) -> (Done, Notices) {
         self.served.fetch_add(1, Ordering::Relaxed);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let faults = lock(&self.faults).clone();
@@ -217,7 +230,7 @@
             self.run(call, &faults)
         };
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
-        done
+        (done, faults.notices())
     }
 
     fn run(&self, call: &Call, faults: &TargetFaults) -> Done {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,8 +2,8 @@
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
-    AttemptId, CallKind, Elsewhere, Homes, NotRunReason, Refusal, RolloutUpdate, SuspectUpdate,
-    TargetEvidence, TargetExitId, TargetLoad, ZoneUpdate,
+    AttemptId, CallKind, Elsewhere, Homes, NotRunReason, OfferShare, Refusal, RolloutUpdate,
+    SuspectUpdate, TargetEvidence, TargetExitId, TargetLoad, TargetNotice, ZoneUpdate,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -74,6 +74,13 @@
     /// Where else the sender can offer the call if it is refused.
     #[serde(rename = "m", default, skip_serializing_if = "Elsewhere::is_nowhere")]
     pub elsewhere: Elsewhere,
+    /// Statements of the target that the sender heard of. A daemon that started since then may
+    /// not know them.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub notice: Option<TargetNotice>,
+    /// Share of its calls out of which the sender offers this one.
+    #[serde(rename = "d", default, skip_serializing_if = "OfferShare::is_all")]
+    pub share: OfferShare,
     /// Time left until the goal of the route, in microseconds, if it has one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub goal_left_us: Option<u64>,
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -9,6 +9,8 @@
     let call = CallFrame {
         attempt: AttemptId(1),
         number: 1,
+        notice: None,
+        share: Default::default(),
         call: "c".to_owned(),
         service: "s".to_owned(),
         kind: CallKind::default(),
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -46,6 +46,7 @@
                 service_us: 900,
                 slowness_percent: 400,
                 slowness_age_ms: 3,
+                notice: None,
             }),
             there_us: 77,
             work_us: Some(70),
