A change of a target while a link is made is told on that link

Traced by reading: a daemon's hello says whether its target takes calls. What changed after the hello and before the link stood was told on the other links only, so a router held the target as leaving for as long as the link stood; and a change that arrived first was overwritten by the older hello.

Test: mesh/a_change_of_a_target_during_the_making_of_a_link_is_told_on_it, failed before (nothing was said in 15 s). The acceptor repeats its state on the new link until it no longer changes; the dialer keeps what it was told last on the link and takes that over.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -22,8 +22,9 @@
     frame,
 };
 
-/// The other side of a new link is told of zones, rollouts and suspects.
+/// The other side of a new link is told of the target, zones, rollouts and suspects.
 fn greet(core: &Core, link: &Link) {
+    half::greet(core, link);
     directory::greet(core, link);
     rollout::greet(core, link);
     quarantine::spread::greet(core, link);
@@ -41,8 +42,14 @@
 fn frame(core: &Arc<Core>, link: &Arc<Link>, frame: Frame) {
     match frame {
         Frame::Beat => beat(link),
-        Frame::Leaving(leaving) => core.routers.leaving(core, &link.peer.host, leaving),
-        Frame::Down(down) => core.routers.down(core, &link.peer.host, down),
+        Frame::Leaving(leaving) => {
+            link.note_peer_target(|target| target.leaving = leaving);
+            core.routers.leaving(core, &link.peer.host, leaving);
+        }
+        Frame::Down(down) => {
+            link.note_peer_target(|target| target.down = down);
+            core.routers.down(core, &link.peer.host, down);
+        }
         Frame::Call(call) => half::spawn_call(core, link, *call),
         Frame::Window { attempt, bytes } => {
             link.open_window(attempt, bytes);
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -21,6 +21,7 @@
 
 use lynxcleat_wire::Frame;
 
+use crate::core::Core;
 use crate::mesh::Link;
 
 pub use down::start;
@@ -28,6 +29,26 @@
 pub use serve::{spawn_call, spawn_fence};
 pub use state::{EarlierTarget, Half};
 
+/// Tells a router on a new link what may have changed since this daemon said hello on it. What
+/// changes meanwhile is told again: it may have been told before this.
+pub fn greet(core: &Core, link: &Link) {
+    if link.is_dialer() {
+        return;
+    }
+    loop {
+        let (leaving, down) = (core.half.is_leaving(), core.half.pool.is_down());
+        send(link, Frame::Leaving(leaving));
+        send(link, Frame::Down(down));
+        if (leaving, down) == (core.half.is_leaving(), core.half.pool.is_down()) {
+            break;
+        }
+    }
+    let figures = core.half.figures();
+    if figures.notice.is_some() {
+        send(link, Frame::Load(figures));
+    }
+}
+
 /// Sends on a link whose loss the other side notices by itself.
 fn send(link: &Link, frame: Frame) {
     let _ = link.send(frame);
--- a/crates/daemon/src/mesh/dial.rs
+++ b/crates/daemon/src/mesh/dial.rs
@@ -159,6 +159,7 @@
     fn connect_to_self(&self, core: &Arc<Core>) -> Arc<Link> {
         let (near, near_queue) = self.add(core, core.hello(), Side::Dialer);
         let (far, far_queue) = self.add(core, core.hello(), Side::Acceptor);
+        (core.handlers.greet)(core, &far);
         pump::start_to_self(core, &far, near_queue);
         pump::start_to_self(core, &near, far_queue);
         near
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -90,9 +90,20 @@
     doubted: AtomicBool,
     /// Newest generation of settings that the other side told.
     generation: AtomicU64,
+    /// What the other side said last of its target.
+    peer_target: Mutex<PeerTarget>,
     closed: watch::Sender<bool>,
 }
 
+/// What a daemon says of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerTarget {
+    /// Whether it takes no new calls.
+    pub leaving: bool,
+    /// Whether nothing listens at its address.
+    pub down: bool,
+}
+
 impl Link {
     pub(super) fn new(
         id: u64,
@@ -103,9 +114,14 @@
     ) -> (Self, Queue) {
         let (out, small) = flume::bounded(QUEUE_LIMIT);
         let (pieces, large) = flume::bounded(QUEUE_LIMIT);
+        let peer_target = PeerTarget {
+            leaving: peer.leaving,
+            down: peer.down,
+        };
         let link = Link {
             id,
             peer,
+            peer_target: Mutex::new(peer_target),
             distance,
             side,
             out,
@@ -224,6 +240,16 @@
         let _ = self.lost_if_failed(pushed.map_err(|_| LinkClosed));
     }
 
+    /// What the other side said last of its target.
+    pub fn peer_target(&self) -> PeerTarget {
+        *lock(&self.peer_target)
+    }
+
+    /// The other side says something new of its target.
+    pub fn note_peer_target(&self, change: impl FnOnce(&mut PeerTarget)) {
+        change(&mut lock(&self.peer_target));
+    }
+
     /// Newest generation of settings that the other side told.
     pub fn generation(&self) -> u64 {
         self.generation.load(Ordering::Relaxed)
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -469,17 +469,38 @@
             core.once.half_gone(&self.name);
             self.feed(core, Event::TargetReplaced { target });
         }
-        if link.peer.leaving {
-            self.feed(core, Event::TargetDraining { target });
-        }
         let linked = true;
         self.feed(core, Event::TargetLinked { target, linked });
-        let down = link.peer.down;
-        self.feed(core, Event::TargetDown { target, down });
+        self.follow_peer_target(core, target, link);
         // Only now: a call that waits for the last link must not find it tried and closed.
         self.mark_tried(target);
     }
 
+    /// Takes over what the other side of a new link says of its target. A change that arrives
+    /// meanwhile may have been fed before it, so it is looked at again.
+    fn follow_peer_target(&self, core: &Core, target: TargetId, link: &Link) {
+        loop {
+            let said = link.peer_target();
+            let state = match said.leaving || self.is_listed_leaving(target) {
+                true => Event::TargetDraining { target },
+                false => Event::TargetResumed { target },
+            };
+            self.feed(core, state);
+            let down = said.down;
+            self.feed(core, Event::TargetDown { target, down });
+            if link.peer_target() == said {
+                return;
+            }
+        }
+    }
+
+    /// Whether the host list says that the host of a target will be taken away.
+    fn is_listed_leaving(&self, target: TargetId) -> bool {
+        let peers = lock(&self.peers);
+        let peer = peers.get(&target);
+        peer.is_some_and(|peer| peer.entry.state == HostState::Leaving)
+    }
+
     fn link_failed(&self, target: TargetId) {
         self.mark_tried(target);
     }
--- a/crates/daemon/tests/mesh.rs
+++ b/crates/daemon/tests/mesh.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use lynxcleat_standin::wait_until;
-use support::{PATIENCE, Plan, Running};
+use lynxcleat_wire::Frame;
+use support::{PATIENCE, Peer, Plan, Running, call};
 
 /// A host that loses power or is cut off says nothing. Calls that were sent to it waited for
 /// the heartbeat to be missed, and so did those that were sent after them. A loopback
@@ -116,3 +117,27 @@
     );
     assert!(!worker.status().expect("a status").leaving);
 }
+
+/// The hello of a daemon says whether its target takes calls. A change after the hello and
+/// before the link stood was told to the other links only: a router never heard that a target
+/// took calls again, and sent it none for as long as the link stood.
+#[test]
+fn a_change_of_a_target_during_the_making_of_a_link_is_told_on_it() {
+    let fleet = Plan::new("mesh-meanwhile").start();
+    let worker = &fleet.workers[0];
+    let drain = |path: &str| {
+        assert_eq!(call(&worker.entry.ops, "POST", path, &[], b"").status, 200);
+    };
+    for (path, leaves) in [("/drain", true), ("/undrain", false)] {
+        let said = fleet.runtime.block_on(async {
+            let ours = Peer::hello(&worker.raw.deployment, "other", "127.0.0.1:1");
+            let mut peer = Peer::dial_while(&worker.entry.mesh, ours, || drain(path)).await;
+            let said = peer.receive_until(|frame| match frame {
+                Frame::Leaving(leaving) => Some(leaving),
+                _ => None,
+            });
+            tokio::time::timeout(PATIENCE, said).await
+        });
+        assert_eq!(said, Ok(leaves), "after {path}");
+    }
+}
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -46,6 +46,11 @@
 
     /// Dials a daemon, as one that routes to it.
     pub async fn dial(mesh: &str, ours: Hello) -> Peer {
+        Peer::dial_while(mesh, ours, || ()).await
+    }
+
+    /// Dials a daemon, and has something happen once it has said who it is.
+    pub async fn dial_while(mesh: &str, ours: Hello, happens: impl FnOnce()) -> Peer {
         let stream = TcpStream::connect(mesh).await.expect("connected");
         let url = format!("ws://{mesh}/mesh");
         let upgraded = tokio_tungstenite::client_async(url, stream).await;
@@ -54,7 +59,7 @@
             socket,
             generation: 0,
         };
-        peer.prove(Side::Dialer, ours).await;
+        peer.prove(Side::Dialer, ours, happens).await;
         peer
     }
 
@@ -66,7 +71,7 @@
             socket: upgraded.expect("a web socket"),
             generation: 0,
         };
-        peer.prove(Side::Acceptor, ours).await;
+        peer.prove(Side::Acceptor, ours, || ()).await;
         peer
     }
 
@@ -78,11 +83,12 @@
         peer
     }
 
-    async fn prove(&mut self, side: Side, ours: Hello) {
+    async fn prove(&mut self, side: Side, ours: Hello, happens: impl FnOnce()) {
         self.send(Frame::Hello(Box::new(ours.clone()))).await;
         let Frame::Hello(theirs) = self.receive().await else {
             panic!("a hello");
         };
+        happens();
         let key = SharedKey::new(KEY.as_bytes()).expect("a key");
         let proof = match side {
             Side::Dialer => key.prove(side, &ours, &theirs),
