A target that says that it leaves gets nothing new, store or no store

Cause: the same as of the limit: an answer's statement about its target was passed on and read by nobody.

Change: the daemon beside the target takes it as if the target had reported that it drains, tells every router on its link, and keeps it in its member row. Routers repeat it with their calls, by incarnation, so that a daemon that was started again and only sees a target that reports itself ready knows it before it delivers a call. Where targets have no names (our own interface without reports) it holds until the process has ended; a daemon that is started again learns it there with the first answer.

--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -20,7 +20,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use lynxcleat_policy::{ReportEffect, TargetReport};
+use lynxcleat_policy::{ReportEffect, ReportedState, TargetReport};
 use lynxcleat_store::{FeedRole, MemberStatus, OwnedRow, feed_role};
 
 use crate::control;
@@ -103,6 +103,22 @@
         }
     }
 
+    /// The target says in an answer that it leaves: it gets no new calls, as if it had
+    /// reported so.
+    pub fn target_says_leaving(&self) {
+        let effect = self.half.with_reports(|reports| {
+            let current = reports.current().cloned();
+            current.map(|target| {
+                let state = ReportedState::Draining;
+                reports.mark_ended(&target.instance, target.started_ms, state)
+            })
+        });
+        match effect {
+            Some(_) => self.apply_target(),
+            None => self.set_leaving(LeaveCause::Answer, true),
+        }
+    }
+
     /// Puts what the target reports in force.
     fn apply_target(&self) {
         let open = self.half.with_reports(|reports| reports.ready().is_some());
--- a/crates/daemon/src/half/notices.rs
+++ b/crates/daemon/src/half/notices.rs
@@ -51,7 +51,7 @@
         self.hear_limit(core, headers, answerer);
         if core.dialect.is_leaving(headers) {
             count(&core.metrics.target_notices, "leaving");
-            self.set_said_leaving();
+            self.set_said_leaving(core);
         }
     }
 
@@ -71,6 +71,9 @@
         if !is_heard && self.rate_limit().is_none() {
             self.state_limit(core, self.clock.now(), notice.limit);
         }
+        if notice.leaving && notice.incarnation != NAMELESS {
+            self.set_said_leaving(core);
+        }
     }
 
     /// Another incarnation stands in place, which has said nothing yet.
@@ -107,6 +110,16 @@
         lock(&self.notices).limit.current()
     }
 
+    /// Whether incarnations of the target have names.
+    pub(super) fn is_named(&self) -> bool {
+        self.with_reports(|_| ()).is_some()
+    }
+
+    /// Whether the target says that it leaves.
+    pub fn says_leaving(&self) -> bool {
+        lock(&self.notices).leaving
+    }
+
     fn hear_limit(&self, core: &Core, headers: &HeaderMap, answerer: &Answerer<'_>) {
         match core.dialect.rate_limit(headers) {
             Ok(stated) => {
@@ -164,7 +177,7 @@
         }
     }
 
-    fn set_said_leaving(&self) {
+    fn set_said_leaving(&self, core: &Core) {
         {
             let mut notices = lock(&self.notices);
             notices.is_told = true;
@@ -173,6 +186,9 @@
             }
         }
         log::info!("the target says that it leaves");
+        core.target_says_leaving();
+        // With the incarnation, which the message that the target is left does not have.
+        core.links.announce(&Frame::Load(self.figures()));
     }
 
     /// Fingerprint of the incarnation in place.
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -30,6 +30,8 @@
 pub enum LeaveCause {
     /// The target's health endpoint says that it drains.
     Target,
+    /// The target, which sends no reports, says in its answers that it leaves.
+    Answer,
     /// The host list says that the host will be taken away.
     List,
     /// An operator evacuated the availability zone.
--- a/crates/daemon/tests/rate_limits.rs
+++ b/crates/daemon/tests/rate_limits.rs
@@ -6,8 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lynxcleat_standin::TargetFaults;
-use support::{Fleet, Plan, tree};
+use lynxcleat_standin::{TargetFaults, wait_until};
+use support::{Fleet, PATIENCE, Plan, tree};
 
 /// A limit that a target states, in calls a second.
 const LIMIT: f64 = 10.0;
@@ -21,6 +21,13 @@
     }
 }
 
+fn leaving() -> TargetFaults {
+    TargetFaults {
+        says_leaving: true,
+        ..TargetFaults::default()
+    }
+}
+
 fn fleet(name: &'static str) -> Fleet {
     let plan = Plan {
         workers: 3,
@@ -75,3 +82,32 @@
     let after = (limited.served() - before) as f64;
     assert!(after > 2.0 * most, "{after} calls after the limit ended");
 }
+
+#[test]
+fn a_target_that_says_it_leaves_is_back_when_it_was_started_again() {
+    let fleet = fleet("says-leaving");
+    drive(&fleet, DRIVEN / 4);
+    let target = &fleet.workers[1].target;
+    target.set_faults(leaving());
+    let left = || {
+        fleet.workers[1]
+            .status()
+            .is_some_and(|status| status.leaving)
+    };
+    let heard = wait_until(PATIENCE, || {
+        drive(&fleet, DRIVEN / 40);
+        left()
+    });
+    assert!(heard, "it is left");
+    drive(&fleet, DRIVEN / 8);
+    let before = target.served();
+    assert_eq!(drive(&fleet, DRIVEN / 2), 0);
+    assert_eq!(target.served(), before);
+    target.set_faults(TargetFaults::default());
+    target.end(Duration::from_millis(600));
+    let back = wait_until(PATIENCE, || {
+        drive(&fleet, DRIVEN / 40);
+        target.served() > before
+    });
+    assert!(back, "{}", fleet.describe());
+}
