A link's target is known to leave before it may be selected

Traced by reading: since the last change of link_made a target was selectable a moment before what its daemon says of it was fed. A call that came then was refused by its own leaving target, found no other that was linked yet, and was answered with not-run.

--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -469,9 +469,10 @@
             core.once.half_gone(&self.name);
             self.feed(core, Event::TargetReplaced { target });
         }
+        // Before it may be selected: a call that a leaving target refuses may find no other.
+        self.follow_peer_target(core, target, link);
         let linked = true;
         self.feed(core, Event::TargetLinked { target, linked });
-        self.follow_peer_target(core, target, link);
         // Only now: a call that waits for the last link must not find it tried and closed.
         self.mark_tried(target);
     }
