Limited targets serve the calls first that would fare badly elsewhere

Tokens went to calls that any target would have served.

A call that is worth much more at a limited target than at the best other one is now offered there whatever the share, and the share is what these calls leave. Faults of the first form, found by runs of sidecar/limits beside each other: a router that seldom offers kept a share that had long been too small (no call in 15 s after a restart; 32 of 44 calls once), so a share that has changed by a factor of two is told to all routers, once a second at most; and with a share of all calls, offers could not be told from those made in any case, so the share stayed at all.

--- a/crates/daemon/src/half/down.rs
+++ b/crates/daemon/src/half/down.rs
@@ -22,19 +22,21 @@
 /// turns brings few messages, and routers learn by refusals meanwhile.
 const TELL_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause between two looks at a target without a name that says that it leaves. Its end is
-/// found by nothing else, since it gets no calls.
-const LEAVING_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks at what a target states: whether routers should hear of its limit,
+/// and whether one without a name that says that it leaves has ended. Nothing else finds its
+/// end, since it gets no calls.
+const NOTICES_PAUSE: Duration = Duration::from_millis(200);
 
 /// Starts following whether the target listens.
 pub fn start(core: &Arc<Core>) {
     tokio::spawn(follow(Arc::clone(core)));
-    tokio::spawn(look_while_leaving(Arc::clone(core)));
+    tokio::spawn(keep_notices(Arc::clone(core)));
 }
 
-async fn look_while_leaving(core: Arc<Core>) {
+async fn keep_notices(core: Arc<Core>) {
     loop {
-        tokio::time::sleep(LEAVING_PAUSE).await;
+        tokio::time::sleep(NOTICES_PAUSE).await;
+        core.half.announce_share(&core);
         if core.half.says_leaving() && !core.half.is_named() {
             core.half.pool.drop_idle();
             core.half.pool.look().await;
--- a/crates/daemon/src/half/notices.rs
+++ b/crates/daemon/src/half/notices.rs
@@ -15,9 +15,6 @@
 
 /// Fingerprint of a target without a name: its restarts cannot be told apart.
 const NAMELESS: u64 = 0;
-/// Least time between two messages to all routers that a limit began or ended. Replies tell
-/// those that send calls meanwhile.
-const ANNOUNCE_PAUSE_US: Micros = 200_000;
 
 /// Who answered which call.
 pub(super) struct Answerer<'a> {
@@ -36,7 +33,6 @@
     is_heard: bool,
     /// Whether routers are told: an incarnation stated something, or a router believes so.
     is_told: bool,
-    announced_at: Option<Micros>,
     /// The last text for a limit that was no rate; each is logged once.
     no_rate: Option<String>,
 }
@@ -158,21 +154,16 @@
             return;
         }
         log::info!(calls_per_s:? = stated.map(RateLimit::per_s); "rate limit of the target");
-        self.announce(core, now);
+        match stated {
+            Some(_) => self.announce_share(core),
+            None => core.links.announce(&Frame::Load(self.figures())),
+        }
     }
 
-    /// Tells every router that a limit began or ended.
-    fn announce(&self, core: &Core, now: Micros) {
-        let due = {
-            let mut notices = lock(&self.notices);
-            let is_due = |at: Micros| now >= at + ANNOUNCE_PAUSE_US;
-            let due = notices.announced_at.is_none_or(is_due);
-            if due {
-                notices.announced_at = Some(now);
-            }
-            due
-        };
-        if due {
+    /// Tells every router of the limit if the share that it should offer has changed much.
+    pub(super) fn announce_share(&self, core: &Core) {
+        let share = lock(&self.admit).share_to_announce(self.clock.now());
+        if share.is_some() {
             core.links.announce(&Frame::Load(self.figures()));
         }
     }
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lynxcleat_once::{BeginResult, GuardRefusal, OpId, Outcome, Ticket};
-use lynxcleat_policy::{AttemptId, Elsewhere, Micros, NotRunReason, OfferShare, RefusalReason};
+use lynxcleat_policy::{AttemptId, Elsewhere, Micros, NotRunReason, RefusalReason};
 use lynxcleat_wire::{CallFrame, Frame, GuardedVerdict};
 
 use super::claimed::{ClaimError, Claimed};
@@ -238,7 +238,7 @@
         attempt: AttemptId(0),
         number: 1,
         notice: None,
-        share: OfferShare::ALL,
+        share: None,
         call: outbound.name.clone(),
         service: call.service.name.clone(),
         kind: outbound.kind,
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -120,7 +120,7 @@
         sender,
         attempts: Vec::new(),
         answer: None,
-        share: OfferShare::ALL,
+        share: None,
         prints: OnceLock::new(),
         finished: false,
     };
@@ -154,8 +154,8 @@
     pub(super) sender: flume::Sender<Signal>,
     pub(super) attempts: Vec<OutAttempt>,
     pub(super) answer: Option<(AttemptId, Answer)>,
-    /// Share of the calls out of which the newest attempt is offered.
-    pub(super) share: OfferShare,
+    /// Share of the calls out of which the newest attempt is offered, if that decided.
+    pub(super) share: Option<OfferShare>,
     pub(super) trace: Trace,
     pub(super) prints: OnceLock<RequestFingerprints>,
     pub(super) finished: bool,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -78,8 +78,8 @@
     pub own_failures: u64,
     /// Targets that were not offered the call for their rate limits.
     pub passed_over: Vec<TargetId>,
-    /// Share of the calls out of which the target was offered this one.
-    pub share: OfferShare,
+    /// Share of the calls out of which the target was offered this one, if that decided.
+    pub share: Option<OfferShare>,
 }
 
 /// The router of one service with its links.
--- a/crates/daemon/tests/large_bodies/half.rs
+++ b/crates/daemon/tests/large_bodies/half.rs
@@ -19,7 +19,7 @@
         attempt,
         number: 1,
         notice: None,
-        share: Default::default(),
+        share: None,
         call: format!("call-{}", attempt.0),
         service: "stock".to_owned(),
         kind: CallKind::default(),
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -160,7 +160,7 @@
             attempt: AttemptId(number),
             number: 1,
             notice: None,
-            share: Default::default(),
+            share: None,
             call: format!("by-hand-{number}"),
             service: "stock".to_owned(),
             kind,
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -21,6 +21,8 @@
 
 /// Spread of service times: sigma of their logarithm.
 const SERVICE_SIGMA: f64 = 0.5;
+/// Time between two looks at whether routers should hear of a changed share.
+const NOTICES_PAUSE_US: Micros = 200_000;
 /// Attempt numbers of different routers are this far apart.
 const ATTEMPTS_BITS: u32 = 40;
 
@@ -159,6 +161,7 @@
     Told {
         target: usize,
     },
+    Notices,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -166,7 +169,7 @@
     router: usize,
     attempt: AttemptId,
     deadline: Micros,
-    share: OfferShare,
+    share: Option<OfferShare>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -276,6 +279,7 @@
             }
         }
         self.at(0, What::Arrive);
+        self.at(NOTICES_PAUSE_US, What::Notices);
         while let Some(Reverse((now, _, what))) = self.queue.pop() {
             self.now = now;
             self.happen(what);
@@ -300,6 +304,7 @@
             What::Join => self.join(),
             What::Recheck { target } => self.recheck(target),
             What::Told { target } => self.tell_routers(target),
+            What::Notices => self.announce_shares(),
         }
     }
 
@@ -472,6 +477,22 @@
         }
     }
 
+    /// Every router hears of a share that changed much.
+    fn announce_shares(&mut self) {
+        for target in 0..self.targets.len() {
+            if self.targets[target]
+                .admit
+                .share_to_announce(self.now)
+                .is_some()
+            {
+                self.tell_routers(target);
+            }
+        }
+        if self.now < self.options.end {
+            self.at(self.now + NOTICES_PAUSE_US, What::Notices);
+        }
+    }
+
     /// Every router hears that a limit of a target began or ended, or that it leaves.
     fn tell_routers(&mut self, target: usize) {
         let id = TargetId(target as u32);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -185,6 +185,11 @@
         self.rate_limit.offer_share(now)
     }
 
+    /// The share, if all routers should be told of it now.
+    pub fn share_to_announce(&mut self, now: Micros) -> Option<OfferShare> {
+        self.rate_limit.share_to_announce(now)
+    }
+
     /// Returns whether the call is queued, in which case withdrawing it means that it never
     /// ran.
     pub fn is_held(&self, call: CallId) -> bool {
--- a/crates/policy/src/hold_queue.rs
+++ b/crates/policy/src/hold_queue.rs
@@ -23,8 +23,9 @@
     pub nested: bool,
     /// Where the router can offer the call if it is refused here.
     pub elsewhere: Elsewhere,
-    /// Share of its calls out of which the router offered this one.
-    pub share: OfferShare,
+    /// Share of its calls out of which the router offered this one; `None` if it offers the
+    /// call whatever the share.
+    pub share: Option<OfferShare>,
 }
 
 /// Factor by which the time until the goal of a nested call is extended. What matters is
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -4,7 +4,8 @@
 //! daemon, so one token bucket there bounds the sum exactly, without agreement among daemons.
 //! For calls not to be refused there, routers are told which share of their calls to offer:
 //! the same share for all, estimated from the offers so far. The estimate can be wrong for a
-//! while; the bucket cannot.
+//! while; the bucket cannot. Calls that would fare much worse elsewhere are offered in any
+//! case, so they come first, and the share is what they leave.
 
 use crate::ids::Micros;
 use crate::target_notice::{OfferShare, RateLimit};
@@ -20,6 +21,9 @@
 const BURST_S: f64 = 0.5;
 /// Calls that routers are asked to offer, as a multiple of the limit.
 const OFFER_FACTOR: f64 = 1.1;
+/// Part of them that is offered out of a share however many come in any case: the number of
+/// those varies more.
+const MIN_SAMPLED_PART: f64 = 0.5;
 /// Further offers per second, because a multiple of a small limit is nearly none.
 const EXTRA_OFFERS_PER_S: f64 = 0.5;
 /// Offers over which the estimate of the demand averages.
@@ -27,6 +31,11 @@
 /// Bounds of the time over which it averages, in seconds.
 const MIN_DEMAND_WINDOW_S: f64 = 1.0;
 const MAX_DEMAND_WINDOW_S: f64 = 10.0;
+/// Factor by which the share changes before all routers are told, and the least time between
+/// two such messages. Routers that offer calls hear of it with each reply; the others would keep
+/// a share that has long been too small.
+const ANNOUNCED_FACTOR: f64 = 2.0;
+const ANNOUNCE_PAUSE_US: Micros = 1_000_000;
 /// Upper bound of the retry hint.
 const MAX_RETRY_AFTER_US: Micros = 5_000_000;
 /// Rounding error up to which a bucket counts as holding a token.
@@ -43,6 +52,7 @@
     /// Latest retry time reported so far; the next one is later.
     last_retry_at: Micros,
     demand: Demand,
+    announced: Option<(Micros, OfferShare)>,
     urgent: UrgentOffers,
 }
 
@@ -53,6 +63,8 @@
         self.refill(now);
         if self.limit.is_none() {
             self.tokens = 0.0;
+            self.demand.assume_sampled();
+            self.announced = None;
         }
         self.limit = limit;
         self.tokens = self.tokens.min(self.capacity());
@@ -63,8 +75,9 @@
         self.limit
     }
 
-    /// Records the offer of a call by a router that offers this share of its calls.
-    pub fn record_offer(&mut self, now: Micros, share: OfferShare, urgency: Urgency) {
+    /// Records the offer of a call out of a share of the router's calls; `None` if it is
+    /// offered whatever the share.
+    pub fn record_offer(&mut self, now: Micros, share: Option<OfferShare>, urgency: Urgency) {
         let window_s = self.demand_window_s();
         self.demand.record(now, window_s, share);
         if self.limit.is_some() {
@@ -120,7 +133,25 @@
         // The number of offers in a second varies by about its square root; fewer than the limit
         // would leave tokens unused.
         let wanted = rate * OFFER_FACTOR + rate.sqrt() + EXTRA_OFFERS_PER_S;
-        OfferShare::from_fraction(wanted / self.demand.per_s(now, self.demand_window_s()))
+        let demand = self.demand.per_s(now, self.demand_window_s());
+        let left = (wanted - demand.in_any_case).max(wanted * MIN_SAMPLED_PART);
+        OfferShare::from_fraction(left / demand.sampled)
+    }
+
+    /// The share, if all routers should be told of it now.
+    pub fn share_to_announce(&mut self, now: Micros) -> Option<OfferShare> {
+        self.limit?;
+        let share = self.offer_share(now);
+        let is_due = self.announced.is_none_or(|(at, told)| {
+            let factor = share.fraction() / told.fraction();
+            let has_changed = !(1.0 / ANNOUNCED_FACTOR..ANNOUNCED_FACTOR).contains(&factor);
+            now >= at + ANNOUNCE_PAUSE_US && has_changed
+        });
+        if !is_due {
+            return None;
+        }
+        self.announced = Some((now, share));
+        Some(share)
     }
 
     fn rate(&self) -> Option<f64> {
@@ -157,27 +188,38 @@
     }
 }
 
-/// Rate at which calls would be offered if routers offered all of them, as an average with
-/// exponentially decaying weights.
-#[derive(Debug, Default)]
+/// Calls per second that routers would offer, as averages with exponentially decaying weights.
+#[derive(Clone, Copy, Debug, Default)]
 struct Demand {
-    weighted: f64,
+    /// Those that are offered out of a share, if it were all.
+    sampled: f64,
+    /// Those that are offered whatever the share.
+    in_any_case: f64,
     recorded_at: Micros,
 }
 
 impl Demand {
     /// An offer out of a share of the calls stands for those that were not offered.
-    fn record(&mut self, now: Micros, window_s: f64, share: OfferShare) {
-        self.weighted = self.decayed(now, window_s) + 1.0 / share.fraction();
-        self.recorded_at = now;
+    fn record(&mut self, now: Micros, window_s: f64, share: Option<OfferShare>) {
+        *self = self.per_s(now, window_s);
+        match share {
+            Some(share) => self.sampled += 1.0 / (share.fraction() * window_s),
+            None => self.in_any_case += 1.0 / window_s,
+        }
     }
 
-    fn per_s(&self, now: Micros, window_s: f64) -> f64 {
-        self.decayed(now, window_s) / window_s
+    /// Without a limit, routers offered all calls, and will offer a share of them.
+    fn assume_sampled(&mut self) {
+        self.sampled += std::mem::take(&mut self.in_any_case);
     }
 
-    fn decayed(&self, now: Micros, window_s: f64) -> f64 {
+    fn per_s(&self, now: Micros, window_s: f64) -> Demand {
         let age_s = now.saturating_sub(self.recorded_at) as f64 / SECOND_US;
-        self.weighted * (-age_s / window_s).exp()
+        let decay = (-age_s / window_s).exp();
+        Demand {
+            sampled: self.sampled * decay,
+            in_any_case: self.in_any_case * decay,
+            recorded_at: now,
+        }
     }
 }
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -210,8 +210,9 @@
         self.selector.passed_over()
     }
 
-    /// Share of the calls out of which the last selected target was offered its call.
-    pub fn selected_share(&self) -> OfferShare {
+    /// Share of the calls out of which the last selected target was offered its call, if that
+    /// was what decided.
+    pub fn selected_share(&self) -> Option<OfferShare> {
         self.selector.selected_share()
     }
 
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -40,6 +40,13 @@
 /// each took the best target, all would send to the one that reported last.
 const EQUAL_WORTH_MARGIN: f64 = 0.05;
 
+/// A call is offered to a rate-limited target in any case if it is worth more there than at the
+/// best other target by this fraction of a call's worth: the limit serves those calls first that
+/// would fare badly elsewhere.
+const MIN_LIMITED_GAIN: f64 = 0.25;
+/// The same for scores that are finish times: the factor by which it must finish sooner.
+const MIN_LIMITED_SPEEDUP: f64 = 2.0;
+
 /// Settings of target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SelectionParams {
@@ -132,8 +139,9 @@
     skipped_limited: Vec<TargetId>,
     /// Those that the last selection skipped.
     passed_over: Vec<TargetId>,
-    /// Share of the calls out of which the last selected target was offered its call.
-    selected_share: OfferShare,
+    /// Share of the calls out of which the last selected target was offered its call; `None` if
+    /// it has no rate limit, or was selected whatever its share.
+    selected_share: Option<OfferShare>,
     /// Which targets a rollout allows for the next selection.
     filter: TargetFilter,
     rng: SmallRng,
@@ -156,7 +164,7 @@
             max_distance: Distance::OtherRegion,
             skipped_limited: Vec::new(),
             passed_over: Vec::new(),
-            selected_share: OfferShare::ALL,
+            selected_share: None,
             filter: TargetFilter::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -250,8 +258,9 @@
         &self.passed_over
     }
 
-    /// Share of the calls out of which the last selected target was offered its call.
-    pub fn selected_share(&self) -> OfferShare {
+    /// Share of the calls out of which the last selected target was offered its call; `None` if
+    /// it has no rate limit, or was selected whatever its share.
+    pub fn selected_share(&self) -> Option<OfferShare> {
         self.selected_share
     }
 
@@ -317,13 +326,13 @@
         scored.clear();
         self.skips_suspected = self.any_unsuspected(now, excluded);
         let is_drawn = self.draw_skipped_limited(now, excluded);
-        let selected = self.select_eligible(now, request, scored);
+        let drawn = self.select_eligible(now, request, scored);
         self.passed_over = std::mem::take(&mut self.skipped_limited);
+        let needed = self.select_needed(now, request, scored);
+        let selected = needed.or(drawn);
         let state = self.states.get_mut(&selected?)?;
-        self.selected_share = match is_drawn {
-            true => state.share(),
-            false => OfferShare::ALL,
-        };
+        let is_sampled = is_drawn && needed.is_none() && state.limit().is_some();
+        self.selected_share = is_sampled.then(|| state.share());
         self.picks += 1;
         state.record_sent(self.picks);
         selected
@@ -361,6 +370,33 @@
         }
     }
 
+    /// Selects a rate-limited target that was skipped, if the call would fare much worse at the
+    /// best of those that were scored.
+    fn select_needed(
+        &mut self,
+        now: Micros,
+        request: SelectionRequest<'_>,
+        scored: &mut Vec<ScoredTarget>,
+    ) -> Option<TargetId> {
+        let drawn = scored.iter().map(|one| one.score).min_by(f64::total_cmp)?;
+        let mut skipped = self.passed_over.clone();
+        skipped.retain(|target| self.is_eligible(now, *target, request.excluded));
+        let mut limited = Vec::new();
+        self.score_all(now, request, skipped, &mut limited);
+        let best = limited.iter().min_by(|a, b| a.score.total_cmp(&b.score))?;
+        let is_needed = match self.params.policy {
+            Policy::GoalChance => best.score + MIN_LIMITED_GAIN <= drawn,
+            Policy::ExpectedFinish => best.score * MIN_LIMITED_SPEEDUP <= drawn,
+            _ => false,
+        };
+        let target = best.target;
+        scored.extend(limited.into_iter().filter(|_| is_needed));
+        if is_needed {
+            self.passed_over.retain(|passed| *passed != target);
+        }
+        is_needed.then_some(target)
+    }
+
     /// Draws which rate-limited targets this call skips. Returns whether the draw counts:
     /// if it leaves no target, the call is offered all the same, and the daemon of a limited
     /// target decides by its urgency.
--- a/crates/policy/src/target_notice.rs
+++ b/crates/policy/src/target_notice.rs
@@ -97,7 +97,7 @@
     pub fn from_fraction(fraction: f64) -> Self {
         let permille = fraction * f64::from(WHOLE_PERMILLE);
         OfferShare {
-            permille: (permille as u32).clamp(1, WHOLE_PERMILLE),
+            permille: (permille.max(0.0) as u32).clamp(1, WHOLE_PERMILLE),
         }
     }
 
--- a/crates/policy/tests/goals/choice.rs
+++ b/crates/policy/tests/goals/choice.rs
@@ -1,8 +1,9 @@
 //! Selection of a target by a router.
 
 use lynxcleat_policy::{
-    Action, AnswerStatus, AttemptId, CallId, Distance, Elsewhere, Event, Policy, RefusalReason,
-    Router, RouterParams, SelectionParams, TargetId, TargetLoad,
+    Action, AnswerStatus, AttemptId, CallId, Distance, Elsewhere, Event, OfferShare, Policy,
+    RateLimit, RefusalReason, Router, RouterParams, SelectionParams, TargetId, TargetLoad,
+    TargetNotice,
 };
 
 use super::{COSTS, FAR, KIND, MS, NEAR};
@@ -215,3 +216,50 @@
         }]
     ));
 }
+
+/// A router whose far target takes one call a second, and is offered one in a thousand.
+fn router_with_limited_far() -> Router {
+    let mut router = router();
+    let notice = TargetNotice {
+        limit: RateLimit::from_per_s(1.0),
+        share: OfferShare::from_fraction(0.0),
+        ..TargetNotice::default()
+    };
+    let report = Event::LoadReported {
+        target: FAR,
+        load: TargetLoad {
+            slots: 8,
+            service_us: 100_000,
+            slowness_percent: 100,
+            notice: Some(notice),
+            ..TargetLoad::default()
+        },
+    };
+    router.on(100 * MS, report);
+    router
+}
+
+/// Spent on calls that are served well elsewhere, the tokens of a limited target were gone when
+/// calls came that were not, and these were refused.
+#[test]
+fn a_limited_target_gets_the_calls_that_would_fare_badly_elsewhere() {
+    let mut router = router_with_limited_far();
+    router.on(100 * MS, load_report(NEAR, 400, 2));
+    let now = 101 * MS;
+    let (_, target) = single_send(&on_arrival(&mut router, 100, now, 200 * MS));
+    assert_eq!(target, FAR);
+    assert_eq!(router.selected_share(), None, "it is offered in any case");
+}
+
+#[test]
+fn a_limited_target_is_left_to_others_by_calls_that_are_served_well_elsewhere() {
+    let mut router = router_with_limited_far();
+    router.on(100 * MS, load_report(NEAR, 100, 2));
+    let now = 101 * MS;
+    for call in 100..120 {
+        let (attempt, target) = single_send(&on_arrival(&mut router, call, now, 400 * MS));
+        assert_eq!(target, NEAR);
+        router.on(now, answered(attempt, 100));
+    }
+    assert_eq!(router.passed_over(), [FAR]);
+}
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -195,9 +195,27 @@
 fn routers_are_asked_for_a_share_that_uses_up_the_limit() {
     let mut controller = controller(10.0);
     let mut now = 0;
+    let mut due = 0.0;
     for nth in 0..2_000 {
         now = nth * 5 * MS;
-        let actions = controller.on(now, offer(nth, now + MS, 0));
+        let share = controller.offer_share(now);
+        due += share.fraction();
+        if due < 1.0 {
+            continue;
+        }
+        due -= 1.0;
+        let attributes = CallAttributes {
+            share: Some(share),
+            ..CallAttributes::default()
+        };
+        let actions = controller.on(
+            now,
+            AdmissionEvent::Offer {
+                call: CallId(nth),
+                deadline: now + MS,
+                attributes,
+            },
+        );
         for call in delivered(&actions) {
             controller.on(now, done(call));
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -78,9 +78,10 @@
     /// not know them.
     #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
     pub notice: Option<TargetNotice>,
-    /// Share of its calls out of which the sender offers this one.
-    #[serde(rename = "d", default, skip_serializing_if = "OfferShare::is_all")]
-    pub share: OfferShare,
+    /// Share of its calls out of which the sender offers this one; absent if it offers the call
+    /// whatever the share.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<OfferShare>,
     /// Time left until the goal of the route, in microseconds, if it has one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub goal_left_us: Option<u64>,
--- a/crates/wire/tests/homes.rs
+++ b/crates/wire/tests/homes.rs
@@ -10,7 +10,7 @@
         attempt: AttemptId(1),
         number: 1,
         notice: None,
-        share: Default::default(),
+        share: None,
         call: "c".to_owned(),
         service: "s".to_owned(),
         kind: CallKind::default(),
