See what targets state: lynxcleat targets, status; the soak's targets state it too

The soak draws targets that state 5 calls a second, and targets that say that they leave, end and are replaced; by a random stream of their own, so that the other faults of a seed stay what they were.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -55,6 +55,9 @@
     /// Show requests under which targets ended, or let one run again
     #[bpaf(command)]
     Quarantine(#[bpaf(external(quarantine_action))] QuarantineAction),
+    /// Show what targets say of themselves: rate limits, and that they leave
+    #[bpaf(command)]
+    Targets(#[bpaf(external(targets_args))] TargetsArgs),
     /// Run platform, targets and daemons embedded in this process
     #[bpaf(command)]
     Dev(#[bpaf(external(dev_args))] DevArgs),
@@ -252,6 +255,16 @@
     pub request: String,
 }
 
+/// Whose targets to show.
+#[derive(Bpaf, Clone, Debug)]
+pub struct TargetsArgs {
+    #[bpaf(external(format))]
+    pub format: Format,
+    /// Operators' endpoints of the daemons
+    #[bpaf(positional("IP:PORT"), some("name at least one daemon"))]
+    pub ops: Vec<String>,
+}
+
 /// Options of the embedded run.
 #[derive(Bpaf, Clone, Debug)]
 pub struct DevArgs {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod ops;
 mod quarantine;
 mod settings;
+mod targets;
 mod working;
 
 use std::process::ExitCode;
@@ -24,6 +25,7 @@
         Command::Audit(args) => audit::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Quarantine(action) => quarantine::run(&action),
+        Command::Targets(args) => targets::run(&args),
         Command::Dev(args) => dev::run(&args),
     };
     match done {
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -97,6 +97,12 @@
     /// Whether its target is cold or may be.
     #[serde(default)]
     pub cold: bool,
+    /// Calls in 1,000 s that its target says it takes from all daemons together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_per_1000_s: Option<u64>,
+    /// Whether its target says in its answers that it leaves.
+    #[serde(default)]
+    pub says_leaving: bool,
     /// Availability zones that are evacuated, as far as it knows.
     #[serde(default)]
     pub evacuated_zones: Vec<String>,
@@ -194,6 +200,8 @@
         leaving: core.half.is_leaving(),
         target_down: core.half.pool.is_down(),
         cold: core.half.is_cold(),
+        limit_per_1000_s: core.half.rate_limit().map(|limit| limit.calls_per_1000_s),
+        says_leaving: core.half.says_leaving(),
         evacuated_zones: core.evacuated_zones(),
         rollouts: core.rollouts.status(core.clock.now()),
         stopping: core.life.phase() > Phase::Serving,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,6 +29,8 @@
 /// Age of stale reads, and delay of a slow platform, in milliseconds.
 const STALE_MS: u64 = 2_000;
 const SLOW_MS: u64 = 300;
+/// Calls a second that a target in need states.
+const STATED_LIMIT: &str = "5";
 /// Factor of a slow target.
 const SLOW_FACTOR: u32 = 8;
 /// Key that proves links; it protects nothing here.
@@ -318,6 +320,7 @@
         Some(TargetTrouble::CutAnswers) => faults.cut_answers = true,
         Some(TargetTrouble::DropAnswers) => faults.drop_answers = true,
         Some(TargetTrouble::Draining) => faults.draining = true,
+        Some(TargetTrouble::RateLimited) => faults.rate_limit = STATED_LIMIT.to_owned(),
     }
     faults
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,9 @@
 /// Pause between two ends of targets, in milliseconds.
 const END_PAUSE_MS: (u64, u64) = (300, 1_800);
 
+/// Pause between two statements of targets, in milliseconds.
+const STATEMENT_PAUSE_MS: (u64, u64) = (400, 2_000);
+
 /// Trouble of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -36,6 +39,8 @@
     DropAnswers,
     /// Says that it drains.
     Draining,
+    /// States in its answers that it takes a few calls a second.
+    RateLimited,
 }
 
 /// Trouble of the platform.
@@ -68,6 +73,12 @@
         /// Number of its host.
         host: usize,
     },
+    /// A target says in its answers that it leaves; when the time is over it ends, and another
+    /// takes its place.
+    TargetLeaves {
+        /// Number of its host.
+        host: usize,
+    },
     /// The platform is in trouble.
     Platform {
         /// What is wrong.
@@ -144,6 +155,7 @@
             steps.push(Step { at, lasts, fault });
         }
         steps.extend(ends_of_targets(seed, hosts, time));
+        steps.extend(statements_of_targets(seed, hosts, time));
         steps.sort_by_key(|step| step.at);
         Plan { seed, steps }
     }
@@ -166,6 +178,28 @@
     }
 }
 
+/// What targets state in their answers, drawn by itself for the same reason.
+fn statements_of_targets(seed: u64, hosts: usize, time: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += milliseconds(&mut rng, STATEMENT_PAUSE_MS);
+        let lasts = milliseconds(&mut rng, FAULT_MS);
+        let host = rng.random_range(0..hosts);
+        let leaves = rng.random_bool(0.5);
+        if at + lasts > time {
+            return steps;
+        }
+        let trouble = TargetTrouble::RateLimited;
+        let fault = match leaves {
+            true => Fault::TargetLeaves { host },
+            false => Fault::Target { host, trouble },
+        };
+        steps.push(Step { at, lasts, fault });
+    }
+}
+
 fn milliseconds(rng: &mut SmallRng, (least, most): (u64, u64)) -> Duration {
     Duration::from_millis(rng.random_range(least..=most))
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use lynxcleat_standin::TargetFaults;
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
@@ -19,6 +20,8 @@
 
 /// Pause between two looks at the plan and at the processes.
 const TICK: Duration = Duration::from_millis(20);
+/// Time after which another target listens in place of one that left.
+const REPLACED_AFTER: Duration = Duration::from_millis(300);
 /// Pause between two questions for a daemon's status.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time for daemons to come up, and to recover after the last fault.
@@ -183,6 +186,13 @@
                 let lasts = until.saturating_sub(self.shared.now());
                 self.fleet.hosts[host].target.end(lasts);
             }
+            Fault::TargetLeaves { host } => {
+                let faults = TargetFaults {
+                    says_leaving: true,
+                    ..TargetFaults::default()
+                };
+                self.fleet.hosts[host].target.set_faults(faults);
+            }
             Fault::Platform { trouble } => {
                 let faults = fleet::platform_faults(Some(trouble));
                 self.fleet.platform.set_faults(faults);
@@ -216,6 +226,11 @@
                 self.fleet.hosts[host].platform_proxy.set(ProxyMode::Pass);
             }
             Fault::MeshLink { host, .. } => self.fleet.hosts[host].mesh_proxy.set(ProxyMode::Pass),
+            Fault::TargetLeaves { host } => {
+                let target = &self.fleet.hosts[host].target;
+                target.set_faults(TargetFaults::default());
+                target.end(REPLACED_AFTER);
+            }
             Fault::TargetEnds { .. }
             | Fault::Terminate { .. }
             | Fault::Kill { .. }
