--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -46,5 +46,5 @@
         .into_iter()
         .map(|kind| kind.split(['(', '{']).next().unwrap_or_default().to_owned())
         .collect();
-    assert_eq!(kinds.len(), 7 + 4 + 5 + 5 + 6, "{kinds:?}");
+    assert_eq!(kinds.len(), 8 + 4 + 5 + 5 + 7, "{kinds:?}");
 }
