A test of calls to another region waits until the home target is left

Cause: a call also crosses while the link to the home target is being made, and the 30 calls that follow are served at home until it is known to drain.

--- a/crates/daemon/tests/regions.rs
+++ b/crates/daemon/tests/regions.rs
@@ -43,6 +43,9 @@
         send(0);
         other.target.served() > before
     };
+    // A call may cross before that, while the link to the home target is being made.
+    let is_left = || home.status().is_some_and(|status| status.leaving);
+    assert!(wait_until(PATIENCE, is_left), "{}", fleet.describe());
     assert!(wait_until(PATIENCE, crosses), "{}", fleet.describe());
     let before = other.target.served();
     let statuses: Vec<u16> = (0..CALLS).map(|number| send(number).status).collect();
