Read as a newcomer: one token bucket, shorter files, work in its place

Nothing that the product does changes, but for one thing: a guard tells a daemon of an earlier build a refusal that it can read, as the target's daemon did.

- Quotas and rate limits share token bucket and the spacing of retries; what decays exponentially in the new modules is one count; FNV-1a stood twice.
- Notices have their own task and are forgotten once; both ways of delivering a call share the exchange; the mark of a further attempt goes by its number.
- The soak draws steps of targets in one place; the tests of rate limits use the settings of the load tool's cases.

--- a/crates/cli/src/targets.rs
+++ b/crates/cli/src/targets.rs
@@ -7,9 +7,6 @@
 use crate::args::{Format, TargetsArgs};
 use crate::ops;
 
-/// Calls per 1,000 seconds in one call per second.
-const PER_1000_S: f64 = 1_000.0;
-
 /// Prints a line for each daemon's target.
 pub fn run(args: &TargetsArgs) -> Done {
     let mut found = Vec::new();
@@ -27,16 +24,11 @@
     Ok(())
 }
 
-fn limit_per_s(status: &Status) -> Option<f64> {
-    let per_1000_s = status.limit_per_1000_s?;
-    Some(per_1000_s as f64 / PER_1000_S)
-}
-
 fn to_json(status: &Status) -> serde_json::Value {
     json!({
         "host": status.host,
         "service": status.service,
-        "limit_per_s": limit_per_s(status),
+        "limit_per_s": status.limit_per_s(),
         "says_leaving": status.says_leaving,
         "leaving": status.leaving,
         "down": status.target_down,
@@ -44,7 +36,7 @@
 }
 
 fn print(status: &Status) {
-    let limit = match limit_per_s(status) {
+    let limit = match status.limit_per_s() {
         Some(limit) => format!("takes {limit} calls/s from all daemons together"),
         None => "states no rate limit".to_owned(),
     };
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -55,10 +55,7 @@
             link.open_window(attempt, bytes);
         }
         Frame::Piece(piece) => core.half.bodies.take_piece(&core.metrics, link, piece),
-        Frame::Load(figures) => {
-            core.routers.heard(&link.peer.host, Some(figures));
-            core.routers.load(core, &link.peer.host, figures);
-        }
+        Frame::Load(figures) => core.routers.load(core, &link.peer.host, figures),
         Frame::Cancel(attempt) => core.half.cancel(link.id, attempt),
         Frame::Answer {
             attempt,
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -156,14 +156,9 @@
         instance: Option<String>,
     ) -> Exchange {
         let body = RequestBody::Whole(std::mem::take(&mut call.body).into_vec());
-        let request = self.request(call, instance.clone(), body);
+        let request = self.request(call, instance, body);
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
-        let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
-        let hears = self.hears(instance);
-        let exchange = self
-            .half
-            .pool
-            .exchange(&self.core.dialect, request, (sends, hears));
+        let exchange = self.exchange(request);
         if op.is_some() {
             return tokio::select! {
                 exchange = exchange => exchange,
@@ -198,14 +193,9 @@
         let (attempt, name) = (call.attempt, call.call.clone());
         let bodies = &self.half.bodies;
         let expected = bodies.expect(self.link, attempt, (to_come, window));
-        let request = self.request(call, instance.clone(), RequestBody::Pieces(&expected));
+        let request = self.request(call, instance, RequestBody::Pieces(&expected));
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
-        let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
-        let hears = self.hears(instance);
-        let exchange = self
-            .half
-            .pool
-            .exchange(&self.core.dialect, request, (sends, hears));
+        let exchange = self.exchange(request);
         let (exchange, ended_by) = tokio::select! {
             exchange = exchange => (exchange, "target"),
             by = self.unwanted(op, &expected) => (Exchange::Lost, by),
@@ -237,16 +227,21 @@
         by
     }
 
-    /// Takes what an answer says of the target. It answers a call that is about to be sent.
-    fn hears(&self, instance: Option<String>) -> impl Fn(&HeaderMap) {
+    /// Exchanges a request for its answer. Notes when it is sent, and what the answer says of the
+    /// target.
+    fn exchange<'b>(&'b self, request: Request<'b>) -> impl Future<Output = Exchange> + 'b {
         let sent_at = self.core.clock.now();
-        move |headers| {
+        let instance = request.instance.clone();
+        let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
+        let hears = move |headers: &HeaderMap| {
             let answerer = Answerer {
                 instance: instance.as_deref(),
                 sent_at,
             };
             self.half.hear(self.core, headers, &answerer);
-        }
+        };
+        let dialect = &self.core.dialect;
+        self.half.pool.exchange(dialect, request, (sends, hears))
     }
 
     /// How long the answer of the target is waited for.
--- a/crates/daemon/src/half/down.rs
+++ b/crates/daemon/src/half/down.rs
@@ -9,7 +9,6 @@
 use lynxcleat_wire::Frame;
 
 use crate::core::Core;
-use crate::life::LeaveCause;
 
 /// Part of the time since the target went down after which it is looked at again, as a
 /// divisor: it is found again within so small a part of its outage.
@@ -22,26 +21,9 @@
 /// turns brings few messages, and routers learn by refusals meanwhile.
 const TELL_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause between two looks at what a target states: whether routers should hear of its limit,
-/// and whether one without a name that says that it leaves has ended. Nothing else finds its
-/// end, since it gets no calls.
-const NOTICES_PAUSE: Duration = Duration::from_millis(200);
-
 /// Starts following whether the target listens.
 pub fn start(core: &Arc<Core>) {
     tokio::spawn(follow(Arc::clone(core)));
-    tokio::spawn(keep_notices(Arc::clone(core)));
-}
-
-async fn keep_notices(core: Arc<Core>) {
-    loop {
-        tokio::time::sleep(NOTICES_PAUSE).await;
-        core.half.announce_share(&core);
-        if core.half.says_leaving() && !core.half.is_named() {
-            core.half.pool.drop_idle();
-            core.half.pool.look().await;
-        }
-    }
 }
 
 async fn follow(core: Arc<Core>) {
@@ -53,10 +35,7 @@
         look_until_back(&core, since).await;
         // The process is a new one: what it keeps in memory is gone.
         core.half.doubt_warmth();
-        if !core.half.is_named() {
-            core.half.forget_notices(&core);
-            core.set_leaving(LeaveCause::Answer, false);
-        }
+        core.half.forget_nameless(&core);
         let down_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
         log::info!(down_ms; "target back");
         tell(&core, false);
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -19,16 +19,23 @@
 mod target;
 mod watched;
 
+use std::sync::Arc;
+
 use lynxcleat_wire::Frame;
 
 use crate::core::Core;
 use crate::mesh::Link;
 
-pub use down::start;
 pub use pool::Pool;
 pub use serve::{spawn_call, spawn_fence};
 pub use state::{EarlierTarget, Half};
 
+/// Starts following whether the target listens, and what it states.
+pub fn start(core: &Arc<Core>) {
+    down::start(core);
+    notices::start(core);
+}
+
 /// Tells a router on a new link what may have changed since this daemon said hello on it. What
 /// changes meanwhile is told again: it may have been told before this.
 pub fn greet(core: &Core, link: &Link) {
--- a/crates/daemon/src/half/notices.rs
+++ b/crates/daemon/src/half/notices.rs
@@ -4,18 +4,42 @@
 //! the routers with the target's load. Routers repeat it with their calls, so that a daemon
 //! that was started again knows it before it delivers one.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use hyper::HeaderMap;
 use lynxcleat_policy::{AdmissionEvent, Micros, RateLimit, StatedLimit, TargetNotice};
+use lynxcleat_store::fnv1a;
 use lynxcleat_wire::Frame;
 
 use super::state::Half;
 use crate::core::Core;
+use crate::life::LeaveCause;
 use crate::metrics::count;
 use crate::sync::lock;
 
 /// Fingerprint of a target without a name: its restarts cannot be told apart.
 const NAMELESS: u64 = 0;
 
+/// Pause between two looks at what a target states.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Starts telling routers of shares that change, and looking for the end of a target without a
+/// name that says that it leaves: it gets no calls, so nothing else finds its end.
+pub fn start(core: &Arc<Core>) {
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            core.half.announce_share(&core);
+            if core.half.says_leaving() && !core.half.is_named() {
+                core.half.pool.drop_idle();
+                core.half.pool.look().await;
+            }
+        }
+    });
+}
+
 /// Who answered which call.
 pub(super) struct Answerer<'a> {
     /// The incarnation that the call was meant for, where it has a name.
@@ -79,11 +103,19 @@
             is_told: notices.is_told,
             ..Notices::default()
         };
-        drop(notices);
-        self.admit(AdmissionEvent::RateLimit(None));
         core.metrics.show_rate_limit(None);
     }
 
+    /// A target without a name was started again.
+    pub(super) fn forget_nameless(&self, core: &Core) {
+        if self.is_named() {
+            return;
+        }
+        self.forget_notices(core);
+        self.admit(AdmissionEvent::RateLimit(None));
+        core.set_leaving(LeaveCause::Answer, false);
+    }
+
     /// What routers are told of the target's statements; nothing where there never were any.
     pub(super) fn notice(&self) -> Option<TargetNotice> {
         let (limit, leaving) = {
@@ -107,7 +139,7 @@
     }
 
     /// Whether incarnations of the target have names.
-    pub(super) fn is_named(&self) -> bool {
+    fn is_named(&self) -> bool {
         self.with_reports(|_| ()).is_some()
     }
 
@@ -161,7 +193,7 @@
     }
 
     /// Tells every router of the limit if the share that it should offer has changed much.
-    pub(super) fn announce_share(&self, core: &Core) {
+    fn announce_share(&self, core: &Core) {
         let share = lock(&self.admit).share_to_announce(self.clock.now());
         if share.is_some() {
             core.links.announce(&Frame::Load(self.figures()));
@@ -182,9 +214,13 @@
         core.links.announce(&Frame::Load(self.figures()));
     }
 
-    /// Fingerprint of the incarnation in place.
+    /// Fingerprint of the incarnation in place, of its name and start.
     fn incarnation_print(&self) -> u64 {
-        let print = self.with_reports(|reports| reports.current()?.fingerprint().into());
+        let print = self.with_reports(|reports| {
+            let target = reports.current()?;
+            let started = target.started_ms.unwrap_or(0).to_le_bytes();
+            Some(fnv1a(target.instance.bytes().chain(started)))
+        });
         print.flatten().unwrap_or(NAMELESS)
     }
 }
--- a/crates/daemon/src/once/run.rs
+++ b/crates/daemon/src/once/run.rs
@@ -270,12 +270,28 @@
     let link = Arc::clone(link);
     let busy = core.life.calls.enter();
     tokio::spawn(async move {
-        let verdict = guarded(&core, ticket, frame).await;
+        let number = frame.number;
+        let verdict = for_sender(number, guarded(&core, ticket, frame).await);
         let _ = link.send(Frame::GuardedReply { ask, verdict });
         drop(busy);
     });
 }
 
+/// What the daemon that passed a call on is told; one of an earlier build does not know every
+/// reason.
+fn for_sender(number: u32, verdict: GuardedVerdict) -> GuardedVerdict {
+    match verdict {
+        GuardedVerdict::NotRun {
+            reason: NotRunReason::Refused(reason),
+            retry_after_us,
+        } if number == 0 => GuardedVerdict::NotRun {
+            reason: NotRunReason::Refused(reason.or_known_before()),
+            retry_after_us,
+        },
+        verdict => verdict,
+    }
+}
+
 async fn guarded(core: &Arc<Core>, ticket: Ticket, frame: CallFrame) -> GuardedVerdict {
     if ticket.op.incarnation != core.me.incarnation {
         return GuardedVerdict::NotMine;
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::thread;
 
-use lynxcleat_policy::{Fingerprint, ParseFingerprintError};
+use lynxcleat_policy::{Fingerprint, ParseFingerprintError, RateLimit};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use thiserror::Error;
@@ -121,6 +121,14 @@
     pub hosts: usize,
 }
 
+impl Status {
+    /// Calls a second that its target says it takes from all daemons together.
+    pub fn limit_per_s(&self) -> Option<f64> {
+        let calls_per_1000_s = self.limit_per_1000_s?;
+        Some(RateLimit { calls_per_1000_s }.per_s())
+    }
+}
+
 /// A listening endpoint that is not served yet.
 pub struct Ops {
     server: Arc<Server>,
--- a/crates/daemon/src/route/offer.rs
+++ b/crates/daemon/src/route/offer.rs
@@ -74,14 +74,14 @@
     pub(super) fn frame(&self, attempt: AttemptId, elsewhere: Elsewhere) -> CallFrame {
         let mut head = self.call.head.clone();
         let (body, to_come) = self.body();
-        let is_retry = self.attempts.len() > 1 || !self.call.may_retry;
-        if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| is_retry) {
+        let number = self.number();
+        if let Some(retry) = self.core.dialect.retry.as_ref().filter(|_| number > 1) {
             let mark = Header(retry.as_str().to_owned(), ByteBuf::from(b"1".to_vec()));
             head.headers.push(mark);
         }
         CallFrame {
             attempt,
-            number: self.number(),
+            number,
             call: self.call.name.clone(),
             service: self.service.name.clone(),
             kind: self.call.kind,
--- a/crates/daemon/src/route/service.rs
+++ b/crates/daemon/src/route/service.rs
@@ -196,6 +196,7 @@
 
     /// A daemon tells the load of its target.
     pub fn load(&self, core: &Core, host: &str, figures: TargetLoad) {
+        self.heard(host, Some(figures));
         let Some(target) = lock(&self.ids).get(host).copied() else {
             return;
         };
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -14,6 +14,6 @@
 pub use caller::{Connections, Destination};
 pub use open_loop::{LoadError, LoadOptions, Mix, run};
 pub use report::{Counts, Latency, LoadReport};
-pub use rounds::{Balancer, Case, CaseReport, Deployment, cases, run_case};
+pub use rounds::{Balancer, Case, CaseReport, Deployment, cases, run_case, steady};
 pub use service::{FakeService, FakeTarget, Measured, ServiceOptions};
 pub use spread::{Lost, SpreadReport, spread};
--- a/crates/load/src/rounds.rs
+++ b/crates/load/src/rounds.rs
@@ -214,7 +214,8 @@
     }
 }
 
-fn steady(
+/// A service under no load yet, with the settings that all cases share.
+pub fn steady(
     deployment: &Deployment,
     balancer: Balancer,
     retry_percent: u32,
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service/mod.rs
@@ -5,131 +5,27 @@
 //! by a real [`AdmissionController`]; the fakes only take time, fail, and carry messages with a
 //! delay. Runs are seeded and repeat exactly.
 
+mod options;
+mod statements;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
 use lynxcleat_policy::{
     Action, AdmissionAction, AdmissionController, AdmissionEvent, AdmissionLimits, AnswerStatus,
-    AttemptId, CallAttributes, CallId, CallKind, DistanceCosts, Event, Micros, OfferShare,
-    RateLimit, Refusal, Router, RouterParams, StatedLimit, TargetId, TargetLoad, TargetNotice,
-    Verdict,
+    AttemptId, CallAttributes, CallId, CallKind, DistanceCosts, Event, Micros, OfferShare, Refusal,
+    Router, StatedLimit, TargetId, TargetLoad, Verdict,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::report::Latency;
+pub use options::{FakeTarget, Measured, ServiceOptions};
 
 /// Spread of service times: sigma of their logarithm.
 const SERVICE_SIGMA: f64 = 0.5;
-/// Time between two looks at whether routers should hear of a changed share.
-const NOTICES_PAUSE_US: Micros = 200_000;
 /// Attempt numbers of different routers are this far apart.
 const ATTEMPTS_BITS: u32 = 40;
 
-/// A fake target.
-#[derive(Clone, Debug)]
-pub struct FakeTarget {
-    /// One-way delay to it, in microseconds.
-    pub path_us: Micros,
-    /// Service times are multiplied by this during `odd`.
-    pub factor: f64,
-    /// Fails every call this fast during `odd`, in microseconds.
-    pub fail_after_us: Option<Micros>,
-    /// Time during which it is odd.
-    pub odd: (Micros, Micros),
-    /// When it joins; 0 for one that is there from the start.
-    pub joins_at: Micros,
-    /// Limits that its answers state, each from a time on; `None` ends one.
-    pub limits: Vec<(Micros, Option<RateLimit>)>,
-    /// From when on its answers say that it leaves.
-    pub leaves_at: Micros,
-}
-
-impl Default for FakeTarget {
-    fn default() -> Self {
-        FakeTarget {
-            path_us: 150,
-            factor: 1.0,
-            fail_after_us: None,
-            odd: (0, Micros::MAX),
-            joins_at: 0,
-            limits: Vec::new(),
-            leaves_at: Micros::MAX,
-        }
-    }
-}
-
-/// Options of a run.
-#[derive(Clone, Debug)]
-pub struct ServiceOptions {
-    /// Routers that share the load.
-    pub routers: usize,
-    /// The targets.
-    pub targets: Vec<FakeTarget>,
-    /// Slots and hold limit of each target.
-    pub limits: AdmissionLimits,
-    /// Mean service time in microseconds.
-    pub service_us: f64,
-    /// Settings of the routers.
-    pub params: RouterParams,
-    /// Deadline of a call in microseconds.
-    pub deadline_us: Micros,
-    /// Calls a second from each of these times on.
-    pub rates: Vec<(Micros, f64)>,
-    /// When calls stop arriving.
-    pub end: Micros,
-    /// Times that a caller comes back, when told to, within its deadline.
-    pub repeats: u32,
-    /// Share of answers that carry figures: what the measuring budget allows.
-    pub figures_share: f64,
-    /// Whether targets take and queue every call, whatever their limits.
-    pub plain: bool,
-    /// Seed of everything random.
-    pub seed: u64,
-}
-
-impl ServiceOptions {
-    /// Lets routers offer a call elsewhere that a target's daemon refused.
-    pub fn allow_reroutes(&mut self) {
-        self.params.reroute_limit = self.targets.len() as u32;
-    }
-}
-
-/// What a run measured.
-#[derive(Clone, Debug, Default)]
-pub struct Measured {
-    /// Latencies of calls served in time or late, from their first arrival.
-    pub served: Latency,
-    /// Served latencies of calls that arrived in a window of interest.
-    pub window: Latency,
-    /// Times from arrival until a refusal was told.
-    pub refusal: Latency,
-    /// Calls that arrived.
-    pub calls: u64,
-    /// Calls served before their deadline.
-    pub in_time: u64,
-    /// Calls refused for good.
-    pub refused: u64,
-    /// Calls answered with a server error.
-    pub errors: u64,
-    /// Calls whose outcome was unknown.
-    pub unknown: u64,
-    /// Calls that routers took, callers' repetitions included.
-    pub routed: u64,
-    /// Attempts sent.
-    pub attempts: u64,
-    /// Further attempts sent.
-    pub retries: u64,
-    /// Answers that carried figures.
-    pub figures: u64,
-    /// Attempts by target from 100 ms after the targets' odd time began.
-    pub by_target: Vec<u64>,
-    /// When calls were delivered to each target.
-    pub delivered: Vec<Vec<Micros>>,
-    /// Served calls as (arrival, latency), for recovery times.
-    pub series: Vec<(Micros, Micros)>,
-}
-
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum What {
     Arrive,
@@ -279,7 +175,7 @@
             }
         }
         self.at(0, What::Arrive);
-        self.at(NOTICES_PAUSE_US, What::Notices);
+        self.announce_shares();
         while let Some(Reverse((now, _, what))) = self.queue.pop() {
             self.now = now;
             self.happen(what);
@@ -453,75 +349,6 @@
         }
     }
 
-    /// Takes what an answer of a target says of it, to a call sent at `sent_at`.
-    fn hear(&mut self, target: usize, sent_at: Micros) {
-        let now = self.now;
-        let state = &mut self.targets[target];
-        let mut begun = state.fake.limits.iter().rev();
-        let limit = begun
-            .find(|(from, _)| *from <= now)
-            .and_then(|(_, limit)| *limit);
-        let had_limit = state.stated.current().is_some();
-        let leaves = now >= state.fake.leaves_at && !state.leaving;
-        state.leaving |= leaves;
-        let changed = state.stated.record(now, sent_at, limit);
-        if changed {
-            self.admit(target, AdmissionEvent::RateLimit(limit));
-        }
-        if leaves {
-            self.admit(target, AdmissionEvent::Leave);
-        }
-        if leaves || (changed && had_limit != limit.is_some()) {
-            let path_us = self.targets[target].fake.path_us;
-            self.at(now + path_us, What::Told { target });
-        }
-    }
-
-    /// Every router hears of a share that changed much.
-    fn announce_shares(&mut self) {
-        for target in 0..self.targets.len() {
-            if self.targets[target]
-                .admit
-                .share_to_announce(self.now)
-                .is_some()
-            {
-                self.tell_routers(target);
-            }
-        }
-        if self.now < self.options.end {
-            self.at(self.now + NOTICES_PAUSE_US, What::Notices);
-        }
-    }
-
-    /// Every router hears that a limit of a target began or ended, or that it leaves.
-    fn tell_routers(&mut self, target: usize) {
-        let id = TargetId(target as u32);
-        let load = self.load_of(target);
-        let leaving = self.targets[target].leaving;
-        for router in &mut self.routers {
-            router.on(self.now, Event::LoadReported { target: id, load });
-            if leaving {
-                router.on(self.now, Event::TargetDraining { target: id });
-            }
-        }
-    }
-
-    /// The load of a target as its daemon tells it.
-    fn load_of(&self, target: usize) -> TargetLoad {
-        let state = &self.targets[target];
-        let notice = TargetNotice {
-            limit: state.stated.current(),
-            share: state.admit.offer_share(self.now),
-            leaving: state.leaving,
-            ..TargetNotice::default()
-        };
-        let states_any = !state.fake.limits.is_empty();
-        TargetLoad {
-            notice: states_any.then_some(notice),
-            ..state.admit.figures(self.now)
-        }
-    }
-
     fn deliver(&mut self, target: usize, local: CallId) {
         let now = self.now;
         self.measured.delivered[target].push(now);
--- a/crates/load/tests/rate_limits.rs
+++ b/crates/load/tests/rate_limits.rs
@@ -1,11 +1,10 @@
 //! Targets that state the rate that they take, in virtual time: what they get, summed over all
 //! routers, and what that costs callers.
 
-use lynxcleat_load::{FakeService, FakeTarget, Measured, ServiceOptions};
-use lynxcleat_policy::{
-    AdmissionLimits, DistanceCosts, Micros, Policy, RateLimit, RetryParams, RouterParams,
-    SelectionParams,
+use lynxcleat_load::{
+    Balancer, Deployment, FakeService, FakeTarget, Measured, ServiceOptions, steady,
 };
+use lynxcleat_policy::{Micros, Policy, RateLimit};
 use rstest::rstest;
 
 const SECOND: Micros = 1_000_000;
@@ -17,42 +16,20 @@
 /// Window in which what a target gets is counted.
 const WINDOW: Micros = 4 * SECOND;
 
+const DEPLOYMENT: Deployment = Deployment {
+    name: "limited",
+    targets: 4,
+    slots: 6,
+};
+
 fn service(routers: usize, calls_per_s: f64, seed: u64) -> ServiceOptions {
-    ServiceOptions {
-        routers,
-        targets: vec![FakeTarget::default(); 4],
-        limits: AdmissionLimits {
-            slots: 6,
-            hold_limit: 24,
-            prices: DistanceCosts::default(),
-            ask_price_permille: 10,
-            cold_calls_per_s: 0,
-            cold_ms: 0,
-        },
-        service_us: 5_000.0,
-        params: RouterParams {
-            selection: SelectionParams {
-                policy: Policy::ExpectedFinish,
-                ramp_us: 2 * SECOND,
-                eject_failures: 5,
-                eject_us: SECOND,
-                prices: DistanceCosts::default(),
-            },
-            attempt_limit: 3,
-            retry_budget: RetryParams {
-                percent: 10,
-                bound: None,
-            },
-            reroute_limit: 4,
-        },
-        deadline_us: 800_000,
-        rates: vec![(0, calls_per_s)],
-        end: END,
-        repeats: 0,
-        figures_share: 1.0,
-        plain: false,
-        seed,
-    }
+    let balancer = Balancer::Admitting(Policy::ExpectedFinish);
+    let mut options = steady(&DEPLOYMENT, balancer, 10, seed);
+    options.routers = routers;
+    options.rates = vec![(0, calls_per_s)];
+    options.end = END;
+    options.allow_reroutes();
+    options
 }
 
 fn stating(limits: &[(Micros, f64)]) -> FakeTarget {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -7,6 +7,8 @@
 //! another target, and a caller that learns of the refusal early can retry at the right
 //! time.
 
+mod rates;
+
 use std::collections::HashMap;
 
 use crate::admission_event::{AdmissionAction, AdmissionEvent, AdmissionLimits, NextRecheck};
@@ -22,7 +24,6 @@
 use crate::slowness::{SlownessDistribution, SlownessReading};
 use crate::start_decision::{StartDecision, StartRequest, TargetConditions};
 use crate::target_load::TargetLoad;
-use crate::target_notice::OfferShare;
 use crate::urgency::Urgency;
 use crate::utility::{CallTiming, remaining_us};
 
@@ -179,17 +180,6 @@
         }
     }
 
-    /// The share of their calls that routers should offer, so that the rate limit of the target
-    /// is used up and few calls are refused for it.
-    pub fn offer_share(&self, now: Micros) -> OfferShare {
-        self.rate_limit.offer_share(now)
-    }
-
-    /// The share, if all routers should be told of it now.
-    pub fn share_to_announce(&mut self, now: Micros) -> Option<OfferShare> {
-        self.rate_limit.share_to_announce(now)
-    }
-
     /// Returns whether the call is queued, in which case withdrawing it means that it never
     /// ran.
     pub fn is_held(&self, call: CallId) -> bool {
@@ -269,36 +259,6 @@
         None
     }
 
-    /// The limit on the rate of calls that keeps the call from being delivered now, if any.
-    fn blocking_limit(&self, now: Micros, held: &HeldCall) -> Option<RefusalReason> {
-        if !self
-            .rate_limit
-            .has_token(now, Urgency::from(&held.attributes))
-        {
-            return Some(RefusalReason::RateLimited);
-        }
-        let has_capacity = self.cold_start.has_capacity(now, held.attributes.nested);
-        (!has_capacity).then_some(RefusalReason::Cold)
-    }
-
-    /// Refuses a call that cannot wait until the limit allows it.
-    fn refuse_for(
-        &mut self,
-        now: Micros,
-        reason: RefusalReason,
-        held: &HeldCall,
-        wait: Micros,
-    ) -> AdmissionAction {
-        let after_us = match reason {
-            RefusalReason::RateLimited if held.attributes.elsewhere.is_nowhere() => {
-                let urgency = Urgency::from(&held.attributes);
-                self.rate_limit.next_retry_after(now, urgency)
-            }
-            _ => self.retry_after(wait),
-        };
-        refuse(held.call, reason, after_us)
-    }
-
     /// Decides what to do with a call while a slot is free.
     fn decide(&self, now: Micros, held: &HeldCall) -> StartDecision {
         let choice = self.choice(now, held.deadline, &held.attributes, held.initial_goal_us());
@@ -417,13 +377,6 @@
         slot_us.max(limited_us)
     }
 
-    /// Time until the rate limit allows a call that has others before it.
-    fn token_wait(&self, now: Micros, held: &HeldCall, ahead: usize) -> Micros {
-        let urgency = Urgency::from(&held.attributes);
-        let token_at = self.rate_limit.next_token_at(now, urgency);
-        (token_at - now) + self.rate_limit.interval_us() * ahead as Micros
-    }
-
     /// Expected service time of a call of this kind if a slot is free: started now or after
     /// the slow spell, whichever ends first. For a target that does not report its
     /// slowness, the recent mean over all kinds is used.
@@ -540,27 +493,6 @@
         }
     }
 
-    /// Refuses queued calls that the rate limit will not let through before their goal, because
-    /// more urgent calls came after them.
-    fn refuse_beyond_rate(&mut self, now: Micros, actions: &mut Vec<AdmissionAction>) {
-        if self.rate_limit.limit().is_none() {
-            return;
-        }
-        let service_us = |kind| self.expected_service_us(now, kind);
-        let order = self.queue.in_dispatch_order(now, service_us);
-        let mut ahead = 0;
-        for held in order {
-            let wait = self.token_wait(now, &held, ahead);
-            let service_us = self.expected_service_us(now, held.attributes.kind);
-            if now + wait + service_us <= held.goal() {
-                ahead += 1;
-                continue;
-            }
-            self.queue.remove(held.call);
-            actions.push(self.refuse_for(now, RefusalReason::RateLimited, &held, wait));
-        }
-    }
-
     fn mark_sent(&mut self, now: Micros, call: CallId) {
         let Some(delivered) = self.in_flight.get_mut(&call) else {
             return;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod call_origins;
 mod cold_start;
 mod concurrency_limit;
+mod decaying_count;
 mod distance;
 mod elsewhere;
 mod evacuation;
@@ -47,6 +48,7 @@
 mod target;
 mod target_load;
 mod target_notice;
+mod token_bucket;
 mod urgency;
 mod utility;
 
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -1,6 +1,7 @@
 //! Token bucket of one organisation, held by a single daemon for the whole fleet.
 
 use crate::ids::Micros;
+use crate::token_bucket::{BucketSize, RetrySpacing, TokenBucket};
 
 /// Rate limit of an organisation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,8 +19,6 @@
 const INITIAL_FILL_US: f64 = 500_000.0;
 /// Minimum initial number of tokens, capped by the burst.
 const MIN_INITIAL_TOKENS: f64 = 5.0;
-/// Upper bound of the reported retry delay.
-const MAX_RETRY_US: Micros = 5_000_000;
 
 impl QuotaLimit {
     /// Tokens added per microsecond.
@@ -45,10 +44,8 @@
 /// Token bucket of one organisation.
 #[derive(Clone, Debug)]
 pub struct QuotaBucket {
-    tokens: f64,
-    refilled_at: Micros,
-    /// Latest retry time reported so far; the next one is later.
-    last_retry_at: Micros,
+    bucket: TokenBucket,
+    retries: RetrySpacing,
 }
 
 impl QuotaBucket {
@@ -56,9 +53,8 @@
     pub fn new(limit: QuotaLimit, share: f64, now: Micros) -> Self {
         let initial = (limit.rate_per_us() * INITIAL_FILL_US).max(MIN_INITIAL_TOKENS);
         QuotaBucket {
-            tokens: initial.min(limit.capacity()) * share,
-            refilled_at: now,
-            last_retry_at: now,
+            bucket: TokenBucket::new(initial.min(limit.capacity()) * share, now),
+            retries: RetrySpacing::new(now),
         }
     }
 
@@ -72,15 +68,16 @@
         wanted: u32,
         returned: u32,
     ) -> QuotaGrant {
-        let rate = limit.rate_per_us() * share;
-        let elapsed = now.saturating_sub(self.refilled_at) as f64;
-        let refilled = self.tokens + elapsed * rate + f64::from(returned);
-        self.tokens = refilled.min(limit.capacity());
-        self.refilled_at = now;
-        let tokens = (self.tokens.max(0.0) as u32).min(wanted);
-        self.tokens -= f64::from(tokens);
+        let size = BucketSize {
+            rate_per_us: limit.rate_per_us() * share,
+            capacity: limit.capacity(),
+        };
+        self.bucket.add(now, size, f64::from(returned));
+        let available = self.bucket.tokens_at(now, size).max(0.0);
+        let tokens = (available as u32).min(wanted);
+        self.bucket.add(now, size, -f64::from(tokens));
         let retry_after_us = match tokens < wanted {
-            true => self.next_retry_after(now, rate),
+            true => self.next_retry_after(now, size),
             false => 0,
         };
         QuotaGrant {
@@ -90,17 +87,11 @@
     }
 
     /// Spaces the retries of refused callers at the token rate.
-    fn next_retry_after(&mut self, now: Micros, rate: f64) -> Micros {
-        if rate <= 0.0 {
-            return MAX_RETRY_US;
-        }
-        let first_token = ((1.0 - self.tokens).max(0.0) / rate) as Micros;
-        let next = self.last_retry_at.saturating_add((1.0 / rate) as Micros);
-        let wait = next
-            .max(now.saturating_add(first_token))
-            .saturating_sub(now);
-        let wait = wait.min(MAX_RETRY_US);
-        self.last_retry_at = now + wait;
-        wait
+    fn next_retry_after(&mut self, now: Micros, size: BucketSize) -> Micros {
+        let missing = (1.0 - self.bucket.tokens_at(now, size)).max(0.0);
+        let first_token_us = (missing / size.rate_per_us) as Micros;
+        let interval_us = (1.0 / size.rate_per_us) as Micros;
+        let earliest = now.saturating_add(first_token_us);
+        self.retries.next_after(now, earliest, interval_us)
     }
 }
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -7,8 +7,10 @@
 //! while; the bucket cannot. Calls that would fare much worse elsewhere are offered in any
 //! case, so they come first, and the share is what they leave.
 
+use crate::decaying_count::DecayingCount;
 use crate::ids::Micros;
 use crate::target_notice::{OfferShare, RateLimit};
+use crate::token_bucket::{BucketSize, RetrySpacing, TokenBucket};
 use crate::urgency::{Urgency, UrgentOffers};
 
 /// Lowest rate at which calls are delivered, per second. A target that states less still gets a
@@ -36,8 +38,6 @@
 /// a share that has long been too small.
 const ANNOUNCED_FACTOR: f64 = 2.0;
 const ANNOUNCE_PAUSE_US: Micros = 1_000_000;
-/// Upper bound of the retry hint.
-const MAX_RETRY_AFTER_US: Micros = 5_000_000;
 /// Rounding error up to which a bucket counts as holding a token.
 const TOKEN_TOLERANCE: f64 = 1e-6;
 /// Microseconds in a second.
@@ -47,10 +47,8 @@
 #[derive(Debug, Default)]
 pub struct TargetRateLimiter {
     limit: Option<RateLimit>,
-    tokens: f64,
-    refilled_at: Micros,
-    /// Latest retry time reported so far; the next one is later.
-    last_retry_at: Micros,
+    bucket: TokenBucket,
+    retries: RetrySpacing,
     demand: Demand,
     announced: Option<(Micros, OfferShare)>,
     urgent: UrgentOffers,
@@ -60,14 +58,15 @@
     /// Sets the limit that the target states. A new bucket is empty, because the calls of the
     /// last moments, perhaps of an earlier run of the daemon, were not counted.
     pub fn set_limit(&mut self, now: Micros, limit: Option<RateLimit>) {
-        self.refill(now);
+        let mut tokens = self.tokens_at(now);
         if self.limit.is_none() {
-            self.tokens = 0.0;
-            self.demand.assume_sampled();
+            tokens = 0.0;
+            self.demand.assume_sampled(now);
             self.announced = None;
         }
         self.limit = limit;
-        self.tokens = self.tokens.min(self.capacity());
+        self.demand.set_window(now, self.demand_window_us());
+        self.bucket = TokenBucket::new(tokens.min(self.size().capacity), now);
     }
 
     /// The limit in force.
@@ -78,8 +77,7 @@
     /// Records the offer of a call out of a share of the router's calls; `None` if it is
     /// offered whatever the share.
     pub fn record_offer(&mut self, now: Micros, share: Option<OfferShare>, urgency: Urgency) {
-        let window_s = self.demand_window_s();
-        self.demand.record(now, window_s, share);
+        self.demand.record(now, share);
         if self.limit.is_some() {
             self.urgent.record(now, urgency);
         }
@@ -93,9 +91,9 @@
 
     /// Takes the token of a call that is delivered.
     pub fn take(&mut self, now: Micros) {
-        self.refill(now);
         if self.limit.is_some() {
-            self.tokens -= 1.0;
+            let size = self.size();
+            self.bucket.add(now, size, -1.0);
         }
     }
 
@@ -118,11 +116,8 @@
     /// Retry hint for a refused call that has no other target. The hints of several callers are
     /// spaced at the rate, so that each finds a token.
     pub fn next_retry_after(&mut self, now: Micros, urgency: Urgency) -> Micros {
-        let spaced_at = self.last_retry_at + self.interval_us();
-        let at = self.next_token_at(now, urgency).max(spaced_at);
-        let after_us = at.saturating_sub(now).min(MAX_RETRY_AFTER_US);
-        self.last_retry_at = now + after_us;
-        after_us
+        let earliest = self.next_token_at(now, urgency);
+        self.retries.next_after(now, earliest, self.interval_us())
     }
 
     /// The share of their calls that routers should offer.
@@ -133,9 +128,9 @@
         // The number of offers in a second varies by about its square root; fewer than the limit
         // would leave tokens unused.
         let wanted = rate * OFFER_FACTOR + rate.sqrt() + EXTRA_OFFERS_PER_S;
-        let demand = self.demand.per_s(now, self.demand_window_s());
-        let left = (wanted - demand.in_any_case).max(wanted * MIN_SAMPLED_PART);
-        OfferShare::from_fraction(left / demand.sampled)
+        let in_any_case = self.demand.per_s(now, &self.demand.in_any_case);
+        let left = (wanted - in_any_case).max(wanted * MIN_SAMPLED_PART);
+        OfferShare::from_fraction(left / self.demand.per_s(now, &self.demand.sampled))
     }
 
     /// The share, if all routers should be told of it now.
@@ -158,68 +153,80 @@
         self.limit.map(|limit| limit.per_s().max(MIN_RATE_PER_S))
     }
 
-    fn capacity(&self) -> f64 {
+    fn size(&self) -> BucketSize {
         let rate = self.rate().unwrap_or(0.0);
-        BURST_TOKENS + rate * BURST_S
+        BucketSize {
+            rate_per_us: rate / SECOND_US,
+            capacity: BURST_TOKENS + rate * BURST_S,
+        }
     }
 
     /// Tokens that must be in the bucket for a call: one, and more for a less urgent call the
     /// more of the rate is wanted by more urgent ones.
     fn threshold(&self, now: Micros, rate: f64, urgency: Urgency) -> f64 {
         let reserved = (self.urgent.per_s_above(now, urgency) / rate).min(1.0);
-        1.0 + (self.capacity() - 1.0) * reserved
+        1.0 + (self.size().capacity - 1.0) * reserved
     }
 
     fn tokens_at(&self, now: Micros) -> f64 {
-        let elapsed_us = now.saturating_sub(self.refilled_at) as f64;
-        let refilled = self.tokens + self.rate().unwrap_or(0.0) * elapsed_us / SECOND_US;
-        refilled.min(self.capacity())
-    }
-
-    fn refill(&mut self, now: Micros) {
-        self.tokens = self.tokens_at(now);
-        self.refilled_at = now;
+        self.bucket.tokens_at(now, self.size())
     }
 
-    fn demand_window_s(&self) -> f64 {
+    fn demand_window_us(&self) -> f64 {
         let rate = self.rate().unwrap_or(DEMAND_OFFERS);
         let window_s = DEMAND_OFFERS / (rate + EXTRA_OFFERS_PER_S);
-        window_s.clamp(MIN_DEMAND_WINDOW_S, MAX_DEMAND_WINDOW_S)
+        window_s.clamp(MIN_DEMAND_WINDOW_S, MAX_DEMAND_WINDOW_S) * SECOND_US
     }
 }
 
-/// Calls per second that routers would offer, as averages with exponentially decaying weights.
-#[derive(Clone, Copy, Debug, Default)]
+/// Calls that routers would offer.
+#[derive(Debug)]
 struct Demand {
-    /// Those that are offered out of a share, if it were all.
-    sampled: f64,
-    /// Those that are offered whatever the share.
-    in_any_case: f64,
-    recorded_at: Micros,
+    /// Time over which the rates average, in microseconds.
+    window_us: f64,
+    /// Calls that are offered out of a share, if it were all.
+    sampled: DecayingCount,
+    /// Calls that are offered whatever the share.
+    in_any_case: DecayingCount,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Demand {
+            window_us: MIN_DEMAND_WINDOW_S * SECOND_US,
+            sampled: DecayingCount::default(),
+            in_any_case: DecayingCount::default(),
+        }
+    }
 }
 
 impl Demand {
     /// An offer out of a share of the calls stands for those that were not offered.
-    fn record(&mut self, now: Micros, window_s: f64, share: Option<OfferShare>) {
-        *self = self.per_s(now, window_s);
+    fn record(&mut self, now: Micros, share: Option<OfferShare>) {
         match share {
-            Some(share) => self.sampled += 1.0 / (share.fraction() * window_s),
-            None => self.in_any_case += 1.0 / window_s,
+            Some(share) => self
+                .sampled
+                .add(now, self.window_us, 1.0 / share.fraction()),
+            None => self.in_any_case.add(now, self.window_us, 1.0),
+        }
+    }
+
+    /// Changes the window and keeps the rates.
+    fn set_window(&mut self, now: Micros, window_us: f64) {
+        let before_us = std::mem::replace(&mut self.window_us, window_us);
+        for calls in [&mut self.sampled, &mut self.in_any_case] {
+            let count = std::mem::take(calls).value(now, before_us);
+            calls.add(now, window_us, count * window_us / before_us);
         }
     }
 
     /// Without a limit, routers offered all calls, and will offer a share of them.
-    fn assume_sampled(&mut self) {
-        self.sampled += std::mem::take(&mut self.in_any_case);
+    fn assume_sampled(&mut self, now: Micros) {
+        let offered = std::mem::take(&mut self.in_any_case).value(now, self.window_us);
+        self.sampled.add(now, self.window_us, offered);
     }
 
-    fn per_s(&self, now: Micros, window_s: f64) -> Demand {
-        let age_s = now.saturating_sub(self.recorded_at) as f64 / SECOND_US;
-        let decay = (-age_s / window_s).exp();
-        Demand {
-            sampled: self.sampled * decay,
-            in_any_case: self.in_any_case * decay,
-            recorded_at: now,
-        }
+    fn per_s(&self, now: Micros, calls: &DecayingCount) -> f64 {
+        calls.value(now, self.window_us) * SECOND_US / self.window_us
     }
 }
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -86,18 +86,6 @@
 }
 
 impl CurrentTarget {
-    /// FNV-1a hash of name and start time. All builds compute the same, because daemons
-    /// compare each other's.
-    pub fn fingerprint(&self) -> u64 {
-        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const PRIME: u64 = 0x0100_0000_01b3;
-        let started = self.started_ms.unwrap_or(0).to_le_bytes();
-        let bytes = self.instance.bytes().chain(started);
-        bytes.fold(OFFSET, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-        })
-    }
-
     /// Whether this is another incarnation than `before`.
     pub fn is_other_than(&self, before: &CurrentTarget) -> bool {
         self.instance != before.instance || is_later_start(self.started_ms, before.started_ms)
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector/mod.rs
@@ -5,6 +5,8 @@
 //! many targets only a random sample is scored (Mitzenmacher's power of choices, 2001, with a
 //! larger sample because scores are exact for this router's own calls).
 
+mod limited;
+
 use std::collections::HashMap;
 
 use rand::rngs::SmallRng;
@@ -40,13 +42,6 @@
 /// each took the best target, all would send to the one that reported last.
 const EQUAL_WORTH_MARGIN: f64 = 0.05;
 
-/// A call is offered to a rate-limited target in any case if it is worth more there than at the
-/// best other target by this fraction of a call's worth: the limit serves those calls first that
-/// would fare badly elsewhere.
-const MIN_LIMITED_GAIN: f64 = 0.25;
-/// The same for scores that are finish times: the factor by which it must finish sooner.
-const MIN_LIMITED_SPEEDUP: f64 = 2.0;
-
 /// Settings of target selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SelectionParams {
@@ -226,9 +221,12 @@
 
     /// Whether any target may be selected now.
     pub fn any_available(&self, now: Micros) -> bool {
-        self.order
-            .iter()
-            .any(|target| self.is_eligible(now, *target, &[]))
+        self.any_eligible(now, &[])
+    }
+
+    fn any_eligible(&self, now: Micros, excluded: &[TargetId]) -> bool {
+        let mut targets = self.order.iter();
+        targets.any(|target| self.is_eligible(now, *target, excluded))
     }
 
     /// Where a call that must avoid `excluded` can go.
@@ -236,11 +234,6 @@
         self.nearest_of(now, excluded, |_| true)
     }
 
-    /// Where a call that must avoid `excluded` can go without finding a rate limit used up.
-    pub fn elsewhere_unlimited(&self, now: Micros, excluded: &[TargetId]) -> Elsewhere {
-        self.nearest_of(now, excluded, |state| state.share().is_all())
-    }
-
     fn nearest_of(
         &self,
         now: Micros,
@@ -253,17 +246,6 @@
         Elsewhere::from_nearest(eligible.map(|target| self.states[target].distance()).min())
     }
 
-    /// Targets that the last call was not offered to for their rate limits.
-    pub fn passed_over(&self) -> &[TargetId] {
-        &self.passed_over
-    }
-
-    /// Share of the calls out of which the last selected target was offered its call; `None` if
-    /// it has no rate limit, or was selected whatever its share.
-    pub fn selected_share(&self) -> Option<OfferShare> {
-        self.selected_share
-    }
-
     /// The state of one target.
     pub fn target(&self, target: TargetId) -> Option<&TargetState> {
         self.states.get(&target)
@@ -370,56 +352,6 @@
         }
     }
 
-    /// Selects a rate-limited target that was skipped, if the call would fare much worse at the
-    /// best of those that were scored.
-    fn select_needed(
-        &mut self,
-        now: Micros,
-        request: SelectionRequest<'_>,
-        scored: &mut Vec<ScoredTarget>,
-    ) -> Option<TargetId> {
-        let drawn = scored.iter().map(|one| one.score).min_by(f64::total_cmp)?;
-        let mut skipped = self.passed_over.clone();
-        skipped.retain(|target| self.is_eligible(now, *target, request.excluded));
-        let mut limited = Vec::new();
-        self.score_all(now, request, skipped, &mut limited);
-        let best = limited.iter().min_by(|a, b| a.score.total_cmp(&b.score))?;
-        let is_needed = match self.params.policy {
-            Policy::GoalChance => best.score + MIN_LIMITED_GAIN <= drawn,
-            Policy::ExpectedFinish => best.score * MIN_LIMITED_SPEEDUP <= drawn,
-            _ => false,
-        };
-        let target = best.target;
-        scored.extend(limited.into_iter().filter(|_| is_needed));
-        if is_needed {
-            self.passed_over.retain(|passed| *passed != target);
-        }
-        is_needed.then_some(target)
-    }
-
-    /// Draws which rate-limited targets this call skips. Returns whether the draw counts:
-    /// if it leaves no target, the call is offered all the same, and the daemon of a limited
-    /// target decides by its urgency.
-    fn draw_skipped_limited(&mut self, now: Micros, excluded: &[TargetId]) -> bool {
-        for target in &self.order {
-            let share = self.states[target].share();
-            if !share.is_all() && !self.rng.random_bool(share.fraction()) {
-                self.skipped_limited.push(*target);
-            }
-        }
-        if self.skipped_limited.is_empty() {
-            return true;
-        }
-        let leaves_any = self
-            .order
-            .iter()
-            .any(|target| self.is_eligible(now, *target, excluded));
-        if !leaves_any {
-            self.skipped_limited.clear();
-        }
-        leaves_any
-    }
-
     /// Returns an ejected target whose ejection time is over. It gets one trial call whatever
     /// its score, because a score based on failures would keep it out for ever.
     fn due_trial(&self, now: Micros, excluded: &[TargetId]) -> Option<TargetId> {
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -3,10 +3,12 @@
 
 use std::collections::BTreeMap;
 
+use crate::decaying_count::DecayingCount;
 use crate::hold_queue::CallAttributes;
 use crate::ids::Micros;
 
-/// Time over which the rate of offers averages, in microseconds.
+/// Time over which the rate of offers averages, in microseconds: a second, so that a count is a
+/// rate per second.
 const WINDOW_US: f64 = 1e6;
 /// Maximum number of urgencies tracked; the least urgent beyond it are not.
 const MAX_TRACKED: usize = 64;
@@ -28,20 +30,6 @@
     }
 }
 
-/// A number of offers that decays with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingCount {
-    count: f64,
-    at: Micros,
-}
-
-impl DecayingCount {
-    fn at(&self, now: Micros) -> f64 {
-        let age_us = now.saturating_sub(self.at) as f64;
-        self.count * (-age_us / WINDOW_US).exp()
-    }
-}
-
 /// Rates of offers by urgency.
 #[derive(Debug, Default)]
 pub struct UrgentOffers {
@@ -52,10 +40,7 @@
     /// Records an offer.
     pub fn record(&mut self, now: Micros, urgency: Urgency) {
         let known = self.counts.entry(urgency).or_default();
-        *known = DecayingCount {
-            count: known.at(now) + 1.0,
-            at: now,
-        };
+        known.add(now, WINDOW_US, 1.0);
         if self.counts.len() > MAX_TRACKED {
             self.counts.pop_last();
         }
@@ -64,6 +49,6 @@
     /// Offers per second of calls that are more urgent.
     pub fn per_s_above(&self, now: Micros, urgency: Urgency) -> f64 {
         let above = self.counts.range(..urgency);
-        above.map(|(_, count)| count.at(now)).sum()
+        above.map(|(_, count)| count.value(now, WINDOW_US)).sum()
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -163,39 +163,41 @@
 
 /// Ends of targets, drawn by themselves: the other faults of a seed stay what they were.
 fn ends_of_targets(seed: u64, hosts: usize, time: Duration) -> Vec<Step> {
-    let mut rng = SmallRng::seed_from_u64(!seed);
-    let mut steps = Vec::new();
-    let mut at = Duration::ZERO;
-    loop {
-        at += milliseconds(&mut rng, END_PAUSE_MS);
-        let lasts = milliseconds(&mut rng, FAULT_MS);
-        let host = rng.random_range(0..hosts);
-        if at + lasts > time {
-            return steps;
-        }
-        let fault = Fault::TargetEnds { host };
-        steps.push(Step { at, lasts, fault });
-    }
+    let rng = SmallRng::seed_from_u64(!seed);
+    steps_of_targets(rng, END_PAUSE_MS, (hosts, time), |_, host| {
+        Fault::TargetEnds { host }
+    })
 }
 
 /// What targets state in their answers, drawn by itself for the same reason.
 fn statements_of_targets(seed: u64, hosts: usize, time: Duration) -> Vec<Step> {
-    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    steps_of_targets(rng, STATEMENT_PAUSE_MS, (hosts, time), |rng, host| {
+        let trouble = TargetTrouble::RateLimited;
+        match rng.random_bool(0.5) {
+            true => Fault::TargetLeaves { host },
+            false => Fault::Target { host, trouble },
+        }
+    })
+}
+
+/// Faults of targets one after the other, until the time is over.
+fn steps_of_targets(
+    mut rng: SmallRng,
+    pause_ms: (u64, u64),
+    (hosts, time): (usize, Duration),
+    fault: impl Fn(&mut SmallRng, usize) -> Fault,
+) -> Vec<Step> {
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
     loop {
-        at += milliseconds(&mut rng, STATEMENT_PAUSE_MS);
+        at += milliseconds(&mut rng, pause_ms);
         let lasts = milliseconds(&mut rng, FAULT_MS);
         let host = rng.random_range(0..hosts);
-        let leaves = rng.random_bool(0.5);
+        let fault = fault(&mut rng, host);
         if at + lasts > time {
             return steps;
         }
-        let trouble = TargetTrouble::RateLimited;
-        let fault = match leaves {
-            true => Fault::TargetLeaves { host },
-            false => Fault::Target { host, trouble },
-        };
         steps.push(Step { at, lasts, fault });
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -35,5 +35,5 @@
     generation_key, keys, unsettled_key,
 };
 pub use table_replica::{
-    DeltaOutcome, KeyReply, KeyRequest, Missing, RowDelta, RowDigest, TableReplica,
+    DeltaOutcome, KeyReply, KeyRequest, Missing, RowDelta, RowDigest, TableReplica, fnv1a,
 };
--- a/crates/store/src/table_replica.rs
+++ b/crates/store/src/table_replica.rs
@@ -269,9 +269,10 @@
     }
 }
 
-/// 64-bit FNV-1a. The standard library's hasher may differ between builds, and daemons compare
-/// these hashes: a bucket that two of them number differently would remove rows that are there.
-fn fnv1a(bytes: impl Iterator<Item = u8>) -> u64 {
+/// 64-bit FNV-1a, for hashes that daemons compare: the standard library's hasher may differ
+/// between builds, and a bucket that two of them number differently would remove rows that are
+/// there.
+pub fn fnv1a(bytes: impl Iterator<Item = u8>) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     bytes.fold(OFFSET, |hash, byte| {
