--- a/review/stand-ins/base.rs
+++ b/review/stand-ins/base.rs
@@ -18,7 +18,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).expect("a date").as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a date")
+        .as_millis() as u64
 }
 
 /// What was sent, answered and run, one line each.
@@ -61,7 +64,10 @@
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Table(entries) => entries.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Json::Table(entries) => entries
+                .iter()
+                .find(|(key, _)| key == name)
+                .map(|(_, value)| value),
             _ => None,
         }
     }
@@ -150,10 +156,17 @@
         }
         _ => {
             let from = *at;
-            while bytes.get(*at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+            while bytes
+                .get(*at)
+                .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+            {
                 *at += 1;
             }
-            std::str::from_utf8(&bytes[from..*at]).ok()?.parse().ok().map(Json::Number)
+            std::str::from_utf8(&bytes[from..*at])
+                .ok()?
+                .parse()
+                .ok()
+                .map(Json::Number)
         }
     }
 }
@@ -237,7 +250,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -250,7 +266,11 @@
 pub fn read_message(from: &mut BufReader<TcpStream>) -> Option<Message> {
     let first = line(from)?;
     let mut parts = first.splitn(3, ' ').map(str::to_owned);
-    let first = [parts.next()?, parts.next()?, parts.next().unwrap_or_default()];
+    let first = [
+        parts.next()?,
+        parts.next()?,
+        parts.next().unwrap_or_default(),
+    ];
     let mut headers = Vec::new();
     loop {
         let line = line(from)?;
@@ -260,8 +280,14 @@
         let (name, value) = line.split_once(':')?;
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
-    let mut message = Message { first, headers, body: Vec::new() };
-    let chunked = message.header("transfer-encoding").is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+    let mut message = Message {
+        first,
+        headers,
+        body: Vec::new(),
+    };
+    let chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
     if chunked {
         loop {
             let size = line(from)?;
@@ -293,7 +319,10 @@
 }
 
 pub fn respond(to: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
-    let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     to.write_all(text.as_bytes()).is_ok()
 }
 
@@ -305,7 +334,13 @@
 }
 
 /// One call on a connection of its own.
-pub fn call(to: SocketAddr, method: &str, path: &str, body: &str, limit: Duration) -> Option<Message> {
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<Message> {
     let mut stream = connect(to, limit)?;
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
--- a/review/stand-ins/machine.rs
+++ b/review/stand-ins/machine.rs
@@ -20,8 +20,6 @@
 pub struct Begun {
     pub at: Duration,
     pub id: String,
-    pub path: String,
-    pub tenant: String,
     pub machine: usize,
 }
 
@@ -93,13 +91,20 @@
     /// Starts the process of the deploy file with the template filled in.
     pub fn start_daemon(&mut self, site: &Site) {
         let (zone, region) = site.zones[self.zone];
-        let zones: Vec<String> = site.zones.iter().map(|(zone, region)| format!("{}:{}", quote(zone), quote(region))).collect();
+        let zones: Vec<String> = site
+            .zones
+            .iter()
+            .map(|(zone, region)| format!("{}:{}", quote(zone), quote(region)))
+            .collect();
         let first = self.starts == 0;
         self.starts += 1;
         let mesh = free(&self.ip).port().to_string();
         let mut text = fs::read_to_string(site.root.join(TEMPLATE)).expect("template");
         let gaps = [
-            ("{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", first.to_string()),
+            (
+                "{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}",
+                first.to_string(),
+            ),
             ("{{node}}", self.node.clone()),
             ("{{zone}}", zone.to_owned()),
             ("{{region}}", region.to_owned()),
@@ -120,11 +125,16 @@
         assert!(!text.contains("{{"), "a gap is left: {text}");
         let file = site.folder.join(format!("{}.json", self.node));
         fs::write(&file, text).expect("settings");
-        let log = site.folder.join(format!("{}-{}.log", self.node, self.starts));
+        let log = site
+            .folder
+            .join(format!("{}-{}.log", self.node, self.starts));
         let out = fs::File::create(&log).expect("log");
         let err = out.try_clone().expect("log");
         let mut command = Command::new(site.root.join(RUN));
-        command.current_dir(&site.root).env_clear().env("LYNXCLEAT_CONFIG", &file);
+        command
+            .current_dir(&site.root)
+            .env_clear()
+            .env("LYNXCLEAT_CONFIG", &file);
         for name in ["PATH", "HOME", "LANG"] {
             if let Ok(value) = std::env::var(name) {
                 command.env(name, value);
@@ -132,7 +142,11 @@
         }
         let daemon = command.stdin(Stdio::null()).stdout(out).stderr(err).spawn();
         self.daemon = Some(daemon.expect("the process of the deploy file"));
-        site.record.line(&format!("{} starts, process {}", self.node, self.daemon.as_ref().expect("it").id()));
+        site.record.line(&format!(
+            "{} starts, process {}",
+            self.node,
+            self.daemon.as_ref().expect("it").id()
+        ));
     }
 
     /// SIGKILL.
@@ -144,13 +158,14 @@
         }
     }
 
-    /// Whether the process still runs.
-    pub fn runs(&mut self) -> bool {
-        self.daemon.as_mut().is_some_and(|daemon| matches!(daemon.try_wait(), Ok(None)))
-    }
-
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET", "/lynxcleat/ready", "", Duration::from_secs(1));
+        let answer = call(
+            self.ready,
+            "GET",
+            "/lynxcleat/ready",
+            "",
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
@@ -161,7 +176,15 @@
         self.sequence = 0;
         let own = std::env::current_exe().expect("own program");
         let mut child = Command::new(own)
-            .args(["worker", "--addr", &self.app.to_string(), "--id", id, "--slots", "6"])
+            .args([
+                "worker",
+                "--addr",
+                &self.app.to_string(),
+                "--id",
+                id,
+                "--slots",
+                "6",
+            ])
             .args(["--work-ms", &work_ms.to_string(), "--ends-on", ends_on])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
@@ -172,21 +195,28 @@
         let mut lines = BufReader::new(child.stdout.take().expect("stdout"));
         let mut first = String::new();
         lines.read_line(&mut first).expect("the worker listens");
-        let (site, machine, node, id) = (Arc::clone(site), self.number, self.node.clone(), id.to_owned());
+        let (site, machine, node, id) = (
+            Arc::clone(site),
+            self.number,
+            self.node.clone(),
+            id.to_owned(),
+        );
         thread::spawn(move || {
             for line in lines.lines().map_while(Result::ok) {
                 let at = now();
                 site.record.line(&format!("worker {id} at {node}: {line}"));
                 let words: Vec<&str> = line.split(' ').collect();
                 match words.as_slice() {
-                    ["begin", request, _, path, tenant, ..] => site.begun.lock().expect("lock").push(Begun {
+                    ["begin", request, ..] => site.begun.lock().expect("lock").push(Begun {
                         at,
                         id: (*request).to_owned(),
-                        path: (*path).to_owned(),
-                        tenant: tenant.trim_start_matches("tenant=").to_owned(),
                         machine,
                     }),
-                    ["crash", request] => site.crashes.lock().expect("lock").push((at, machine, (*request).to_owned())),
+                    ["crash", request] => site.crashes.lock().expect("lock").push((
+                        at,
+                        machine,
+                        (*request).to_owned(),
+                    )),
                     _ => {}
                 }
             }
@@ -196,7 +226,9 @@
 
     /// Whether the worker's process still runs.
     pub fn worker_runs(&mut self) -> bool {
-        self.worker.as_mut().is_some_and(|(child, _)| matches!(child.try_wait(), Ok(None)))
+        self.worker
+            .as_mut()
+            .is_some_and(|(child, _)| matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn tell_worker(&mut self, word: &str) {
@@ -211,14 +243,16 @@
         let zone = site.zones[self.zone].0;
         let body = format!(
             "{{\"born\":{},\"addr\":\"{}\",\"info\":{{\"service\":{},\"version\":\"v1\",\"zone\":{},\"slots\":6}},\"status\":{{\"state\":\"{state}\",\"seq\":{},\"coldLeft\":\"0ms\"}}}}",
-            self.born, self.app, quote(&self.service), quote(zone), self.sequence
+            self.born,
+            self.app,
+            quote(&self.service),
+            quote(zone),
+            self.sequence
         );
-        (format!("/lynxcleat/instances/{}/heartbeat", self.worker_id), body)
-    }
-
-    pub fn beat(&mut self, site: &Site, state: &str) -> Option<Message> {
-        let (path, body) = self.heartbeat(site, state);
-        call(self.control, "POST", &path, &body, Duration::from_secs(1))
+        (
+            format!("/lynxcleat/instances/{}/heartbeat", self.worker_id),
+            body,
+        )
     }
 
     pub fn deregister(&self) -> Option<Message> {
@@ -230,7 +264,9 @@
     pub fn metrics(&self) -> String {
         let to = format!("{}:9100", self.ip).parse().expect("address");
         let answer = call(to, "GET", "/metrics", "", Duration::from_secs(1));
-        answer.map_or_else(String::new, |answer| String::from_utf8_lossy(&answer.body).into_owned())
+        answer.map_or_else(String::new, |answer| {
+            String::from_utf8_lossy(&answer.body).into_owned()
+        })
     }
 }
 
@@ -267,7 +303,8 @@
 
 /// The root of the repository, from which the deploy file's commands run.
 pub fn root() -> PathBuf {
-    let root = std::env::var("REVIEW_ROOT").map_or_else(|_| std::env::current_dir().expect("folder"), PathBuf::from);
+    let root = std::env::var("REVIEW_ROOT")
+        .map_or_else(|_| std::env::current_dir().expect("folder"), PathBuf::from);
     assert!(Path::new(&root).join(RUN).exists(), "{RUN} is not built");
     root
 }
--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -57,7 +57,10 @@
             )
         })
         .collect();
-    let services: Vec<String> = services.iter().map(|name| format!(r#"["{name}","/health",220,"h1",false]"#)).collect();
+    let services: Vec<String> = services
+        .iter()
+        .map(|name| format!(r#"["{name}","/health",220,"h1",false]"#))
+        .collect();
     let rows: Vec<String> = tenants
         .iter()
         .map(|(name, key, per_s, burst)| format!(r#"["{name}",["{key}"],{per_s},{burst},0]"#))
@@ -119,14 +122,29 @@
             all.push(Arc::new(Mutex::new(machine)));
         }
         let is_mute = all.iter().map(|_| Arc::default()).collect();
-        let deployment = Deployment { site, store, machines: all, is_mute, is_over: Arc::default() };
+        let deployment = Deployment {
+            site,
+            store,
+            machines: all,
+            is_mute,
+            is_over: Arc::default(),
+        };
         for number in 0..deployment.machines.len() {
             deployment.keep_beating(number);
         }
-        wait("all are ready", || deployment.machines.iter().all(|one| one.lock().expect("lock").is_ready()));
+        wait("all are ready", || {
+            deployment
+                .machines
+                .iter()
+                .all(|one| one.lock().expect("lock").is_ready())
+        });
         wait("all members are known", || {
             let members = deployment.store.keys("lynxcleat");
-            members.iter().filter(|key| key.starts_with("member/")).count() == deployment.machines.len()
+            members
+                .iter()
+                .filter(|key| key.starts_with("member/"))
+                .count()
+                == deployment.machines.len()
         });
         thread::sleep(Duration::from_millis(2_000));
         deployment.site.record.say("all machines are ready");
@@ -136,7 +154,11 @@
     /// Heartbeats of a worker, now and every `HEARTBEAT`.
     fn keep_beating(&self, number: usize) {
         let machine = Arc::clone(&self.machines[number]);
-        let (site, mute, over) = (Arc::clone(&self.site), Arc::clone(&self.is_mute[number]), Arc::clone(&self.is_over));
+        let (site, mute, over) = (
+            Arc::clone(&self.site),
+            Arc::clone(&self.is_mute[number]),
+            Arc::clone(&self.is_over),
+        );
         thread::spawn(move || {
             while !over.load(Ordering::SeqCst) {
                 if !mute.load(Ordering::SeqCst) {
@@ -145,9 +167,14 @@
                         let (path, body) = machine.heartbeat(&site, "ready");
                         (machine.control, path, body)
                     };
-                    let answer = crate::base::call(to, "POST", &path, &body, Duration::from_secs(1));
+                    let answer =
+                        crate::base::call(to, "POST", &path, &body, Duration::from_secs(1));
                     let is_acknowledged = answer.is_some_and(|answer| answer.status() == 200);
-                    thread::sleep(if is_acknowledged { HEARTBEAT } else { HEARTBEAT / 5 });
+                    thread::sleep(if is_acknowledged {
+                        HEARTBEAT
+                    } else {
+                        HEARTBEAT / 5
+                    });
                 } else {
                     thread::sleep(HEARTBEAT / 10);
                 }
@@ -169,7 +196,10 @@
         self.is_over.store(true, Ordering::SeqCst);
         // Threads that still beat hold the machines, so they are ended here.
         for machine in &self.machines {
-            machine.lock().unwrap_or_else(std::sync::PoisonError::into_inner).end();
+            machine
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner)
+                .end();
         }
         if std::env::var("KEEP").is_err() {
             let _ = fs::remove_dir_all(&self.site.folder);
@@ -185,13 +215,15 @@
     pub id: String,
     /// 0 where no whole answer came.
     pub status: u16,
-    pub answered: Duration,
 }
 
 static IDS: AtomicU64 = AtomicU64::new(1);
 
 pub fn new_id() -> String {
-    format!("{:016x}", 0x9c41_0000_0000_0000 + IDS.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:016x}",
+        0x9c41_0000_0000_0000 + IDS.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 /// What a client sends.
@@ -208,12 +240,26 @@
 
 impl Asked {
     fn bytes(&self, id: &str) -> String {
-        let key = self.key.as_ref().map_or_else(String::new, |key| format!("X-Key: {key}\r\n"));
-        let head = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n{key}", self.method, self.path, self.deadline_ms);
+        let key = self
+            .key
+            .as_ref()
+            .map_or_else(String::new, |key| format!("X-Key: {key}\r\n"));
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n{key}",
+            self.method, self.path, self.deadline_ms
+        );
         match (self.chunked, self.body.is_empty()) {
-            (true, _) => format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", self.body.len(), self.body),
+            (true, _) => format!(
+                "{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                self.body.len(),
+                self.body
+            ),
             (false, true) => format!("{head}\r\n"),
-            (false, false) => format!("{head}Content-Length: {}\r\n\r\n{}", self.body.len(), self.body),
+            (false, false) => format!(
+                "{head}Content-Length: {}\r\n\r\n{}",
+                self.body.len(),
+                self.body
+            ),
         }
     }
 }
@@ -224,16 +270,34 @@
     let at = now();
     let limit = Duration::from_millis(asked.deadline_ms) + Duration::from_millis(500);
     let answer = connect(to, limit).and_then(|mut stream| {
-        stream.get_mut().write_all(asked.bytes(&id).as_bytes()).ok()?;
+        stream
+            .get_mut()
+            .write_all(asked.bytes(&id).as_bytes())
+            .ok()?;
         read_message(&mut stream)
     });
     note(site, machine, &id, at, asked, answer)
 }
 
-fn note(site: &Site, machine: usize, id: &str, at: Duration, asked: &Asked, answer: Option<Message>) -> Sent {
+fn note(
+    site: &Site,
+    machine: usize,
+    id: &str,
+    at: Duration,
+    asked: &Asked,
+    answer: Option<Message>,
+) -> Sent {
     let status = answer.as_ref().map_or(0, Message::status);
-    let by = answer.as_ref().and_then(|answer| answer.header("x-response-stamp")).map(str::to_owned);
-    let sent = Sent { at, machine, id: id.to_owned(), status, answered: now() };
+    let by = answer
+        .as_ref()
+        .and_then(|answer| answer.header("x-response-stamp"))
+        .map(str::to_owned);
+    let sent = Sent {
+        at,
+        machine,
+        id: id.to_owned(),
+        status,
+    };
     site.record.line(&format!(
         "client at {machine}: {id} {} {} sent at {} ms, answer {status}{}",
         asked.method,
@@ -252,7 +316,10 @@
 
 impl Clients {
     pub fn new() -> Self {
-        Clients { over: Arc::default(), threads: Vec::new() }
+        Clients {
+            over: Arc::default(),
+            threads: Vec::new(),
+        }
     }
 
     /// A client at a machine that sends a request every `pause`.
@@ -269,11 +336,16 @@
                 let limit = Duration::from_millis(asked.deadline_ms + 500);
                 let mut stream = kept.take().or_else(|| connect(to, limit));
                 let answer = stream.as_mut().and_then(|stream| {
-                    stream.get_mut().write_all(asked.bytes(&id).as_bytes()).ok()?;
+                    stream
+                        .get_mut()
+                        .write_all(asked.bytes(&id).as_bytes())
+                        .ok()?;
                     read_message(stream)
                 });
                 let closes = answer.as_ref().is_none_or(|answer| {
-                    answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+                    answer
+                        .header("connection")
+                        .is_some_and(|value| value.eq_ignore_ascii_case("close"))
                 });
                 if !closes {
                     kept = stream;
@@ -293,7 +365,11 @@
     /// Ends all clients and returns what they sent.
     pub fn end(self) -> Vec<Sent> {
         self.over.store(true, Ordering::SeqCst);
-        let mut all: Vec<Sent> = self.threads.into_iter().flat_map(|one| one.join().expect("a client")).collect();
+        let mut all: Vec<Sent> = self
+            .threads
+            .into_iter()
+            .flat_map(|one| one.join().expect("a client"))
+            .collect();
         all.sort_by_key(|sent| sent.at);
         all
     }
@@ -307,5 +383,9 @@
     }
     let mut counts: Vec<(u16, usize)> = counts.into_iter().collect();
     counts.sort_unstable();
-    counts.iter().map(|(status, count)| format!("{status}: {count}")).collect::<Vec<_>>().join(", ")
+    counts
+        .iter()
+        .map(|(status, count)| format!("{status}: {count}"))
+        .collect::<Vec<_>>()
+        .join(", ")
 }
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -54,7 +54,12 @@
     /// The operator's write, which is answered whatever else is wrong.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let (state, changed) = &*self.state;
-        put(&mut state.lock().expect("lock"), table, key, Some(base64(value.as_bytes())));
+        put(
+            &mut state.lock().expect("lock"),
+            table,
+            key,
+            Some(base64(value.as_bytes())),
+        );
         changed.notify_all();
     }
 
@@ -75,7 +80,12 @@
     /// Keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.0.lock().expect("lock");
-        state.rows.keys().filter(|(of, _)| of == table).map(|(_, key)| key.clone()).collect()
+        state
+            .rows
+            .keys()
+            .filter(|(of, _)| of == table)
+            .map(|(_, key)| key.clone())
+            .collect()
     }
 }
 
@@ -87,18 +97,27 @@
     }
     state.ver += 1;
     let ver = state.ver;
-    state.history.push(Change { table: table.to_owned(), key: key.to_owned(), value, ver });
+    state.history.push(Change {
+        table: table.to_owned(),
+        key: key.to_owned(),
+        value,
+        ver,
+    });
     assert!(state.history.len() < HISTORY);
 }
 
 fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar)) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut out) = stream.try_clone() else { return };
+    let Ok(mut out) = stream.try_clone() else {
+        return;
+    };
     let mut input = BufReader::new(stream);
     let opened = shared.0.lock().expect("lock").silenced;
     while let Some(request) = read_message(&mut input) {
         thread::sleep(ANSWER);
-        let (path, query) = request.first[1].split_once('?').unwrap_or((&request.first[1], ""));
+        let (path, query) = request.first[1]
+            .split_once('?')
+            .unwrap_or((&request.first[1], ""));
         let query: HashMap<String, String> = query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
@@ -115,13 +134,21 @@
         if shared.0.lock().expect("lock").silenced > opened {
             continue;
         }
-        if !respond(&mut out, status, "Content-Type: application/json\r\n", &body) {
+        if !respond(
+            &mut out,
+            status,
+            "Content-Type: application/json\r\n",
+            &body,
+        ) {
             return;
         }
     }
 }
 
-fn get(shared: &(Mutex<State>, Condvar), query: &HashMap<String, String>) -> (&'static str, String) {
+fn get(
+    shared: &(Mutex<State>, Condvar),
+    query: &HashMap<String, String>,
+) -> (&'static str, String) {
     let state = shared.0.lock().expect("lock");
     let empty = String::new();
     let table = query.get("table").unwrap_or(&empty);
@@ -133,12 +160,31 @@
         .take(500)
         .map(|((table, key), (value, ver))| tell(table, key, Some(value), *ver))
         .collect();
-    ("200 OK", format!("{{\"rows\":[{}],\"more\":false,\"ver\":{},\"now\":\"1ms\"}}", rows.join(","), state.ver))
+    (
+        "200 OK",
+        format!(
+            "{{\"rows\":[{}],\"more\":false,\"ver\":{},\"now\":\"1ms\"}}",
+            rows.join(","),
+            state.ver
+        ),
+    )
 }
 
-fn feed(shared: &(Mutex<State>, Condvar), query: &HashMap<String, String>, opened: u64) -> (&'static str, String) {
-    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-    let (after, until) = (number("after"), Instant::now() + Duration::from_millis(number("waitMs").min(30_000)));
+fn feed(
+    shared: &(Mutex<State>, Condvar),
+    query: &HashMap<String, String>,
+    opened: u64,
+) -> (&'static str, String) {
+    let number = |name: &str| {
+        query
+            .get(name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let (after, until) = (
+        number("after"),
+        Instant::now() + Duration::from_millis(number("waitMs").min(30_000)),
+    );
     let empty = String::new();
     let table = query.get("table").unwrap_or(&empty);
     let mut state = shared.0.lock().expect("lock");
@@ -150,11 +196,25 @@
             .history
             .iter()
             .filter(|change| change.ver > after && change.table == *table)
-            .map(|change| tell(&change.table, &change.key, change.value.as_ref(), change.ver))
+            .map(|change| {
+                tell(
+                    &change.table,
+                    &change.key,
+                    change.value.as_ref(),
+                    change.ver,
+                )
+            })
             .collect();
         let left = until.saturating_duration_since(Instant::now());
         if !rows.is_empty() || left.is_zero() {
-            return ("200 OK", format!("{{\"rows\":[{}],\"ver\":{},\"now\":\"1ms\"}}", rows.join(","), state.ver));
+            return (
+                "200 OK",
+                format!(
+                    "{{\"rows\":[{}],\"ver\":{},\"now\":\"1ms\"}}",
+                    rows.join(","),
+                    state.ver
+                ),
+            );
         }
         state = shared.1.wait_timeout(state, left).expect("lock").0;
     }
@@ -165,7 +225,13 @@
         return ("400 Bad Request", "{}".to_owned());
     };
     let part = |name: &str| asked.get(name).map(Json::list).unwrap_or_default().to_vec();
-    let text = |entry: &Json, name: &str| entry.get(name).map(Json::text).unwrap_or_default().to_owned();
+    let text = |entry: &Json, name: &str| {
+        entry
+            .get(name)
+            .map(Json::text)
+            .unwrap_or_default()
+            .to_owned()
+    };
     let mut state = shared.0.lock().expect("lock");
     let at = |entry: &Json| (text(entry, "table"), text(entry, "key"));
     let conditions = part("ifRev");
@@ -182,7 +248,14 @@
                 Some(tell(&table, &key, Some(value), *ver))
             })
             .collect();
-        return ("412 Precondition Failed", format!("{{\"rows\":[{}],\"ver\":{},\"now\":\"1ms\"}}", rows.join(","), state.ver));
+        return (
+            "412 Precondition Failed",
+            format!(
+                "{{\"rows\":[{}],\"ver\":{},\"now\":\"1ms\"}}",
+                rows.join(","),
+                state.ver
+            ),
+        );
     }
     for entry in part("put") {
         let (table, key) = at(&entry);
@@ -212,8 +285,13 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let digits = bytes.get(at + 1..at + 3).and_then(|digits| std::str::from_utf8(digits).ok());
-        match (bytes[at], digits.and_then(|digits| u8::from_str_radix(digits, 16).ok())) {
+        let digits = bytes
+            .get(at + 1..at + 3)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        match (
+            bytes[at],
+            digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 3;
--- a/review/stand-ins/worker.rs
+++ b/review/stand-ins/worker.rs
@@ -27,7 +27,12 @@
 /// Flags `--NAME VALUE`.
 pub fn flags(args: &[String]) -> HashMap<String, String> {
     args.chunks(2)
-        .filter_map(|pair| Some((pair.first()?.trim_start_matches("--").to_owned(), pair.get(1)?.clone())))
+        .filter_map(|pair| {
+            Some((
+                pair.first()?.trim_start_matches("--").to_owned(),
+                pair.get(1)?.clone(),
+            ))
+        })
         .collect()
 }
 
@@ -69,7 +74,9 @@
 
 fn serve(stream: TcpStream, worker: &Worker) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut out) = stream.try_clone() else { return };
+    let Ok(mut out) = stream.try_clone() else {
+        return;
+    };
     let mut input = BufReader::new(stream);
     while let Some(request) = read_message(&mut input) {
         if !answer(&request, worker, &mut out) {
@@ -92,10 +99,14 @@
     }
     let header = |name: &str| request.header(name).unwrap_or_default().to_owned();
     let id = header("x-request-id");
-    if request.header("x-target-instance").is_some_and(|meant| meant != worker.id) {
+    if request
+        .header("x-target-instance")
+        .is_some_and(|meant| meant != worker.id)
+    {
         return respond(out, "421 Misdirected Request", &own, "");
     }
-    let until = Instant::now() + Duration::from_millis(header("x-deadline-ms").parse().unwrap_or(1_000));
+    let until =
+        Instant::now() + Duration::from_millis(header("x-deadline-ms").parse().unwrap_or(1_000));
     {
         let mut running = worker.running.lock().expect("lock");
         while *running >= worker.slots {
@@ -108,12 +119,20 @@
         }
         *running += 1;
     }
-    say(&format!("begin {id} {method} {path} tenant={} body={}", header("x-tenant"), request.body.len()));
+    say(&format!(
+        "begin {id} {method} {path} tenant={} body={}",
+        header("x-tenant"),
+        request.body.len()
+    ));
     if !worker.ends_on.is_empty() && path.contains(&worker.ends_on) {
         say(&format!("crash {id}"));
         std::process::abort();
     }
-    thread::sleep(worker.work.min(until.saturating_duration_since(Instant::now())));
+    thread::sleep(
+        worker
+            .work
+            .min(until.saturating_duration_since(Instant::now())),
+    );
     say(&format!("end {id}"));
     let running = {
         let mut running = worker.running.lock().expect("lock");
