--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -177,6 +177,13 @@
     else {
         return;
     };
+    log::info!(
+        instance = member.instance.as_str(),
+        started_ms:? = member.started_ms,
+        state:? = member.entry.state,
+        version = row.version;
+        "own member row read"
+    );
     let ended = match member.entry.state {
         HostState::Live => {
             confirm_own(core, member);
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -161,7 +161,9 @@
     }
     log::info!(instance = instance.as_str(), state:? = state, sequence:?, started_ms:?, cold_ms; "target reported");
     core.apply_target();
-    let _ = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
+    let settled = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
+    let is_stored = settled.is_ok();
+    log::info!(instance = instance.as_str(), state:? = state, is_stored; "report acknowledged");
 }
 
 async fn own_row_settled(core: &Core) {
