An acknowledged departure is held by the store or by peers, and outlasts its daemon's process

Cause: the acknowledgement was given after 400 ms whether or not anything but the process's memory held the mark. The next run read its row (Live, from before) and took the late report, or a health answer that was still good, for the word of a ready target.

Change: a departure is acknowledged once the row holds it, or two peers confirmed that they do (one where there is one), otherwise refused after 800 ms. Peers pass it on, tell it on every new link, and write it into the host's row if the store turns only that host away. A start hears its peers before it opens its target. Where nobody is left who knows for ten minutes back, the target's own answer decides. The row keeps the last four departures of its host. The message is an extension of a heartbeat, so that daemons of the build before keep their links.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::control::{self, MeasureBudget};
 use crate::core::{Core, Identity};
 use crate::dialect::Dialect;
-use crate::directory::{self, Directory, DirectoryState};
+use crate::directory::{self, Acknowledgement, Directory, DirectoryState};
 use crate::dispatch::HANDLERS;
 use crate::explain::Explain;
 use crate::half::{self, Half, Pool};
@@ -238,10 +238,10 @@
 pub struct Side(Arc<Core>);
 
 impl Side {
-    /// Takes a report of the target; it returns when what must last of it is
-    /// in the directory, or after the time that a target waits for its answer.
-    pub async fn report(&self, report: TargetReport) {
-        directory::report(&self.0, report).await;
+    /// Takes a report of the target; it returns when what must last of it does, or after the
+    /// time that a target waits for its answer.
+    pub async fn report(&self, report: TargetReport) -> Acknowledgement {
+        directory::report(&self.0, report).await
     }
 
     /// Whether callers should be sent here.
@@ -329,7 +329,9 @@
         calls: AtomicU64::new(1),
         rollouts: RolloutStates::default(),
         dialect: environment.dialect,
-        directory: environment.directory.map(DirectoryState::new),
+        directory: environment.directory.map(|directory| {
+            DirectoryState::new(directory, &config.host, config.first_start, clock.now())
+        }),
         config,
         me,
         clock,
--- a/crates/daemon/src/directory/confirm.rs
+++ b/crates/daemon/src/directory/confirm.rs
@@ -10,6 +10,7 @@
 
 use lynxcleat_policy::ReportEffect;
 
+use super::history;
 use crate::core::Core;
 use crate::half::EarlierTarget;
 
@@ -18,8 +19,10 @@
 const PAUSE: Duration = Duration::from_millis(100);
 const QUESTIONS: usize = 15;
 
-/// Asks until the target answers as that incarnation, or it reported meanwhile.
+/// Asks until the target answers as that incarnation, or it reported meanwhile. Its answer may be
+/// wrong, so peers are heard first: they know if it leaves.
 pub(super) async fn target(core: Arc<Core>, earlier: EarlierTarget) {
+    history::known(&core).await;
     for _ in 0..QUESTIONS {
         let is_known = core
             .half
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use super::state::{DirectoryState, TABLE};
-use super::{member, operator, publish, quarantined, spread};
+use super::{history, member, operator, publish, quarantined, spread};
 use crate::core::Core;
 use crate::metrics::count;
 use crate::settings::take_row;
@@ -121,6 +121,7 @@
             publish::make_key_if_absent(&core, directory).await;
             directory.members_read.store(true, Ordering::Relaxed);
             log::info!(members = core.hosts.len(); "members known");
+            tokio::spawn(history::learn(Arc::clone(&core)));
         }
         spread::heard(&core, directory, core.clock.now(), before);
         if has_news {
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use lynxcleat_policy::{ReportEffect, ReportedState, TargetReports};
-use lynxcleat_store::{HostEntry, HostState, OwnedRow, StoredRow};
+use lynxcleat_policy::{Departure, ReportEffect, ReportedState, TargetReports};
+use lynxcleat_store::{HostEntry, HostState, OwnedRow, RowWrite, StoredRow};
 use serde::{Deserialize, Serialize};
 
 use super::confirm;
@@ -26,6 +26,44 @@
     /// When its target started, in milliseconds since 1970, where it said so.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     started_ms: Option<u64>,
+    /// Other incarnations of its target that leave or have left. Late reports of them may still
+    /// arrive.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    departed: Vec<Departed>,
+}
+
+/// An incarnation that leaves or has left.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Departed {
+    instance: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    started_ms: Option<u64>,
+    state: ReportedState,
+}
+
+impl Member {
+    /// All departures that the row tells of.
+    fn departures(&self) -> Vec<Departure> {
+        let current = match self.entry.state {
+            HostState::Live => None,
+            HostState::Leaving => Some(ReportedState::Draining),
+            HostState::Gone => Some(ReportedState::Gone),
+        };
+        let current = current.map(|state| Departed {
+            instance: self.instance.clone(),
+            started_ms: self.started_ms,
+            state,
+        });
+        let departed = current.into_iter().chain(self.departed.iter().cloned());
+        departed
+            .map(|departed| Departure {
+                host: self.entry.host.clone(),
+                instance: departed.instance,
+                started_ms: departed.started_ms,
+                state: departed.state,
+            })
+            .collect()
+    }
 }
 
 /// The row of this daemon, of which nothing is known yet.
@@ -38,7 +76,7 @@
     let Some(directory) = &core.directory else {
         return;
     };
-    let Some(member) = own_member(core) else {
+    let Some(member) = own_member(core, directory) else {
         return;
     };
     let value = serde_json::to_vec(&member).expect("a member encodes");
@@ -48,7 +86,7 @@
     directory.wanted.notify_one();
 }
 
-fn own_member(core: &Core) -> Option<Member> {
+fn own_member(core: &Core, directory: &DirectoryState) -> Option<Member> {
     let target = core
         .half
         .with_reports(|reports| reports.current().cloned())??;
@@ -63,13 +101,72 @@
         ops: core.me.ops.to_string(),
         state: host_state(target.state),
     };
+    let departures = lock(&directory.departures);
+    let others = departures
+        .own()
+        .filter(|departure| departure.instance != target.instance);
+    let departed = others.map(|departure| Departed {
+        instance: departure.instance.clone(),
+        started_ms: departure.started_ms,
+        state: departure.state,
+    });
     Some(Member {
         entry,
+        departed: departed.collect(),
         instance: target.instance,
         started_ms: target.started_ms,
     })
 }
 
+/// The departures that the stored row of a host tells of, as far as it is known here.
+pub(super) fn stored_departures(directory: &DirectoryState, host: &str) -> Vec<Departure> {
+    let members = lock(&directory.members);
+    let row = members.replica().row(&format!("{MEMBER}{host}"));
+    row.and_then(read)
+        .map_or_else(Vec::new, |member| member.departures())
+}
+
+/// The write that adds a departure to the row of its host; nothing where no row is known, or it
+/// tells of the departure. The host's own daemon finds its row changed, and goes on from there.
+pub(super) fn write_with(directory: &DirectoryState, departure: &Departure) -> Option<RowWrite> {
+    let members = lock(&directory.members);
+    let key = format!("{MEMBER}{}", departure.host);
+    let row = members.replica().row(&key)?;
+    let mut member = read(row)?;
+    if member.departures().contains(departure) {
+        return None;
+    }
+    if member.instance == departure.instance && member.started_ms == departure.started_ms {
+        member.entry.state = host_state(departure.state);
+    } else {
+        member.departed.push(Departed {
+            instance: departure.instance.clone(),
+            started_ms: departure.started_ms,
+            state: departure.state,
+        });
+    }
+    Some(RowWrite {
+        table: TABLE.to_owned(),
+        key,
+        expected: row.version,
+        value: serde_json::to_vec(&member).expect("a member encodes"),
+    })
+}
+
+/// Records the departures that a value of this daemon's own row tells of, which the store holds.
+pub(super) fn record_own_stored(directory: &DirectoryState, value: &[u8]) {
+    if let Ok(member) = serde_json::from_slice::<Member>(value) {
+        let mut departures = lock(&directory.departures);
+        for departure in member.departures() {
+            departures.record_stored(departure);
+        }
+    }
+}
+
+fn read(row: &StoredRow) -> Option<Member> {
+    serde_json::from_slice(row.value.as_ref()?).ok()
+}
+
 fn host_state(state: ReportedState) -> HostState {
     match state {
         ReportedState::Ready => HostState::Live,
@@ -104,6 +201,11 @@
         };
         if host == core.config.host {
             take_own(core, directory, row);
+        } else if let Some(member) = read(row) {
+            let mut departures = lock(&directory.departures);
+            for departure in member.departures() {
+                departures.record_stored(departure);
+            }
         }
         entries.extend(entry(core, host, row));
     }
@@ -170,13 +272,7 @@
     own.get_or_insert_with(|| own_row(core)).observe(row);
     drop(own);
     directory.settled.notify_waiters();
-    let Some(member) = row
-        .value
-        .as_ref()
-        .and_then(|value| serde_json::from_slice::<Member>(value).ok())
-    else {
-        return;
-    };
+    let Some(member) = read(row) else { return };
     log::info!(
         instance = member.instance.as_str(),
         started_ms:? = member.started_ms,
@@ -184,18 +280,18 @@
         version = row.version;
         "own member row read"
     );
-    let ended = match member.entry.state {
-        HostState::Live => {
-            confirm_own(core, member);
-            return;
-        }
-        HostState::Leaving => ReportedState::Draining,
-        HostState::Gone => ReportedState::Gone,
-    };
-    let effect = core
-        .half
-        .with_reports(|reports| reports.mark_ended(&member.instance, member.started_ms, ended));
-    if effect == Some(ReportEffect::Changed) {
+    let mut is_changed = false;
+    for departure in member.departures() {
+        lock(&directory.departures).record_stored(departure.clone());
+        let effect = core.half.with_reports(|reports| {
+            reports.mark_ended(&departure.instance, departure.started_ms, departure.state)
+        });
+        is_changed |= effect == Some(ReportEffect::Changed);
+    }
+    if is_changed {
         core.apply_target();
     }
+    if member.entry.state == HostState::Live {
+        confirm_own(core, member);
+    }
 }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -4,8 +4,12 @@
 //! Nothing in the store runs out by itself, so rows say who there may be and links
 //! say who lives. A row is written on a change only.
 
+mod apply;
 mod confirm;
+mod departures;
+mod dial;
 mod follow;
+mod history;
 mod member;
 mod neighbours;
 mod operator;
@@ -29,6 +33,7 @@
 use crate::rollout;
 use crate::sync::lock;
 
+pub use departures::{Acknowledgement, greet as greet_with_departures, take as take_departures};
 pub use neighbours::end_neighbour;
 pub use operator_row::{OperatorRow, OperatorRowError, ReadOperatorRow, WantedRollout};
 pub use spread::{send_rows, take_rows};
@@ -37,8 +42,8 @@
 };
 pub use zones::{greet, take_zones};
 
-/// Longest wait for the member row before a report is answered: targets wait a
-/// second at most.
+/// Longest wait for the member row before a report that a target is ready is answered: targets
+/// wait a second at most.
 const REPORT_WAIT: Duration = Duration::from_millis(400);
 
 impl DirectoryState {
@@ -106,17 +111,16 @@
     /// The target says in an answer that it leaves: it gets no new calls, as if it had
     /// reported so.
     pub fn target_says_leaving(&self) {
-        let effect = self.half.with_reports(|reports| {
-            let current = reports.current().cloned();
-            current.map(|target| {
-                let state = ReportedState::Draining;
-                reports.mark_ended(&target.instance, target.started_ms, state)
-            })
+        let Some(current) = self.half.with_reports(|reports| reports.current().cloned()) else {
+            return self.set_leaving(LeaveCause::Answer, true);
+        };
+        let Some(target) = current else { return };
+        self.half.with_reports(|reports| {
+            let state = ReportedState::Draining;
+            reports.mark_ended(&target.instance, target.started_ms, state)
         });
-        match effect {
-            Some(_) => self.apply_target(),
-            None => self.set_leaving(LeaveCause::Answer, true),
-        }
+        departures::record_said(self, target.instance, target.started_ms);
+        self.apply_target();
     }
 
     /// Puts what the target reports in force.
@@ -139,6 +143,7 @@
 /// Starts following the directory.
 pub fn start(core: &Arc<Core>) {
     core.set_leaving(LeaveCause::Report, true);
+    history::refresh(core);
     tokio::spawn(follow::settings(Arc::clone(core)));
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(neighbours::keep(Arc::clone(core)));
@@ -148,22 +153,24 @@
     control::start_load(core);
 }
 
-/// Takes a report of the target. Returns when what must last of it is in the
-/// store, but no later than a target waits for its acknowledgement.
-pub async fn report(core: &Core, report: TargetReport) {
-    let instance = report.instance.clone();
-    let state = report.state;
-    let (sequence, started_ms) = (report.sequence, report.started_ms);
-    let cold_ms = report.cold_ms;
-    let taken = core.half.take_report(core, report).await;
-    if taken != ReportEffect::Changed {
-        return;
+/// Takes a report of the target. Returns when what must last of it does, but no later than a
+/// target waits for its acknowledgement.
+pub async fn report(core: &Core, report: TargetReport) -> Acknowledgement {
+    let departure = departures::of_report(core, &report);
+    let mut reports = history::refresh(core);
+    reports.push(report);
+    let mut is_changed = false;
+    for report in reports {
+        is_changed |= apply::report(core, report).await;
+    }
+    match departure {
+        Some(departure) => departures::acknowledge(core, departure).await,
+        None if is_changed => {
+            let _ = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
+            Acknowledgement::Given
+        }
+        None => Acknowledgement::Given,
     }
-    log::info!(instance = instance.as_str(), state:? = state, sequence:?, started_ms:?, cold_ms; "target reported");
-    core.apply_target();
-    let settled = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
-    let is_stored = settled.is_ok();
-    log::info!(instance = instance.as_str(), state:? = state, is_stored; "report acknowledged");
 }
 
 async fn own_row_settled(core: &Core) {
--- a/crates/daemon/src/directory/neighbours.rs
+++ b/crates/daemon/src/directory/neighbours.rs
@@ -16,11 +16,11 @@
 use lynxcleat_store::{HostEntry, HostState};
 use lynxcleat_wire::Frame;
 
-use super::spread;
+use super::{dial, spread};
 use crate::control::Purpose;
 use crate::core::Core;
 use crate::host_table::candidate;
-use crate::mesh::{Link, Links};
+use crate::mesh::Link;
 use crate::sync::lock;
 
 /// Pause between two looks at whether the links stand.
@@ -100,22 +100,13 @@
     standing
 }
 
+/// The link to a member, made if there is none and the measuring budget allows it.
 async fn link_to(core: &Arc<Core>, member: &HostEntry) -> Option<Arc<Link>> {
-    let live = core.links.live(&member.mesh);
-    let link = match live {
-        Some(link) => link,
-        None if core.budget.ask(Purpose::Redial, LINK) => {
-            match Links::dial(core, &member.mesh).await {
-                Ok(link) => link,
-                Err(error) => {
-                    log::debug!("no link to a neighbour: {error}");
-                    return None;
-                }
-            }
-        }
-        None => return None,
-    };
-    (link.peer.host == member.host).then_some(link)
+    let is_live = core.links.live(&member.mesh).is_some();
+    match is_live || core.budget.ask(Purpose::Redial, LINK) {
+        true => dial::member(core, member).await,
+        false => None,
+    }
 }
 
 /// A new neighbour is told what is known here, and answers with what it knows besides.
--- a/crates/daemon/src/directory/publish.rs
+++ b/crates/daemon/src/directory/publish.rs
@@ -8,6 +8,7 @@
 use lynxcleat_wire::SharedKey;
 use rand::RngExt;
 
+use super::member;
 use super::state::{DirectoryState, TABLE};
 use crate::core::Core;
 use crate::metrics::count;
@@ -57,7 +58,10 @@
         return Ok(());
     };
     match written {
-        Ok(version) => own.record_write(value, version),
+        Ok(version) => {
+            member::record_own_stored(directory, &value);
+            own.record_write(value, version);
+        }
         Err(RowStoreError::Conflict { current: Some(row) }) => own.observe(&row),
         Err(RowStoreError::Conflict { current: None }) => own.observe_absent(),
         Err(error) => return Err(error),
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use lynxcleat_policy::{EvacuatedZones, Micros};
+use lynxcleat_policy::{Departures, EvacuatedZones, Greetings, History, Micros};
 use lynxcleat_settings::Tree;
 use lynxcleat_store::{Follower, OwnedRow, RowStore};
 use lynxcleat_wire::SharedKey;
@@ -178,6 +178,16 @@
     pub(super) heard_at: AtomicU64,
     pub(super) neighbours: Neighbours,
     pub(super) evacuations: Mutex<EvacuatedZones>,
+    /// Incarnations of targets that leave, of this host and of others.
+    pub(super) departures: Mutex<Departures>,
+    /// How far back all departures are known.
+    pub(super) history: Mutex<History>,
+    /// What peers told of that since the start.
+    pub(super) greetings: Mutex<Greetings>,
+    /// Told when a peer has greeted this daemon.
+    pub(super) greeted: Notify,
+    /// Whether the wait for greetings of peers is over.
+    pub(super) history_known: watch::Sender<bool>,
     /// Ends a wait for changes: there is reason to think that it would bring none.
     pub(super) doubted: watch::Sender<u64>,
     pub(super) wanted: Notify,
@@ -185,8 +195,12 @@
 }
 
 impl DirectoryState {
-    /// Nothing is known yet.
-    pub fn new(directory: Directory) -> Self {
+    /// Nothing is known yet to the daemon of a host that starts at `now`.
+    pub fn new(directory: Directory, host: &str, first_start: bool, now: Micros) -> Self {
+        let history = match first_start {
+            true => History::of_first_start(now),
+            false => History::awaited(now),
+        };
         DirectoryState {
             directory,
             key: OnceLock::new(),
@@ -196,6 +210,11 @@
             heard_at: AtomicU64::new(0),
             neighbours: Neighbours::default(),
             evacuations: Mutex::default(),
+            departures: Mutex::new(Departures::new(host)),
+            history: Mutex::new(history),
+            greetings: Mutex::default(),
+            greeted: Notify::new(),
+            history_known: watch::Sender::new(first_start),
             own: Mutex::default(),
             doubted: watch::Sender::new(0),
             wanted: Notify::new(),
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -22,10 +22,11 @@
     frame,
 };
 
-/// The other side of a new link is told of the target, zones, rollouts and suspects.
+/// The other side of a new link is told of the target, zones, departures, rollouts and suspects.
 fn greet(core: &Core, link: &Link) {
     half::greet(core, link);
     directory::greet(core, link);
+    directory::greet_with_departures(core, link);
     rollout::greet(core, link);
     quarantine::spread::greet(core, link);
 }
@@ -104,10 +105,12 @@
         Frame::Rows(rows) => directory::take_rows(core, link, rows),
         Frame::AskRows(ask) => directory::send_rows(core, link, &ask),
         Frame::EndNeighbour => directory::end_neighbour(core, link),
+        Frame::Departures(departures) => directory::take_departures(core, link, departures),
         Frame::AskQuota(ask) => quota::answer(core, link, ask),
         Frame::Fenced { ask, .. }
         | Frame::GuardedReply { ask, .. }
         | Frame::Quota { ask, .. }
+        | Frame::DeparturesHeld { ask }
         | Frame::Settings { ask, .. } => {
             let taken = link.reply(ask, frame);
             count_late(core, taken, "reply");
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -180,7 +180,7 @@
                 None
             }),
             instance: dialect.told_instance(headers),
-            well: response.status().is_success(),
+            well: response.status().is_success() && !dialect.is_leaving(headers),
         };
         Limited::new(response.into_body(), LOAD_ANSWER_BYTES)
             .collect()
--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -235,7 +235,7 @@
     }
 
     /// Changes what is known of the reports; another incarnation in place starts anew.
-    pub(super) fn change_reports(
+    pub fn change_reports(
         &self,
         core: &Core,
         change: impl FnOnce(&mut TargetReports) -> ReportEffect,
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -5,7 +5,8 @@
 
 use lynxcleat_once::OpId;
 use lynxcleat_policy::{
-    AdmissionEvent, Cost, FirstReport, ReportEffect, ReportedState, TargetLoad, TargetReport,
+    AdmissionEvent, Cost, FirstReport, ReportEffect, ReportedState, TargetAnswer, TargetLoad,
+    TargetReport,
 };
 use lynxcleat_wire::{Answer, Frame};
 
@@ -102,7 +103,8 @@
     }
 
     /// Takes a report of the target. Where it is of another incarnation than the one in
-    /// place, the target is asked which one it is.
+    /// place, the target is asked which one it is; where it may be older than a departure that
+    /// nobody remembers, whether it takes calls.
     pub async fn take_report(&self, core: &Core, report: TargetReport) -> ReportEffect {
         let reported = report.instance.clone();
         let left_us = report.cold_ms * 1_000;
@@ -112,7 +114,13 @@
         };
         let is_first = self.with_reports(|reports| reports.current().is_none()) == Some(true);
         let mut effect = self.change_reports(core, |reports| reports.apply(report));
-        if is_first {
+        if effect == ReportEffect::Unproven {
+            let answer = self.ask_whether_it_accepts(core).await;
+            log::info!(reported = reported.as_str(), answer:? = answer; "report without proof");
+            let now = self.clock.now();
+            effect = self.change_reports(core, |reports| reports.resolve_unproven(now, &answer));
+        }
+        if is_first && effect == ReportEffect::Changed {
             self.admit(AdmissionEvent::FirstReport(first));
         }
         if effect == ReportEffect::Conflict {
@@ -133,6 +141,20 @@
         self.ask_itself(core).await?.instance
     }
 
+    async fn ask_whether_it_accepts(&self, core: &Core) -> TargetAnswer {
+        let settings = self.settings();
+        if settings.is_some_and(|settings| settings.load_path.is_empty()) {
+            return TargetAnswer::CannotBeAsked;
+        }
+        match self.ask_itself(core).await {
+            Some(told) => TargetAnswer::Told {
+                instance: told.instance,
+                accepts: told.well,
+            },
+            None => TargetAnswer::Silent,
+        }
+    }
+
     /// An earlier run of this daemon left word that an incarnation of the target takes calls.
     /// If the target says that it is that one, and well, it is taken as in place, and need
     /// not report first.
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -186,5 +186,6 @@
         Frame::Suspects(_) => "suspects",
         Frame::AskQuota(_) | Frame::Quota { .. } => "quota",
         Frame::Rows(_) | Frame::AskRows(_) | Frame::EndNeighbour => "rows",
+        Frame::Departures(_) | Frame::DeparturesHeld { .. } => "departures",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,8 @@
     pub target_notices: Kinds,
     /// Calls in 1,000 s that the target takes; -1 where it states no limit.
     pub target_rate_limit: Gauge,
+    /// Answers to targets that leave, by what else knows it.
+    pub departure_answers: Kinds,
     pub target_ends: Counter,
     pub target_down: Gauge,
     pub suspensions: Counter,
@@ -146,6 +148,7 @@
             target_deliveries: Family::default(),
             target_notices: Family::default(),
             target_rate_limit: Gauge::default(),
+            departure_answers: Family::default(),
             target_ends: Counter::default(),
             target_down: Gauge::default(),
             suspensions: Counter::default(),
@@ -215,6 +218,7 @@
         registry.register("target_deliveries", "Calls delivered to the target: first attempts, further ones, nested calls, canaries", self.target_deliveries.clone());
         registry.register("target_notices", "Answers of the target that state a rate limit, one that is no rate, or that it leaves", self.target_notices.clone());
         registry.register("target_rate_limit", "Calls in 1,000 s that the target says it takes; -1 without a limit", self.target_rate_limit.clone());
+        registry.register("departure_answers", "Answers to a target that leaves, by what else knows it: the store, peers, nobody", self.departure_answers.clone());
         registry.register("target_down", "Whether nothing listens at the target's address", self.target_down.clone());
         registry.register("target_ends", "Ends of the target under calls that it had in hand", self.target_ends.clone());
         registry.register("suspensions", "Times that the host was suspended", self.suspensions.clone());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod cold_start;
 mod concurrency_limit;
 mod decaying_count;
+mod departures;
 mod distance;
 mod elsewhere;
 mod evacuation;
@@ -32,6 +33,7 @@
 mod rate_limit;
 mod reconnect;
 mod region_budget;
+mod repeated_reports;
 mod report;
 mod retry;
 mod rollout;
@@ -61,6 +63,10 @@
 pub use call_origins::CallOrigins;
 pub use cold_start::{ColdStartLimiter, FirstReport};
 pub use concurrency_limit::ConcurrencyLimit;
+pub use departures::{
+    Coverage, Departure, Departures, Greetings, History, HistoryState, RecordOutcome,
+    needed_holders,
+};
 pub use distance::{Distance, DistanceCosts};
 pub use elsewhere::Elsewhere;
 pub use evacuation::{EvacuatedZones, ZoneUpdate};
@@ -90,7 +96,9 @@
 pub use rate_limit::TargetRateLimiter;
 pub use reconnect::{ReconnectBackoff, ReconnectEvent};
 pub use region_budget::RegionBudget;
-pub use report::{CurrentTarget, ReportEffect, ReportedState, TargetReport, TargetReports};
+pub use report::{
+    CurrentTarget, ReportEffect, ReportedState, TargetAnswer, TargetReport, TargetReports,
+};
 pub use retry::{RetryAllowance, RetryBound, RetryBudget, RetryParams, RetryWindow};
 pub use rollout::{
     AdmittedCalls, CANARY_SHARE_FACTOR, CallCounts, CanaryAnalysis, Cause, Exposure, Fault,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -11,13 +11,23 @@
 //! Reports alone do not tell which of two incarnations is the later one: a delayed report can
 //! arrive when its sender is gone and has been replaced. On a report of an incarnation other than
 //! the current one, the daemon therefore asks the target at the address for its instance name.
+//!
+//! A daemon that has just started may not know of a departure that an earlier run of it
+//! acknowledged; see [`crate::History`]. Until its peers told it, reports that a target is ready
+//! are deferred. If nobody remembers, the target itself is asked whether it accepts calls.
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+use crate::departures::HistoryState;
+use crate::ids::Micros;
+use crate::repeated_reports::RepeatedReports;
+
 /// Maximum number of ended incarnations stored.
 const MAX_ENDED: usize = 1_024;
+/// Maximum number of deferred reports: one of each incarnation.
+const MAX_DEFERRED: usize = 4;
 
 /// Lifecycle state that a target reports.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,6 +41,18 @@
     Gone,
 }
 
+impl ReportedState {
+    /// The later of two states in the order ready, draining, gone.
+    pub fn or_later(self, other: ReportedState) -> ReportedState {
+        use ReportedState::{Draining, Gone, Ready};
+        match (self, other) {
+            (Gone, _) | (_, Gone) => Gone,
+            (Draining, _) | (_, Draining) => Draining,
+            (Ready, Ready) => Ready,
+        }
+    }
+}
+
 /// Report of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetReport {
@@ -65,6 +87,28 @@
     /// An incarnation other than the current one reports that it is ready; see
     /// [`TargetReports::resolve_conflict`].
     Conflict,
+    /// The report is kept until it is known which departures were acknowledged before; see
+    /// [`TargetReports::set_history`].
+    Deferred,
+    /// The report may be older than a departure that nobody remembers; see
+    /// [`TargetReports::resolve_unproven`].
+    Unproven,
+}
+
+/// What the target at the address answers when it is asked whether it accepts calls.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetAnswer {
+    /// It states its instance name, if it has one, and whether it accepts calls.
+    Told {
+        /// Instance name.
+        instance: Option<String>,
+        /// Whether it is healthy and not leaving.
+        accepts: bool,
+    },
+    /// It did not answer.
+    Silent,
+    /// It offers no way to ask.
+    CannotBeAsked,
 }
 
 /// Incarnation that is taken to be at the target's address.
@@ -105,6 +149,14 @@
     current: Option<CurrentTarget>,
     /// Report of another incarnation, until it is known which one is at the address.
     conflicting: Option<TargetReport>,
+    /// What may be concluded from knowing of no departure.
+    history: HistoryState,
+    /// Reports of ready incarnations, until the history is known.
+    deferred: Vec<TargetReport>,
+    /// Report of a ready incarnation, until the target was asked.
+    unproven: Option<TargetReport>,
+    /// Ready reports of an incarnation that does not confirm them when it is asked.
+    repeated: RepeatedReports,
     /// Last ended incarnation of each instance name.
     ended: HashMap<String, EndedIncarnation>,
 }
@@ -148,6 +200,16 @@
         self.mark_ended(instance, started_ms, ReportedState::Gone)
     }
 
+    /// Sets what may be concluded from knowing of no departure. Returns the reports that were
+    /// deferred and are to be applied now.
+    pub fn set_history(&mut self, history: HistoryState) -> Vec<TargetReport> {
+        self.history = history;
+        match history {
+            HistoryState::Awaited => Vec::new(),
+            HistoryState::Complete | HistoryState::Incomplete => std::mem::take(&mut self.deferred),
+        }
+    }
+
     /// Applies a report.
     pub fn apply(&mut self, report: TargetReport) -> ReportEffect {
         match self.current.as_ref() {
@@ -159,7 +221,10 @@
             // the previous incarnation does not apply. Otherwise the new incarnation received
             // calls after its drain was acknowledged.
             Some(target) if is_later_start(report.started_ms, target.started_ms) => {
-                self.set_current(report, None)
+                match self.hold_back(&report) {
+                    Some(effect) => effect,
+                    None => self.set_current(report, None),
+                }
             }
             Some(_) => self.apply_from_current(report),
             None => self.apply_from_other(report),
@@ -180,12 +245,12 @@
         target.started_ms = target.started_ms.or(report.started_ms);
         let before = target.state;
         let slots = report.slots.or(target.slots);
-        let is_same = later_state(before, report.state) == before && slots == target.slots;
+        let is_same = before.or_later(report.state) == before && slots == target.slots;
         if is_same {
             return ReportEffect::Refreshed;
         }
         target.slots = slots;
-        target.state = later_state(before, report.state);
+        target.state = before.or_later(report.state);
         let (instance, started_ms, state) =
             (target.instance.clone(), target.started_ms, target.state);
         if state != ReportedState::Ready {
@@ -204,6 +269,11 @@
             self.record_ended(&report.instance, report.started_ms, report.state);
             return ReportEffect::Ignored;
         }
+        if ended.is_none()
+            && let Some(effect) = self.hold_back(&report)
+        {
+            return effect;
+        }
         if self.ready().is_some() {
             self.conflicting = Some(report);
             return ReportEffect::Conflict;
@@ -214,10 +284,78 @@
         self.set_current(report, ended)
     }
 
+    /// Keeps a report back that an incarnation is ready, if the incarnation may have left.
+    fn hold_back(&mut self, report: &TargetReport) -> Option<ReportEffect> {
+        if report.state != ReportedState::Ready {
+            return None;
+        }
+        match self.history {
+            HistoryState::Complete => None,
+            HistoryState::Awaited => {
+                self.defer(report);
+                Some(ReportEffect::Deferred)
+            }
+            HistoryState::Incomplete => {
+                self.unproven = Some(report.clone());
+                Some(ReportEffect::Unproven)
+            }
+        }
+    }
+
+    /// Keeps the latest report of each incarnation.
+    fn defer(&mut self, report: &TargetReport) {
+        let is_same = |kept: &TargetReport| {
+            (&kept.instance, kept.started_ms) == (&report.instance, report.started_ms)
+        };
+        match self.deferred.iter().position(is_same) {
+            Some(at) if report.sequence > self.deferred[at].sequence => {
+                self.deferred[at] = report.clone();
+            }
+            None if self.deferred.len() < MAX_DEFERRED => self.deferred.push(report.clone()),
+            _ => {}
+        }
+    }
+
+    /// Resolves an unproven report, given what the target at the address answered. The sender
+    /// becomes current if it confirms that it accepts calls, or if it keeps on reporting for
+    /// longer than late reports arrive: a health answer can be wrong.
+    pub fn resolve_unproven(&mut self, now: Micros, answer: &TargetAnswer) -> ReportEffect {
+        let Some(report) = self.unproven.take() else {
+            return ReportEffect::Ignored;
+        };
+        let is_proven = match answer {
+            TargetAnswer::Told {
+                instance: Some(instance),
+                ..
+            } if *instance != report.instance => return ReportEffect::Ignored,
+            TargetAnswer::Told { accepts: true, .. } | TargetAnswer::CannotBeAsked => true,
+            TargetAnswer::Told { accepts: false, .. } | TargetAnswer::Silent => {
+                self.repeated.record(now, &report)
+            }
+        };
+        match is_proven {
+            true => self.replace_current(report),
+            false => ReportEffect::Ignored,
+        }
+    }
+
+    /// Makes the sender of a report current in place of the present incarnation, unless the
+    /// sender ended meanwhile.
+    fn replace_current(&mut self, report: TargetReport) -> ReportEffect {
+        if self.ended_state(&report).is_some() {
+            return ReportEffect::Ignored;
+        }
+        if let Some(before) = self.current.take() {
+            self.record_ended(&before.instance, before.started_ms, ReportedState::Gone);
+        }
+        self.set_current(report, None)
+    }
+
     /// Makes an incarnation current before its first report, when it is recorded as ready by an
     /// earlier run of this daemon and the target confirmed its instance name and health.
     pub fn confirm(&mut self, report: TargetReport) -> ReportEffect {
-        if self.current.is_some() || self.ended_state(&report).is_some() {
+        let is_awaited = self.history == HistoryState::Awaited;
+        if is_awaited || self.current.is_some() || self.ended_state(&report).is_some() {
             return ReportEffect::Ignored;
         }
         self.set_current(report, None)
@@ -248,7 +386,7 @@
 
     /// Makes the sender of a report the current incarnation.
     fn set_current(&mut self, report: TargetReport, ended: Option<ReportedState>) -> ReportEffect {
-        let state = ended.map_or(report.state, |ended| later_state(ended, report.state));
+        let state = ended.map_or(report.state, |ended| ended.or_later(report.state));
         if state != ReportedState::Ready {
             self.record_ended(&report.instance, report.started_ms, state);
         }
@@ -284,7 +422,7 @@
             true => ended,
             false => EndedIncarnation {
                 started_ms: known.started_ms.or(started_ms),
-                state: later_state(known.state, state),
+                state: known.state.or_later(state),
             },
         };
     }
@@ -294,13 +432,3 @@
 fn is_later_start(first: Option<u64>, second: Option<u64>) -> bool {
     matches!((first, second), (Some(first), Some(second)) if first > second)
 }
-
-/// The later of two states in the order ready, draining, gone.
-fn later_state(first: ReportedState, second: ReportedState) -> ReportedState {
-    use ReportedState::{Draining, Gone, Ready};
-    match (first, second) {
-        (Gone, _) | (_, Gone) => Gone,
-        (Draining, _) | (_, Draining) => Draining,
-        (Ready, Ready) => Ready,
-    }
-}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,9 +1,10 @@
 //! CBOR encoding of messages. The WebSocket layer limits the size of a message. A message that
 //! cannot be decoded closes only the connection on which it was received.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::frame::Envelope;
+use crate::frame::{DeparturesFrame, Envelope, Frame};
 
 /// Failure to encode or decode a message.
 #[derive(Debug, Error)]
@@ -30,6 +31,29 @@
     Encode(#[from] ciborium::ser::Error<std::io::Error>),
 }
 
+/// An envelope as it is encoded. Decoders ignore fields that they do not know, so that a daemon of
+/// an earlier build reads the frame alone.
+#[derive(Deserialize)]
+struct EncodedEnvelope {
+    #[serde(rename = "g")]
+    generation: u64,
+    #[serde(rename = "f")]
+    frame: Frame,
+    #[serde(rename = "d", default)]
+    departures: Option<DeparturesFrame>,
+}
+
+/// An envelope with departures, as it is encoded.
+#[derive(Serialize)]
+struct DeparturesEnvelope<'a> {
+    #[serde(rename = "g")]
+    generation: u64,
+    #[serde(rename = "f")]
+    frame: Frame,
+    #[serde(rename = "d")]
+    departures: &'a DeparturesFrame,
+}
+
 /// Maximum nesting depth of a message.
 const MAX_NESTING_DEPTH: usize = 32;
 
@@ -39,7 +63,17 @@
 /// Failure to encode the message; does not occur for the types of this crate.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, CodecError> {
     let mut bytes = Vec::with_capacity(256);
-    ciborium::into_writer(envelope, &mut bytes)?;
+    match &envelope.frame {
+        Frame::Departures(departures) => {
+            let extended = DeparturesEnvelope {
+                generation: envelope.generation,
+                frame: Frame::Beat,
+                departures,
+            };
+            ciborium::into_writer(&extended, &mut bytes)?;
+        }
+        _ => ciborium::into_writer(envelope, &mut bytes)?,
+    }
     Ok(bytes)
 }
 
@@ -48,10 +82,14 @@
 /// # Errors
 /// Malformed or truncated input, or bytes after the end of the message.
 pub fn decode(mut bytes: &[u8]) -> Result<Envelope, CodecError> {
-    let envelope = ciborium::de::from_reader_with_recursion_limit(&mut bytes, MAX_NESTING_DEPTH)?;
-    if bytes.is_empty() {
-        Ok(envelope)
-    } else {
-        Err(CodecError::Trailing(bytes.len()))
+    let encoded: EncodedEnvelope =
+        ciborium::de::from_reader_with_recursion_limit(&mut bytes, MAX_NESTING_DEPTH)?;
+    if !bytes.is_empty() {
+        return Err(CodecError::Trailing(bytes.len()));
     }
+    let departures = encoded.departures.map(Frame::Departures);
+    Ok(Envelope {
+        generation: encoded.generation,
+        frame: departures.unwrap_or(encoded.frame),
+    })
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,8 +2,9 @@
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
-    AttemptId, CallKind, Elsewhere, Homes, NotRunReason, OfferShare, Refusal, RolloutUpdate,
-    SuspectUpdate, TargetEvidence, TargetExitId, TargetLoad, TargetNotice, ZoneUpdate,
+    AttemptId, CallKind, Coverage, Departure, Elsewhere, Homes, NotRunReason, OfferShare, Refusal,
+    RolloutUpdate, SuspectUpdate, TargetEvidence, TargetExitId, TargetLoad, TargetNotice,
+    ZoneUpdate,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -309,6 +310,21 @@
     pub host: String,
 }
 
+/// Departures of targets that the sender holds and does not know to be in the store.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DeparturesFrame {
+    /// Number of the request, if the sender asks the receiver to confirm that it holds them.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub ask: Option<u64>,
+    /// For how long back the sender knows of all departures; present if `departures` are all that
+    /// it holds.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub coverage: Option<Coverage>,
+    /// The departures.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<Departure>,
+}
+
 /// A message. A request has a number, which the reply repeats.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
@@ -454,4 +470,14 @@
     AskRows(RowsRequest),
     /// Ends the neighbour relation between sender and receiver.
     EndNeighbour,
+    /// Departures of targets. Encoded as an extension of [`Frame::Beat`], which is all that
+    /// daemons see of it that do not know departures.
+    #[serde(skip)]
+    Departures(DeparturesFrame),
+    /// Reply to [`Frame::Departures`] with a number: the sender holds the departures.
+    DeparturesHeld {
+        /// Number of the request.
+        #[serde(rename = "a")]
+        ask: u64,
+    },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,9 +15,9 @@
 pub use codec::{CodecError, decode, encode};
 pub use fingerprints::request_fingerprints;
 pub use frame::{
-    Answer, BodyAnnouncement, BodyChunkFrame, CallFrame, CallingOrganisation, Envelope, Frame,
-    GuardedVerdict, Header, QuotaRequest, RequestHead, RolloutIdleFrame, RowDigestFrame, RowFrame,
-    RowKeysFrame, RowsFrame, RowsRequest,
+    Answer, BodyAnnouncement, BodyChunkFrame, CallFrame, CallingOrganisation, DeparturesFrame,
+    Envelope, Frame, GuardedVerdict, Header, QuotaRequest, RequestHead, RolloutIdleFrame,
+    RowDigestFrame, RowFrame, RowKeysFrame, RowsFrame, RowsRequest,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
 pub use settings_part::{SettingsPart, SettingsReply, SettingsRequest};
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -1,10 +1,10 @@
 //! Message encoding, rejection of malformed messages and authentication by the shared key.
 
 use lynxcleat_once::Incarnation;
-use lynxcleat_policy::{AttemptId, TargetLoad};
+use lynxcleat_policy::{AttemptId, Coverage, Departure, ReportedState, TargetLoad};
 use lynxcleat_wire::{
-    Answer, BodyChunkFrame, CodecError, Envelope, Frame, Header, Hello, HelloError,
-    PROTOCOL_VERSION, RowFrame, RowsFrame, SharedKey, Side, decode, encode,
+    Answer, BodyChunkFrame, CodecError, DeparturesFrame, Envelope, Frame, Header, Hello,
+    HelloError, PROTOCOL_VERSION, RowFrame, RowsFrame, SharedKey, Side, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -87,6 +87,36 @@
     }
 }
 
+/// A daemon of an earlier build decodes generation and frame alone, and refuses frames that it does
+/// not know, with the link.
+#[test]
+fn departures_are_a_beat_to_daemons_that_do_not_know_them() {
+    #[derive(serde::Deserialize)]
+    struct EarlierEnvelope {
+        #[serde(rename = "g")]
+        generation: u64,
+        #[serde(rename = "f")]
+        frame: Frame,
+    }
+    let envelope = Envelope {
+        generation: 7,
+        frame: Frame::Departures(DeparturesFrame {
+            ask: Some(3),
+            coverage: Some(Coverage::ALWAYS),
+            departures: vec![Departure {
+                host: "h".to_owned(),
+                instance: "i".to_owned(),
+                started_ms: Some(5),
+                state: ReportedState::Gone,
+            }],
+        }),
+    };
+    let bytes = encode(&envelope).expect("encodes");
+    assert_eq!(decode(&bytes).expect("decodes"), envelope);
+    let earlier: EarlierEnvelope = ciborium::from_reader(&bytes[..]).expect("decodes");
+    assert_eq!((earlier.generation, earlier.frame), (7, Frame::Beat));
+}
+
 #[test]
 fn truncated_messages_and_trailing_bytes_are_rejected() {
     let bytes = encode(&answer_envelope()).expect("encodes");
