A new bucket takes up where the lost one was: levels travel with grants and requests

Cause: the level was in the owner's memory alone; each new bucket, at the deputy and again at the owner that was back, began with half a second of the rate. Evidence: a model that replaces the bucket at once and drops the owner's lease with it shows the excess by itself.

Change: a grant tells what was left, a request what its sender saw last and how long ago.

--- a/crates/daemon/src/quota/ask.rs
+++ b/crates/daemon/src/quota/ask.rs
@@ -34,7 +34,7 @@
     tokio::spawn(async move {
         let grant = ask(&core, &named, request).await;
         let now = core.clock.now();
-        lock(&lease.lease).apply_grant(now, grant.tokens, grant.retry_after_us);
+        lock(&lease.lease).apply_grant(now, grant);
         lease.answered.notify_waiters();
     });
 }
@@ -52,7 +52,7 @@
         None => (None, "own-bucket"),
     };
     count(&core.metrics.quota_asks, outcome);
-    grant.unwrap_or_else(|| grant_locally(core, named, (request.tokens, request.returned)))
+    grant.unwrap_or_else(|| grant_locally(core, named, request))
 }
 
 /// Requests tokens from the owner, directly or through other owners, to avoid grants from a second
@@ -123,10 +123,12 @@
             unreachable: false,
             tokens,
             retry_after_us,
+            level,
             ..
         })) => AskOutcome::Granted(QuotaGrant {
             tokens,
             retry_after_us,
+            level,
         }),
         Ok(Some(_)) => AskOutcome::OwnerUnreachable,
         Ok(None) | Err(_) => {
@@ -151,6 +153,7 @@
             owner: owner.to_owned(),
             tokens: request.tokens,
             returned: request.returned,
+            seen: request.seen,
         })
     });
     asked.await.ok()
@@ -185,7 +188,14 @@
     let tree = in_force.as_ref().map(|in_force| &in_force.generation.tree);
     let named = tree.and_then(|tree| tree.organisation(&ask.organisation));
     let grant = match named {
-        Some(named) => grant_locally(core, named, (ask.tokens, ask.returned)),
+        Some(named) => {
+            let request = TokenRequest {
+                tokens: ask.tokens,
+                returned: ask.returned,
+                seen: ask.seen,
+            };
+            grant_locally(core, named, request)
+        }
         // The two daemons have different generations of the settings.
         None => QuotaGrant::default(),
     };
@@ -194,6 +204,7 @@
         tokens: grant.tokens,
         retry_after_us: grant.retry_after_us,
         unreachable: false,
+        level: grant.level,
     }
 }
 
@@ -205,6 +216,7 @@
         tokens: 0,
         retry_after_us: 0,
         unreachable: true,
+        level: None,
     };
     let Some(link) = owner_link else {
         return unreachable;
@@ -220,24 +232,27 @@
             tokens,
             retry_after_us,
             unreachable,
+            level,
             ..
         })) => Frame::Quota {
             ask: request.ask,
             tokens,
             retry_after_us,
             unreachable,
+            level,
         },
         _ => unreachable,
     }
 }
 
-fn grant_locally(core: &Core, named: &NamedOrganisation, wanted: (u32, u32)) -> QuotaGrant {
+fn grant_locally(core: &Core, named: &NamedOrganisation, request: TokenRequest) -> QuotaGrant {
     let Some(limit) = limit_of(&named.organisation) else {
         return QuotaGrant {
-            tokens: wanted.0,
+            tokens: request.tokens,
             retry_after_us: 0,
+            level: None,
         };
     };
     let share = owners::share(core);
-    core.quota.grant(&named.name, limit, share, wanted)
+    core.quota.grant(&named.name, limit, share, request)
 }
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::{BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit};
+use lynxcleat_policy::{
+    BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
+};
 use lynxcleat_settings::Organisation;
 use tokio::sync::Notify;
 
@@ -59,7 +61,7 @@
         organisation: &str,
         limit: QuotaLimit,
         share: f64,
-        (wanted, returned): (u32, u32),
+        request: TokenRequest,
     ) -> QuotaGrant {
         let now = self.clock.now();
         let mut buckets = lock(&self.buckets);
@@ -67,9 +69,9 @@
             Some(bucket) => bucket,
             None => buckets
                 .entry(organisation.to_owned())
-                .or_insert_with(|| QuotaBucket::new(limit, share, now)),
+                .or_insert_with(|| QuotaBucket::new(rand::random(), limit, share, now)),
         };
-        bucket.grant(now, limit, share, wanted, returned)
+        bucket.grant(now, limit, share, request)
     }
 
     pub(super) fn bucket_owners(&self) -> Arc<BucketOwners> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -90,8 +90,8 @@
     SuspectUpdate,
 };
 pub use quota::{
-    BucketOwners, LeaseOutcome, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
-    owner_count,
+    BucketLevel, BucketOwners, LeaseOutcome, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit,
+    SeenLevel, TokenRequest, owner_count,
 };
 pub use rate_limit::TargetRateLimiter;
 pub use reconnect::{ReconnectBackoff, ReconnectEvent};
--- a/crates/policy/src/quota/lease.rs
+++ b/crates/policy/src/quota/lease.rs
@@ -1,5 +1,6 @@
 //! Tokens of an organisation leased by one daemon.
 
+use super::bucket::{BucketLevel, QuotaGrant, SeenLevel};
 use crate::ids::Micros;
 
 /// Period of expected calls for which tokens are prefetched.
@@ -21,6 +22,8 @@
     pub tokens: u32,
     /// Unused tokens returned.
     pub returned: u32,
+    /// What the sender heard last of a bucket.
+    pub seen: Option<SeenLevel>,
 }
 
 /// Outcome of taking a token for a call.
@@ -59,6 +62,8 @@
     last_call_at: Micros,
     limited_until: Micros,
     retry_after_us: Micros,
+    /// Level that the last response told, and when.
+    level: Option<(BucketLevel, Micros)>,
 }
 
 impl QuotaLease {
@@ -87,13 +92,20 @@
             };
         }
         self.waiting += 1;
-        let request = (!self.is_request_pending).then(|| self.request(1 + self.expected_calls()));
+        let request =
+            (!self.is_request_pending).then(|| self.request(now, 1 + self.expected_calls()));
         LeaseOutcome::Wait { request }
     }
 
     /// Applies the response of the bucket.
-    pub fn apply_grant(&mut self, now: Micros, tokens: u32, retry_after_us: Micros) {
+    pub fn apply_grant(&mut self, now: Micros, grant: QuotaGrant) {
+        let QuotaGrant {
+            tokens,
+            retry_after_us,
+            level,
+        } = grant;
         self.is_request_pending = false;
+        self.level = level.map(|level| (level, now)).or(self.level);
         self.tokens = self.tokens.saturating_add(tokens);
         self.expires_at = now + LEASE_US;
         if tokens < self.waiting {
@@ -120,14 +132,19 @@
     fn prefetch(&mut self, now: Micros) -> Option<TokenRequest> {
         let expected = self.expected_calls();
         let is_due = self.tokens < expected / 2 && now >= self.limited_until;
-        (is_due && !self.is_request_pending).then(|| self.request(expected - self.tokens))
+        (is_due && !self.is_request_pending).then(|| self.request(now, expected - self.tokens))
     }
 
-    fn request(&mut self, tokens: u32) -> TokenRequest {
+    fn request(&mut self, now: Micros, tokens: u32) -> TokenRequest {
         self.is_request_pending = true;
+        let seen = self.level.map(|(level, at)| SeenLevel {
+            level,
+            age_us: now.saturating_sub(at),
+        });
         TokenRequest {
             tokens,
             returned: std::mem::take(&mut self.returned),
+            seen,
         }
     }
 }
--- a/crates/policy/src/quota/mod.rs
+++ b/crates/policy/src/quota/mod.rs
@@ -8,6 +8,6 @@
 mod lease;
 mod owners;
 
-pub use bucket::{QuotaBucket, QuotaGrant, QuotaLimit};
+pub use bucket::{BucketLevel, QuotaBucket, QuotaGrant, QuotaLimit, SeenLevel};
 pub use lease::{LeaseOutcome, QuotaLease, TokenRequest};
 pub use owners::{BucketOwners, owner_count};
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use lynxcleat_policy::{
-    BucketOwners, LeaseOutcome, Micros, QuotaBucket, QuotaLease, QuotaLimit, owner_count,
+    BucketOwners, LeaseOutcome, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit,
+    TokenRequest, owner_count,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -31,8 +32,10 @@
     limit: QuotaLimit,
     bucket: QuotaBucket,
     leases: Vec<QuotaLease>,
-    /// Responses in transit: arrival time, daemon, tokens, retry delay.
-    responses: VecDeque<(Micros, usize, u32, Micros)>,
+    /// Number of buckets so far.
+    buckets: u64,
+    /// Responses in transit: arrival time, daemon, grant.
+    responses: VecDeque<(Micros, usize, QuotaGrant)>,
     /// Waiting calls per daemon.
     waiting: Vec<u32>,
     ran_at: Vec<Micros>,
@@ -43,7 +46,8 @@
     fn new(limit: QuotaLimit, daemons: usize) -> Self {
         Fleet {
             limit,
-            bucket: QuotaBucket::new(limit, 1.0, 0),
+            bucket: QuotaBucket::new(0, limit, 1.0, 0),
+            buckets: 1,
             leases: vec![QuotaLease::default(); daemons],
             responses: VecDeque::new(),
             waiting: vec![0; daemons],
@@ -74,17 +78,25 @@
             }
         };
         if let Some(request) = request {
-            let (tokens, returned) = (request.tokens, request.returned);
-            let grant = self.bucket.grant(now, self.limit, 1.0, tokens, returned);
-            let response = (now + ROUND_TRIP, daemon, grant.tokens, grant.retry_after_us);
-            self.responses.push_back(response);
+            let grant = self.bucket.grant(now, self.limit, 1.0, request);
+            self.responses.push_back((now + ROUND_TRIP, daemon, grant));
         }
     }
 
+    /// The daemon that owns the bucket is killed, with its lease; another one starts a bucket.
+    fn lose_owner(&mut self, now: Micros, owner: usize) {
+        self.deliver(now);
+        self.leases[owner] = QuotaLease::default();
+        self.waiting[owner] = 0;
+        self.responses.retain(|(_, daemon, _)| *daemon != owner);
+        self.bucket = QuotaBucket::new(self.buckets, self.limit, 1.0, now);
+        self.buckets += 1;
+    }
+
     fn deliver(&mut self, now: Micros) {
         while self.responses.front().is_some_and(|(at, ..)| *at <= now) {
-            let (at, daemon, tokens, retry_after_us) = self.responses.pop_front().expect("one");
-            self.leases[daemon].apply_grant(at, tokens, retry_after_us);
+            let (at, daemon, grant) = self.responses.pop_front().expect("one");
+            self.leases[daemon].apply_grant(at, grant);
             for _ in 0..std::mem::take(&mut self.waiting[daemon]) {
                 self.take(at, daemon);
             }
@@ -169,6 +181,69 @@
     );
 }
 
+/// The daemon that owns the bucket is killed again and again; each time another bucket takes its
+/// place, and one more when the owner is back. New buckets that knew nothing gave out half a second
+/// of the rate each time.
+fn run_load_with_kills(fleet: &mut Fleet, per_s: u64, seconds: u64, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (mut now, mut next_loss) = (0, 2 * SECOND);
+    while now < seconds * SECOND {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / per_s as f64;
+        now += (gap * SECOND as f64) as Micros + 1;
+        if now >= next_loss {
+            let owner = rng.random_range(0..fleet.leases.len());
+            fleet.lose_owner(now, owner);
+            next_loss += rng.random_range(SECOND / 2..3 * SECOND / 2);
+        }
+        let daemon = rng.random_range(0..fleet.leases.len());
+        fleet.call(now, daemon);
+    }
+    fleet.deliver(now + SECOND);
+}
+
+#[rstest]
+#[case::few_daemons(100, 50, 5)]
+#[case::ten_daemons(100, 50, 10)]
+#[case::sixty_daemons(264, 264, 60)]
+#[case::three_hundred_daemons(300, 300, 300)]
+fn kills_of_the_owner_give_an_organisation_no_more_than_its_quota(
+    #[case] rate: u64,
+    #[case] burst: u64,
+    #[case] daemons: usize,
+) {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(limit(rate, burst), daemons);
+        run_load_with_kills(&mut fleet, rate * 3, 20, seed);
+        let most = fleet.busiest_window() as f64;
+        assert!(
+            most <= fleet.allowed(),
+            "seed {seed}: {most} of {}",
+            fleet.allowed()
+        );
+        let ran = fleet.ran_at.len() as f64;
+        assert!(ran >= rate as f64 * 20.0 * 0.9, "seed {seed}: {ran} ran");
+    }
+}
+
+#[rstest]
+#[case::few_daemons(100, 50, 5)]
+#[case::ten_daemons(100, 50, 10)]
+#[case::sixty_daemons(264, 264, 60)]
+#[case::three_hundred_daemons(300, 300, 300)]
+fn kills_of_the_owner_leave_calls_within_the_quota_served(
+    #[case] rate: u64,
+    #[case] burst: u64,
+    #[case] daemons: usize,
+) {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(limit(rate, burst), daemons);
+        run_load_with_kills(&mut fleet, rate * 8 / 10, 20, seed);
+        let all = fleet.ran_at.len() + fleet.refused;
+        let served = fleet.ran_at.len() as f64 / all as f64;
+        assert!(served >= 0.97, "seed {seed}: {served}");
+    }
+}
+
 #[test]
 fn a_lowered_limit_applies_after_one_window() {
     let mut fleet = Fleet::new(limit(1_000, 1_000), 62);
@@ -193,7 +268,13 @@
         lease.take(0),
         LeaseOutcome::Wait { request: Some(_) }
     ));
-    lease.apply_grant(0, 10, 0);
+    lease.apply_grant(
+        0,
+        QuotaGrant {
+            tokens: 10,
+            ..QuotaGrant::default()
+        },
+    );
     assert!(matches!(lease.take(0), LeaseOutcome::Taken { .. }));
     let LeaseOutcome::Wait {
         request: Some(request),
@@ -226,10 +307,15 @@
 #[test]
 fn retry_times_of_refused_callers_are_spaced_at_the_rate() {
     let limit = limit(10, 1);
-    let mut bucket = QuotaBucket::new(limit, 1.0, 0);
-    bucket.grant(0, limit, 1.0, 1, 0);
+    let mut bucket = QuotaBucket::new(0, limit, 1.0, 0);
+    let one = TokenRequest {
+        tokens: 1,
+        returned: 0,
+        seen: None,
+    };
+    bucket.grant(0, limit, 1.0, one);
     let waits: Vec<Micros> = (0..4)
-        .map(|_| bucket.grant(0, limit, 1.0, 1, 0).retry_after_us)
+        .map(|_| bucket.grant(0, limit, 1.0, one).retry_after_us)
         .collect();
     let are_spaced = waits.windows(2).all(|pair| pair[0] + 90_000 <= pair[1]);
     assert!(are_spaced && waits[0] >= 90_000, "{waits:?}");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,9 +2,9 @@
 
 use lynxcleat_once::{FenceReply, Operation, Ticket};
 use lynxcleat_policy::{
-    AttemptId, CallKind, Coverage, Departure, Elsewhere, Homes, NotRunReason, OfferShare, Refusal,
-    RolloutUpdate, SuspectUpdate, TargetEvidence, TargetExitId, TargetLoad, TargetNotice,
-    ZoneUpdate,
+    AttemptId, BucketLevel, CallKind, Coverage, Departure, Elsewhere, Homes, NotRunReason,
+    OfferShare, Refusal, RolloutUpdate, SeenLevel, SuspectUpdate, TargetEvidence, TargetExitId,
+    TargetLoad, TargetNotice, ZoneUpdate,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -138,6 +138,9 @@
     /// Unused tokens returned.
     #[serde(rename = "r", default)]
     pub returned: u32,
+    /// What the sender heard last of a bucket.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub seen: Option<SeenLevel>,
 }
 
 /// Announces a streamed body.
@@ -465,6 +468,9 @@
         /// Whether the request could not be forwarded to the owner, so no tokens were granted.
         #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
         unreachable: bool,
+        /// Level of the bucket after the grant.
+        #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+        level: Option<BucketLevel>,
     },
     /// Requests changes to the member table.
     AskRows(RowsRequest),
