Members stand in for watchers that were lost, and hear every two seconds that the store answers

Cause: a daemon knew from its rank alone that others watch, and the rows of lost members keep their ranks. Followers waited in calls of 15 s that a silent connection never ends. Found with it: watchers ask each second and told their neighbours only of answers two seconds after the last, so never.

Change: a follower that hears of no answer for 4 s (0.25 s more for each rank) stands in, until it hears of a later poll by a member before it. Neighbours are told every two seconds, with the rank of the first member that polls; 8 bytes more in a message that exists.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -44,7 +44,12 @@
 
     /// Microseconds since the start.
     pub fn now(&self) -> Micros {
-        self.elapsed().as_micros() as Micros
+        self.since_start().as_micros() as Micros
+    }
+
+    /// Time since the start.
+    pub fn since_start(&self) -> Duration {
+        (self.read)().saturating_sub(self.start)
     }
 
     /// Milliseconds since 1970.
@@ -61,11 +66,8 @@
 
     /// How long the host was suspended since the start.
     pub fn suspended(&self) -> Duration {
-        self.elapsed().saturating_sub(self.steady_start.elapsed())
-    }
-
-    fn elapsed(&self) -> Duration {
-        (self.read)().saturating_sub(self.start)
+        self.since_start()
+            .saturating_sub(self.steady_start.elapsed())
     }
 }
 
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -28,6 +28,8 @@
 const SETTINGS_GATHER: Duration = Duration::from_millis(30);
 /// Longest time until a daemon that listens looks at its duty again: ranks change.
 const DUTY_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between two looks at whether this daemon has to stand in during a long poll.
+const STAND_IN_PAUSE: Duration = Duration::from_millis(250);
 /// Least time before the members are read where the whole deployment starts: by then most
 /// targets have said that they are ready, and one reading finds nearly all rows.
 const FIRST_START_QUIET: Duration = Duration::from_millis(2_000);
@@ -132,6 +134,14 @@
     }
 }
 
+/// Returns once this daemon has to stand in for the watchers. A long poll on a connection that
+/// fell silent does not end by itself.
+async fn stand_in_due(core: &Core, directory: &DirectoryState, watch: Duration) {
+    while directory.duty(core, watch) != FeedRole::StandIn {
+        tokio::time::sleep(STAND_IN_PAUSE).await;
+    }
+}
+
 /// Why a feed brought nothing.
 enum FeedError {
     /// The store failed.
@@ -210,17 +220,14 @@
         if self.is_unknown() {
             return None;
         }
-        let mut listened = false;
         loop {
             match self.directory.duty(self.core, self.watch) {
-                FeedRole::Follow { wait } => {
-                    if listened {
-                        self.step_in();
-                    }
-                    return wait;
+                FeedRole::Follow { wait } => return wait,
+                FeedRole::StandIn => {
+                    self.step_in();
+                    return Some(self.watch);
                 }
                 FeedRole::Listen(left) => {
-                    listened = true;
                     tokio::select! {
                         () = tokio::time::sleep(left.min(DUTY_PAUSE)) => {}
                         _ = self.doubted.changed() => return Some(Duration::ZERO),
@@ -238,8 +245,12 @@
         }
     }
 
-    fn step_in(&self) {
+    /// Stands in for the watchers. The other feed may be in a long poll, which is doubted.
+    fn step_in(&mut self) {
         self.core.metrics.store_steps_in.inc();
+        lock(&self.directory.stand_in).begin(self.core.clock.since_start());
+        self.directory.doubt_feeds();
+        self.doubted.mark_unchanged();
         log::info!(
             feed = self.names.feed,
             silence_ms = self.directory.silence(self.core).as_millis() as u64,
@@ -301,6 +312,9 @@
                         return Err(FeedError::Doubted);
                     }
                 }
+                () = stand_in_due(self.core, self.directory, self.watch), if !answering.has_started() => {
+                    return Err(FeedError::Doubted);
+                }
             }
         }
     }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -55,6 +55,7 @@
                 rank: core.hosts.rank(&core.config.host),
                 has_peers: self.neighbours.any(),
                 silence: self.silence(core),
+                stands_in: lock(&self.stand_in).is_active(),
             },
             watch,
         )
--- a/crates/daemon/src/directory/spread.rs
+++ b/crates/daemon/src/directory/spread.rs
@@ -11,9 +11,11 @@
 use lynxcleat_policy::Micros;
 use lynxcleat_store::{
     DeltaOutcome, Follower, KeyReply, KeyRequest, Missing, RowDelta, RowDigest, RowVersion,
-    StoredRow,
+    StoredRow, WatcherPoll,
+};
+use lynxcleat_wire::{
+    Frame, RowDigestFrame, RowFrame, RowKeysFrame, RowsFrame, RowsRequest, WatcherPollFrame,
 };
-use lynxcleat_wire::{Frame, RowDigestFrame, RowFrame, RowKeysFrame, RowsFrame, RowsRequest};
 use serde_bytes::ByteBuf;
 
 use super::state::DirectoryState;
@@ -23,10 +25,6 @@
 use crate::metrics::count;
 use crate::sync::lock;
 
-/// Gain in how lately the store was heard that is passed on without other news: a third of
-/// the silence after which others ask the store.
-const PASSED_ON: Duration = Duration::from_secs(2);
-
 /// Takes changes of members from a neighbour.
 pub fn take_rows(core: &Arc<Core>, link: &Arc<Link>, frame: RowsFrame) {
     let Some(directory) = &core.directory else {
@@ -34,6 +32,9 @@
     };
     let is_new = frame.wanted && directory.neighbours.mark_wanted_by_peer(link);
     let told_at = core.clock.now().saturating_sub(frame.age_ms * 1_000);
+    if let Some(poll) = frame.poll {
+        take_poll(core, directory, poll);
+    }
     let theirs = frame.through;
     let (before, taken, through) = {
         let mut members = lock(&directory.members);
@@ -41,15 +42,12 @@
         let taken = take_frame(&mut members, frame);
         (before, taken, members.through())
     };
-    let gained = match through >= theirs {
-        true => directory.hear(told_at),
-        false => Duration::ZERO,
-    };
+    let is_due = through >= theirs && directory.hear(told_at);
     let has_news = !taken.changed.is_empty();
     publish::take_key(directory, &taken.changed);
     quarantined::take(core, &taken.changed);
     member::take(core, directory, taken.changed);
-    if has_news || through > before || gained >= PASSED_ON {
+    if has_news || through > before || is_due {
         tell(core, directory, before, Some(link.id));
     }
     if let Some(missing) = taken.missing {
@@ -147,12 +145,40 @@
     let _ = link.send(Frame::Rows(RowsFrame { wanted, ..frame }));
 }
 
+/// A peer knows of a poll of the store; see [`StandIn`].
+fn take_poll(core: &Core, directory: &DirectoryState, poll: WatcherPollFrame) {
+    let age = Duration::from_millis(poll.age_ms);
+    let poll = WatcherPoll {
+        rank: poll.rank as usize,
+        at: core.clock.since_start().saturating_sub(age),
+    };
+    let own = core.hosts.rank(&core.config.host);
+    if lock(&directory.stand_in).record(own, poll) {
+        log::info!(rank = poll.rank, own; "store watched by a member before this one");
+    }
+}
+
+fn poll_frame(core: &Core, directory: &DirectoryState) -> Option<WatcherPollFrame> {
+    let now = core.clock.since_start();
+    let poll = lock(&directory.stand_in).first_poll(now)?;
+    let age = now.saturating_sub(poll.at);
+    Some(WatcherPollFrame {
+        rank: poll.rank as u32,
+        age_ms: age.as_millis() as u64,
+    })
+}
+
 /// The store answered a call that was made at some time; neighbours hear of it, and of what
 /// changed after `before`.
 pub(super) fn heard(core: &Core, directory: &DirectoryState, at: Micros, before: RowVersion) {
-    let gained = directory.hear(at);
+    if directory.watches_settings(core) {
+        let rank = core.hosts.rank(&core.config.host);
+        let at = core.clock.since_start();
+        lock(&directory.stand_in).record(rank, WatcherPoll { rank, at });
+    }
+    let is_due = directory.hear(at);
     let through = lock(&directory.members).through();
-    if through > before || gained >= PASSED_ON {
+    if through > before || is_due {
         tell(core, directory, before, None);
     }
 }
@@ -164,6 +190,7 @@
         through: delta.through,
         wanted: false,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        poll: poll_frame(core, directory),
         rows: delta.rows.into_iter().map(row_frame).collect(),
         digest: delta.digest.map(|digest| RowDigestFrame {
             through: digest.through,
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -7,7 +7,7 @@
 
 use lynxcleat_policy::{Departures, EvacuatedZones, Greetings, History, Micros};
 use lynxcleat_settings::Tree;
-use lynxcleat_store::{Follower, OwnedRow, RowStore};
+use lynxcleat_store::{Follower, OwnedRow, RowStore, StandIn};
 use lynxcleat_wire::SharedKey;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
@@ -19,6 +19,10 @@
 /// Table of the members and the key.
 pub(super) const TABLE: &str = "lynxcleat";
 
+/// How much later the store was heard than neighbours were told before they are told again without
+/// other news. Watchers hear it each second, so neighbours are told every two.
+const PASSED_ON: Duration = Duration::from_millis(1_500);
+
 /// A link over which changes of the members are exchanged while either side wants it.
 struct Neighbour {
     link: Arc<Link>,
@@ -176,6 +180,10 @@
     /// When the store last answered somebody who follows it, as far as is known here, by
     /// this daemon's clock; the start of the daemon before that.
     pub(super) heard_at: AtomicU64,
+    /// The latest of these times that this daemon told its neighbours.
+    pub(super) told_at: AtomicU64,
+    /// Whether this daemon stands in for watchers that were lost.
+    pub(super) stand_in: Mutex<StandIn>,
     pub(super) neighbours: Neighbours,
     pub(super) evacuations: Mutex<EvacuatedZones>,
     /// Incarnations of targets that leave, of this host and of others.
@@ -208,6 +216,8 @@
             members: Mutex::default(),
             settings: Mutex::default(),
             heard_at: AtomicU64::new(0),
+            told_at: AtomicU64::new(0),
+            stand_in: Mutex::default(),
             neighbours: Neighbours::default(),
             evacuations: Mutex::default(),
             departures: Mutex::new(Departures::new(host)),
@@ -227,11 +237,16 @@
         self.neighbours.has(link)
     }
 
-    /// The store answered at some time. Returns by how much that is later than what was
-    /// known.
-    pub(super) fn hear(&self, at: Micros) -> Duration {
-        let before = self.heard_at.fetch_max(at, Ordering::Relaxed);
-        Duration::from_micros(at.saturating_sub(before))
+    /// The store answered at some time. Returns whether that is enough later than what the
+    /// neighbours were told to tell them.
+    pub(super) fn hear(&self, at: Micros) -> bool {
+        self.heard_at.fetch_max(at, Ordering::Relaxed);
+        let told_at = self.told_at.load(Ordering::Relaxed);
+        let is_due = Duration::from_micros(at.saturating_sub(told_at)) >= PASSED_ON;
+        if is_due {
+            self.told_at.fetch_max(at, Ordering::Relaxed);
+        }
+        is_due
     }
 
     /// Availability zones that are evacuated, as far as is known here.
--- a/crates/load/src/spread.rs
+++ b/crates/load/src/spread.rs
@@ -185,9 +185,10 @@
             rank: member.rank,
             has_peers: !member.links.is_empty(),
             silence: Duration::from_micros(self.now_us - member.heard_us),
+            stands_in: false,
         };
         let (after_us, what) = match feed_role(standing, WATCH) {
-            FeedRole::Follow { .. } => (STORE_US, What::Answered),
+            FeedRole::Follow { .. } | FeedRole::StandIn => (STORE_US, What::Answered),
             FeedRole::Listen(left) => (left.as_micros() as u64, What::Look),
         };
         self.queue
@@ -271,6 +272,7 @@
             rank: *rank,
             has_peers: true,
             silence: Duration::ZERO,
+            stands_in: false,
         };
         matches!(feed_role(standing, WATCH), FeedRole::Follow { .. })
     };
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use client::{Platform, PlatformBuilder};
 pub use error::{AcceptError, PlatformError};
-pub use feed_role::{FeedRole, MemberStatus, feed_role};
+pub use feed_role::{FeedRole, MemberStatus, StandIn, WatcherPoll, feed_role};
 pub use follower::{FeedRequest, Follower};
 pub use owned_row::OwnedRow;
 pub use row_store::{
--- a/crates/store/tests/feed_role.rs
+++ b/crates/store/tests/feed_role.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lynxcleat_store::{FeedRole, Follower, MemberStatus, feed_role};
+use lynxcleat_store::{FeedRole, Follower, MemberStatus, StandIn, WatcherPoll, feed_role};
 
 const WATCH: Duration = Duration::from_secs(1);
 
@@ -11,6 +11,7 @@
         rank,
         has_peers: true,
         silence,
+        stands_in: false,
     }
 }
 
@@ -59,7 +60,7 @@
 fn non_followers_query_the_store_in_rank_order_after_a_silence() {
     let queries_store = |rank, silence| {
         let role = feed_role(status(rank, silence), WATCH);
-        matches!(role, FeedRole::Follow { .. })
+        role == FeedRole::StandIn
     };
     let querying = |silence| {
         (8..300)
@@ -80,7 +81,7 @@
         };
         let silence_at_end = Duration::from_secs(2) + remaining;
         let role = feed_role(status(rank, silence_at_end), WATCH);
-        assert!(matches!(role, FeedRole::Follow { wait: Some(_) }));
+        assert_eq!(role, FeedRole::StandIn);
     }
 }
 
@@ -91,6 +92,7 @@
             rank: 290,
             has_peers: false,
             silence,
+            stands_in: false,
         };
         feed_role(status, WATCH)
     };
@@ -100,6 +102,66 @@
     ));
     assert!(matches!(
         without_peers(Duration::from_millis(2_001)),
-        FeedRole::Follow { .. }
+        FeedRole::StandIn
     ));
 }
+
+/// Guards against a fleet that nobody watches: the rows of two lost watchers keep the first two
+/// ranks, and the long polls of the other followers do not end on connections that fell silent.
+#[test]
+fn a_follower_stands_in_for_watchers_that_are_not_heard_of() {
+    let role = |rank, seconds| feed_role(status(rank, Duration::from_secs_f64(seconds)), WATCH);
+    assert_eq!(role(2, 3.9), FeedRole::Follow { wait: None });
+    assert_eq!(role(2, 4.0), FeedRole::StandIn);
+    assert_eq!(role(3, 4.2), FeedRole::Follow { wait: None });
+    assert_eq!(role(3, 4.25), FeedRole::StandIn);
+    let standing_in = MemberStatus {
+        stands_in: true,
+        ..status(2, Duration::ZERO)
+    };
+    let polls = FeedRole::Follow { wait: Some(WATCH) };
+    assert_eq!(
+        feed_role(standing_in, WATCH),
+        polls,
+        "though its own polls end the silence"
+    );
+}
+
+#[test]
+fn a_member_stands_in_until_one_before_it_polls() {
+    let at = Duration::from_secs;
+    let mut stand_in = StandIn::default();
+    let poll = |rank, seconds| WatcherPoll {
+        rank,
+        at: at(seconds),
+    };
+    stand_in.record(2, poll(0, 10));
+    stand_in.begin(at(14));
+    assert!(
+        !stand_in.record(2, poll(0, 10)),
+        "a report of a poll before it was lost"
+    );
+    assert!(!stand_in.record(2, poll(2, 20)), "its own");
+    assert!(!stand_in.record(2, poll(5, 20)), "one after it");
+    assert!(stand_in.is_active());
+    assert!(stand_in.record(2, poll(1, 21)));
+    assert!(!stand_in.is_active());
+}
+
+#[test]
+fn the_poll_of_the_first_member_is_reported_until_it_is_old() {
+    let at = Duration::from_secs;
+    let mut stand_in = StandIn::default();
+    let poll = |rank, seconds| WatcherPoll {
+        rank,
+        at: at(seconds),
+    };
+    stand_in.record(4, poll(1, 1));
+    stand_in.record(4, poll(2, 5));
+    assert_eq!(stand_in.first_poll(at(6)), Some(poll(1, 1)));
+    stand_in.record(4, poll(1, 3));
+    assert_eq!(stand_in.first_poll(at(6)), Some(poll(1, 3)));
+    assert_eq!(stand_in.first_poll(at(18)), None, "it may be lost");
+    stand_in.record(4, poll(2, 19));
+    assert_eq!(stand_in.first_poll(at(20)), Some(poll(2, 19)));
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -260,6 +260,9 @@
     /// Time since the store last answered a daemon that follows it, in milliseconds.
     #[serde(rename = "o")]
     pub age_ms: u64,
+    /// A poll of the store by a watcher.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub poll: Option<WatcherPollFrame>,
     /// Changed rows.
     #[serde(
         rename = "r",
@@ -276,6 +279,17 @@
     pub keys: Option<RowKeysFrame>,
 }
 
+/// A poll of the store by the first member that watches it, as far as the sender knows.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WatcherPollFrame {
+    /// Rank of the member.
+    #[serde(rename = "r")]
+    pub rank: u32,
+    /// Time since the store answered, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
 /// The keys of the member table in the buckets that differ.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RowKeysFrame {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 pub use frame::{
     Answer, BodyAnnouncement, BodyChunkFrame, CallFrame, CallingOrganisation, DeparturesFrame,
     Envelope, Frame, GuardedVerdict, Header, QuotaRequest, RequestHead, RolloutIdleFrame,
-    RowDigestFrame, RowFrame, RowKeysFrame, RowsFrame, RowsRequest,
+    RowDigestFrame, RowFrame, RowKeysFrame, RowsFrame, RowsRequest, WatcherPollFrame,
 };
 pub use hello::{Hello, HelloError, PROTOCOL_VERSION, Proof, SharedKey, Side};
 pub use settings_part::{SettingsPart, SettingsReply, SettingsRequest};
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -210,6 +210,7 @@
             through: count,
             wanted: true,
             age_ms: 5,
+            poll: None,
             rows,
             digest: None,
             keys: None,
