A test of a call's wait counts waits of the order of the call before it

daemon/pipelining the_wait_for_its_turn_is_part_of_the_time_of_a_call failed once in a whole run beside load (load average 22 on 8 cores): two waits counted for one. A call that begins 1 ms or more after it was read counts as one that waited, and on a busy host the first call did.

--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -177,7 +177,11 @@
     let reply = read_answer(&mut stream);
     assert_eq!((reply.status, &*reply.outcome()), (503, "not-run"));
     assert_eq!(*EVENTS.lock().expect("events"), ["begin /before"]);
-    assert_eq!(worker.metric("lynxcleat_turn_wait_seconds_count"), 1.0);
+    // On a busy host the first call may begin some milliseconds after it was read; only the other
+    // waits for a time of the order of the one before it.
+    let waits = worker.metric("lynxcleat_turn_wait_seconds_count");
+    let short = worker.metric("lynxcleat_turn_wait_seconds_bucket{le=\"0.064\"}");
+    assert_eq!(waits - short, 1.0);
 }
 
 /// The route in force says what has effects, whatever the method says.
