--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -143,6 +143,17 @@
         links
     }
 
+    /// Links over which news pass from neighbour to neighbour: those to neighbours, or all where
+    /// none stands. Each daemon passes on what is news to it, so that all hear of it.
+    pub fn neighbour_links(&self) -> Vec<Arc<Link>> {
+        let directory = self.directory.as_ref();
+        let neighbours = directory.map_or_else(Vec::new, DirectoryState::neighbour_links);
+        match neighbours.is_empty() {
+            true => self.links.all(),
+            false => neighbours,
+        }
+    }
+
     /// A number for a new call.
     pub fn new_call_id(&self) -> CallId {
         CallId(self.calls.fetch_add(1, Ordering::Relaxed))
--- a/crates/daemon/src/directory/apply.rs
+++ b/crates/daemon/src/directory/apply.rs
@@ -14,7 +14,18 @@
     if taken != ReportEffect::Changed {
         return false;
     }
-    log::info!(instance = instance.as_str(), state:? = state, sequence:?, started_ms:?, cold_ms; "target reported");
+    let in_force = core
+        .half
+        .with_reports(|reports| reports.current().map(|target| target.state));
+    log::info!(
+        instance = instance.as_str(),
+        state:? = state,
+        in_force:? = in_force.flatten(),
+        sequence:?,
+        started_ms:?,
+        cold_ms;
+        "target reported"
+    );
     core.apply_target();
     true
 }
--- a/crates/daemon/src/directory/departures/acknowledge.rs
+++ b/crates/daemon/src/directory/departures/acknowledge.rs
@@ -35,6 +35,31 @@
     Withheld,
 }
 
+/// What knows a departure besides this process.
+enum Holder {
+    Store,
+    /// So many peers.
+    Peers(usize),
+    Nobody,
+}
+
+impl Holder {
+    fn name(&self) -> &'static str {
+        match self {
+            Holder::Store => "store",
+            Holder::Peers(_) => "peers",
+            Holder::Nobody => "nobody",
+        }
+    }
+
+    fn peers(&self) -> usize {
+        match self {
+            Holder::Peers(peers) => *peers,
+            Holder::Store | Holder::Nobody => 0,
+        }
+    }
+}
+
 /// What a report says of a target that leaves; nothing where it is ready.
 pub fn of_report(core: &Core, report: &TargetReport) -> Option<Departure> {
     if report.state == ReportedState::Ready {
@@ -61,70 +86,56 @@
     lock(&directory.departures).record(departure.clone());
     member::want_own(core);
     let begun = Instant::now();
-    let (acknowledgement, by, holders) = match stored_within(directory, &departure).await {
-        true => (Acknowledgement::Given, "store", 0),
-        false => held_by_others(core, directory, &departure, begun).await,
+    let holder = match tokio::time::timeout(STORE_WAIT, stored(directory, &departure)).await {
+        Ok(()) => Holder::Store,
+        Err(_) => held_by_others(core, directory, &departure, begun).await,
     };
-    count(&core.metrics.departure_answers, by);
+    count(&core.metrics.departure_answers, holder.name());
     log::info!(
         instance = departure.instance.as_str(),
         started_ms:? = departure.started_ms,
         state:? = departure.state,
-        by,
-        holders,
+        by = holder.name(),
+        peers = holder.peers(),
         waited_ms = begun.elapsed().as_millis() as u64;
         "departure answered"
     );
-    acknowledgement
+    match holder {
+        Holder::Store | Holder::Peers(_) => Acknowledgement::Given,
+        Holder::Nobody => Acknowledgement::Withheld,
+    }
 }
 
-async fn stored_within(directory: &DirectoryState, departure: &Departure) -> bool {
-    let stored = async {
-        loop {
-            let settled = directory.settled.notified();
-            tokio::pin!(settled);
-            settled.as_mut().enable();
-            if lock(&directory.departures).is_stored(departure) {
-                return;
-            }
-            settled.await;
-        }
-    };
-    tokio::time::timeout(STORE_WAIT, stored).await.is_ok()
+async fn stored(directory: &DirectoryState, departure: &Departure) {
+    let is_stored = || lock(&directory.departures).is_stored(departure);
+    directory.settled_when(is_stored).await;
 }
 
-/// Asks peers to hold a departure, and waits for them or the store. Returns the answer for the
-/// target, what gave it, and the number of peers that hold the departure.
+/// Asks peers to hold a departure, and waits for them or the store.
 async fn held_by_others(
     core: &Core,
     directory: &DirectoryState,
     departure: &Departure,
     begun: Instant,
-) -> (Acknowledgement, &'static str, usize) {
+) -> Holder {
     let mut asks = ask_peers(core, directory, departure);
     let needed = needed_holders(asks.len());
-    let mut holders = 0;
+    let mut peers = 0;
     loop {
-        let settled = directory.settled.notified();
-        tokio::pin!(settled);
-        settled.as_mut().enable();
-        if lock(&directory.departures).is_stored(departure) {
-            return (Acknowledgement::Given, "store", holders);
-        }
         let is_over = asks.is_empty() || begun.elapsed() >= PEERS_WAIT;
-        if holders >= needed && is_over {
-            return (Acknowledgement::Given, "peers", holders);
+        if peers >= needed && is_over {
+            return Holder::Peers(peers);
         }
         if begun.elapsed() >= ANSWER_LIMIT {
-            return (Acknowledgement::Withheld, "nobody", holders);
+            return Holder::Nobody;
         }
         let next_look = match begun.elapsed() < PEERS_WAIT {
             true => begun + PEERS_WAIT,
             false => begun + ANSWER_LIMIT,
         };
         tokio::select! {
-            Some(held) = asks.join_next() => holders += usize::from(held.unwrap_or(false)),
-            () = settled => {}
+            Some(held) = asks.join_next() => peers += usize::from(held.unwrap_or(false)),
+            () = stored(directory, departure) => return Holder::Store,
             () = tokio::time::sleep_until(next_look) => {}
         }
     }
--- a/crates/daemon/src/directory/departures/spread.rs
+++ b/crates/daemon/src/directory/departures/spread.rs
@@ -25,7 +25,7 @@
         state: ReportedState::Draining,
     };
     if lock(&directory.departures).record(departure.clone()) == RecordOutcome::Added {
-        pass_on(directory, core, vec![departure], None);
+        pass_on(core, vec![departure], None);
     }
 }
 
@@ -72,7 +72,7 @@
         history::take_greeting(core, directory, &link.peer.host, coverage);
     }
     if !news.is_empty() {
-        pass_on(directory, core, news, Some(link.id));
+        pass_on(core, news, Some(link.id));
     }
     if let Some(ask) = frame.ask.filter(|_| holds_all) {
         let _ = link.send(Frame::DeparturesHeld { ask });
@@ -89,7 +89,7 @@
     let mut news = Vec::new();
     let mut holds_all = true;
     for departure in departures {
-        if member::stored_departures(directory, &departure.host).contains(&departure) {
+        if member::is_stored(directory, &departure) {
             continue;
         }
         match lock(&directory.departures).record(departure.clone()) {
@@ -123,18 +123,17 @@
 }
 
 /// Passes news on to neighbours, which do the same.
-fn pass_on(directory: &DirectoryState, core: &Core, news: Vec<Departure>, from: Option<u64>) {
+fn pass_on(core: &Core, news: Vec<Departure>, from: Option<u64>) {
     let frame = Frame::Departures(DeparturesFrame {
         ask: None,
         coverage: None,
         departures: news,
     });
-    let neighbours = directory.neighbour_links();
-    let links = match neighbours.is_empty() {
-        true => core.links.all(),
-        false => neighbours,
-    };
-    for link in links.iter().filter(|link| Some(link.id) != from) {
+    for link in core
+        .neighbour_links()
+        .iter()
+        .filter(|link| Some(link.id) != from)
+    {
         let _ = link.send(frame.clone());
     }
 }
--- a/crates/daemon/src/directory/departures/store.rs
+++ b/crates/daemon/src/directory/departures/store.rs
@@ -10,6 +10,7 @@
 
 use crate::core::Core;
 use crate::directory::member;
+use crate::directory::state::DirectoryState;
 use crate::metrics::count;
 use crate::sync::lock;
 
@@ -32,16 +33,28 @@
         if !lock(&directory.departures).is_unstored(&departure) {
             return;
         }
-        if let Some(write) = member::write_with(directory, &departure) {
-            count(&core.metrics.store_calls, "departure");
-            match directory.store().write(write).await {
-                Ok(_) => {
-                    log::info!(host = departure.host.as_str(), instance = departure.instance.as_str(); "departure stored for its host");
-                    return lock(&directory.departures).record_stored(departure);
-                }
-                Err(error) => log::debug!("departure of {}: {error}", departure.host),
-            }
+        if member::is_stored(directory, &departure) || write(&core, directory, &departure).await {
+            return lock(&directory.departures).record_stored(departure);
         }
         pause = (pause * 2).min(LONGEST_STORE_PAUSE);
     }
 }
+
+/// Adds the departure to the row of its host. Returns whether the store has taken it.
+async fn write(core: &Core, directory: &DirectoryState, departure: &Departure) -> bool {
+    let Some(write) = member::write_with(directory, departure) else {
+        return false;
+    };
+    count(&core.metrics.store_calls, "departure");
+    let host = departure.host.as_str();
+    match directory.store().write(write).await {
+        Ok(_) => {
+            log::info!(host, instance = departure.instance.as_str(); "departure stored for its host");
+            true
+        }
+        Err(error) => {
+            log::debug!("departure of {host}: {error}");
+            false
+        }
+    }
+}
--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -41,6 +41,16 @@
     state: ReportedState,
 }
 
+impl From<&Departure> for Departed {
+    fn from(departure: &Departure) -> Self {
+        Departed {
+            instance: departure.instance.clone(),
+            started_ms: departure.started_ms,
+            state: departure.state,
+        }
+    }
+}
+
 impl Member {
     /// All departures that the row tells of.
     fn departures(&self) -> Vec<Departure> {
@@ -64,6 +74,11 @@
             })
             .collect()
     }
+
+    fn tells_of(&self, departure: &Departure) -> bool {
+        let departures = self.departures();
+        departures.iter().any(|known| known.is_same(departure))
+    }
 }
 
 /// The row of this daemon, of which nothing is known yet.
@@ -104,46 +119,36 @@
     let departures = lock(&directory.departures);
     let others = departures
         .own()
-        .filter(|departure| departure.instance != target.instance);
-    let departed = others.map(|departure| Departed {
-        instance: departure.instance.clone(),
-        started_ms: departure.started_ms,
-        state: departure.state,
-    });
+        .filter(|departure| !departure.is_of(&target.instance, target.started_ms));
     Some(Member {
         entry,
-        departed: departed.collect(),
+        departed: others.map(Departed::from).collect(),
         instance: target.instance,
         started_ms: target.started_ms,
     })
 }
 
-/// The departures that the stored row of a host tells of, as far as it is known here.
-pub(super) fn stored_departures(directory: &DirectoryState, host: &str) -> Vec<Departure> {
+/// Whether the row of a host tells of a departure, as far as it is known here.
+pub(super) fn is_stored(directory: &DirectoryState, departure: &Departure) -> bool {
     let members = lock(&directory.members);
-    let row = members.replica().row(&format!("{MEMBER}{host}"));
+    let row = members
+        .replica()
+        .row(&format!("{MEMBER}{}", departure.host));
     row.and_then(read)
-        .map_or_else(Vec::new, |member| member.departures())
+        .is_some_and(|member| member.tells_of(departure))
 }
 
-/// The write that adds a departure to the row of its host; nothing where no row is known, or it
-/// tells of the departure. The host's own daemon finds its row changed, and goes on from there.
+/// The write that adds a departure to the row of its host; nothing where no row is known. The
+/// host's own daemon finds its row changed, and goes on from there.
 pub(super) fn write_with(directory: &DirectoryState, departure: &Departure) -> Option<RowWrite> {
     let members = lock(&directory.members);
     let key = format!("{MEMBER}{}", departure.host);
     let row = members.replica().row(&key)?;
     let mut member = read(row)?;
-    if member.departures().contains(departure) {
-        return None;
-    }
-    if member.instance == departure.instance && member.started_ms == departure.started_ms {
+    if departure.is_of(&member.instance, member.started_ms) {
         member.entry.state = host_state(departure.state);
     } else {
-        member.departed.push(Departed {
-            instance: departure.instance.clone(),
-            started_ms: departure.started_ms,
-            state: departure.state,
-        });
+        member.departed.push(Departed::from(departure));
     }
     Some(RowWrite {
         table: TABLE.to_owned(),
@@ -156,10 +161,14 @@
 /// Records the departures that a value of this daemon's own row tells of, which the store holds.
 pub(super) fn record_own_stored(directory: &DirectoryState, value: &[u8]) {
     if let Ok(member) = serde_json::from_slice::<Member>(value) {
-        let mut departures = lock(&directory.departures);
-        for departure in member.departures() {
-            departures.record_stored(departure);
-        }
+        record_stored(directory, &member);
+    }
+}
+
+fn record_stored(directory: &DirectoryState, member: &Member) {
+    let mut departures = lock(&directory.departures);
+    for departure in member.departures() {
+        departures.record_stored(departure);
     }
 }
 
@@ -202,10 +211,7 @@
         if host == core.config.host {
             take_own(core, directory, row);
         } else if let Some(member) = read(row) {
-            let mut departures = lock(&directory.departures);
-            for departure in member.departures() {
-                departures.record_stored(departure);
-            }
+            record_stored(directory, &member);
         }
         entries.extend(entry(core, host, row));
     }
@@ -280,9 +286,9 @@
         version = row.version;
         "own member row read"
     );
+    record_stored(directory, &member);
     let mut is_changed = false;
     for departure in member.departures() {
-        lock(&directory.departures).record_stored(departure.clone());
         let effect = core.half.with_reports(|reports| {
             reports.mark_ended(&departure.instance, departure.started_ms, departure.state)
         });
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -30,17 +30,18 @@
 use crate::control;
 use crate::core::Core;
 use crate::life::{LeaveCause, Phase};
+use crate::mesh::Link;
 use crate::rollout;
 use crate::sync::lock;
 
-pub use departures::{Acknowledgement, greet as greet_with_departures, take as take_departures};
+pub use departures::{Acknowledgement, take as take_departures};
 pub use neighbours::end_neighbour;
 pub use operator_row::{OperatorRow, OperatorRowError, ReadOperatorRow, WantedRollout};
 pub use spread::{send_rows, take_rows};
 pub use state::{
     Directory, DirectoryState, SettingsRow, StatusRows, TranslateError, TranslatedTree,
 };
-pub use zones::{greet, take_zones};
+pub use zones::take_zones;
 
 /// Longest wait for the member row before a report that a target is ready is answered: targets
 /// wait a second at most.
@@ -175,19 +176,17 @@
 }
 
 async fn own_row_settled(core: &Core) {
-    let Some(directory) = &core.directory else {
-        return;
-    };
-    loop {
-        let settled = directory.settled.notified();
-        tokio::pin!(settled);
-        settled.as_mut().enable();
-        if lock(&directory.own)
-            .as_ref()
-            .is_none_or(OwnedRow::is_settled)
-        {
-            return;
-        }
-        settled.await;
+    if let Some(directory) = &core.directory {
+        let is_settled = || {
+            let own = lock(&directory.own);
+            own.as_ref().is_none_or(OwnedRow::is_settled)
+        };
+        directory.settled_when(is_settled).await;
     }
 }
+
+/// Tells a daemon at the other end of a new link what is known here of zones and departures.
+pub fn greet(core: &Core, link: &Link) {
+    zones::greet(core, link);
+    departures::greet(core, link);
+}
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -274,6 +274,19 @@
         self.neighbours.links()
     }
 
+    /// Waits until something holds that news of this daemon's own row may change.
+    pub(super) async fn settled_when(&self, holds: impl Fn() -> bool) {
+        loop {
+            let settled = self.settled.notified();
+            tokio::pin!(settled);
+            settled.as_mut().enable();
+            if holds() {
+                return;
+            }
+            settled.await;
+        }
+    }
+
     /// Something shows that the feeds may be stuck behind a connection that says
     /// nothing more, or that no peer can tell what is new: the store is asked anew.
     pub fn doubt_feeds(&self) {
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -26,7 +26,6 @@
 fn greet(core: &Core, link: &Link) {
     half::greet(core, link);
     directory::greet(core, link);
-    directory::greet_with_departures(core, link);
     rollout::greet(core, link);
     quarantine::spread::greet(core, link);
 }
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -113,23 +113,15 @@
             sequence: report.sequence.unwrap_or(u64::MAX),
         };
         let is_first = self.with_reports(|reports| reports.current().is_none()) == Some(true);
-        let mut effect = self.change_reports(core, |reports| reports.apply(report));
-        if effect == ReportEffect::Unproven {
-            let answer = self.ask_whether_it_accepts(core).await;
-            log::info!(reported = reported.as_str(), answer:? = answer; "report without proof");
-            let now = self.clock.now();
-            effect = self.change_reports(core, |reports| reports.resolve_unproven(now, &answer));
-        }
+        let applied = self.change_reports(core, |reports| reports.apply(report));
+        let effect = match applied {
+            ReportEffect::Unproven => self.resolve_unproven(core, &reported).await,
+            ReportEffect::Conflict => self.resolve_conflict(core, &reported).await,
+            _ => applied,
+        };
         if is_first && effect == ReportEffect::Changed {
             self.admit(AdmissionEvent::FirstReport(first));
         }
-        if effect == ReportEffect::Conflict {
-            let at_address = self.ask_instance(core).await;
-            log::info!(reported = reported.as_str(), at_address:? = at_address; "another target reported");
-            effect = self.change_reports(core, |reports| {
-                reports.resolve_conflict(at_address.as_deref())
-            });
-        }
         if effect != ReportEffect::Ignored && self.is_in_place(Some(&reported)) {
             self.learn_cold(left_us);
         }
@@ -141,6 +133,21 @@
         self.ask_itself(core).await?.instance
     }
 
+    async fn resolve_conflict(&self, core: &Core, reported: &str) -> ReportEffect {
+        let at_address = self.ask_instance(core).await;
+        log::info!(reported, at_address:? = at_address; "another target reported");
+        self.change_reports(core, |reports| {
+            reports.resolve_conflict(at_address.as_deref())
+        })
+    }
+
+    async fn resolve_unproven(&self, core: &Core, reported: &str) -> ReportEffect {
+        let answer = self.ask_whether_it_accepts(core).await;
+        log::info!(reported, answer:? = answer; "report without proof");
+        let now = self.clock.now();
+        self.change_reports(core, |reports| reports.resolve_unproven(now, &answer))
+    }
+
     async fn ask_whether_it_accepts(&self, core: &Core) -> TargetAnswer {
         let settings = self.settings();
         if settings.is_some_and(|settings| settings.load_path.is_empty()) {
--- a/crates/daemon/src/quarantine/spread.rs
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -35,7 +35,8 @@
     loop {
         let Outgoing { news, origin } = core.quarantine.next_news().await;
         let frame = Frame::Suspects(news);
-        for link in links(&core)
+        for link in core
+            .neighbour_links()
             .iter()
             .filter(|link| origin != Origin::Link(link.id))
         {
@@ -44,17 +45,6 @@
     }
 }
 
-/// The links that news pass on: those to neighbours, or all where none stands. Each daemon
-/// passes on what is news to it, so that all hear of it.
-fn links(core: &Core) -> Vec<Arc<Link>> {
-    let directory = core.directory.as_ref();
-    let neighbours = directory.map_or_else(Vec::new, |directory| directory.neighbour_links());
-    match neighbours.is_empty() {
-        true => core.links.all(),
-        false => neighbours,
-    }
-}
-
 async fn forget(core: Arc<Core>) {
     loop {
         tokio::time::sleep(FORGET_PAUSE).await;
--- a/crates/policy/src/departures/mod.rs
+++ b/crates/policy/src/departures/mod.rs
@@ -43,14 +43,18 @@
 }
 
 impl Departure {
-    /// Whether both are of the same incarnation; a start time that is not known is taken for the
-    /// same.
-    fn is_of(&self, other: &Departure) -> bool {
-        let is_same_start = match (self.started_ms, other.started_ms) {
+    /// Whether it is of an incarnation; a start time that is not known is taken for the same.
+    pub fn is_of(&self, instance: &str, started_ms: Option<u64>) -> bool {
+        let is_same_start = match (self.started_ms, started_ms) {
             (Some(one), Some(other)) => one == other,
             _ => true,
         };
-        self.instance == other.instance && is_same_start
+        self.instance == instance && is_same_start
+    }
+
+    /// Whether both are of the same incarnation of one host's target.
+    pub fn is_same(&self, other: &Departure) -> bool {
+        self.host == other.host && self.is_of(&other.instance, other.started_ms)
     }
 }
 
@@ -99,7 +103,7 @@
         let known = self.by_host.entry(departure.host.clone()).or_default();
         if let Some(known) = known
             .iter_mut()
-            .find(|known| known.departure.is_of(&departure))
+            .find(|known| known.departure.is_same(&departure))
         {
             known.departure.state = known.departure.state.or_later(departure.state);
             known.departure.started_ms = known.departure.started_ms.or(departure.started_ms);
@@ -127,7 +131,7 @@
         };
         for known in known
             .iter_mut()
-            .filter(|known| known.departure.is_of(&departure))
+            .filter(|known| known.departure.is_same(&departure))
         {
             known.is_stored = true;
         }
@@ -144,7 +148,7 @@
     pub fn begin_storing(&mut self, departure: &Departure) -> bool {
         let known = self.by_host.get_mut(&departure.host);
         let mut known = known.into_iter().flatten();
-        match known.find(|known| known.departure.is_of(departure)) {
+        match known.find(|known| known.departure.is_same(departure)) {
             Some(known) => !std::mem::replace(&mut known.is_being_stored, true),
             None => false,
         }
@@ -177,7 +181,9 @@
 
     fn find(&self, departure: &Departure) -> Option<&KnownDeparture> {
         let known = self.by_host.get(&departure.host)?;
-        known.iter().find(|known| known.departure.is_of(departure))
+        known
+            .iter()
+            .find(|known| known.departure.is_same(departure))
     }
 
     fn held_for_others(&self) -> usize {
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -122,19 +122,31 @@
     }
 }
 
-/// Sends calls to random daemons at exponential intervals; `rates` lists calls per second and
-/// duration in seconds.
+/// Sends calls to random daemons at exponential intervals from `now` to `end`. Returns the time of
+/// the last.
+fn send_calls(
+    fleet: &mut Fleet,
+    rng: &mut StdRng,
+    per_s: u64,
+    mut now: Micros,
+    end: Micros,
+) -> Micros {
+    while now < end {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / per_s as f64;
+        now += (gap * SECOND as f64) as Micros + 1;
+        let daemon = rng.random_range(0..fleet.leases.len());
+        fleet.call(now, daemon);
+    }
+    now
+}
+
+/// Sends calls; `rates` lists calls per second and duration in seconds.
 fn run_load(fleet: &mut Fleet, rates: &[(u64, u64)], seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut now = 0;
     for (per_s, seconds) in rates {
         let end = now + seconds * SECOND;
-        while now < end {
-            let gap = -(1.0 - rng.random::<f64>()).ln() / *per_s as f64;
-            now += (gap * SECOND as f64) as Micros + 1;
-            let daemon = rng.random_range(0..fleet.leases.len());
-            fleet.call(now, daemon);
-        }
+        now = send_calls(fleet, &mut rng, *per_s, now, end);
     }
     fleet.deliver(now + SECOND);
 }
@@ -188,15 +200,10 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let (mut now, mut next_loss) = (0, 2 * SECOND);
     while now < seconds * SECOND {
-        let gap = -(1.0 - rng.random::<f64>()).ln() / per_s as f64;
-        now += (gap * SECOND as f64) as Micros + 1;
-        if now >= next_loss {
-            let owner = rng.random_range(0..fleet.leases.len());
-            fleet.lose_owner(now, owner);
-            next_loss += rng.random_range(SECOND / 2..3 * SECOND / 2);
-        }
-        let daemon = rng.random_range(0..fleet.leases.len());
-        fleet.call(now, daemon);
+        now = send_calls(fleet, &mut rng, per_s, now, next_loss);
+        let owner = rng.random_range(0..fleet.leases.len());
+        fleet.lose_owner(now, owner);
+        next_loss += rng.random_range(SECOND / 2..3 * SECOND / 2);
     }
     fleet.deliver(now + SECOND);
 }
--- a/crates/store/tests/feed_role.rs
+++ b/crates/store/tests/feed_role.rs
@@ -127,22 +127,26 @@
     );
 }
 
+fn poll(rank: usize, seconds: u64) -> WatcherPoll {
+    WatcherPoll {
+        rank,
+        at: Duration::from_secs(seconds),
+    }
+}
+
 #[test]
 fn a_member_stands_in_until_one_before_it_polls() {
-    let at = Duration::from_secs;
     let mut stand_in = StandIn::default();
-    let poll = |rank, seconds| WatcherPoll {
-        rank,
-        at: at(seconds),
-    };
     stand_in.record(2, poll(0, 10));
-    stand_in.begin(at(14));
-    assert!(
-        !stand_in.record(2, poll(0, 10)),
-        "a report of a poll before it was lost"
-    );
-    assert!(!stand_in.record(2, poll(2, 20)), "its own");
-    assert!(!stand_in.record(2, poll(5, 20)), "one after it");
+    stand_in.begin(Duration::from_secs(14));
+    let kept_on = [
+        (poll(0, 10), "a report of a poll before it was lost"),
+        (poll(2, 20), "its own"),
+        (poll(5, 20), "one after it"),
+    ];
+    for (other, why) in kept_on {
+        assert!(!stand_in.record(2, other), "{why}");
+    }
     assert!(stand_in.is_active());
     assert!(stand_in.record(2, poll(1, 21)));
     assert!(!stand_in.is_active());
@@ -150,18 +154,14 @@
 
 #[test]
 fn the_poll_of_the_first_member_is_reported_until_it_is_old() {
-    let at = Duration::from_secs;
     let mut stand_in = StandIn::default();
-    let poll = |rank, seconds| WatcherPoll {
-        rank,
-        at: at(seconds),
-    };
+    let reported = |stand_in: &StandIn, seconds| stand_in.first_poll(Duration::from_secs(seconds));
     stand_in.record(4, poll(1, 1));
     stand_in.record(4, poll(2, 5));
-    assert_eq!(stand_in.first_poll(at(6)), Some(poll(1, 1)));
+    assert_eq!(reported(&stand_in, 6), Some(poll(1, 1)));
     stand_in.record(4, poll(1, 3));
-    assert_eq!(stand_in.first_poll(at(6)), Some(poll(1, 3)));
-    assert_eq!(stand_in.first_poll(at(18)), None, "it may be lost");
+    assert_eq!(reported(&stand_in, 6), Some(poll(1, 3)));
+    assert_eq!(reported(&stand_in, 18), None, "it may be lost");
     stand_in.record(4, poll(2, 19));
-    assert_eq!(stand_in.first_poll(at(20)), Some(poll(2, 19)));
+    assert_eq!(reported(&stand_in, 20), Some(poll(2, 19)));
 }
