--- a/crates/policy/tests/departures.rs
+++ b/crates/policy/tests/departures.rs
@@ -64,6 +64,28 @@
     assert_eq!(departures.own().collect::<Vec<_>>(), [&own]);
 }
 
+/// A departure that was held as draining counted as another one than the same held as gone, so that
+/// it was told on for good.
+#[test]
+fn a_departure_is_known_by_its_incarnation_whatever_its_state() {
+    let draining = departure("there", "i-1", Some(5));
+    let gone = Departure {
+        state: ReportedState::Gone,
+        ..draining.clone()
+    };
+    assert!(draining.is_same(&gone));
+    assert!(
+        draining.is_same(&departure("there", "i-1", None)),
+        "the start is not known"
+    );
+    assert!(!draining.is_same(&departure("there", "i-1", Some(6))));
+    assert!(!draining.is_same(&departure("elsewhere", "i-1", Some(5))));
+    let mut departures = Departures::new("here");
+    departures.record(draining);
+    departures.record_stored(gone);
+    assert!(departures.unstored().is_empty());
+}
+
 #[test]
 fn departures_are_bounded_and_one_that_is_not_held_is_not_confirmed() {
     let mut departures = Departures::new("here");
