Each daemon knows as of when it knows the settings, and asks the store in time whoever is lost

What callers saw: 404 on an added route for 2.6 to 3.8 s after its acknowledgement at machines that were in touch, after ten of twelve were lost at one moment; converge is 2 s.

Cause: the limits (4 s and 0.25 s a rank, 6 s for others) were no part of the bound that they serve. A loss of others takes nobody out of touch, so notice, read and force have converge together. And any answer of the store, to a look at the members too, counted for knowledge of the settings; neighbours passed the word on whether or not they had them.

Change: store::StoreWatch keeps the moment as of which the settings are known here. A peer's word counts once its generation is in force. store::FeedLimits are parts of the bound (converge, or contact if less): 70 % notice, 10 % spread, 20 % read and force; no term for rank or number. A daemon that is overdue asks on a new connection, watchers too, and stands in until one before it polled later. Reports each 30 % of the bound; copies of settings carry the age (8 bytes). Lost history is followed by the reading at once; longest pause after failures 1.2 s for 1.6 s.

Tests that stood for the old limits are replaced: a follower that stands in after 4 s, others after 6 s in steps of 250 ms, and 2 s without peers are now "every member asks within 80 % of the bound" at all ranks; the fleets of load/spread that lost their followers, or half, know within 2 s where 6.5 and 8 s were asked.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -179,6 +179,7 @@
         caller_connections: None,
         log_level: None,
         first_start: false,
+        settings_in_force_ms: None,
     };
     let daemon = Daemon::start(Config::resolve(raw, Path::new("."))?).await?;
     platform.put_host(daemon.host_entry(HostState::Live));
--- a/crates/daemon/src/callers/organisation.rs
+++ b/crates/daemon/src/callers/organisation.rs
@@ -8,7 +8,7 @@
 use super::answer::{KeyFault, Problem};
 use super::classify::CallerKey;
 use crate::core::Core;
-use crate::directory::silence;
+use crate::directory::settings_age;
 use crate::metrics::count;
 use crate::settings::state::InForce;
 
@@ -49,5 +49,5 @@
 /// Whether the settings are too stale to exclude that a key was revoked.
 fn is_in_doubt(core: &Core, effective: &Effective) -> bool {
     let limit = Duration::from_millis(effective.key_doubt_ms);
-    !limit.is_zero() && silence(core) > limit
+    !limit.is_zero() && settings_age(core) > limit
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use lynxcleat_settings::is_valid_name;
 use lynxcleat_wire::SharedKey;
@@ -15,6 +16,8 @@
 const DEFAULT_THREADS: usize = 2;
 const THREADS_LIMIT: usize = 64;
 const DEFAULT_CONNECTIONS: usize = 4_096;
+const DEFAULT_SETTINGS_IN_FORCE_MS: usize = 2_000;
+const SETTINGS_IN_FORCE_LIMIT_MS: usize = 60_000;
 
 /// The file as it stands.
 #[derive(Clone, Debug, Deserialize)]
@@ -62,6 +65,9 @@
     /// this daemon yet and its peers write their rows at the same moment.
     #[serde(default)]
     pub first_start: bool,
+    /// Time within which an accepted change of the settings is in force at every daemon, in
+    /// milliseconds.
+    pub settings_in_force_ms: Option<usize>,
 }
 
 /// A checked configuration.
@@ -86,6 +92,7 @@
     pub caller_connections: usize,
     pub log_level: log::LevelFilter,
     pub first_start: bool,
+    pub settings_in_force: Duration,
 }
 
 /// What is wrong with a settings file.
@@ -197,6 +204,7 @@
             service: raw.service,
             seeds: raw.seeds,
             first_start: raw.first_start,
+            settings_in_force: settings_in_force(raw.settings_in_force_ms)?,
         })
     }
 }
@@ -281,6 +289,16 @@
     })
 }
 
+fn settings_in_force(ms: Option<usize>) -> Result<Duration, ConfigFault> {
+    let ms = within(
+        "settings_in_force_ms",
+        ms,
+        DEFAULT_SETTINGS_IN_FORCE_MS,
+        SETTINGS_IN_FORCE_LIMIT_MS,
+    )?;
+    Ok(Duration::from_millis(ms as u64))
+}
+
 fn log_level(text: Option<&str>) -> Result<log::LevelFilter, ConfigFault> {
     let text = text.unwrap_or("info");
     text.parse().map_err(|_| ConfigFault::Value {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -329,9 +329,9 @@
         calls: AtomicU64::new(1),
         rollouts: RolloutStates::default(),
         dialect: environment.dialect,
-        directory: environment.directory.map(|directory| {
-            DirectoryState::new(directory, &config.host, config.first_start, clock.now())
-        }),
+        directory: environment
+            .directory
+            .map(|directory| DirectoryState::new(directory, &config, clock.now())),
         config,
         me,
         clock,
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -18,18 +18,10 @@
 use crate::settings::take_row;
 use crate::sync::lock;
 
-/// Time between two looks of a watcher at the settings: a change is known in time though
-/// the store fell silent without a word.
-pub(super) const SETTINGS_WATCH: Duration = Duration::from_secs(1);
-/// The same for the members: as long as the usual wait, since a look at the settings that
-/// fails has them asked for anew, and a target that ends says so itself.
-const MEMBERS_WATCH: Duration = Duration::from_secs(15);
 /// Time for which changes of settings are gathered.
 const SETTINGS_GATHER: Duration = Duration::from_millis(30);
 /// Longest time until a daemon that listens looks at its duty again: ranks change.
 const DUTY_PAUSE: Duration = Duration::from_secs(1);
-/// Pause between two looks at whether this daemon has to stand in during a long poll.
-const STAND_IN_PAUSE: Duration = Duration::from_millis(250);
 /// Least time before the members are read where the whole deployment starts: by then most
 /// targets have said that they are ready, and one reading finds nearly all rows.
 const FIRST_START_QUIET: Duration = Duration::from_millis(2_000);
@@ -54,15 +46,19 @@
     let mut feed = Feed::settings(&core, directory, &row.table);
     loop {
         let wait = feed.due().await;
-        let through = lock(&directory.members).through();
         let Some(news) = feed.ask(wait).await else {
             continue;
         };
-        spread::heard(&core, directory, core.clock.now(), through);
+        let answered_at = core.clock.since_start();
         operator::take_rows(&core, directory, &news);
         let newest = news.into_iter().rfind(|change| change.key == row.key);
-        if let Some(value) = newest.and_then(|change| change.value) {
+        let value = newest.and_then(|change| change.value);
+        let has_news = value.is_some();
+        if let Some(value) = value {
             take_row(&core, directory, value).await;
+        }
+        spread::record_response(&core, directory, answered_at);
+        if has_news {
             tokio::time::sleep(SETTINGS_GATHER).await;
         }
     }
@@ -125,7 +121,7 @@
             log::info!(members = core.hosts.len(); "members known");
             tokio::spawn(history::learn(Arc::clone(&core)));
         }
-        spread::heard(&core, directory, core.clock.now(), before);
+        spread::pass_on(&core, directory, before);
         if has_news {
             let is_watcher = directory.watches_settings(&core);
             let pause = lock(feed.follower).batch_pause(begun.elapsed(), is_watcher);
@@ -134,11 +130,15 @@
     }
 }
 
-/// Returns once this daemon has to stand in for the watchers. A long poll on a connection that
+/// Returns once this daemon has to ask the store for settings itself. A poll on a connection that
 /// fell silent does not end by itself.
-async fn stand_in_due(core: &Core, directory: &DirectoryState, watch: Duration) {
-    while directory.duty(core, watch) != FeedRole::StandIn {
-        tokio::time::sleep(STAND_IN_PAUSE).await;
+async fn overdue(core: &Core, directory: &DirectoryState) {
+    loop {
+        let left = directory.time_until_overdue(core);
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
     }
 }
 
@@ -181,7 +181,6 @@
     names: FeedNames,
     table: &'a str,
     follower: &'a Mutex<Follower>,
-    watch: Duration,
     doubted: watch::Receiver<u64>,
     lost: bool,
     /// Whether a call for changes was made. The first is shorter at random, so that the
@@ -197,7 +196,6 @@
             names: SETTINGS_NAMES,
             table,
             follower: &directory.settings,
-            watch: SETTINGS_WATCH,
             doubted: directory.doubted.subscribe(),
             lost: false,
             asked: false,
@@ -209,7 +207,6 @@
             names: MEMBERS_NAMES,
             table: TABLE,
             follower: &directory.members,
-            watch: MEMBERS_WATCH,
             ..Feed::settings(core, directory, TABLE)
         }
     }
@@ -221,15 +218,17 @@
             return None;
         }
         loop {
-            match self.directory.duty(self.core, self.watch) {
-                FeedRole::Follow { wait } => return wait,
-                FeedRole::StandIn => {
-                    self.step_in();
-                    return Some(self.watch);
-                }
-                FeedRole::Listen(left) => {
+            if self.is_overdue() {
+                self.step_in();
+                return Some(Duration::ZERO);
+            }
+            match self.directory.role(self.core) {
+                FeedRole::Watch => return self.watcher_wait(),
+                FeedRole::Follow => return None,
+                FeedRole::Listen => {
+                    let pause = self.pause();
                     tokio::select! {
-                        () = tokio::time::sleep(left.min(DUTY_PAUSE)) => {}
+                        () = tokio::time::sleep(pause) => {}
                         _ = self.doubted.changed() => return Some(Duration::ZERO),
                     }
                 }
@@ -237,26 +236,54 @@
         }
     }
 
+    fn is_settings(&self) -> bool {
+        self.names.feed == SETTINGS_NAMES.feed
+    }
+
+    /// Whether the knowledge of the settings is so old that they are asked for, whatever the role.
+    /// The members are asked for with them, as [`DirectoryState::doubt_feeds`] says.
+    fn is_overdue(&self) -> bool {
+        self.is_settings() && self.directory.time_until_overdue(self.core).is_zero()
+    }
+
+    /// Longest wait of a watcher's call. The members have the usual one: a poll of the settings
+    /// that fails has them asked for anew, and a target that ends says so itself.
+    fn watcher_wait(&self) -> Option<Duration> {
+        let limits = lock(&self.directory.watch).limits();
+        self.is_settings().then_some(limits.poll)
+    }
+
+    /// Time until a daemon that listens looks at its role again.
+    fn pause(&self) -> Duration {
+        match self.is_settings() {
+            true => self.directory.time_until_overdue(self.core).min(DUTY_PAUSE),
+            false => DUTY_PAUSE,
+        }
+    }
+
     /// Whether nothing is known of the table, so that the store is asked whatever the rank.
     fn is_unknown(&self) -> bool {
-        match self.names.feed {
-            "settings" => self.core.settings.current().is_none(),
-            _ => !lock(self.follower).has_snapshot(),
+        match self.is_settings() {
+            true => self.core.settings.current().is_none(),
+            false => !lock(self.follower).has_snapshot(),
         }
     }
 
-    /// Stands in for the watchers. The other feed may be in a long poll, which is doubted.
+    /// The knowledge of the settings is overdue: the store is asked on a new connection, and a daemon
+    /// that is no watcher stands in. While calls fail, the members are not asked for each time.
     fn step_in(&mut self) {
+        let rank = self.core.hosts.rank(&self.core.config.host);
+        let now = self.core.clock.since_start();
+        let stands_in = lock(&self.directory.watch).step_in(now, rank);
+        self.directory.store().discard_idle_connections();
+        if self.lost {
+            return;
+        }
         self.core.metrics.store_steps_in.inc();
-        lock(&self.directory.stand_in).begin(self.core.clock.since_start());
         self.directory.doubt_feeds();
         self.doubted.mark_unchanged();
-        log::info!(
-            feed = self.names.feed,
-            silence_ms = self.directory.silence(self.core).as_millis() as u64,
-            rank = self.core.hosts.rank(&self.core.config.host);
-            "store asked for want of news"
-        );
+        let age_ms = self.directory.age(now).as_millis() as u64;
+        log::info!(age_ms, rank, stands_in; "store asked for want of news");
     }
 
     /// One call: the news, or nothing where it failed.
@@ -304,6 +331,7 @@
         let answering = ResponseProgress::default();
         let store = &self.directory.directory.store;
         let mut changes = store.changes(self.table, after, wait, &answering);
+        let can_become_overdue = self.is_settings() && !self.is_overdue();
         loop {
             tokio::select! {
                 changes = &mut changes => return Ok(changes?),
@@ -312,7 +340,9 @@
                         return Err(FeedError::Doubted);
                     }
                 }
-                () = stand_in_due(self.core, self.directory, self.watch), if !answering.has_started() => {
+                () = overdue(self.core, self.directory),
+                    if can_become_overdue && !answering.has_started() =>
+                {
                     return Err(FeedError::Doubted);
                 }
             }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 use lynxcleat_policy::{ReportEffect, ReportedState, TargetReport};
-use lynxcleat_store::{FeedRole, MemberStatus, OwnedRow, feed_role};
+use lynxcleat_store::{FeedRole, OwnedRow};
 
 use crate::control;
 use crate::core::Core;
@@ -48,38 +48,26 @@
 const REPORT_WAIT: Duration = Duration::from_millis(400);
 
 impl DirectoryState {
-    /// What this daemon does next about a table; `watch` is the time between two looks of a
-    /// watcher.
-    fn duty(&self, core: &Core, watch: Duration) -> FeedRole {
-        feed_role(
-            MemberStatus {
-                rank: core.hosts.rank(&core.config.host),
-                has_peers: self.neighbours.any(),
-                silence: self.silence(core),
-                stands_in: lock(&self.stand_in).is_active(),
-            },
-            watch,
-        )
+    /// What this daemon does about the store.
+    fn role(&self, core: &Core) -> FeedRole {
+        let rank = core.hosts.rank(&core.config.host);
+        lock(&self.watch).role(rank)
     }
 
     /// Whether this daemon waits for changes of the settings at the store.
     pub fn follows_settings(&self, core: &Core) -> bool {
-        matches!(
-            self.duty(core, follow::SETTINGS_WATCH),
-            FeedRole::Follow { .. }
-        )
+        self.role(core) != FeedRole::Listen
     }
 
-    /// Whether this daemon polls the store for settings at the watch interval.
+    /// Whether this daemon polls the store for settings at the interval of watchers.
     pub fn watches_settings(&self, core: &Core) -> bool {
-        let duty = self.duty(core, follow::SETTINGS_WATCH);
-        matches!(duty, FeedRole::Follow { wait: Some(wait) } if wait == follow::SETTINGS_WATCH)
+        self.role(core) == FeedRole::Watch
     }
 
-    /// Time since the store last answered somebody who follows it, as far as is known here.
-    fn silence(&self, core: &Core) -> Duration {
-        let heard_at = self.heard_at.load(Ordering::Relaxed);
-        Duration::from_micros(core.clock.now().saturating_sub(heard_at))
+    /// Time until this daemon has to ask the store for settings itself; zero if it is due.
+    fn time_until_overdue(&self, core: &Core) -> Duration {
+        let rank = core.hosts.rank(&core.config.host);
+        lock(&self.watch).time_until_overdue(core.clock.since_start(), rank)
     }
 }
 
@@ -135,11 +123,12 @@
     }
 }
 
-/// Time since the store is last known to have answered one of its followers; zero if no directory
-/// is followed.
-pub fn silence(core: &Core) -> Duration {
+/// Age of this daemon's knowledge of the settings in the store; zero if no directory is followed.
+pub fn settings_age(core: &Core) -> Duration {
     let directory = core.directory.as_ref();
-    directory.map_or(Duration::ZERO, |directory| directory.silence(core))
+    directory.map_or(Duration::ZERO, |directory| {
+        directory.age(core.clock.since_start())
+    })
 }
 
 /// Starts following the directory.
@@ -149,6 +138,7 @@
     tokio::spawn(follow::settings(Arc::clone(core)));
     tokio::spawn(follow::members(Arc::clone(core)));
     tokio::spawn(neighbours::keep(Arc::clone(core)));
+    tokio::spawn(spread::report_settings(Arc::clone(core)));
     tokio::spawn(publish::keep_own_row(Arc::clone(core)));
     tokio::spawn(quarantined::keep(Arc::clone(core)));
     rollout::start(core);
--- a/crates/daemon/src/directory/spread.rs
+++ b/crates/daemon/src/directory/spread.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_policy::Micros;
 use lynxcleat_store::{
     DeltaOutcome, Follower, KeyReply, KeyRequest, Missing, RowDelta, RowDigest, RowVersion,
     StoredRow, WatcherPoll,
@@ -31,7 +30,10 @@
         return;
     };
     let is_new = frame.wanted && directory.neighbours.mark_wanted_by_peer(link);
-    let told_at = core.clock.now().saturating_sub(frame.age_ms * 1_000);
+    let age = Duration::from_millis(frame.age_ms);
+    let now = core.clock.since_start();
+    // This message or an earlier one carried the generation.
+    directory.record_report(now, age, link.generation(), core.settings.number());
     if let Some(poll) = frame.poll {
         take_poll(core, directory, poll);
     }
@@ -42,7 +44,7 @@
         let taken = take_frame(&mut members, frame);
         (before, taken, members.through())
     };
-    let is_due = through >= theirs && directory.hear(told_at);
+    let is_due = through >= theirs && lock(&directory.watch).take_report();
     let has_news = !taken.changed.is_empty();
     publish::take_key(directory, &taken.changed);
     quarantined::take(core, &taken.changed);
@@ -145,7 +147,7 @@
     let _ = link.send(Frame::Rows(RowsFrame { wanted, ..frame }));
 }
 
-/// A peer knows of a poll of the store; see [`StandIn`].
+/// A peer knows of a poll of the store; see [`StoreWatch`](lynxcleat_store::StoreWatch).
 fn take_poll(core: &Core, directory: &DirectoryState, poll: WatcherPollFrame) {
     let age = Duration::from_millis(poll.age_ms);
     let poll = WatcherPoll {
@@ -153,14 +155,14 @@
         at: core.clock.since_start().saturating_sub(age),
     };
     let own = core.hosts.rank(&core.config.host);
-    if lock(&directory.stand_in).record(own, poll) {
+    if lock(&directory.watch).record_poll(own, poll) {
         log::info!(rank = poll.rank, own; "store watched by a member before this one");
     }
 }
 
 fn poll_frame(core: &Core, directory: &DirectoryState) -> Option<WatcherPollFrame> {
     let now = core.clock.since_start();
-    let poll = lock(&directory.stand_in).first_poll(now)?;
+    let poll = lock(&directory.watch).first_poll(now)?;
     let age = now.saturating_sub(poll.at);
     Some(WatcherPollFrame {
         rank: poll.rank as u32,
@@ -168,23 +170,46 @@
     })
 }
 
-/// The store answered a call that was made at some time; neighbours hear of it, and of what
-/// changed after `before`.
-pub(super) fn heard(core: &Core, directory: &DirectoryState, at: Micros, before: RowVersion) {
-    if directory.watches_settings(core) {
-        let rank = core.hosts.rank(&core.config.host);
-        let at = core.clock.since_start();
-        lock(&directory.stand_in).record(rank, WatcherPoll { rank, at });
+/// The store said at some time what is in force here now; neighbours hear of it if they were told
+/// long enough ago.
+pub(super) fn record_response(core: &Core, directory: &DirectoryState, at: Duration) {
+    let rank = core.hosts.rank(&core.config.host);
+    lock(&directory.watch).record_response(at, rank);
+    report_if_due(core, directory);
+}
+
+/// Takes note of each generation that is in force here, since what peers said of it counts from
+/// then on, until the daemon ends.
+pub(super) async fn report_settings(core: Arc<Core>) {
+    let Some(directory) = &core.directory else {
+        return;
+    };
+    let mut raised = core.settings.subscribe();
+    while raised.changed().await.is_ok() {
+        let generation = *raised.borrow_and_update();
+        lock(&directory.watch).put_in_force(generation);
+        report_if_due(&core, directory);
     }
-    let is_due = directory.hear(at);
+}
+
+fn report_if_due(core: &Core, directory: &DirectoryState) {
+    let is_due = lock(&directory.watch).take_report();
+    if is_due {
+        let through = lock(&directory.members).through();
+        tell(core, directory, through, None);
+    }
+}
+
+/// The store said what changed of the members after `before`; neighbours hear of it.
+pub(super) fn pass_on(core: &Core, directory: &DirectoryState, before: RowVersion) {
     let through = lock(&directory.members).through();
-    if through > before || is_due {
+    if through > before {
         tell(core, directory, before, None);
     }
 }
 
 fn frame(core: &Core, directory: &DirectoryState, delta: RowDelta) -> RowsFrame {
-    let age = directory.silence(core);
+    let age = directory.age(core.clock.since_start());
     RowsFrame {
         after: delta.after,
         through: delta.through,
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -1,28 +1,25 @@
 //! What a daemon knows of its directory.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use lynxcleat_policy::{Departures, EvacuatedZones, Greetings, History, Micros};
 use lynxcleat_settings::Tree;
-use lynxcleat_store::{Follower, OwnedRow, RowStore, StandIn};
+use lynxcleat_store::{FeedLimits, Follower, KnowledgeReport, OwnedRow, RowStore, StoreWatch};
 use lynxcleat_wire::SharedKey;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
 
 use super::operator_row::ReadOperatorRow;
+use crate::config::Config;
 use crate::mesh::link::Link;
 use crate::sync::lock;
 
 /// Table of the members and the key.
 pub(super) const TABLE: &str = "lynxcleat";
 
-/// How much later the store was heard than neighbours were told before they are told again without
-/// other news. Watchers hear it each second, so neighbours are told every two.
-const PASSED_ON: Duration = Duration::from_millis(1_500);
-
 /// A link over which changes of the members are exchanged while either side wants it.
 struct Neighbour {
     link: Arc<Link>,
@@ -177,13 +174,8 @@
     pub(super) members: Mutex<Follower>,
     /// The table of the settings, where this daemon follows it.
     pub(super) settings: Mutex<Follower>,
-    /// When the store last answered somebody who follows it, as far as is known here, by
-    /// this daemon's clock; the start of the daemon before that.
-    pub(super) heard_at: AtomicU64,
-    /// The latest of these times that this daemon told its neighbours.
-    pub(super) told_at: AtomicU64,
-    /// Whether this daemon stands in for watchers that were lost.
-    pub(super) stand_in: Mutex<StandIn>,
+    /// How old this daemon's knowledge of the settings in the store is.
+    pub(super) watch: Mutex<StoreWatch>,
     pub(super) neighbours: Neighbours,
     pub(super) evacuations: Mutex<EvacuatedZones>,
     /// Incarnations of targets that leave, of this host and of others.
@@ -204,7 +196,8 @@
 
 impl DirectoryState {
     /// Nothing is known yet to the daemon of a host that starts at `now`.
-    pub fn new(directory: Directory, host: &str, first_start: bool, now: Micros) -> Self {
+    pub fn new(directory: Directory, config: &Config, now: Micros) -> Self {
+        let first_start = config.first_start;
         let history = match first_start {
             true => History::of_first_start(now),
             false => History::awaited(now),
@@ -215,12 +208,12 @@
             members_read: AtomicBool::new(false),
             members: Mutex::default(),
             settings: Mutex::default(),
-            heard_at: AtomicU64::new(0),
-            told_at: AtomicU64::new(0),
-            stand_in: Mutex::default(),
+            watch: Mutex::new(StoreWatch::new(FeedLimits::within(
+                config.settings_in_force,
+            ))),
             neighbours: Neighbours::default(),
             evacuations: Mutex::default(),
-            departures: Mutex::new(Departures::new(host)),
+            departures: Mutex::new(Departures::new(&config.host)),
             history: Mutex::new(history),
             greetings: Mutex::default(),
             greeted: Notify::new(),
@@ -237,16 +230,19 @@
         self.neighbours.has(link)
     }
 
-    /// The store answered at some time. Returns whether that is enough later than what the
-    /// neighbours were told to tell them.
-    pub(super) fn hear(&self, at: Micros) -> bool {
-        self.heard_at.fetch_max(at, Ordering::Relaxed);
-        let told_at = self.told_at.load(Ordering::Relaxed);
-        let is_due = Duration::from_micros(at.saturating_sub(told_at)) >= PASSED_ON;
-        if is_due {
-            self.told_at.fetch_max(at, Ordering::Relaxed);
-        }
-        is_due
+    /// Age of this daemon's knowledge of the settings in the store.
+    pub fn age(&self, now: Duration) -> Duration {
+        lock(&self.watch).age(now)
+    }
+
+    /// A peer knew the settings `age` ago, and has generation `theirs` in force; `in_force` is in
+    /// force here.
+    pub fn record_report(&self, now: Duration, age: Duration, theirs: u64, in_force: u64) {
+        let report = KnowledgeReport {
+            as_of: now.saturating_sub(age),
+            generation: theirs,
+        };
+        lock(&self.watch).record_report(report, in_force);
     }
 
     /// Availability zones that are evacuated, as far as is known here.
--- a/crates/daemon/src/settings/catch_up.rs
+++ b/crates/daemon/src/settings/catch_up.rs
@@ -205,6 +205,7 @@
         };
         self.copy = TreeCopy::of(&generation.tree);
         let number = generation.number;
+        self.record_age(part);
         if self.core.settings.offer(generation)? {
             log::info!(
                 peer = link.peer.host.as_str(),
@@ -218,6 +219,17 @@
         }
         Ok(())
     }
+
+    /// What the sender knew of the store is known here once its generation is in force.
+    fn record_age(&self, part: &SettingsPart) {
+        let (Some(directory), Some(age_ms)) = (&self.core.directory, part.age_ms) else {
+            return;
+        };
+        let now = self.core.clock.since_start();
+        let in_force = self.core.settings.number();
+        let age = Duration::from_millis(age_ms);
+        directory.record_report(now, age, part.generation, in_force);
+    }
 }
 
 /// Takes a part. Returns the generation once it is whole.
--- a/crates/daemon/src/settings/serve.rs
+++ b/crates/daemon/src/settings/serve.rs
@@ -45,7 +45,11 @@
         return Ok(SettingsReply::UnknownBase);
     };
     let is_last = part.next.is_none();
-    let packed = SettingsPart::pack(generation, &in_force.entries_digest, &part)?;
+    let mut packed = SettingsPart::pack(generation, &in_force.entries_digest, &part)?;
+    packed.age_ms = core.directory.as_ref().map(|directory| {
+        let age = directory.age(core.clock.since_start());
+        age.as_millis() as u64
+    });
     let bytes = packed.bytes();
     core.settings.copy_rate().record_sent(now, bytes);
     core.metrics.settings_bytes_sent.inc_by(bytes as u64);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -216,6 +216,7 @@
             caller_connections: None,
             log_level: Some("info".to_owned()),
             first_start: false,
+            settings_in_force_ms: None,
         };
         if let Some(counter) = self.counter.take() {
             let (platform, crossed) = counter(raw.platform.trim_start_matches("http://"));
--- a/crates/load/src/spread.rs
+++ b/crates/load/src/spread.rs
@@ -9,7 +9,7 @@
     Candidate, Location, OTHER_ZONE_NEIGHBOURS, SAME_ZONE_NEIGHBOURS, TargetId, neighbours, rank,
 };
 use lynxcleat_store::{
-    FeedRole, MemberStatus, Missing, RowDelta, StoredRow, TableReplica, VersionedRows, feed_role,
+    FeedLimits, FeedRole, Missing, RowDelta, StoredRow, TableReplica, VersionedRows, feed_role,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -24,8 +24,8 @@
 const ROW_BYTES: u64 = 260;
 /// Zones of the fleet.
 const ZONES: usize = 5;
-/// Time between two looks of a watcher.
-const WATCH: Duration = Duration::from_secs(1);
+/// Time within which a change has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
 /// Longest time that is played, in microseconds.
 const LONGEST_US: u64 = 120_000_000;
 
@@ -181,15 +181,12 @@
         if member.copy.through() >= self.news.version {
             return;
         }
-        let standing = MemberStatus {
-            rank: member.rank,
-            has_peers: !member.links.is_empty(),
-            silence: Duration::from_micros(self.now_us - member.heard_us),
-            stands_in: false,
-        };
-        let (after_us, what) = match feed_role(standing, WATCH) {
-            FeedRole::Follow { .. } | FeedRole::StandIn => (STORE_US, What::Answered),
-            FeedRole::Listen(left) => (left.as_micros() as u64, What::Look),
+        let age = Duration::from_micros(self.now_us - member.heard_us);
+        let overdue_age = FeedLimits::within(IN_FORCE).overdue_age(member.rank);
+        let left = overdue_age.saturating_sub(age);
+        let (after_us, what) = match feed_role(member.rank, false) {
+            FeedRole::Listen if !left.is_zero() => (left.as_micros() as u64, What::Look),
+            _ => (STORE_US, What::Answered),
         };
         self.queue
             .push(Reverse((self.now_us + after_us, number, what)));
@@ -267,15 +264,7 @@
 
 /// How many members follow, as the decisions have it.
 fn followers() -> usize {
-    let follows = |rank: &usize| {
-        let standing = MemberStatus {
-            rank: *rank,
-            has_peers: true,
-            silence: Duration::ZERO,
-            stands_in: false,
-        };
-        matches!(feed_role(standing, WATCH), FeedRole::Follow { .. })
-    };
+    let follows = |rank: &usize| feed_role(*rank, false) != FeedRole::Listen;
     (0..).take_while(follows).count()
 }
 
--- a/crates/load/tests/spread.rs
+++ b/crates/load/tests/spread.rs
@@ -25,7 +25,7 @@
     let report = spread(members, Lost::Followers, 1);
     assert!(report.store_calls <= 4, "{report:?}");
     assert!(
-        report.all_know_ms.is_some_and(|ms| ms <= 6_500.0),
+        report.all_know_ms.is_some_and(|ms| ms <= 2_000.0),
         "{report:?}"
     );
 }
@@ -37,7 +37,7 @@
 fn what_is_left_of_a_fleet_knows_soon(#[case] members: usize) {
     for seed in 1..6 {
         let report = spread(members, Lost::Half, seed);
-        let known = report.all_know_ms.is_some_and(|ms| ms <= 8_000.0);
+        let known = report.all_know_ms.is_some_and(|ms| ms <= 2_000.0);
         assert!(known, "seed {seed}: {report:?}");
     }
 }
--- a/crates/store/src/follower.rs
+++ b/crates/store/src/follower.rs
@@ -8,7 +8,7 @@
 
 /// Bounds of the exponential backoff after consecutive failures.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
+const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 
 /// Maximum duration of one long poll: half of the limit that the users' store allows.
 const MAX_WAIT: Duration = Duration::from_secs(15);
@@ -126,10 +126,12 @@
         }
     }
 
-    /// Records a failed call and returns the pause before the next one.
+    /// Records a failed call and returns the pause before the next one. There is none before the
+    /// table is read since its history is gone: the store answers.
     pub fn record_failure(&mut self, error: &RowStoreError) -> Duration {
-        if *error == RowStoreError::HistoryGone {
-            self.has_history = false;
+        if *error == RowStoreError::HistoryGone && std::mem::take(&mut self.has_history) {
+            self.successes_since_failure = Some(0);
+            return Duration::ZERO;
         }
         let growth = 1_u32 << self.consecutive_failures.min(4);
         self.consecutive_failures += 1;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,6 +14,8 @@
 mod owned_row;
 mod row_store;
 mod rows;
+mod stand_in;
+mod store_watch;
 mod table_replica;
 
 pub use accept::{AcceptRequest, Accepted, accept, accepted_change, history, read_tree};
@@ -23,7 +25,7 @@
 };
 pub use client::{Platform, PlatformBuilder};
 pub use error::{AcceptError, PlatformError};
-pub use feed_role::{FeedRole, MemberStatus, StandIn, WatcherPoll, feed_role};
+pub use feed_role::{FeedLimits, FeedRole, feed_role};
 pub use follower::{FeedRequest, Follower};
 pub use owned_row::OwnedRow;
 pub use row_store::{
@@ -34,6 +36,8 @@
     AuditEntry, ClaimRow, GenerationRow, Pointer, UnsettledRow, audit_key, claim_key,
     generation_key, keys, unsettled_key,
 };
+pub use stand_in::{StandIn, WatcherPoll};
+pub use store_watch::{KnowledgeReport, StoreWatch};
 pub use table_replica::{
     DeltaOutcome, KeyReply, KeyRequest, Missing, RowDelta, RowDigest, TableReplica, fnv1a,
 };
--- a/crates/store/tests/feed_role.rs
+++ b/crates/store/tests/feed_role.rs
@@ -1,19 +1,13 @@
-//! Tests of which members follow the store, at different fleet sizes.
+//! Tests of which members follow the store, and when the others ask it, at different fleet sizes.
 
 use std::time::Duration;
 
-use lynxcleat_store::{FeedRole, Follower, MemberStatus, StandIn, WatcherPoll, feed_role};
+use lynxcleat_store::{FeedLimits, FeedRole, Follower, feed_role};
+use rstest::rstest;
 
-const WATCH: Duration = Duration::from_secs(1);
-
-fn status(rank: usize, silence: Duration) -> MemberStatus {
-    MemberStatus {
-        rank,
-        has_peers: true,
-        silence,
-        stands_in: false,
-    }
-}
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Bounds of the users' deployments.
+const BOUNDS_MS: [u64; 3] = [2_000, 2_500, 4_000];
 
 /// Guards against a call count that grows with the fleet. While a fleet starts, changes arrive
 /// in quick succession, and each ends the long polls of all followers. When every daemon was a
@@ -21,10 +15,7 @@
 #[test]
 fn store_calls_under_continuous_changes_do_not_grow_with_the_fleet() {
     let calls = |members: usize| -> usize {
-        let follows = |rank: &usize| {
-            let role = feed_role(status(*rank, Duration::ZERO), WATCH);
-            matches!(role, FeedRole::Follow { .. })
-        };
+        let follows = |rank: &usize| feed_role(*rank, false) != FeedRole::Listen;
         let calls_per_follower = |_| {
             let mut follower = Follower::default();
             let mut elapsed = Duration::ZERO;
@@ -48,120 +39,60 @@
 
 #[test]
 fn watchers_poll_often_and_other_followers_use_long_polls() {
-    let at = |rank| feed_role(status(rank, Duration::ZERO), WATCH);
-    assert_eq!(at(0), FeedRole::Follow { wait: Some(WATCH) });
-    assert_eq!(at(1), FeedRole::Follow { wait: Some(WATCH) });
-    assert_eq!(at(2), FeedRole::Follow { wait: None });
-    assert_eq!(at(7), FeedRole::Follow { wait: None });
-    assert!(matches!(at(8), FeedRole::Listen(_)));
-}
-
-#[test]
-fn non_followers_query_the_store_in_rank_order_after_a_silence() {
-    let queries_store = |rank, silence| {
-        let role = feed_role(status(rank, silence), WATCH);
-        role == FeedRole::StandIn
-    };
-    let querying = |silence| {
-        (8..300)
-            .filter(|rank| queries_store(*rank, silence))
-            .count()
-    };
-    assert_eq!(querying(Duration::from_millis(5_900)), 0);
-    assert_eq!(querying(Duration::from_millis(6_100)), 1);
-    assert_eq!(querying(Duration::from_millis(8_100)), 9);
+    let roles = [0, 1, 2, 7, 8, 290].map(|rank| feed_role(rank, false));
+    assert_eq!(
+        roles,
+        [
+            FeedRole::Watch,
+            FeedRole::Watch,
+            FeedRole::Follow,
+            FeedRole::Follow,
+            FeedRole::Listen,
+            FeedRole::Listen,
+        ]
+    );
 }
 
 #[test]
-fn a_listener_becomes_a_follower_after_the_returned_time() {
-    for rank in [8, 20, 290] {
-        let FeedRole::Listen(remaining) = feed_role(status(rank, Duration::from_secs(2)), WATCH)
-        else {
-            panic!("rank {rank} follows");
-        };
-        let silence_at_end = Duration::from_secs(2) + remaining;
-        let role = feed_role(status(rank, silence_at_end), WATCH);
-        assert_eq!(role, FeedRole::StandIn);
+fn a_member_that_stands_in_polls_as_a_watcher() {
+    for rank in [2, 7, 8, 290] {
+        assert_eq!(feed_role(rank, true), FeedRole::Watch, "rank {rank}");
     }
 }
 
-#[test]
-fn a_member_without_peers_does_not_wait_for_its_rank() {
-    let without_peers = |silence| {
-        let status = MemberStatus {
-            rank: 290,
-            has_peers: false,
-            silence,
-            stands_in: false,
-        };
-        feed_role(status, WATCH)
-    };
-    assert!(matches!(
-        without_peers(Duration::from_secs(1)),
-        FeedRole::Listen(_)
-    ));
-    assert!(matches!(
-        without_peers(Duration::from_millis(2_001)),
-        FeedRole::StandIn
-    ));
-}
-
-/// Guards against a fleet that nobody watches: the rows of two lost watchers keep the first two
-/// ranks, and the long polls of the other followers do not end on connections that fell silent.
-#[test]
-fn a_follower_stands_in_for_watchers_that_are_not_heard_of() {
-    let role = |rank, seconds| feed_role(status(rank, Duration::from_secs_f64(seconds)), WATCH);
-    assert_eq!(role(2, 3.9), FeedRole::Follow { wait: None });
-    assert_eq!(role(2, 4.0), FeedRole::StandIn);
-    assert_eq!(role(3, 4.2), FeedRole::Follow { wait: None });
-    assert_eq!(role(3, 4.25), FeedRole::StandIn);
-    let standing_in = MemberStatus {
-        stands_in: true,
-        ..status(2, Duration::ZERO)
-    };
-    let polls = FeedRole::Follow { wait: Some(WATCH) };
-    assert_eq!(
-        feed_role(standing_in, WATCH),
-        polls,
-        "though its own polls end the silence"
-    );
-}
-
-fn poll(rank: usize, seconds: u64) -> WatcherPoll {
-    WatcherPoll {
-        rank,
-        at: Duration::from_secs(seconds),
+/// Guards against delays that add up over the ranks of a large fleet: with a step for each, the
+/// member of rank 290 asked after 76 s.
+#[rstest]
+fn every_member_asks_in_time_for_the_response(
+    #[values(BOUNDS_MS[0], BOUNDS_MS[1], BOUNDS_MS[2])] bound_ms: u64,
+) {
+    let bound = Duration::from_millis(bound_ms);
+    let limits = FeedLimits::within(bound);
+    for rank in (0..3_000).chain([usize::MAX]) {
+        let age = limits.overdue_age(rank);
+        assert!(age <= bound * 8 / 10, "rank {rank}: {age:?} of {bound:?}");
     }
 }
 
+/// Guards against calls on calm days by members that merely wait for the next report.
 #[test]
-fn a_member_stands_in_until_one_before_it_polls() {
-    let mut stand_in = StandIn::default();
-    stand_in.record(2, poll(0, 10));
-    stand_in.begin(Duration::from_secs(14));
-    let kept_on = [
-        (poll(0, 10), "a report of a poll before it was lost"),
-        (poll(2, 20), "its own"),
-        (poll(5, 20), "one after it"),
-    ];
-    for (other, why) in kept_on {
-        assert!(!stand_in.record(2, other), "{why}");
+fn no_member_asks_before_a_poll_could_be_reported() {
+    for bound_ms in BOUNDS_MS {
+        let bound = Duration::from_millis(bound_ms);
+        let limits = FeedLimits::within(bound);
+        assert!(limits.report < limits.poll);
+        assert!(limits.overdue_age(0) >= limits.poll + bound / 5);
     }
-    assert!(stand_in.is_active());
-    assert!(stand_in.record(2, poll(1, 21)));
-    assert!(!stand_in.is_active());
 }
 
+/// Guards against a fleet that asks all at once: the response to the first reaches most others
+/// before they ask.
 #[test]
-fn the_poll_of_the_first_member_is_reported_until_it_is_old() {
-    let mut stand_in = StandIn::default();
-    let reported = |stand_in: &StandIn, seconds| stand_in.first_poll(Duration::from_secs(seconds));
-    stand_in.record(4, poll(1, 1));
-    stand_in.record(4, poll(2, 5));
-    assert_eq!(reported(&stand_in, 6), Some(poll(1, 1)));
-    stand_in.record(4, poll(1, 3));
-    assert_eq!(reported(&stand_in, 6), Some(poll(1, 3)));
-    assert_eq!(reported(&stand_in, 18), None, "it may be lost");
-    stand_in.record(4, poll(2, 19));
-    assert_eq!(reported(&stand_in, 20), Some(poll(2, 19)));
+fn members_ask_in_the_order_of_their_ranks() {
+    let limits = FeedLimits::within(IN_FORCE);
+    let ages: Vec<Duration> = (0..300).map(|rank| limits.overdue_age(rank)).collect();
+    assert!(ages.is_sorted());
+    assert!(ages[8] - ages[2] >= Duration::from_millis(70));
+    assert!(ages[9] - ages[8] >= Duration::from_millis(45));
+    assert!(ages[10] - ages[9] >= Duration::from_millis(20));
 }
--- a/crates/wire/src/settings_part.rs
+++ b/crates/wire/src/settings_part.rs
@@ -80,6 +80,10 @@
     /// Compressed encoding of the part.
     #[serde(rename = "b")]
     body: ByteBuf,
+    /// Age of the sender's knowledge of the accepted settings, in milliseconds; `None` if it is not
+    /// known.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
 }
 
 impl SettingsPart {
@@ -97,6 +101,7 @@
             digest: generation.digest.to_string(),
             entries_digest: entries_digest.to_owned(),
             body: ByteBuf::from(compress(part)?),
+            age_ms: None,
         })
     }
 
