Starts wait for the first six peers that answer, and links are tried anew after 150 ms

Cause, by the logs of both builds: a start delivers nothing before it has heard peers of departures. Each asked eight drawn at random and waited for the slowest of them, 20 to 350 ms; four of thirteen had dialed one while it was still dark and waited up to 1 s, since the system repeats an opening packet after a second only.

Change: four peers are asked at first, as before, and 16 after 50 ms; the wait ends once six have stated what they know (or two that know everything, or all that can be reached). Those that ran all along answer at once, so this hears more often of the two that know than eight drawn before did: of twelve, with ten that start, eight miss both in one of eleven draws. Connections of links are tried anew after 150, 225, 340 ms.

--- a/crates/daemon/src/directory/history.rs
+++ b/crates/daemon/src/directory/history.rs
@@ -20,9 +20,12 @@
 
 /// Longest wait for peers, for those that are cut off.
 const PEERS_WAIT: Duration = Duration::from_secs(1);
-/// Peers that are asked at the same time, and in all.
-const ASKED_AT_ONCE: usize = 4;
-const MAX_ASKED: usize = 8;
+/// Peers that are asked at first. Where the others run, two of them answer within milliseconds.
+const ASKED_FIRST: usize = 4;
+/// Time after which more are asked: the first start as well, or are cut off.
+const ASK_MORE_AFTER: Duration = Duration::from_millis(50);
+/// Peers that are asked in all. Any two of them may be the ones that know.
+const MAX_ASKED: usize = 16;
 
 /// Waits until peers were heard.
 pub(super) async fn known(core: &Core) {
@@ -95,11 +98,14 @@
 async fn ask(core: &Arc<Core>, directory: &DirectoryState, members: Vec<HostEntry>) {
     let mut members = members.into_iter();
     let mut dials = JoinSet::new();
+    let mut at_once = ASKED_FIRST;
+    let more = tokio::time::sleep(ASK_MORE_AFTER);
+    tokio::pin!(more);
     loop {
         let greeted = directory.greeted.notified();
         tokio::pin!(greeted);
         greeted.as_mut().enable();
-        while lock(&directory.greetings).outstanding() < ASKED_AT_ONCE
+        while lock(&directory.greetings).outstanding() < at_once
             && let Some(member) = members.next()
         {
             lock(&directory.greetings).ask(&member.host);
@@ -113,6 +119,7 @@
                 lock(&directory.greetings).record_unreachable(&unreachable);
             }
             () = greeted => {}
+            () = &mut more, if at_once < MAX_ASKED => at_once = MAX_ASKED,
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -47,7 +47,7 @@
 };
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use life::StopReport;
-pub use mesh::prepare_connection;
+pub use mesh::{connect_soon, prepare_connection};
 pub use ops::{Lift, Lifted, Status};
 pub use process::{RunError, run};
 pub use quarantine::SuspectState;
--- a/crates/daemon/src/mesh/handshake.rs
+++ b/crates/daemon/src/mesh/handshake.rs
@@ -17,6 +17,9 @@
 
 /// Longest time from a connection to its proof.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a connection that does not come up is tried anew; it grows by half each time,
+/// for hosts that are far away.
+const FIRST_CONNECT_LIMIT: Duration = Duration::from_millis(150);
 
 /// Time for which sent bytes may stay unacknowledged until the peer is known; then it
 /// follows from [`lynxcleat_policy::AckTimeout`].
@@ -109,10 +112,25 @@
     }
 }
 
+/// Opens a connection. The system repeats an opening packet that was lost after a second; a host
+/// that has just started, or whose queue was full, is reached sooner by a new connection.
+///
+/// # Errors
+/// What the system says.
+pub async fn connect(address: &str) -> std::io::Result<TcpStream> {
+    let mut limit = FIRST_CONNECT_LIMIT;
+    loop {
+        match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+            Ok(connected) => return connected,
+            Err(_) => limit = limit * 3 / 2,
+        }
+    }
+}
+
 /// Opens a link's connection and proves both sides.
 pub(super) async fn dial(core: &Core, mesh: &str) -> Result<(Socket, Hello), HandshakeError> {
     within_limit(async {
-        let stream = TcpStream::connect(mesh).await?;
+        let stream = connect(mesh).await?;
         prepare(&stream)?;
         let url = format!("ws://{mesh}/mesh");
         let config = Some(socket_config());
--- a/crates/daemon/tests/mesh.rs
+++ b/crates/daemon/tests/mesh.rs
@@ -8,6 +8,7 @@
 
 use lynxcleat_standin::wait_until;
 use lynxcleat_wire::Frame;
+use socket2::{Domain, Socket, Type};
 use support::{PATIENCE, Peer, Plan, Running, call};
 
 /// A host that loses power or is cut off says nothing. Calls that were sent to it waited for
@@ -36,6 +37,38 @@
     });
 }
 
+/// A host that has just started, or is busy, loses the opening packet of a connection, and the system
+/// repeats it after a second: starts waited that long for peers that were up again.
+#[test]
+fn a_link_to_a_host_that_lost_the_opening_packet_is_opened_anew_before_the_system_repeats_it() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        listener.bind(&any.into()).expect("bound");
+        listener.listen(0).expect("listens");
+        let bound = listener.local_addr().expect("its address");
+        let address = bound.as_socket().expect("an IP address").to_string();
+        // The queue takes one connection; the next opening packets are dropped.
+        let _first = tokio::net::TcpStream::connect(&address)
+            .await
+            .expect("queued");
+        let plain = tokio::net::TcpStream::connect(&address);
+        let anew = lynxcleat_daemon::connect_soon(&address);
+        let empties = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            listener.accept().expect("accepted");
+            std::future::pending::<()>().await;
+        };
+        let is_first = tokio::select! {
+            _ = plain => false,
+            anew = anew => anew.is_ok(),
+            () = empties => false,
+        };
+        assert!(is_first);
+    });
+}
+
 #[test]
 fn a_daemon_with_another_key_gets_no_link_and_no_calls() {
     let mut fleet = Plan::new("mesh-key").start();
--- a/crates/policy/src/departures/history.rs
+++ b/crates/policy/src/departures/history.rs
@@ -17,6 +17,9 @@
 /// Number of peers with complete knowledge after which a start waits for no further ones. One
 /// alone may have been cut off until now.
 const ENOUGH_COMPLETE: usize = 2;
+/// Number of peers after which a start waits for no further ones, whatever they know. Those that
+/// ran all along answer at once, so the ones still awaited start themselves, or are cut off.
+const ENOUGH_STATED: usize = 6;
 
 /// For how long back all departures are known, in microseconds.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -156,8 +159,15 @@
         stated.filter(|coverage| coverage.is_complete()).count()
     }
 
+    /// Hosts that stated for how long back they know all departures.
+    fn stated(&self) -> usize {
+        self.asked.len() - self.outstanding()
+    }
+
     /// Whether to wait for no further hosts.
     pub fn is_enough(&self) -> bool {
-        self.complete() >= ENOUGH_COMPLETE || self.outstanding() == 0
+        self.complete() >= ENOUGH_COMPLETE
+            || self.stated() >= ENOUGH_STATED
+            || self.outstanding() == 0
     }
 }
--- a/crates/policy/tests/departures.rs
+++ b/crates/policy/tests/departures.rs
@@ -216,6 +216,20 @@
     assert!(killed.is_enough(), "all that run have answered");
 }
 
+/// Guards against a deployment whose hosts all lost power and then waited for the last of them.
+#[test]
+fn a_start_waits_for_a_part_of_the_peers_that_start_with_it() {
+    let mut greetings = Greetings::default();
+    let hosts: Vec<String> = (0..12).map(|number| format!("h-{number}")).collect();
+    hosts.iter().for_each(|host| greetings.ask(host));
+    for host in &hosts[..5] {
+        greetings.record(host, Coverage::of_us(S));
+    }
+    assert!(!greetings.is_enough(), "those that know may be busy");
+    greetings.record(&hosts[5], Coverage::of_us(S));
+    assert!(greetings.is_enough());
+}
+
 /// A deployment without delays: each daemon knows the machines of this crate, and a link between
 /// two that run is made at once.
 struct Model {
