--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -93,6 +93,13 @@
         self.buckets += 1;
     }
 
+    /// All daemons are killed at the same moment: nobody knows a level.
+    fn lose_all(&mut self, now: Micros) {
+        for daemon in 0..self.leases.len() {
+            self.lose_owner(now, daemon);
+        }
+    }
+
     fn deliver(&mut self, now: Micros) {
         while self.responses.front().is_some_and(|(at, ..)| *at <= now) {
             let (at, daemon, grant) = self.responses.pop_front().expect("one");
@@ -251,6 +258,36 @@
     }
 }
 
+/// All daemons that use a quota are killed at once, again and again, and start again after as long
+/// as a process takes. Nobody can tell the new bucket what the lost one granted.
+#[rstest]
+#[case::few_daemons(100, 50, 5)]
+#[case::sixty_daemons(264, 264, 60)]
+#[case::three_hundred_daemons(300, 300, 300)]
+fn kills_of_all_daemons_give_an_organisation_no_more_than_its_quota(
+    #[case] rate: u64,
+    #[case] burst: u64,
+    #[case] daemons: usize,
+) {
+    const START: Micros = SECOND / 2;
+    for seed in 0..8 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(limit(rate, burst), daemons);
+        let mut now = 0;
+        while now < 20 * SECOND {
+            let end = now + rng.random_range(SECOND / 4..3 * SECOND);
+            now = send_calls(&mut fleet, &mut rng, rate * 3, now, end) + START;
+            fleet.lose_all(now);
+        }
+        let most = fleet.busiest_window() as f64;
+        assert!(
+            most <= fleet.allowed(),
+            "seed {seed}: {most} of {}",
+            fleet.allowed()
+        );
+    }
+}
+
 #[test]
 fn a_lowered_limit_applies_after_one_window() {
     let mut fleet = Fleet::new(limit(1_000, 1_000), 62);
