--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -143,6 +143,34 @@
     }));
 }
 
+/// The operators' page says that `/drain` lasts as long as the process: a daemon that was killed
+/// gives its target calls again until it is said once more.
+#[test]
+fn an_operators_drain_lasts_as_long_as_the_daemons_process() {
+    let mut fleet = Plan {
+        processes: true,
+        ..Plan::new("leaving-drain-killed")
+    }
+    .start();
+    let drain = |fleet: &Fleet| call(&fleet.workers[0].entry.ops, "POST", "/drain", &[], b"");
+    let gets_none = |fleet: &Fleet| {
+        let replies = (0..10).map(|_| fleet.workers[0].get("/", &[("x-echo", "e")]));
+        replies
+            .map(|reply| reply.json())
+            .all(|body| body["target"] != "stock-0")
+    };
+    let gets_some = |fleet: &Fleet| wait_until(PATIENCE, || !gets_none(fleet));
+    assert!(gets_some(&fleet));
+    drain(&fleet);
+    assert!(wait_until(PATIENCE, || gets_none(&fleet)));
+    fleet.kill(0);
+    fleet.restart(0);
+    fleet.wait_ready();
+    assert!(gets_some(&fleet), "{}", fleet.describe());
+    drain(&fleet);
+    assert!(wait_until(PATIENCE, || gets_none(&fleet)));
+}
+
 /// A caller on one keep-alive connection, that reconnects where it is told to.
 /// Returns good answers and what else it met.
 fn keep_alive_caller(address: &str, pause: Duration, over: &AtomicBool) -> (usize, Vec<String>) {
