--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -67,7 +67,10 @@
     /// Time until this daemon has to ask the store for settings itself; zero if it is due.
     fn time_until_overdue(&self, core: &Core) -> Duration {
         let rank = core.hosts.rank(&core.config.host);
-        lock(&self.watch).time_until_overdue(core.clock.since_start(), rank)
+        let mut watch = lock(&self.watch);
+        // The feed may hear of settings in force before the task that takes note of them does.
+        watch.put_in_force(core.settings.number());
+        watch.time_until_overdue(core.clock.since_start(), rank)
     }
 }
 
