Log what an answer looks like that names another call, and what its connection was used for

The logs could not tell a health answer from a surplus one: an answer without the call's name was passed on without a word, and nothing said what was asked on a connection before. No decision changes. The line has the name in the answer, status, length, incarnation, the connection's number, exchanges, last question and idle time; answers to questions for the load that name a call are logged too.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -79,6 +79,8 @@
     pub deadline: HeaderName,
     /// Name of a call, to targets and from those that repeat it.
     pub call: HeaderName,
+    /// Whether targets repeat that header in every answer to a call.
+    pub targets_name_calls: bool,
     /// Whether callers name their calls in that header.
     pub callers_name_calls: bool,
     /// Incarnation of the target that is meant, to targets.
@@ -117,6 +119,7 @@
         Dialect {
             deadline: HeaderName::from_static(DEADLINE),
             call: HeaderName::from_static(CALL),
+            targets_name_calls: false,
             callers_name_calls: false,
             instance: None,
             caller_service: None,
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -13,7 +13,7 @@
 use serde_bytes::ByteBuf;
 
 use super::bodies::{BodyCut, Expected, PieceBody};
-use super::pool::{Pool, Sender};
+use super::pool::{Asked, ConnectionHistory, Pool, Sender};
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
 
@@ -127,9 +127,10 @@
             }
             match send(&mut sender, http, &sends).await {
                 Ok(response) => {
-                    if answers_another(dialect, &response, &call) {
+                    if answers_another(dialect, &response, &call, &sender.history) {
                         return Exchange::Lost;
                     }
+                    sender.history.answered(Asked::Call);
                     let (parts, body) = response.into_parts();
                     let kind = (dialect.answer_kind)(&parts);
                     if kind != AnswerKind::OtherInstance {
@@ -173,6 +174,9 @@
         let mut sender = self.take().await.ok()?;
         let response = sender.http.try_send_request(request).await.ok()?;
         let headers = response.headers();
+        if headers.contains_key(&dialect.call) {
+            log_unmatched(dialect, &response, None, &sender.history);
+        }
         let told = Told {
             load: dialect.load(headers),
             cold_left_us: dialect.cold_left(headers).unwrap_or_else(|error| {
@@ -186,6 +190,7 @@
             .collect()
             .await
             .ok()?;
+        sender.history.answered(Asked::Load);
         self.put_back(sender);
         Some(told)
     }
@@ -304,15 +309,49 @@
 }
 
 /// A target that repeats our call header shows which request it answers.
-fn answers_another(dialect: &Dialect, response: &Response<Incoming>, call: &str) -> bool {
-    let repeated = response.headers().get(&dialect.call);
-    let other = repeated.is_some_and(|value| value.as_bytes() != call.as_bytes());
+fn answers_another(
+    dialect: &Dialect,
+    response: &Response<Incoming>,
+    call: &str,
+    history: &ConnectionHistory,
+) -> bool {
+    let Some(repeated) = response.headers().get(&dialect.call) else {
+        if dialect.targets_name_calls {
+            log_unmatched(dialect, response, Some(call), history);
+        }
+        return false;
+    };
+    let other = repeated.as_bytes() != call.as_bytes();
     if other {
-        log::error!(call; "the target answered another call on this connection");
+        log_unmatched(dialect, response, Some(call), history);
     }
     other
 }
 
+/// Logs an answer that does not name what was asked: what it looks like, and what its connection
+/// was used for before. A question for the load has no call.
+fn log_unmatched(
+    dialect: &Dialect,
+    response: &Response<Incoming>,
+    call: Option<&str>,
+    history: &ConnectionHistory,
+) {
+    let headers = response.headers();
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    log::error!(
+        call:? = call,
+        answers:? = text(&dialect.call),
+        status = response.status().as_u16(),
+        length:? = text(&CONTENT_LENGTH),
+        instance:? = dialect.told_instance(headers),
+        connection = history.number,
+        exchanges = history.exchanges,
+        asked_before:? = history.last,
+        idle_ms = history.since.elapsed().as_millis() as u64;
+        "the target answered another call on this connection"
+    );
+}
+
 /// Headers for the caller. The length is that of the body we send, except for
 /// HEAD, whose answer has a length and no body.
 fn end_to_end(dialect: &Dialect, headers: &HeaderMap, is_head: bool) -> Vec<Header> {
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -38,8 +38,52 @@
 const LOOKS: u32 = 3;
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
+/// What is asked on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Asked {
+    /// Nothing so far.
+    Nothing,
+    /// A call.
+    Call,
+    /// The target's load.
+    Load,
+}
+
+/// What went over a connection so far, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionHistory {
+    /// Number of the connection since the daemon started.
+    pub number: u64,
+    /// Requests that were written on it and answered.
+    pub exchanges: u32,
+    /// What the last of them asked.
+    pub last: Asked,
+    /// When that was answered, or the connection opened.
+    pub since: Instant,
+}
+
+impl ConnectionHistory {
+    fn new(number: u64) -> Self {
+        ConnectionHistory {
+            number,
+            exchanges: 0,
+            last: Asked::Nothing,
+            since: Instant::now(),
+        }
+    }
+
+    /// An exchange ended with an answer.
+    pub fn answered(&mut self, asked: Asked) {
+        self.exchanges += 1;
+        self.last = asked;
+        self.since = Instant::now();
+    }
+}
+
 /// A connection that takes one request at a time.
 pub(super) struct Sender {
+    /// What went over it.
+    pub history: ConnectionHistory,
     /// Takes the request.
     pub http: SendRequest<TargetBody>,
     /// Hears when something is written on the connection.
@@ -72,6 +116,8 @@
     open: Arc<AtomicUsize>,
     closed: Arc<Notify>,
     idle: Mutex<VecDeque<Idle>>,
+    /// Connections opened so far.
+    opened: AtomicU64,
     /// Ends of the target.
     pub(super) ends: Ends,
 }
@@ -85,6 +131,7 @@
             open: Arc::default(),
             closed: Arc::default(),
             idle: Mutex::default(),
+            opened: AtomicU64::new(0),
             ends: Ends::default(),
         }
     }
@@ -209,7 +256,12 @@
             }
             drop(place);
         });
-        Ok(Sender { http, written })
+        let history = ConnectionHistory::new(self.opened.fetch_add(1, Ordering::Relaxed));
+        Ok(Sender {
+            history,
+            http,
+            written,
+        })
     }
 
     /// A target that takes no further connection may refuse one while it serves others; one
