Matching of responses by call, and a decoder of targets' answers

ResponseMatcher (policy): a response belongs to the call that it names; one that names an earlier call of the connection is surplus; one without a name counts only as the first of a connection where names are optional, which is then not used again, and never where targets promise to repeat the name. Two attempts of a call do not share a connection: a surplus answer to the first would pass for one to the second. QueryConnections: questions for the load name nothing, so after a surplus answer each gets a connection of its own for a minute.

http1::Answers: heads, interim answers (16 at most), bodies by length, chunks or the end of the connection; without I/O. An answer that is cut has no end. Length and chunks together, 101, bare line feeds and what http1 refuses in requests are no answers. The input buffer is shared with http1::Requests.

--- a/crates/daemon/src/http1/encode.rs
+++ b/crates/daemon/src/http1/encode.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::date;
+use super::head::may_have_body;
 
 /// Bodies up to this many bytes are copied behind their head: one piece to write is cheaper
 /// than two.
@@ -72,10 +73,6 @@
     Encoded { head, body }
 }
 
-fn may_have_body(status: StatusCode) -> bool {
-    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
-}
-
 fn status_line(head: &mut Vec<u8>, status: StatusCode, is_old: bool) {
     let version = match is_old {
         true => &b"HTTP/1.0 "[..],
--- a/crates/daemon/src/http1/head.rs
+++ b/crates/daemon/src/http1/head.rs
@@ -1,4 +1,4 @@
-//! The head of a request: where it ends, and what it says.
+//! Heads of requests and of answers: where they end, and what they say.
 
 use std::mem::MaybeUninit;
 
@@ -6,8 +6,8 @@
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
-use hyper::http::request::Parts;
-use hyper::{Method, Request, Uri, Version};
+use hyper::http::{request, response};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 
 use super::malformed::Malformed;
 
@@ -25,11 +25,22 @@
     Chunked,
 }
 
+/// How the end of an answer's body is found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerFraming {
+    /// By its length in bytes; 0 where there is no body.
+    Length(u64),
+    /// By its chunks.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
 /// A request's head.
 #[derive(Debug)]
 pub struct Head {
     /// Method, target, version and fields.
-    pub parts: Parts,
+    pub parts: request::Parts,
     /// Where its body ends.
     pub framing: Framing,
     /// Whether more requests may follow on the connection.
@@ -104,10 +115,7 @@
     *request.method_mut() =
         Method::from_bytes(method.as_bytes()).map_err(|_| Malformed::RequestLine)?;
     *request.uri_mut() = target.map_err(|_| Malformed::Target)?;
-    *request.version_mut() = match is_new {
-        true => Version::HTTP_11,
-        false => Version::HTTP_10,
-    };
+    *request.version_mut() = version(is_new);
     *request.headers_mut() = headers;
     Ok(Head {
         parts: request.into_parts().0,
@@ -117,6 +125,64 @@
     })
 }
 
+/// Reads the head of an answer that is there whole, and whether its connection may be used
+/// again.
+///
+/// # Errors
+/// What makes it doubtful what the head says.
+pub(super) fn read_answer(bytes: &[u8]) -> Result<(response::Parts, bool), Malformed> {
+    let mut fields = [const { MaybeUninit::uninit() }; FIELDS_LIMIT];
+    let mut parsed = httparse::Response::new(&mut []);
+    let config = httparse::ParserConfig::default();
+    match config.parse_response_with_uninit_headers(&mut parsed, bytes, &mut fields) {
+        Ok(httparse::Status::Complete(length)) if length == bytes.len() => {}
+        Ok(_) => return Err(Malformed::StatusLine),
+        Err(httparse::Error::Token | httparse::Error::Status | httparse::Error::NewLine) => {
+            return Err(Malformed::StatusLine);
+        }
+        Err(error) => return Err(malformed(error)),
+    }
+    let (Some(code), Some(minor)) = (parsed.code, parsed.version) else {
+        return Err(Malformed::StatusLine);
+    };
+    let kept = Bytes::copy_from_slice(bytes);
+    let headers = headers(&kept, bytes, parsed.headers)?;
+    let is_new = minor == 1;
+    let persists = persists(&headers, is_new);
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::from_u16(code).map_err(|_| Malformed::StatusLine)?;
+    *response.version_mut() = version(is_new);
+    *response.headers_mut() = headers;
+    Ok((response.into_parts().0, persists))
+}
+
+fn version(is_new: bool) -> Version {
+    match is_new {
+        true => Version::HTTP_11,
+        false => Version::HTTP_10,
+    }
+}
+
+/// Whether an answer of this status may have a body, other than to HEAD.
+pub(super) fn may_have_body(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// How the body of an answer ends (RFC 9112, section 6.3). One with chunks and a length is
+/// refused: two readers may see two ends of it.
+pub(super) fn answer_framing(
+    headers: &HeaderMap,
+    is_new: bool,
+) -> Result<AnswerFraming, Malformed> {
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    match framing(headers, is_new)? {
+        Framing::Chunked if has_length => Err(Malformed::Coding),
+        Framing::Chunked => Ok(AnswerFraming::Chunked),
+        Framing::Length(length) if has_length => Ok(AnswerFraming::Length(length)),
+        Framing::Length(_) => Ok(AnswerFraming::UntilClose),
+    }
+}
+
 /// The part of the kept copy of a head that holds `part` of the original.
 fn within<'a>(kept: &'a Bytes, original: &[u8], part: &[u8]) -> &'a [u8] {
     let begin = part.as_ptr() as usize - original.as_ptr() as usize;
--- a/crates/daemon/src/http1/malformed.rs
+++ b/crates/daemon/src/http1/malformed.rs
@@ -1,10 +1,10 @@
-//! Why a request cannot be framed.
+//! Why a request or an answer cannot be framed.
 
 use hyper::StatusCode;
 use thiserror::Error;
 
-/// What makes it doubtful where a request ends, or what it is. The connection ends after the
-/// answer that says so.
+/// What makes it doubtful where a request or an answer ends, or what it is. The connection of a
+/// request ends after the answer that says so.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum Malformed {
     /// A line ends in a line feed alone.
@@ -13,6 +13,9 @@
     /// The request line is none.
     #[error("the request line is malformed")]
     RequestLine,
+    /// The status line of an answer is none.
+    #[error("the status line is malformed")]
+    StatusLine,
     /// The version is not 1.0 or 1.1.
     #[error("the version is not served")]
     Version,
@@ -62,6 +65,7 @@
         match self {
             Malformed::BareLineFeed => "bare-line-feed",
             Malformed::RequestLine => "request-line",
+            Malformed::StatusLine => "status-line",
             Malformed::Version => "version",
             Malformed::Target => "target",
             Malformed::Field => "field",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 mod region_budget;
 mod repeated_reports;
 mod report;
+mod response_match;
 mod retry;
 mod rollout;
 mod router;
@@ -99,6 +100,9 @@
 pub use report::{
     CurrentTarget, ReportEffect, ReportedState, TargetAnswer, TargetReport, TargetReports,
 };
+pub use response_match::{
+    QueryConnections, ResponseMatch, ResponseMatcher, ResponseName, ResponseNaming,
+};
 pub use retry::{RetryAllowance, RetryBound, RetryBudget, RetryParams, RetryWindow};
 pub use rollout::{
     AdmittedCalls, CANARY_SHARE_FACTOR, CallCounts, CanaryAnalysis, Cause, Exposure, Fault,
