--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -309,7 +309,7 @@
         half: Half::new(
             clock,
             me.started_ms,
-            Pool::new(config.target),
+            Pool::new(config.target, environment.dialect.response_naming),
             target_reports,
         ),
         once: Once::new(
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use lynxcleat_policy::{Micros, RateLimit};
+use lynxcleat_policy::{Micros, RateLimit, ResponseName, ResponseNaming};
 use thiserror::Error;
 
 use crate::headers::{
@@ -80,7 +80,7 @@
     /// Name of a call, to targets and from those that repeat it.
     pub call: HeaderName,
     /// Whether targets repeat that header in every answer to a call.
-    pub targets_name_calls: bool,
+    pub response_naming: ResponseNaming,
     /// Whether callers name their calls in that header.
     pub callers_name_calls: bool,
     /// Incarnation of the target that is meant, to targets.
@@ -119,7 +119,7 @@
         Dialect {
             deadline: HeaderName::from_static(DEADLINE),
             call: HeaderName::from_static(CALL),
-            targets_name_calls: false,
+            response_naming: ResponseNaming::Optional,
             callers_name_calls: false,
             instance: None,
             caller_service: None,
@@ -147,6 +147,16 @@
         Some(text.to_owned())
     }
 
+    /// The call that an answer names.
+    pub fn response_name<'a>(&self, headers: &'a HeaderMap) -> ResponseName<'a> {
+        let mut names = headers.get_all(&self.call).iter();
+        match (names.next(), names.next()) {
+            (None, _) => ResponseName::Absent,
+            (Some(name), None) => ResponseName::Call(name.as_bytes()),
+            (Some(_), Some(_)) => ResponseName::Ambiguous,
+        }
+    }
+
     /// The load that an answer tells.
     pub fn load(&self, headers: &HeaderMap) -> Option<TargetLoad> {
         let load = self.load.as_ref()?;
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -1,28 +1,30 @@
 //! One request to the target and its whole answer.
 
-use std::time::Duration;
-
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::TrySendError;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Method, Response, Uri};
-use lynxcleat_policy::Micros;
+use lynxcleat_policy::{Micros, ResponseMatch, ResponseMatcher};
 use lynxcleat_wire::{Answer, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
-use super::bodies::{BodyCut, Expected, PieceBody};
-use super::pool::{Asked, ConnectionHistory, Pool, Sender};
+use super::answer_memory::HeldAnswer;
+use super::bodies::{BodyCut, Expected};
+use super::connection::{
+    Asked, Begun, Connection, ConnectionError, ConnectionHistory, EncodedRequest, Reader, Rest,
+    read_while_writing,
+};
+use super::pool::{Pool, Use};
+use super::request::{encode, encode_question};
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
+use crate::http1::{AnswerFraming, AnswerHead, AnswerItem};
 
 /// Largest answer to the question for the load, in bytes.
 const LOAD_ANSWER_BYTES: usize = 16 << 10;
-/// Pause between a write and the time that is noted for it. On a host that has used up its
-/// share of a processor, bytes leave and clocks move on only when it runs again; after a pause
-/// both have. A call that is noted late keeps its room for longer, which does no harm.
-const WRITTEN_PAUSE: Duration = Duration::from_millis(1);
+/// Bytes of surplus answers that are thrown away while a call waits for its own.
+const SURPLUS_BYTES: usize = 1 << 20;
+/// Connections that are tried for a call where each is found unfit before it is used.
+const CONNECTION_TRIES: u32 = 4;
 /// Hint for callers where a target that sheds gives none.
 const SHED_RETRY_AFTER_US: Micros = 100_000;
 
@@ -82,10 +84,24 @@
     }
 }
 
-/// A request's body as it is written.
-pub(super) type TargetBody = Either<Full<Bytes>, PieceBody>;
+/// What reading the answer to a call takes.
+struct CallReading<'a> {
+    dialect: &'a Dialect,
+    call: &'a str,
+    body_limit: usize,
+    held: HeldAnswer,
+}
 
-type HttpRequest = hyper::Request<TargetBody>;
+/// The whole answer to a call.
+struct OwnAnswer {
+    kind: AnswerKind,
+    parts: Parts,
+    body: Vec<u8>,
+    /// Whether the connection may carry another call.
+    is_reusable: bool,
+    /// Counts the memory of the body.
+    _held: HeldAnswer,
+}
 
 impl Pool {
     /// Writes a request and reads the whole answer; `sends` is called once it is written, and
@@ -97,66 +113,71 @@
         request: Request<'_>,
         (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
     ) -> Exchange {
-        let body_limit = request.body_limit;
-        let is_head = request.head.method == "HEAD";
-        let call = request.call.clone();
-        let expected = match request.body {
-            RequestBody::Pieces(expected) => Some(expected),
-            RequestBody::Whole(_) => None,
-        };
         // A body is asked for only when there is a connection for it.
-        let mut connection = self.take_logged().await;
+        let mut connection = self.take_for(&request.call).await;
         if connection.is_none() {
             return Exchange::NotWritten;
         }
-        let mut http = match begin(dialect, request).await {
-            Ok(Some(http)) => http,
+        let (call, body_limit) = (request.call.clone(), request.body_limit);
+        let expected = match request.body {
+            RequestBody::Pieces(expected) => Some(expected),
+            RequestBody::Whole(_) => None,
+        };
+        let mut encoded = match encode(dialect, request).await {
+            Ok(Some(encoded)) => encoded,
             Ok(None) => return Exchange::NotWritten,
             Err(BodyCut) => return Exchange::NoBody,
         };
+        let is_head = encoded.is_head;
         loop {
             let taken = match connection.take() {
-                Some(sender) => Some(sender),
-                None => self.take_logged().await,
+                Some(connection) => Some(connection),
+                None => self.take_for(&call).await,
             };
-            let Some(mut sender) = taken else {
+            let Some(mut connection) = taken else {
                 return Exchange::NotWritten;
             };
             if let Some(expected) = expected {
                 expected.set_begun();
             }
-            match send(&mut sender, http, &sends).await {
-                Ok(response) => {
-                    if answers_another(dialect, &response, &call, &sender.history) {
-                        return Exchange::Lost;
-                    }
-                    sender.history.answered(Asked::Call);
-                    let (parts, body) = response.into_parts();
-                    let kind = (dialect.answer_kind)(&parts);
-                    if kind != AnswerKind::OtherInstance {
-                        hears(&parts.headers);
+            let reading = CallReading {
+                dialect,
+                call: &call,
+                body_limit,
+                held: self.memory.enter(),
+            };
+            match exchange_on(&mut connection, &mut encoded, reading, (&sends, &hears)).await {
+                Ok((answer, is_written)) => {
+                    connection.answered(Asked::Call);
+                    if answer.is_reusable && is_written {
+                        self.put_back(connection, Use::Calls);
                     }
-                    return self
-                        .finish(
-                            dialect,
-                            (sender, expected),
-                            (kind, parts, body),
-                            (body_limit, is_head),
-                        )
-                        .await;
+                    return finish(dialect, answer, is_head);
                 }
-                // Given back unwritten: the target had closed an idle connection.
-                Err(mut error) => match error.take_message() {
-                    Some(unwritten) => http = unwritten,
-                    None => return Exchange::Lost,
-                },
+                // The target had closed an idle connection.
+                Err(ConnectionError::NotWritten(error)) => log::debug!("target: {error}"),
+                Err(error) => {
+                    log::warn!(call = call.as_str(); "answer of the target: {error}");
+                    return Exchange::Lost;
+                }
+            }
+        }
+    }
+
+    /// A connection on which the answer to a call can be told from those to others.
+    async fn take_for(&self, call: &str) -> Option<Connection> {
+        for _ in 0..CONNECTION_TRIES {
+            let connection = self.take_logged().await?;
+            if connection.matcher.may_send(call) && connection.rest() != Rest::Surplus {
+                return Some(connection);
             }
         }
+        None
     }
 
-    async fn take_logged(&self) -> Option<Sender> {
-        match self.take().await {
-            Ok(sender) => Some(sender),
+    async fn take_logged(&self) -> Option<Connection> {
+        match self.take(Use::Calls).await {
+            Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!("target: {error}");
                 None
@@ -167,181 +188,189 @@
     /// Asks the target for its load at a path that it answers at once. Nothing where no
     /// whole answer came.
     pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<Told> {
-        let request = hyper::Request::get(path)
-            .header(hyper::header::HOST, "target")
-            .body(Either::Left(Full::default()))
+        let mut connection = self.take(Use::Questions).await.ok()?;
+        let mut question = encode_question(path)?;
+        let begun = connection.begin(&mut question).await.ok()?;
+        let history = *begun.history;
+        let read = read_told(dialect, begun.reader, &history);
+        let asked = read_while_writing(read, begun.writer, || {}).await;
+        let ((told, is_reusable), is_written) = asked
+            .inspect_err(|error| log::debug!("question to the target: {error}"))
             .ok()?;
-        let mut sender = self.take().await.ok()?;
-        let response = sender.http.try_send_request(request).await.ok()?;
-        let headers = response.headers();
-        if headers.contains_key(&dialect.call) {
-            log_unmatched(dialect, &response, None, &sender.history);
+        connection.answered(Asked::Load);
+        if is_reusable && is_written {
+            self.put_back(connection, Use::Questions);
         }
-        let told = Told {
-            load: dialect.load(headers),
-            cold_left_us: dialect.cold_left(headers).unwrap_or_else(|error| {
-                log::warn!("the target told no cold time: {error}");
-                None
-            }),
-            instance: dialect.told_instance(headers),
-            well: response.status().is_success() && !dialect.is_leaving(headers),
-        };
-        Limited::new(response.into_body(), LOAD_ANSWER_BYTES)
-            .collect()
-            .await
-            .ok()?;
-        sender.history.answered(Asked::Load);
-        self.put_back(sender);
         Some(told)
     }
+}
 
-    async fn finish(
-        &self,
-        dialect: &Dialect,
-        (sender, expected): (Sender, Option<&Expected>),
-        (kind, parts, body): (AnswerKind, Parts, Incoming),
-        (body_limit, is_head): (usize, bool),
-    ) -> Exchange {
-        let body = match Limited::new(body, body_limit).collect().await {
-            Ok(whole) => whole.to_bytes(),
-            Err(error) => {
-                let too_large = error.is::<LengthLimitError>();
-                log::warn!(too_large; "answer of the target: {error}");
-                return Exchange::Lost;
+/// Writes a call on a connection and reads its answer. True beside it where all was written.
+async fn exchange_on(
+    connection: &mut Connection,
+    request: &mut EncodedRequest,
+    reading: CallReading<'_>,
+    (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
+) -> Result<(OwnAnswer, bool), ConnectionError> {
+    connection.matcher.on_request(reading.call, request.is_head);
+    let Begun {
+        reader,
+        writer,
+        matcher,
+        history,
+    } = connection.begin(request).await?;
+    let read = read_own(reader, (matcher, history), reading, hears);
+    read_while_writing(read, writer, sends).await
+}
+
+/// Reads until the answer to the call is there, past surplus ones to earlier calls.
+async fn read_own(
+    mut reader: Reader<'_>,
+    (matcher, history): (&mut ResponseMatcher, &ConnectionHistory),
+    mut reading: CallReading<'_>,
+    hears: impl Fn(&HeaderMap),
+) -> Result<OwnAnswer, ConnectionError> {
+    let dialect = reading.dialect;
+    loop {
+        let head = read_head(&mut reader).await?;
+        let matched = matcher.on_response(dialect.response_name(&head.parts.headers));
+        let reusable = match matched {
+            ResponseMatch::Own { reusable } => reusable,
+            ResponseMatch::Surplus | ResponseMatch::Unmatched => {
+                log_unmatched(dialect, &head.parts, Some(reading.call), history);
+                if matched == ResponseMatch::Unmatched {
+                    return Err(ConnectionError::Unmatched);
+                }
+                skip_body(&mut reader, &head, SURPLUS_BYTES).await?;
+                continue;
             }
         };
-        // The rest of a body is still due where the target answered before it had all of it.
-        if expected.is_none_or(Expected::is_handed_over) {
-            self.put_back(sender);
+        let kind = (dialect.answer_kind)(&head.parts);
+        if kind != AnswerKind::OtherInstance {
+            hears(&head.parts.headers);
         }
-        match kind {
-            AnswerKind::Ran => {}
-            AnswerKind::NotRun { retry_after_us } => {
-                let retry_after_us = retry_after_us.unwrap_or(SHED_RETRY_AFTER_US);
-                return Exchange::Shed { retry_after_us };
-            }
-            AnswerKind::OtherInstance => return Exchange::OtherInstance,
-        }
-        let answer = Answer {
-            status: parts.status.as_u16(),
-            headers: end_to_end(dialect, &parts.headers, is_head),
-            body: ByteBuf::from(body.to_vec()),
-        };
-        Exchange::Answer(answer, dialect.load(&parts.headers))
+        let body = read_body(&mut reader, &head, &mut reading).await?;
+        return Ok(OwnAnswer {
+            kind,
+            is_reusable: reusable && head.persists,
+            parts: head.parts,
+            body,
+            _held: reading.held,
+        });
     }
 }
 
-/// Sends a request, says when it is written, and waits for the head of the answer.
-async fn send(
-    sender: &mut Sender,
-    request: HttpRequest,
-    sends: impl Fn(),
-) -> Result<Response<Incoming>, TrySendError<HttpRequest>> {
-    sender.written.mark_unchanged();
-    let answered = sender.http.try_send_request(request);
-    tokio::pin!(answered);
-    let written = async {
-        // The connection's end is told by the answer that does not come.
-        let _ = sender.written.changed().await;
-        tokio::time::sleep(WRITTEN_PAUSE).await;
-    };
-    tokio::select! {
-        biased;
-        response = &mut answered => {
-            sends();
-            return response;
-        }
-        () = written => sends(),
+/// Reads the answer to a question for the load, and whether its connection may carry another.
+async fn read_told(
+    dialect: &Dialect,
+    mut reader: Reader<'_>,
+    history: &ConnectionHistory,
+) -> Result<(Told, bool), ConnectionError> {
+    let head = read_head(&mut reader).await?;
+    let headers = &head.parts.headers;
+    if headers.contains_key(&dialect.call) {
+        log_unmatched(dialect, &head.parts, None, history);
+        return Err(ConnectionError::Unmatched);
     }
-    answered.await
+    let told = Told {
+        load: dialect.load(headers),
+        cold_left_us: dialect.cold_left(headers).unwrap_or_else(|error| {
+            log::warn!("the target told no cold time: {error}");
+            None
+        }),
+        instance: dialect.told_instance(headers),
+        well: head.parts.status.is_success() && !dialect.is_leaving(headers),
+    };
+    skip_body(&mut reader, &head, LOAD_ANSWER_BYTES).await?;
+    Ok((told, head.persists))
 }
 
-/// Makes the request, for a body in pieces once its first is there. Nothing where it cannot
-/// be written.
-async fn begin(dialect: &Dialect, request: Request<'_>) -> Result<Option<HttpRequest>, BodyCut> {
-    let body = match &request.body {
-        RequestBody::Whole(_) => None,
-        RequestBody::Pieces(expected) => Some(expected.begin().await?),
-    };
-    Ok(build(dialect, request, body))
+async fn read_head(reader: &mut Reader<'_>) -> Result<AnswerHead, ConnectionError> {
+    match reader.next().await? {
+        AnswerItem::Head(head) => Ok(*head),
+        // A body is read to its end before the next head.
+        AnswerItem::Data(_) | AnswerItem::End => Err(ConnectionError::Unmatched),
+    }
 }
 
-fn build(
-    dialect: &Dialect,
-    request: Request<'_>,
-    pieces: Option<PieceBody>,
-) -> Option<HttpRequest> {
-    let Request {
-        call,
-        head,
-        body,
-        left_us,
-        instance,
-        caller_service,
-        organisation,
-        ..
-    } = request;
-    let body = match (body, pieces) {
-        (_, Some(pieces)) => Either::Right(pieces),
-        (RequestBody::Whole(bytes), None) => Either::Left(Full::new(Bytes::from(bytes))),
-        (RequestBody::Pieces(_), None) => return None,
-    };
-    let method = Method::from_bytes(head.method.as_bytes()).ok()?;
-    let uri: Uri = head.path.parse().ok()?;
-    let mut http = hyper::Request::builder().method(method).uri(uri);
-    for Header(name, value) in &head.headers {
-        http = http.header(name.as_str(), value.as_slice());
+/// Reads the body of an answer and keeps it.
+async fn read_body(
+    reader: &mut Reader<'_>,
+    head: &AnswerHead,
+    reading: &mut CallReading<'_>,
+) -> Result<Vec<u8>, ConnectionError> {
+    let limit = reading.body_limit;
+    let too_large = || ConnectionError::TooLarge { limit };
+    let mut body = Vec::new();
+    if let AnswerFraming::Length(length) = head.framing {
+        let length = usize::try_from(length).ok().filter(|bytes| *bytes <= limit);
+        let length = length.ok_or_else(too_large)?;
+        reading.held.grow(length).await;
+        body.reserve_exact(length);
     }
-    let left_ms = left_us / 1_000;
-    if let (Some(name), Some(value)) = (&dialect.instance, instance) {
-        http = http.header(name, value);
+    while let AnswerItem::Data(data) = reader.next().await? {
+        if body.len() + data.len() > limit {
+            return Err(too_large());
+        }
+        if !matches!(head.framing, AnswerFraming::Length(_)) {
+            reading.held.grow(data.len()).await;
+        }
+        body.extend_from_slice(&data);
     }
-    if let (Some(name), Some(value)) = (&dialect.caller_service, caller_service) {
-        http = http.header(name, value);
+    Ok(body)
+}
+
+/// Reads the body of an answer and throws it away.
+async fn skip_body(
+    reader: &mut Reader<'_>,
+    head: &AnswerHead,
+    limit: usize,
+) -> Result<(), ConnectionError> {
+    if head.framing == AnswerFraming::UntilClose {
+        return Err(ConnectionError::Unmatched);
     }
-    if let (Some(name), Some(value)) = (&dialect.organisation, organisation) {
-        http = http.header(name, value);
+    let mut bytes = 0;
+    while let AnswerItem::Data(data) = reader.next().await? {
+        bytes += data.len();
+        if bytes > limit {
+            return Err(ConnectionError::TooLarge { limit });
+        }
     }
-    http.header(&dialect.deadline, left_ms)
-        .header(&dialect.call, call)
-        .body(body)
-        .ok()
+    Ok(())
 }
 
-/// A target that repeats our call header shows which request it answers.
-fn answers_another(
-    dialect: &Dialect,
-    response: &Response<Incoming>,
-    call: &str,
-    history: &ConnectionHistory,
-) -> bool {
-    let Some(repeated) = response.headers().get(&dialect.call) else {
-        if dialect.targets_name_calls {
-            log_unmatched(dialect, response, Some(call), history);
+/// What an answer is to the caller.
+fn finish(dialect: &Dialect, own: OwnAnswer, is_head: bool) -> Exchange {
+    match own.kind {
+        AnswerKind::Ran => {}
+        AnswerKind::NotRun { retry_after_us } => {
+            let retry_after_us = retry_after_us.unwrap_or(SHED_RETRY_AFTER_US);
+            return Exchange::Shed { retry_after_us };
         }
-        return false;
-    };
-    let other = repeated.as_bytes() != call.as_bytes();
-    if other {
-        log_unmatched(dialect, response, Some(call), history);
+        AnswerKind::OtherInstance => return Exchange::OtherInstance,
     }
-    other
+    let answer = Answer {
+        status: own.parts.status.as_u16(),
+        headers: end_to_end(dialect, &own.parts.headers, is_head),
+        body: ByteBuf::from(own.body),
+    };
+    Exchange::Answer(answer, dialect.load(&own.parts.headers))
 }
 
-/// Logs an answer that does not name what was asked: what it looks like, and what its connection
+/// Logs an answer that is not the one waited for: what it looks like, and what its connection
 /// was used for before. A question for the load has no call.
 fn log_unmatched(
     dialect: &Dialect,
-    response: &Response<Incoming>,
+    parts: &Parts,
     call: Option<&str>,
     history: &ConnectionHistory,
 ) {
-    let headers = response.headers();
+    let headers = &parts.headers;
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     log::error!(
         call:? = call,
         answers:? = text(&dialect.call),
-        status = response.status().as_u16(),
+        status = parts.status.as_u16(),
         length:? = text(&CONTENT_LENGTH),
         instance:? = dialect.told_instance(headers),
         connection = history.number,
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -5,7 +5,9 @@
 //! connections to the target.
 
 mod ahead;
+mod answer_memory;
 mod bodies;
+mod connection;
 mod cut;
 mod deliver;
 mod down;
@@ -13,11 +15,11 @@
 mod exchange;
 mod notices;
 mod pool;
+mod request;
 mod serve;
 pub(crate) mod state;
 mod suspects;
 mod target;
-mod watched;
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -1,11 +1,10 @@
 //! Connections to the target: kept open, bounded, and never used again after an
 //! exchange that did not end cleanly.
 //!
-//! HTTP/1.1 does not say to which request an answer belongs. A target that
-//! answers twice would give its second answer to the next caller, so a connection
-//! rests before it is used again, longest rested first, and one that receives
-//! anything while it rests is closed. A second answer that comes later than that
-//! can be told only if the target repeats our call header; see `exchange`.
+//! HTTP/1.1 does not say to which request an answer belongs. Calls and questions for the load
+//! have connections of their own; a connection rests before it is used again, longest rested
+//! first, and one that receives anything while it rests is closed. What comes later than that
+//! is matched with the call by its name; see [`lynxcleat_policy::ResponseMatcher`].
 
 use std::collections::VecDeque;
 use std::io::ErrorKind;
@@ -14,15 +13,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use lynxcleat_policy::{Micros, QueryConnections, ResponseNaming};
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
+use super::answer_memory::AnswerMemory;
+use super::connection::{Connection, Rest};
 use super::ends::Ends;
-use super::exchange::TargetBody;
-use super::watched::Watched;
 use crate::sync::lock;
 
 /// Longest time to open a connection to the target, which is on this host.
@@ -38,100 +36,99 @@
 const LOOKS: u32 = 3;
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
-/// What is asked on a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Asked {
-    /// Nothing so far.
-    Nothing,
-    /// A call.
-    Call,
-    /// The target's load.
-    Load,
-}
-
-/// What went over a connection so far, for the log.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ConnectionHistory {
-    /// Number of the connection since the daemon started.
-    pub number: u64,
-    /// Requests that were written on it and answered.
-    pub exchanges: u32,
-    /// What the last of them asked.
-    pub last: Asked,
-    /// When that was answered, or the connection opened.
-    pub since: Instant,
-}
-
-impl ConnectionHistory {
-    fn new(number: u64) -> Self {
-        ConnectionHistory {
-            number,
-            exchanges: 0,
-            last: Asked::Nothing,
-            since: Instant::now(),
-        }
-    }
-
-    /// An exchange ended with an answer.
-    pub fn answered(&mut self, asked: Asked) {
-        self.exchanges += 1;
-        self.last = asked;
-        self.since = Instant::now();
-    }
-}
-
-/// A connection that takes one request at a time.
-pub(super) struct Sender {
-    /// What went over it.
-    pub history: ConnectionHistory,
-    /// Takes the request.
-    pub http: SendRequest<TargetBody>,
-    /// Hears when something is written on the connection.
-    pub written: watch::Receiver<u64>,
-}
-
 /// Why there is no connection to the target. Nothing was written.
 #[derive(Debug, Error)]
 pub enum PoolError {
     /// The connection cannot be opened.
     #[error("cannot connect: {0}")]
     Connect(#[from] std::io::Error),
-    /// The HTTP connection cannot be set up.
-    #[error("cannot set up: {0}")]
-    SetUp(#[from] hyper::Error),
     /// It took too long.
     #[error("no connection within {CONNECT_LIMIT:?}")]
     TooSlow,
 }
 
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Use {
+    /// Calls.
+    Calls,
+    /// Questions for the load.
+    Questions,
+}
+
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < IDLE_LIMIT && self.connection.rest() == Rest::Quiet
+    }
+}
+
+/// Idle connections by use, each longest rested first.
+#[derive(Default)]
+struct IdleConnections {
+    calls: VecDeque<Idle>,
+    questions: VecDeque<Idle>,
+    /// Whether those of questions are kept.
+    queries: QueryConnections,
+}
+
+impl IdleConnections {
+    fn of(&mut self, purpose: Use) -> &mut VecDeque<Idle> {
+        match purpose {
+            Use::Calls => &mut self.calls,
+            Use::Questions => &mut self.questions,
+        }
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Idle) -> bool) {
+        self.calls.retain(&keep);
+        self.questions.retain(&keep);
+    }
+
+    /// Closes one of the other use, the longest rested.
+    fn make_room(&mut self, purpose: Use) -> bool {
+        let other = match purpose {
+            Use::Calls => &mut self.questions,
+            Use::Questions => &mut self.calls,
+        };
+        other.pop_front().is_some()
+    }
+}
+
 /// The connections to one target.
 pub struct Pool {
     target: SocketAddr,
+    naming: ResponseNaming,
     limit: AtomicUsize,
     open: Arc<AtomicUsize>,
     closed: Arc<Notify>,
-    idle: Mutex<VecDeque<Idle>>,
+    idle: Mutex<IdleConnections>,
     /// Connections opened so far.
     opened: AtomicU64,
+    since: Instant,
+    /// Memory of the answers that are read.
+    pub(super) memory: AnswerMemory,
     /// Ends of the target.
     pub(super) ends: Ends,
 }
 
 impl Pool {
     /// No connections yet.
-    pub fn new(target: SocketAddr) -> Self {
+    pub fn new(target: SocketAddr, naming: ResponseNaming) -> Self {
         Pool {
             target,
+            naming,
             limit: AtomicUsize::new(1),
             open: Arc::default(),
             closed: Arc::default(),
             idle: Mutex::default(),
             opened: AtomicU64::new(0),
+            since: Instant::now(),
+            memory: AnswerMemory,
             ends: Ends::default(),
         }
     }
@@ -151,7 +148,7 @@
         while self.open() < count {
             let Some(place) = self.reserve() else { return };
             match self.connect(place).await {
-                Ok(sender) => self.put_back(sender),
+                Ok(connection) => self.put_back(connection, Use::Calls),
                 Err(_) => return,
             }
         }
@@ -159,36 +156,60 @@
 
     /// Closes all idle connections: there is reason to think that they are silent.
     pub fn drop_idle(&self) {
-        lock(&self.idle).clear();
+        lock(&self.idle).retain(|_| false);
     }
 
-    /// Closes idle connections that have grown old.
+    /// Closes idle connections that have grown old, ended, or received something.
     pub fn drop_old(&self) {
-        lock(&self.idle).retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
+        lock(&self.idle).retain(Idle::is_usable);
     }
 
     /// A connection that is ready for a request: the one that rested longest, or
     /// a new one.
-    pub(super) async fn take(&self) -> Result<Sender, PoolError> {
-        tokio::time::timeout(CONNECT_LIMIT, self.take_any())
+    pub(super) async fn take(&self, purpose: Use) -> Result<Connection, PoolError> {
+        tokio::time::timeout(CONNECT_LIMIT, self.take_any(purpose))
             .await
             .unwrap_or(Err(PoolError::TooSlow))
     }
 
-    async fn take_any(&self) -> Result<Sender, PoolError> {
+    async fn take_any(&self, purpose: Use) -> Result<Connection, PoolError> {
         loop {
-            while let Some(mut idle) = self.pop_rested() {
-                let fresh = idle.since.elapsed() < IDLE_LIMIT;
-                if fresh && idle.sender.http.ready().await.is_ok() {
-                    return Ok(idle.sender);
+            while let Some(idle) = self.pop_rested(purpose) {
+                if idle.is_usable() {
+                    return Ok(idle.connection);
                 }
+                self.note_surplus(&idle.connection, purpose);
             }
             if let Some(place) = self.reserve() {
                 return self.connect(place).await;
             }
             let closed = self.closed.notified();
-            let _ = tokio::time::timeout(REST, closed).await;
+            if !lock(&self.idle).make_room(purpose) {
+                let _ = tokio::time::timeout(REST, closed).await;
+            }
+        }
+    }
+
+    /// Logs what came on an idle connection that is not used again.
+    fn note_surplus(&self, connection: &Connection, purpose: Use) {
+        if connection.rest() != Rest::Surplus {
+            return;
+        }
+        if purpose == Use::Questions {
+            lock(&self.idle).queries.on_surplus(self.now());
         }
+        let history = &connection.history;
+        log::warn!(
+            connection = history.number,
+            exchanges = history.exchanges,
+            asked_before:? = history.last,
+            idle_ms = history.since.elapsed().as_millis() as u64;
+            "the target sent something that was not asked for"
+        );
+    }
+
+    fn now(&self) -> Micros {
+        Micros::try_from(self.since.elapsed().as_micros()).unwrap_or(Micros::MAX)
     }
 
     /// Whether nothing listens at the target's address. A connection that it takes all the
@@ -199,10 +220,10 @@
                 return false;
             };
             match tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await {
-                Ok(Ok(sender)) => {
+                Ok(Ok(connection)) => {
                     tokio::time::sleep(LOOK_PAUSE).await;
-                    if !sender.http.is_closed() {
-                        self.put_back(sender);
+                    if connection.rest() != Rest::Ended {
+                        self.put_back(connection, Use::Calls);
                         return false;
                     }
                 }
@@ -224,49 +245,42 @@
     /// takes is kept.
     pub(super) async fn look(&self) {
         let Some(place) = self.reserve() else { return };
-        if let Ok(Ok(sender)) = tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await {
-            self.put_back(sender);
+        let connected = tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await;
+        if let Ok(Ok(connection)) = connected {
+            self.put_back(connection, Use::Calls);
         }
     }
 
     /// Keeps a connection whose last exchange ended cleanly.
-    pub(super) fn put_back(&self, sender: Sender) {
-        if !sender.http.is_closed() {
-            let since = Instant::now();
-            lock(&self.idle).push_back(Idle { sender, since });
+    pub(super) fn put_back(&self, connection: Connection, purpose: Use) {
+        let mut idle = lock(&self.idle);
+        if purpose == Use::Questions && !idle.queries.is_reusable(self.now()) {
+            return;
         }
+        let since = Instant::now();
+        idle.of(purpose).push_back(Idle { connection, since });
     }
 
-    fn pop_rested(&self) -> Option<Idle> {
+    fn pop_rested(&self, purpose: Use) -> Option<Idle> {
         let mut idle = lock(&self.idle);
+        let idle = idle.of(purpose);
         let rested = idle.front()?.since.elapsed() >= REST;
         if rested { idle.pop_front() } else { None }
     }
 
-    async fn connect(&self, place: OpenPlace) -> Result<Sender, PoolError> {
+    async fn connect(&self, place: OpenPlace) -> Result<Connection, PoolError> {
         let stream = TcpStream::connect(self.target).await;
         let stream = stream.inspect_err(|error| self.note_failed(error))?;
         self.ends.listens();
         stream.set_nodelay(true)?;
-        let (stream, written) = Watched::new(stream);
-        let (http, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to the target: {error}");
-            }
-            drop(place);
-        });
-        let history = ConnectionHistory::new(self.opened.fetch_add(1, Ordering::Relaxed));
-        Ok(Sender {
-            history,
-            http,
-            written,
-        })
+        let number = self.opened.fetch_add(1, Ordering::Relaxed);
+        Ok(Connection::new(stream, number, self.naming, place))
     }
 
     /// A target that takes no further connection may refuse one while it serves others; one
     /// that ended has none.
     fn note_failed(&self, error: &std::io::Error) {
+        lock(&self.idle).retain(|idle| idle.connection.rest() != Rest::Ended);
         let is_only_one = self.open() <= 1;
         if error.kind() == ErrorKind::ConnectionRefused && is_only_one {
             self.ends.refused();
@@ -290,7 +304,7 @@
 }
 
 /// One open connection, counted until it is dropped.
-struct OpenPlace {
+pub(super) struct OpenPlace {
     open: Arc<AtomicUsize>,
     closed: Arc<Notify>,
 }
