Memory of answers as a state machine: allowance, pool and reserve

All answers that are read at a time stay within one bound. Each holds up to 64 KiB without asking, so that small answers never wait for large ones; beyond it they share a pool, and where that is full one after the other goes on in a reserve of the size of the largest answer.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod ack_timeout;
 mod admission;
 mod admission_event;
+mod answer_memory;
 mod body_credit;
 mod body_window;
 mod budget;
@@ -57,6 +58,9 @@
 pub use ack_timeout::AckTimeout;
 pub use admission::AdmissionController;
 pub use admission_event::{AdmissionAction, AdmissionEvent, AdmissionLimits, NextRecheck};
+pub use answer_memory::{
+    AnswerMemory, AnswerMemoryLimits, MAX_ALLOWANCE_BYTES, MIN_ALLOWANCE_BYTES,
+};
 pub use body_credit::BodyCreditScheduler;
 pub use body_window::{BodyError, ReceiveWindow, SendWindow};
 pub use budget::{Budget, Cost, Limits};
