--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -5,6 +5,7 @@
 //! connections to the target.
 
 mod ahead;
+mod answer_memory;
 mod bodies;
 mod cut;
 mod deliver;
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -62,6 +62,7 @@
     pub caller_limit_ms: u64,
     pub body_limit_bytes: usize,
     pub body_memory_bytes: usize,
+    pub answer_memory_bytes: usize,
     pub body_whole_bytes: usize,
     pub body_window_bytes: usize,
     pub pipeline_limit: usize,
@@ -171,6 +172,12 @@
                 "exceeds the effective body_memory_bytes",
             );
         }
+        if self.body_limit_bytes > self.answer_memory_bytes {
+            return fault(
+                "body_limit_bytes",
+                "exceeds the effective answer_memory_bytes",
+            );
+        }
         if self.link_silence_ms <= self.heartbeat_ms {
             return fault(
                 "link_silence_ms",
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -109,6 +109,7 @@
     integer("caller_limit_ms", "ms", (100, 600_000), 15_000, "timeout for the head of a request, for its body, and between two requests on a connection"),
     integer("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "maximum size of a request or response body"),
     integer("body_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for bodies of callers' calls in progress, beyond which new calls are rejected"),
+    integer("answer_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for the bodies of a target's responses that are being read, beyond which large ones are read one after the other"),
     integer("body_whole_bytes", "bytes", (1_024, 1 << 20), 16 << 10, "on routes with large bodies, bodies up to this size are forwarded whole, larger ones streamed"),
     integer("body_window_bytes", "bytes", (4_096, 16 << 20), 1 << 20, "streamed bodies up to this size are read before a target is chosen, larger ones as the target reads them, with this flow control window"),
     integer("pipeline_limit", "calls", (1, 1_024), 8, "maximum number of concurrent calls on one connection"),
