--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -128,7 +128,7 @@
             idle: Mutex::default(),
             opened: AtomicU64::new(0),
             since: Instant::now(),
-            memory: AnswerMemory,
+            memory: AnswerMemory::default(),
             ends: Ends::default(),
         }
     }
