--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -129,7 +129,7 @@
             Err(BodyCut) => return Exchange::NoBody,
         };
         let is_head = encoded.is_head;
-        loop {
+        for _ in 0..CONNECTION_TRIES {
             let taken = match connection.take() {
                 Some(connection) => Some(connection),
                 None => self.take_for(&call).await,
@@ -162,6 +162,7 @@
                 }
             }
         }
+        Exchange::NotWritten
     }
 
     /// A connection on which the answer to a call can be told from those to others.
