--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -269,13 +269,12 @@
         }
     }
 
-    /// The knowledge of the settings is overdue: the store is asked on a new connection, and a daemon
-    /// that is no watcher stands in. While calls fail, the members are not asked for each time.
+    /// The knowledge of the settings is overdue: the store is asked, and a daemon that is no
+    /// watcher stands in. While calls fail, the members are not asked for each time.
     fn step_in(&mut self) {
         let rank = self.core.hosts.rank(&self.core.config.host);
         let now = self.core.clock.since_start();
         let stands_in = lock(&self.directory.watch).step_in(now, rank);
-        self.directory.store().discard_idle_connections();
         if self.lost {
             return;
         }
--- a/crates/store/src/row_store.rs
+++ b/crates/store/src/row_store.rs
@@ -103,7 +103,4 @@
 
     /// Writes one row if its condition holds, and returns its new version.
     fn write(&self, write: RowWrite) -> StoreFuture<'_, RowVersion>;
-
-    /// Drops connections that are kept for later calls: they may have fallen silent.
-    fn discard_idle_connections(&self);
 }
