A lost question which incarnation a target is, is asked again

Seen (stand-in): a worker that closes the connection on which it is asked for its incarnation, once, while a late report of another incarnation arrives: callers get 503 until its next heartbeat.

Cause: an answer that was lost counted as a target that says nothing, and then the incarnation that reported takes the place of the one in force. Connections end for a surplus answer as well. In the same way a report that is to be proved by the target was dropped.

Change: up to three questions within the 400 ms that one had.

--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -33,6 +33,9 @@
 /// Longest time for the answer to the question which incarnation the target is; its report
 /// waits for that, and reports are answered within a second.
 const INSTANCE_LIMIT: Duration = Duration::from_millis(400);
+/// Questions that are asked within that time, each after the one before was lost with its
+/// connection.
+const INSTANCE_QUESTIONS: usize = 3;
 /// Bytes of a message that tells a load, with its frame and TCP's own.
 const LOAD_BYTES: u64 = 90;
 /// Change of the slowness, in percent of what was told, that is worth a message.
@@ -193,19 +196,30 @@
         effect
     }
 
-    /// What the target says of itself when it is asked now.
+    /// What the target says of itself when it is asked now. A lost question is asked again: a
+    /// target that says nothing loses its place to any other that reports.
     pub(super) async fn ask_itself(&self, core: &Core) -> Option<Told> {
         let settings = self.settings()?;
         if settings.load_path.is_empty() {
             return None;
         }
-        let asked = self.pool.ask_load(&core.dialect, &settings.load_path);
+        let asked = self.ask_repeatedly(core, &settings.load_path);
         tokio::time::timeout(INSTANCE_LIMIT, asked)
             .await
             .ok()
             .flatten()
     }
 
+    async fn ask_repeatedly(&self, core: &Core, path: &str) -> Option<Told> {
+        for _ in 0..INSTANCE_QUESTIONS {
+            let told = self.pool.ask_load(&core.dialect, path).await;
+            if told.is_some() {
+                return told;
+            }
+        }
+        None
+    }
+
     /// Tells the daemons that route here how slow the target is, where that changed
     /// since they were told and the measuring budget allows it.
     pub(super) fn tell_slowness(&self, core: &Core) {
