A reply of the platform is read up to a bound

Seen (stand-in): a reply without end was read and kept in memory for the 2 s that a call may take: 730, 756 and 1,288 MB (until the connection closes, of a stated length, in chunks). A daemon makes these calls.

Cause: minreq bounds the status line and the head, and no body.

Change: 32 MB at most; a longer reply is an error of its own, which is not tried again, and after which a write may have been applied. 204 has no body, as before.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,11 +2,12 @@
 //! costs about a millisecond. No request to the platform is on the path of a call, so
 //! that cost is acceptable, and no stale connection remains after a platform outage.
 
+use std::io::Read;
 use std::time::Duration;
 
 use backon::{BlockingRetryable, ExponentialBuilder};
 use lynxcleat_settings::Digest;
-use minreq::{Method, Request, Response};
+use minreq::{Method, Request, ResponseLazy};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -17,6 +18,10 @@
 const DEFAULT_MAX_ATTEMPTS: usize = 3;
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// HTTP status of a reply without a body.
+const NO_CONTENT: u16 = 204;
+/// Maximum size of a reply, in bytes. A settings tree is the largest that is read.
+const MAX_REPLY_BYTES: usize = 32 << 20;
 
 /// Options of a [`Platform`] client.
 #[derive(Clone, Debug)]
@@ -128,8 +133,7 @@
     /// returns the last failure.
     pub fn get_object(&self, digest: &Digest) -> Result<Vec<u8>, PlatformError> {
         let path = format!("/objects/{digest}");
-        let response = self.with_retries(|| send(self.request(Method::Get, &path)))?;
-        let content = response.into_bytes();
+        let content = self.with_retries(|| send(self.request(Method::Get, &path)))?;
         if Digest::of(&content) != *digest {
             return Err(PlatformError::DigestMismatch(digest.to_string()));
         }
@@ -181,17 +185,31 @@
     }
 }
 
-fn send(request: Request) -> Result<Response, PlatformError> {
-    let response = request.send().map_err(classify)?;
+/// Sends a request and returns the body of the reply.
+fn send(request: Request) -> Result<Vec<u8>, PlatformError> {
+    let response = request.send_lazy().map_err(classify)?;
     let status = response.status_code;
     match status {
-        200..=299 => Ok(response),
-        404 => Err(PlatformError::Missing(response.url.to_string())),
+        NO_CONTENT => Ok(Vec::new()),
+        200..=299 => read_body(response),
+        404 => Err(PlatformError::Missing(response.url)),
         429 | 500..=599 => Err(PlatformError::Unavailable(status)),
         _ => Err(PlatformError::Refused(status)),
     }
 }
 
+fn read_body(response: ResponseLazy) -> Result<Vec<u8>, PlatformError> {
+    let mut body = Vec::new();
+    response
+        .take(MAX_REPLY_BYTES as u64 + 1)
+        .read_to_end(&mut body)
+        .map_err(|error| PlatformError::NoReply(error.to_string()))?;
+    if body.len() > MAX_REPLY_BYTES {
+        return Err(PlatformError::TooLarge(MAX_REPLY_BYTES));
+    }
+    Ok(body)
+}
+
 /// Maps transport errors. Only a refused connection or a failed name lookup proves that
 /// nothing was sent.
 fn classify(error: minreq::Error) -> PlatformError {
@@ -205,8 +223,8 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
-    let mut reader = serde_json::Deserializer::from_slice(response.as_bytes());
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
     serde_path_to_error::deserialize(&mut reader).map_err(|error| PlatformError::Malformed {
         path: error.path().to_string(),
         reason: error.inner().to_string(),
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -29,6 +29,9 @@
         /// Deserialization error at that path.
         reason: String,
     },
+    /// The reply is longer than any that the protocol allows; a write may have been applied.
+    #[error("the platform's reply is longer than {0} bytes")]
+    TooLarge(usize),
     /// The content does not match the digest under which it is stored.
     #[error("content of object {0} does not match its digest")]
     DigestMismatch(String),
@@ -55,6 +58,7 @@
             PlatformError::NoReply(_)
                 | PlatformError::Unavailable(_)
                 | PlatformError::Malformed { .. }
+                | PlatformError::TooLarge(_)
         )
     }
 }
