--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -128,13 +128,15 @@
 
     async fn make_host(&self, number: usize) -> Result<Host, SoakError> {
         let name = format!("stock-{number}");
-        let target = TargetStandin::start(&TargetOptions {
+        let options = TargetOptions {
             name: name.clone(),
             address: "127.0.0.1:0".to_owned(),
             control: "127.0.0.1:0".to_owned(),
             slots: SLOTS,
             service: SERVICE,
-        })?;
+        };
+        let names_calls = number.is_multiple_of(2);
+        let target = TargetStandin::start_fronted(&options, names_calls)?;
         let address = |part: u16| {
             let port = FIRST_PORT + PORTS_OF_ONE_HOST * number as u16 + part;
             SocketAddr::from((self.ip, port))
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lynxcleat_standin::Stutter;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -21,6 +22,11 @@
 /// Pause between two statements of targets, in milliseconds.
 const STATEMENT_PAUSE_MS: (u64, u64) = (400, 2_000);
 
+/// Pause between two spells in which answers of a target are spoiled, in milliseconds.
+const STUTTER_PAUSE_MS: (u64, u64) = (200, 1_000);
+/// Number that is mixed into the seed of these spells.
+const STUTTER_SALT: u64 = 0x5eed_0065;
+
 /// Trouble of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -68,6 +74,13 @@
         /// What is wrong.
         trouble: TargetTrouble,
     },
+    /// Some answers of a target are spoiled on the wire.
+    Stutters {
+        /// Number of its host.
+        host: usize,
+        /// How.
+        stutter: Stutter,
+    },
     /// A target ends with all that it has in hand, and is back when the time is over.
     TargetEnds {
         /// Number of its host.
@@ -156,6 +169,7 @@
         }
         steps.extend(ends_of_targets(seed, hosts, time));
         steps.extend(statements_of_targets(seed, hosts, time));
+        steps.extend(stutters_of_targets(seed, hosts, time));
         steps.sort_by_key(|step| step.at);
         Plan { seed, steps }
     }
@@ -181,6 +195,26 @@
     })
 }
 
+/// Answers that are spoiled on the wire, drawn by themselves for the same reason.
+fn stutters_of_targets(seed: u64, hosts: usize, time: Duration) -> Vec<Step> {
+    let rng = SmallRng::seed_from_u64(seed ^ STUTTER_SALT);
+    steps_of_targets(rng, STUTTER_PAUSE_MS, (hosts, time), |rng, host| {
+        let stutter = stutter(rng);
+        Fault::Stutters { host, stutter }
+    })
+}
+
+fn stutter(rng: &mut SmallRng) -> Stutter {
+    match rng.random_range(0..6) {
+        0 => Stutter::TwiceLate,
+        1 => Stutter::TwiceAtOnce,
+        2 => Stutter::SecondNameless,
+        3 => Stutter::HeadCut,
+        4 => Stutter::BodyCut,
+        _ => Stutter::SurplusBytes,
+    }
+}
+
 /// Faults of targets one after the other, until the time is over.
 fn steps_of_targets(
     mut rng: SmallRng,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use lynxcleat_standin::TargetFaults;
+use lynxcleat_standin::{Stutter, TargetFaults};
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
@@ -182,6 +182,9 @@
                 let faults = fleet::target_faults(Some(trouble));
                 self.fleet.hosts[host].target.set_faults(faults);
             }
+            Fault::Stutters { host, stutter } => {
+                self.fleet.hosts[host].target.set_stutter(stutter);
+            }
             Fault::TargetEnds { host } => {
                 let lasts = until.saturating_sub(self.shared.now());
                 self.fleet.hosts[host].target.end(lasts);
@@ -218,6 +221,9 @@
                 let faults = fleet::target_faults(None);
                 self.fleet.hosts[host].target.set_faults(faults);
             }
+            Fault::Stutters { host, .. } => {
+                self.fleet.hosts[host].target.set_stutter(Stutter::Absent);
+            }
             Fault::Platform { .. } => {
                 let faults = fleet::platform_faults(None);
                 self.fleet.platform.set_faults(faults);
@@ -328,6 +334,7 @@
         for host in 0..self.fleet.hosts.len() {
             let here = &self.fleet.hosts[host];
             here.target.set_faults(fleet::target_faults(None));
+            here.target.set_stutter(Stutter::Absent);
             here.mesh_proxy.set(ProxyMode::Pass);
             here.platform_proxy.set(ProxyMode::Pass);
             self.processes[host].down_until = Duration::ZERO;
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -35,6 +35,7 @@
         for step in Plan::new(seed, 6, TIME).steps {
             kinds.insert(match step.fault {
                 Fault::Target { trouble, .. } => format!("{trouble:?}"),
+                Fault::Stutters { stutter, .. } => format!("stutter {stutter:?}"),
                 Fault::Platform { trouble } => format!("platform {trouble:?}"),
                 Fault::PlatformLink { mode, .. } => format!("platform link {mode:?}"),
                 Fault::MeshLink { mode, .. } => format!("mesh link {mode:?}"),
@@ -46,5 +47,5 @@
         .into_iter()
         .map(|kind| kind.split(['(', '{']).next().unwrap_or_default().to_owned())
         .collect();
-    assert_eq!(kinds.len(), 8 + 4 + 5 + 5 + 7, "{kinds:?}");
+    assert_eq!(kinds.len(), 8 + 6 + 4 + 5 + 5 + 7, "{kinds:?}");
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! speak the same HTTP as the real things and keep everything in memory.
 
 mod error;
+mod front;
 mod http;
 mod platform;
 mod serving;
@@ -12,5 +13,6 @@
 mod target;
 
 pub use error::StandinError;
+pub use front::Stutter;
 pub use platform::{PlatformCounts, PlatformFaults, PlatformStandin};
 pub use target::{BadRun, Ledger, TargetFaults, TargetOptions, TargetStandin, wait_until};
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -19,13 +19,17 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::runtime::{Builder, Runtime};
 
 use crate::error::StandinError;
+use crate::front::Front;
 use crate::sync::lock;
 
 /// Largest body that is read.
 const BODY_LIMIT: usize = 128 << 20;
+/// Bytes between a front and the server that are in transit at most.
+const FRONT_BYTES: usize = 64 << 10;
 /// Threads that read and write connections.
 const CONNECTION_THREADS: usize = 2;
 
@@ -84,13 +88,19 @@
 struct Life {
     address: SocketAddr,
     work: flume::Sender<Work>,
+    front: Option<Arc<Front>>,
     runtime: Mutex<Option<Runtime>>,
     ends: AtomicU64,
 }
 
 impl Serving {
-    /// Listens on `address` and answers with `slots` threads.
-    pub fn start<F>(address: &str, slots: usize, answer: F) -> Result<Self, StandinError>
+    /// Listens on `address` and answers with `slots` threads, behind a front where there is one.
+    pub fn start<F>(
+        address: &str,
+        slots: usize,
+        front: Option<Arc<Front>>,
+        answer: F,
+    ) -> Result<Self, StandinError>
     where
         F: Fn(&Call) -> (Done, Notices) + Send + Sync + 'static,
     {
@@ -103,6 +113,7 @@
         let life = Arc::new(Life {
             address: bound,
             work: start_slots(slots, answer),
+            front,
             runtime: Mutex::default(),
             ends: AtomicU64::new(0),
         });
@@ -205,14 +216,25 @@
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let life = Arc::clone(&life);
-        tokio::spawn(async move {
-            let service = service_fn(|request| serve(request, &life));
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await;
-        });
+        match life.front.clone() {
+            Some(front) => {
+                let (outer, inner) = tokio::io::duplex(FRONT_BYTES);
+                tokio::spawn(front.pass(stream, outer));
+                tokio::spawn(serve_connection(inner, life));
+            }
+            None => {
+                tokio::spawn(serve_connection(stream, life));
+            }
+        }
     }
 }
 
+async fn serve_connection(stream: impl AsyncRead + AsyncWrite + Unpin, life: Arc<Life>) {
+    let service = service_fn(|request| serve(request, &life));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let _ = connection.await;
+}
+
 async fn serve(request: Request<Incoming>, life: &Arc<Life>) -> Result<Response<Body>, CutShort> {
     let (parts, body) = request.into_parts();
     let body = Limited::new(body, BODY_LIMIT).collect().await;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -16,6 +16,7 @@
 use tiny_http::{Method, Request};
 
 use crate::error::StandinError;
+use crate::front::{Front, Stutter};
 use crate::http::{Listening, json_body, respond_json, respond_status};
 use crate::serving::{Call, Done, Notices, Serving};
 use crate::sync::lock;
@@ -136,6 +137,7 @@
     state: Arc<State>,
     serving: Serving,
     control: Listening,
+    front: Option<Arc<Front>>,
 }
 
 impl TargetStandin {
@@ -144,6 +146,22 @@
     /// # Errors
     /// An address that cannot be listened on.
     pub fn start(options: &TargetOptions) -> Result<Self, StandinError> {
+        Self::start_behind(options, None)
+    }
+
+    /// Starts it behind a front that can spoil its answers on the wire, and that repeats the name
+    /// of a call in the answer to it where `names_calls` says so.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub fn start_fronted(options: &TargetOptions, names_calls: bool) -> Result<Self, StandinError> {
+        Self::start_behind(options, Some(Arc::new(Front::new(names_calls))))
+    }
+
+    fn start_behind(
+        options: &TargetOptions,
+        front: Option<Arc<Front>>,
+    ) -> Result<Self, StandinError> {
         let state = Arc::new(State {
             name: options.name.clone(),
             slots: options.slots,
@@ -155,9 +173,8 @@
             in_flight: AtomicU32::new(0),
         });
         let answering = Arc::clone(&state);
-        let serving = Serving::start(&options.address, options.slots, move |call| {
-            answering.serve(call)
-        })?;
+        let answer = move |call: &Call| answering.serve(call);
+        let serving = Serving::start(&options.address, options.slots, front.clone(), answer)?;
         let controlled = Arc::clone(&state);
         let control = Listening::start(&options.control, CONTROL_WORKERS, move |request| {
             controlled.control(request);
@@ -166,6 +183,7 @@
             state,
             serving,
             control,
+            front,
         })
     }
 
@@ -184,6 +202,13 @@
         *lock(&self.state.faults) = faults;
     }
 
+    /// Changes how its answers are spoiled on the wire, where it has a front.
+    pub fn set_stutter(&self, stutter: Stutter) {
+        if let Some(front) = &self.front {
+            front.set(stutter);
+        }
+    }
+
     /// How often each operation ran here.
     pub fn ledger(&self) -> Ledger {
         lock(&self.state.ledger).clone()
