--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! process or as processes of their own.
 #![allow(dead_code, unused_imports)]
 
+mod caller;
 mod evenly;
 mod http;
 mod odd;
@@ -21,6 +22,7 @@
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
+pub use caller::{KeptCaller, read_reply};
 pub use evenly::{Sent, call_evenly};
 pub use http::{Reply, call, parse, raw, try_call};
 pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_path};
