--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -137,6 +137,7 @@
             bytes: own.once_memory_bytes,
         });
         self.pool.set_limit(own.connection_limit as usize);
+        self.pool.memory.apply(own);
         *lock(&self.settings) = Some(Arc::clone(own));
         self.apply_limits();
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod ack_timeout;
 mod admission;
 mod admission_event;
+mod answer_memory;
 mod body_credit;
 mod body_window;
 mod budget;
@@ -35,6 +36,7 @@
 mod region_budget;
 mod repeated_reports;
 mod report;
+mod response_match;
 mod retry;
 mod rollout;
 mod router;
@@ -57,6 +59,9 @@
 pub use ack_timeout::AckTimeout;
 pub use admission::AdmissionController;
 pub use admission_event::{AdmissionAction, AdmissionEvent, AdmissionLimits, NextRecheck};
+pub use answer_memory::{
+    AnswerMemory, AnswerMemoryLimits, MAX_ALLOWANCE_BYTES, MIN_ALLOWANCE_BYTES,
+};
 pub use body_credit::BodyCreditScheduler;
 pub use body_window::{BodyError, ReceiveWindow, SendWindow};
 pub use budget::{Budget, Cost, Limits};
@@ -99,6 +104,9 @@
 pub use report::{
     CurrentTarget, ReportEffect, ReportedState, TargetAnswer, TargetReport, TargetReports,
 };
+pub use response_match::{
+    QueryConnections, ResponseMatch, ResponseMatcher, ResponseName, ResponseNaming,
+};
 pub use retry::{RetryAllowance, RetryBound, RetryBudget, RetryParams, RetryWindow};
 pub use rollout::{
     AdmittedCalls, CANARY_SHARE_FACTOR, CallCounts, CanaryAnalysis, Cause, Exposure, Fault,
