Names of a connection's calls are not forgotten while it lives

Found by a reader of the fix: after 17 further calls a surplus 'not run' to the first attempt of a call could pass for the answer to a second attempt on the same connection, which runs. By reasoning; no run showed it.

Hashes of all names are kept, and a connection carries 1,024 calls at most. Test: policy/response_match the_name_of_a_call_is_not_forgotten (new; the bound was 16 before). The property test accepted a wrongly named first answer; it does not now.

--- a/crates/policy/src/response_match.rs
+++ b/crates/policy/src/response_match.rs
@@ -4,12 +4,14 @@
 //! twice. A response that repeats the name of its call shows which call it belongs to; any
 //! other is accepted only where nothing else was asked on the connection.
 
-use std::collections::VecDeque;
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::ids::Micros;
 
-/// Earlier calls of a connection whose names are remembered.
-const REMEMBERED_CALLS: usize = 16;
+/// Calls that a connection carries. The names of all of them are remembered, since a surplus
+/// response may come however late.
+const CALL_LIMIT: usize = 1_024;
 /// Surplus responses that are discarded while one call waits for its own.
 const SURPLUS_LIMIT: u32 = 8;
 /// Time after an unexpected response to a load query for which each query gets a connection of
@@ -54,8 +56,9 @@
 #[derive(Clone, Debug)]
 pub struct ResponseMatcher {
     naming: ResponseNaming,
-    earlier: VecDeque<String>,
-    current: Option<String>,
+    /// Hashes of the names of the calls before the current one.
+    earlier: HashSet<u64>,
+    current: Option<u64>,
     /// Whether a response here may have had no body though its head states one.
     has_head_request: bool,
     surplus: u32,
@@ -66,7 +69,7 @@
     pub fn new(naming: ResponseNaming) -> Self {
         ResponseMatcher {
             naming,
-            earlier: VecDeque::new(),
+            earlier: HashSet::new(),
             current: None,
             has_head_request: false,
             surplus: 0,
@@ -76,17 +79,14 @@
     /// Whether a call may be sent on the connection. Two attempts of a call have the same name,
     /// so that a surplus response to the first would pass for one to the second.
     pub fn may_send(&self, call: &str) -> bool {
-        let is_current = self.current.as_deref() == Some(call);
-        !is_current && !self.earlier.iter().any(|earlier| earlier == call)
+        let call = hash(call.as_bytes());
+        self.current != Some(call) && !self.earlier.contains(&call)
     }
 
     /// A call is sent.
     pub fn on_request(&mut self, call: &str, is_head: bool) {
-        if let Some(earlier) = self.current.replace(call.to_owned()) {
-            self.earlier.push_back(earlier);
-        }
-        if self.earlier.len() > REMEMBERED_CALLS {
-            self.earlier.pop_front();
+        if let Some(earlier) = self.current.replace(hash(call.as_bytes())) {
+            self.earlier.insert(earlier);
         }
         self.has_head_request |= is_head;
         self.surplus = 0;
@@ -97,7 +97,7 @@
         let is_first = self.earlier.is_empty();
         match name {
             ResponseName::Call(name) if self.is_current(name) => ResponseMatch::Own {
-                reusable: self.surplus == 0,
+                reusable: self.surplus == 0 && self.earlier.len() + 1 < CALL_LIMIT,
             },
             ResponseName::Call(name) if self.is_earlier(name) => self.surplus(),
             ResponseName::Absent if self.naming == ResponseNaming::Required && !is_first => {
@@ -121,15 +121,20 @@
     }
 
     fn is_current(&self, name: &[u8]) -> bool {
-        let current = self.current.as_ref();
-        current.is_some_and(|call| call.as_bytes() == name)
+        self.current == Some(hash(name))
     }
 
     fn is_earlier(&self, name: &[u8]) -> bool {
-        self.earlier.iter().any(|call| call.as_bytes() == name)
+        self.earlier.contains(&hash(name))
     }
 }
 
+fn hash(name: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Whether the connection of a load query may carry the next one. Responses to load queries
 /// name nothing, so a second response to one would pass for the response to the next.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/policy/tests/response_match.rs
+++ b/crates/policy/tests/response_match.rs
@@ -92,6 +92,23 @@
     assert!(matcher.may_send("c"));
 }
 
+#[test]
+fn the_name_of_a_call_is_not_forgotten_while_its_connection_lives() {
+    let mut matcher = after_calls(ResponseNaming::Required, &["a"]);
+    assert_eq!(matcher.on_response(named("a")), OWN);
+    let mut calls = 1;
+    loop {
+        let call = format!("call-{calls}");
+        matcher.on_request(&call, false);
+        calls += 1;
+        assert!(!matcher.may_send("a"), "after {calls} calls");
+        if matcher.on_response(named(&call)) == OWN_AND_LAST {
+            break;
+        }
+    }
+    assert_eq!(calls, 1_024);
+}
+
 #[test]
 fn a_surplus_response_to_head_is_not_read_over() {
     let mut matcher = ResponseMatcher::new(ResponseNaming::Required);
@@ -141,7 +158,8 @@
             };
             match matcher.on_response(name) {
                 ResponseMatch::Own { reusable } => {
-                    prop_assert!(of == current && is_named || current == 0 && !required);
+                    let is_first_and_nameless = current == 0 && !is_named && !required;
+                    prop_assert!(of == current && is_named || is_first_and_nameless);
                     if !reusable || current + 1 == names.len() {
                         break;
                     }
