Answers that are reset, unstamped or of a stale connection; what a reader of the fix found

The dialect names the header that targets put on every success. A connection that was taken for a body in pieces was not looked at again when its first piece came: an upload that never ran could end in 504. The memory of a body without a length was counted by its bytes while the buffer doubled. It grows by a quarter, and that is asked for. 5. What decides which incarnation stands, and whether it takes calls, is asked on a connection of its own: a surplus answer to the question before could decide it. 6. Idle connections of questions that received something were dropped unnoticed every beat, and one that had done so left the others in use.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -81,6 +81,8 @@
     pub call: HeaderName,
     /// Whether targets repeat that header in every answer to a call.
     pub response_naming: ResponseNaming,
+    /// Header that targets put on every success.
+    pub success_stamp: Option<HeaderName>,
     /// Whether callers name their calls in that header.
     pub callers_name_calls: bool,
     /// Incarnation of the target that is meant, to targets.
@@ -120,6 +122,7 @@
             deadline: HeaderName::from_static(DEADLINE),
             call: HeaderName::from_static(CALL),
             response_naming: ResponseNaming::Optional,
+            success_stamp: None,
             callers_name_calls: false,
             instance: None,
             caller_service: None,
--- a/crates/daemon/src/half/connection.rs
+++ b/crates/daemon/src/half/connection.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Whether nothing came between two requests, and the connection has not ended.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.rest() == Rest::Quiet
+    }
+
     /// Looks at the connection between two requests.
     pub(super) fn rest(&self) -> Rest {
         if !self.answers.is_between_answers() {
@@ -194,8 +199,20 @@
     pub history: &'a ConnectionHistory,
 }
 
+/// How much of a request was written when its answer was there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Written {
+    /// All of it.
+    Whole,
+    /// Not all of it yet.
+    Partly,
+    /// Not all of it, and the connection failed. The end of the connection that was read then
+    /// may have been a reset, which is reported only once.
+    Failed,
+}
+
 /// Reads while the rest of the request is written. `sends` is called once the first of it has
-/// left. True beside what was read where all of the request was written.
+/// left.
 ///
 /// # Errors
 /// What `read` fails with, and a body that did not come whole.
@@ -203,11 +220,11 @@
     read: impl Future<Output = Result<T, ConnectionError>>,
     writer: Writer<'_>,
     sends: impl Fn(),
-) -> Result<(T, bool), ConnectionError> {
+) -> Result<(T, Written), ConnectionError> {
     let written = writer.write_rest();
     let noted = tokio::time::sleep(WRITTEN_PAUSE);
     tokio::pin!(read, written, noted);
-    let (mut is_written, mut is_over, mut is_noted) = (false, false, false);
+    let (mut so_far, mut is_over, mut is_noted) = (Written::Partly, false, false);
     loop {
         tokio::select! {
             biased;
@@ -215,15 +232,18 @@
                 if !is_noted {
                     sends();
                 }
-                return read.map(|read| (read, is_written));
+                return read.map(|read| (read, so_far));
             }
             done = &mut written, if !is_over => {
                 is_over = true;
                 match done {
-                    Ok(()) => is_written = true,
+                    Ok(()) => so_far = Written::Whole,
                     Err(WriteError::BodyCut) => return Err(ConnectionError::BodyCut),
                     // A target that answers early may close before it has all of the request.
-                    Err(WriteError::Failed(error)) => log::debug!("request cut: {error}"),
+                    Err(WriteError::Failed(error)) => {
+                        log::debug!("request cut: {error}");
+                        so_far = Written::Failed;
+                    }
                 }
             }
             () = &mut noted, if !is_noted => {
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -10,19 +10,23 @@
 use super::answer_memory::HeldAnswer;
 use super::bodies::{BodyCut, Expected};
 use super::connection::{
-    Asked, Begun, Connection, ConnectionError, ConnectionHistory, EncodedRequest, Reader, Rest,
+    Asked, Begun, Connection, ConnectionError, ConnectionHistory, EncodedRequest, Reader, Written,
     read_while_writing,
 };
-use super::pool::{Pool, Use};
+use super::pool::{Kept, Pool, Use};
 use super::request::{encode, encode_question};
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
-use crate::http1::{AnswerFraming, AnswerHead, AnswerItem};
+use crate::http1::{AnswerFault, AnswerFraming, AnswerHead, AnswerItem};
 
 /// Largest answer to the question for the load, in bytes.
 const LOAD_ANSWER_BYTES: usize = 16 << 10;
 /// Bytes of surplus answers that are thrown away while a call waits for its own.
 const SURPLUS_BYTES: usize = 1 << 20;
+/// Part of its size, as a divisor, by which the memory of a body of unknown length grows.
+const GROWTH_DIVISOR: usize = 4;
+/// Least growth of that memory.
+const LEAST_GROWTH_BYTES: usize = 8 << 10;
 /// Connections that are tried for a call where each is found unfit before it is used.
 const CONNECTION_TRIES: u32 = 4;
 /// Hint for callers where a target that sheds gives none.
@@ -99,6 +103,8 @@
     body: Vec<u8>,
     /// Whether the connection may carry another call.
     is_reusable: bool,
+    /// Whether only the end of the connection says that the body is whole.
+    ends_with_connection: bool,
     /// Counts the memory of the body.
     _held: HeldAnswer,
 }
@@ -130,7 +136,9 @@
         };
         let is_head = encoded.is_head;
         for _ in 0..CONNECTION_TRIES {
-            let taken = match connection.take() {
+            // It may have ended while the first of the body came.
+            let still_quiet = connection.take().filter(Connection::is_quiet);
+            let taken = match still_quiet {
                 Some(connection) => Some(connection),
                 None => self.take_for(&call).await,
             };
@@ -147,12 +155,12 @@
                 held: self.memory.enter(),
             };
             match exchange_on(&mut connection, &mut encoded, reading, (&sends, &hears)).await {
-                Ok((answer, is_written)) => {
+                Ok((answer, written)) => {
                     connection.answered(Asked::Call);
-                    if answer.is_reusable && is_written {
+                    if answer.is_reusable && written == Written::Whole {
                         self.put_back(connection, Use::Calls);
                     }
-                    return finish(dialect, answer, is_head);
+                    return finish(dialect, answer, &call, is_head);
                 }
                 // The target had closed an idle connection.
                 Err(ConnectionError::NotWritten(error)) => log::debug!("target: {error}"),
@@ -169,7 +177,7 @@
     async fn take_for(&self, call: &str) -> Option<Connection> {
         for _ in 0..CONNECTION_TRIES {
             let connection = self.take_logged().await?;
-            if connection.matcher.may_send(call) && connection.rest() != Rest::Surplus {
+            if connection.matcher.may_send(call) && connection.is_quiet() {
                 return Some(connection);
             }
         }
@@ -188,31 +196,35 @@
 
     /// Asks the target for its load at a path that it answers at once. Nothing where no
     /// whole answer came.
-    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str) -> Option<Told> {
-        let mut connection = self.take(Use::Questions).await.ok()?;
+    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str, kept: Kept) -> Option<Told> {
+        let connection = match kept {
+            Kept::Kept => self.take(Use::Questions).await,
+            Kept::Single => self.take_new(Use::Questions).await,
+        };
+        let mut connection = connection.ok()?;
         let mut question = encode_question(path)?;
         let begun = connection.begin(&mut question).await.ok()?;
         let history = *begun.history;
         let read = read_told(dialect, begun.reader, &history);
         let asked = read_while_writing(read, begun.writer, || {}).await;
-        let ((told, is_reusable), is_written) = asked
+        let ((told, is_reusable), written) = asked
             .inspect_err(|error| log::debug!("question to the target: {error}"))
             .ok()?;
         connection.answered(Asked::Load);
-        if is_reusable && is_written {
+        if is_reusable && written == Written::Whole && kept == Kept::Kept {
             self.put_back(connection, Use::Questions);
         }
         Some(told)
     }
 }
 
-/// Writes a call on a connection and reads its answer. True beside it where all was written.
+/// Writes a call on a connection and reads its answer.
 async fn exchange_on(
     connection: &mut Connection,
     request: &mut EncodedRequest,
     reading: CallReading<'_>,
     (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
-) -> Result<(OwnAnswer, bool), ConnectionError> {
+) -> Result<(OwnAnswer, Written), ConnectionError> {
     connection.matcher.on_request(reading.call, request.is_head);
     let Begun {
         reader,
@@ -221,7 +233,11 @@
         history,
     } = connection.begin(request).await?;
     let read = read_own(reader, (matcher, history), reading, hears);
-    read_while_writing(read, writer, sends).await
+    let (answer, written) = read_while_writing(read, writer, sends).await?;
+    if answer.ends_with_connection && written == Written::Failed {
+        return Err(AnswerFault::Cut.into());
+    }
+    Ok((answer, written))
 }
 
 /// Reads until the answer to the call is there, past surplus ones to earlier calls.
@@ -254,6 +270,7 @@
         return Ok(OwnAnswer {
             kind,
             is_reusable: reusable && head.persists,
+            ends_with_connection: head.framing == AnswerFraming::UntilClose,
             parts: head.parts,
             body,
             _held: reading.held,
@@ -310,17 +327,26 @@
         body.reserve_exact(length);
     }
     while let AnswerItem::Data(data) = reader.next().await? {
-        if body.len() + data.len() > limit {
+        let bytes = body.len() + data.len();
+        if bytes > limit {
             return Err(too_large());
         }
-        if !matches!(head.framing, AnswerFraming::Length(_)) {
-            reading.held.grow(data.len()).await;
+        if bytes > body.capacity() {
+            let step = growth(body.capacity()).min(limit - body.capacity());
+            let step = step.max(bytes - body.capacity());
+            reading.held.grow(step).await;
+            body.reserve_exact(body.capacity() + step - body.len());
         }
         body.extend_from_slice(&data);
     }
     Ok(body)
 }
 
+/// Bytes by which the memory of a body without a stated length grows.
+fn growth(capacity: usize) -> usize {
+    (capacity / GROWTH_DIVISOR).max(LEAST_GROWTH_BYTES)
+}
+
 /// Reads the body of an answer and throws it away.
 async fn skip_body(
     reader: &mut Reader<'_>,
@@ -341,7 +367,7 @@
 }
 
 /// What an answer is to the caller.
-fn finish(dialect: &Dialect, own: OwnAnswer, is_head: bool) -> Exchange {
+fn finish(dialect: &Dialect, own: OwnAnswer, call: &str, is_head: bool) -> Exchange {
     match own.kind {
         AnswerKind::Ran => {}
         AnswerKind::NotRun { retry_after_us } => {
@@ -350,14 +376,25 @@
         }
         AnswerKind::OtherInstance => return Exchange::OtherInstance,
     }
+    let headers = end_to_end(dialect, &own.parts.headers, is_head);
+    if own.parts.status.is_success() && !has_stamp(dialect, &headers) {
+        log::error!(call; "the target's success has no stamp");
+        return Exchange::Lost;
+    }
     let answer = Answer {
         status: own.parts.status.as_u16(),
-        headers: end_to_end(dialect, &own.parts.headers, is_head),
+        headers,
         body: ByteBuf::from(own.body),
     };
     Exchange::Answer(answer, dialect.load(&own.parts.headers))
 }
 
+/// Whether the headers have what targets put on every success, where they do.
+fn has_stamp(dialect: &Dialect, headers: &[Header]) -> bool {
+    let stamp = dialect.success_stamp.as_ref();
+    stamp.is_none_or(|stamp| headers.iter().any(|header| header.0 == stamp.as_str()))
+}
+
 /// Logs an answer that is not the one waited for: what it looks like, and what its connection
 /// was used for before. A question for the load has no call.
 fn log_unmatched(
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -56,6 +56,16 @@
     Questions,
 }
 
+/// Whether a question for the load may share a connection with others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kept {
+    /// On a connection that is kept. A surplus answer to the question before may be taken for
+    /// its own.
+    Kept,
+    /// On a connection of its own.
+    Single,
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -63,7 +73,7 @@
 
 impl Idle {
     fn is_usable(&self) -> bool {
-        self.since.elapsed() < IDLE_LIMIT && self.connection.rest() == Rest::Quiet
+        self.since.elapsed() < IDLE_LIMIT && self.connection.is_quiet()
     }
 }
 
@@ -89,6 +99,14 @@
         self.questions.retain(&keep);
     }
 
+    /// Takes out those that are not to be used again.
+    fn take_unfit(&mut self, purpose: Use) -> Vec<Idle> {
+        let all = std::mem::take(self.of(purpose));
+        let (usable, unfit): (Vec<Idle>, Vec<Idle>) = all.into_iter().partition(Idle::is_usable);
+        *self.of(purpose) = usable.into();
+        unfit
+    }
+
     /// Closes one of the other use, the longest rested.
     fn make_room(&mut self, purpose: Use) -> bool {
         let other = match purpose {
@@ -161,7 +179,12 @@
 
     /// Closes idle connections that have grown old, ended, or received something.
     pub fn drop_old(&self) {
-        lock(&self.idle).retain(Idle::is_usable);
+        for purpose in [Use::Calls, Use::Questions] {
+            let unfit = lock(&self.idle).take_unfit(purpose);
+            for idle in unfit {
+                self.note_surplus(&idle.connection, purpose);
+            }
+        }
     }
 
     /// A connection that is ready for a request: the one that rested longest, or
@@ -172,6 +195,22 @@
             .unwrap_or(Err(PoolError::TooSlow))
     }
 
+    /// A new connection.
+    pub(super) async fn take_new(&self, purpose: Use) -> Result<Connection, PoolError> {
+        tokio::time::timeout(CONNECT_LIMIT, self.connect_in_turn(purpose))
+            .await
+            .unwrap_or(Err(PoolError::TooSlow))
+    }
+
+    async fn connect_in_turn(&self, purpose: Use) -> Result<Connection, PoolError> {
+        loop {
+            if let Some(place) = self.reserve() {
+                return self.connect(place).await;
+            }
+            self.wait_for_room(purpose).await;
+        }
+    }
+
     async fn take_any(&self, purpose: Use) -> Result<Connection, PoolError> {
         loop {
             while let Some(idle) = self.pop_rested(purpose) {
@@ -183,10 +222,15 @@
             if let Some(place) = self.reserve() {
                 return self.connect(place).await;
             }
-            let closed = self.closed.notified();
-            if !lock(&self.idle).make_room(purpose) {
-                let _ = tokio::time::timeout(REST, closed).await;
-            }
+            self.wait_for_room(purpose).await;
+        }
+    }
+
+    /// Closes an idle connection of the other use, or waits until one is closed or rested.
+    async fn wait_for_room(&self, purpose: Use) {
+        let closed = self.closed.notified();
+        if !lock(&self.idle).make_room(purpose) {
+            let _ = tokio::time::timeout(REST, closed).await;
         }
     }
 
@@ -196,7 +240,9 @@
             return;
         }
         if purpose == Use::Questions {
-            lock(&self.idle).queries.on_surplus(self.now());
+            let mut idle = lock(&self.idle);
+            idle.queries.on_surplus(self.now());
+            idle.questions.clear();
         }
         let history = &connection.history;
         log::warn!(
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -11,6 +11,7 @@
 use lynxcleat_wire::{Answer, Frame};
 
 use super::exchange::Told;
+use super::pool::Kept;
 use super::state::{EarlierTarget, Half, TELLS_NO_LOAD};
 use crate::core::Core;
 use crate::homes;
@@ -78,7 +79,7 @@
         if !core.budget.ask_load(ASK_COST) {
             return;
         }
-        let asked = self.pool.ask_load(&core.dialect, path);
+        let asked = self.pool.ask_load(&core.dialect, path, Kept::Kept);
         match tokio::time::timeout(limit, asked).await {
             Ok(Some(told)) if told.is_empty() => {
                 let until = self.clock.now() + ASK_PAUSE_US;
@@ -212,7 +213,7 @@
 
     async fn ask_repeatedly(&self, core: &Core, path: &str) -> Option<Told> {
         for _ in 0..INSTANCE_QUESTIONS {
-            let told = self.pool.ask_load(&core.dialect, path).await;
+            let told = self.pool.ask_load(&core.dialect, path, Kept::Single).await;
             if told.is_some() {
                 return told;
             }
