Late words of an earlier incarnation say nothing of a target

Seen (a peer that the test speaks for): a daemon ends and starts again, and a message of its earlier incarnation, that its target leaves or is down, arrives on the link which that incarnation had made, after the link to the new one stands. Calls then go past a target that takes them, until it says something new: 503 for as long as the test waited (15 s).

Cause: what a daemon says of its target is taken by the name of its host, whichever of its links it came on. What a process had sent is delivered after its end, and later than the first words of the next one where a packet of it was lost.

Change: a link is marked once a later one leads to another incarnation of the same host that started no earlier. Statements of a target and figures on such a link count as dropped ("superseded"); answers to calls are still taken, by the attempt that waits on that link.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use lynxcleat_policy::TargetLoad;
 use lynxcleat_wire::Frame;
 
 use crate::core::Core;
@@ -42,6 +43,9 @@
 fn frame(core: &Arc<Core>, link: &Arc<Link>, frame: Frame) {
     match frame {
         Frame::Beat => beat(link),
+        Frame::Leaving(_) | Frame::Down(_) | Frame::Load(_) if link.is_superseded() => {
+            count_late(core, false, "superseded");
+        }
         Frame::Leaving(leaving) => {
             link.note_peer_target(|target| target.leaving = leaving);
             core.routers.leaving(core, &link.peer.host, leaving);
@@ -64,6 +68,7 @@
             there_us,
             work_us,
         } => {
+            let figures = current(link, figures);
             core.routers.heard(&link.peer.host, figures);
             let kind = SignalKind::Answer {
                 answer,
@@ -79,6 +84,7 @@
             refusal,
             figures,
         } => {
+            let figures = current(link, figures);
             core.routers.heard(&link.peer.host, figures);
             let taken = link.signal(attempt, SignalKind::Refused { refusal, figures });
             count_late(core, taken, "refusal");
@@ -128,6 +134,11 @@
     }
 }
 
+/// The load of a target, unless a later incarnation of its daemon has made itself known.
+fn current(link: &Link, figures: Option<TargetLoad>) -> Option<TargetLoad> {
+    figures.filter(|_| !link.is_superseded())
+}
+
 fn count_late(core: &Core, taken: bool, kind: &'static str) {
     if !taken {
         count(&core.metrics.dropped_answers, kind);
--- a/crates/daemon/src/mesh/dial.rs
+++ b/crates/daemon/src/mesh/dial.rs
@@ -146,6 +146,9 @@
         let (link, queue) = Link::new(id, peer, distance, side, core.clock.now());
         let link = Arc::new(link);
         let mut all = lock(&self.all);
+        for other in all.values() {
+            other.note_other(&link);
+        }
         all.insert(id, Arc::clone(&link));
         core.metrics.links.set(all.len() as i64);
         drop(all);
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -88,6 +88,8 @@
     heard_at: AtomicU64,
     /// Whether it may be silent: nothing was heard since there was reason to think so.
     doubted: AtomicBool,
+    /// Whether a later incarnation of the other side has made itself known on another link.
+    superseded: AtomicBool,
     /// Newest generation of settings that the other side told.
     generation: AtomicU64,
     /// What the other side said last of its target.
@@ -129,6 +131,7 @@
             pending: Mutex::default(),
             heard_at: AtomicU64::new(now),
             doubted: AtomicBool::new(false),
+            superseded: AtomicBool::new(false),
             generation: AtomicU64::new(0),
             closed: watch::Sender::new(false),
         };
@@ -250,6 +253,24 @@
         change(&mut lock(&self.peer_target));
     }
 
+    /// Whether what the other side says of its target is out of date: a later incarnation of it
+    /// has made itself known. Answers to calls are still those of the calls.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.load(Ordering::Relaxed)
+    }
+
+    /// Another link was made. Where it leads to a later incarnation of the same host, what still
+    /// arrives on this one was said before that incarnation started.
+    pub(super) fn note_other(&self, other: &Link) {
+        let (earlier, later) = (&self.peer, &other.peer);
+        let is_later = later.host == earlier.host
+            && later.incarnation != earlier.incarnation
+            && later.started_ms >= earlier.started_ms;
+        if is_later {
+            self.superseded.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Newest generation of settings that the other side told.
     pub fn generation(&self) -> u64 {
         self.generation.load(Ordering::Relaxed)
--- a/crates/daemon/tests/mesh.rs
+++ b/crates/daemon/tests/mesh.rs
@@ -6,10 +6,15 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use lynxcleat_once::Incarnation;
 use lynxcleat_standin::wait_until;
-use lynxcleat_wire::Frame;
+use lynxcleat_store::{HostEntry, HostState};
+use lynxcleat_wire::{Answer, Frame, Hello};
+use rstest::rstest;
+use serde_bytes::ByteBuf;
 use socket2::{Domain, Socket, Type};
-use support::{PATIENCE, Peer, Plan, Running, call};
+use support::{PATIENCE, Peer, Plan, Running, Worker, call, free_address, own_ip, try_call};
+use tokio::net::TcpListener;
 
 /// A host that loses power or is cut off says nothing. Calls that were sent to it waited for
 /// the heartbeat to be missed, and so did those that were sent after them. A loopback
@@ -174,3 +179,81 @@
         assert_eq!(said, Ok(leaves), "after {path}");
     }
 }
+
+/// A caller of a worker's daemon gets the answer of a peer's target.
+async fn reach(worker: &Worker, peer: &mut Peer) {
+    let callers = worker.callers.clone();
+    let caller =
+        std::thread::spawn(move || try_call(&callers, "GET", "/", &[("Host", "stock")], b""));
+    let answered = tokio::time::timeout(PATIENCE, async {
+        let attempt = peer.receive_until(|frame| match frame {
+            Frame::Call(call) => Some(call.attempt),
+            _ => None,
+        });
+        let attempt = attempt.await;
+        let answer = Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: ByteBuf::new(),
+        };
+        peer.send(Frame::Answer {
+            attempt,
+            answer,
+            figures: None,
+            there_us: 1,
+            work_us: None,
+        })
+        .await;
+    });
+    let answered = answered.await;
+    let reply = caller.join().expect("it ends").map(|reply| reply.status);
+    assert!(answered.is_ok(), "not called; the caller got {reply:?}");
+    assert_eq!(reply.ok(), Some(200));
+}
+
+/// What a daemon that has ended said last arrived on a link of its own making, after its next
+/// incarnation had made itself known: calls went past a target that takes them.
+#[rstest]
+#[case::leaving(Frame::Leaving(true))]
+#[case::down(Frame::Down(true))]
+fn late_words_of_an_earlier_incarnation_do_not_keep_calls_from_its_target(#[case] late: Frame) {
+    let mut plan = Plan::new("mesh-incarnations");
+    plan.workers = 1;
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    let mesh = free_address(&own_ip());
+    let deployment = &worker.raw.deployment;
+    let hello = |incarnation| Hello {
+        incarnation: Incarnation(incarnation),
+        ..Peer::hello(deployment, "stock", &mesh)
+    };
+    fleet.runtime.block_on(async {
+        let listener = TcpListener::bind(&mesh).await.expect("bound");
+        let listed = HostEntry {
+            host: "peer".to_owned(),
+            mesh: mesh.clone(),
+            ops: mesh.clone(),
+            state: HostState::Live,
+            ..worker.entry.clone()
+        };
+        fleet.platform.put_host(listed);
+        // Links are made for services that are called.
+        let own = call(&worker.callers, "GET", "/", &[("Host", "stock")], b"");
+        assert_eq!(own.status, 200);
+        let earlier = Peer::accept(&listener, hello(7)).await;
+        let mut own_link = Peer::dial(&worker.entry.mesh, hello(7)).await;
+        drop(earlier);
+        let mut later = Peer::accept(&listener, hello(8)).await;
+        // The worker's own target takes no calls, so that the peer's gets them.
+        let drained = call(&worker.entry.ops, "POST", "/drain", &[], b"");
+        assert_eq!(drained.status, 200);
+        reach(worker, &mut later).await;
+        own_link.send(late).await;
+        // A reply to the heartbeat shows that what was sent before it was read.
+        own_link.send(Frame::Beat).await;
+        own_link
+            .receive_until(|frame| (frame == Frame::Beat).then_some(()))
+            .await;
+        reach(worker, &mut later).await;
+    });
+}
