A target's health answer is read up to a bound

Cause: minreq bounds no body; a poll took all that came in its second. It also went to wherever an answer sent it.

Change: 64 KB at most, and redirects are not followed (not tested).

Test: measuring, a_health_answer_without_end_is_read_up_to_a_bound.

--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -2,6 +2,7 @@
 //! thing is taken from it: that the target wishes to drain. Its load report is
 //! not used, since every call passes us and our own count is exact.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -20,6 +21,8 @@
 const WARM_PER_SLOT: usize = 2;
 /// Seconds that a poll may take.
 const POLL_LIMIT_S: u64 = 1;
+/// Bytes of an answer that are read at most.
+const ANSWER_BYTES: u64 = 64 << 10;
 /// Interval before settings are in force, in milliseconds.
 const FIRST_INTERVAL_MS: u64 = 500;
 
@@ -71,7 +74,8 @@
 fn read(address: SocketAddr) -> Option<Health> {
     let response = minreq::get(format!("http://{address}/health"))
         .with_timeout(POLL_LIMIT_S)
-        .send()
+        .with_follow_redirects(false)
+        .send_lazy()
         .ok()?;
-    serde_json::from_slice(response.as_bytes()).ok()
+    serde_json::from_reader(response.take(ANSWER_BYTES)).ok()
 }
--- a/crates/daemon/tests/measuring.rs
+++ b/crates/daemon/tests/measuring.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -144,3 +145,44 @@
         assert!(taken, "the change waits for the end of the burst");
     });
 }
+
+/// A health endpoint whose answers never end, and the most bytes that were taken of one.
+fn endless_health() -> (String, Arc<AtomicUsize>) {
+    const PART: [u8; 64 << 10] = [b' '; 64 << 10];
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let taken = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&taken);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+            let mut written = 0;
+            while stream.write_all(&PART).is_ok() {
+                written += PART.len();
+                counted.fetch_max(written, Ordering::Relaxed);
+            }
+        }
+    });
+    (address, taken)
+}
+
+/// A daemon took hundreds of megabytes of one answer.
+#[test]
+fn a_health_answer_without_end_is_read_up_to_a_bound() {
+    /// With the buffers of the connection.
+    const TAKEN_LIMIT: usize = 16 << 20;
+    let mut plan = Plan::new("measuring-endless");
+    plan.workers = 1;
+    plan.processes = true;
+    let mut fleet = plan.start();
+    fleet.kill(0);
+    let (address, taken) = endless_health();
+    fleet.workers[0].raw.target_health = Some(address);
+    fleet.restart(0);
+    let is_polled = || taken.load(Ordering::Relaxed) > 0;
+    assert!(wait_until(support::PATIENCE, is_polled));
+    thread::sleep(Duration::from_secs(2));
+    let taken = taken.load(Ordering::Relaxed);
+    assert!(taken < TAKEN_LIMIT, "{taken} bytes");
+}
