--- a/crates/daemon/tests/measuring.rs
+++ b/crates/daemon/tests/measuring.rs
@@ -148,7 +148,7 @@
 
 /// A health endpoint whose answers never end, and the most bytes that were taken of one.
 fn endless_health() -> (String, Arc<AtomicUsize>) {
-    const PART: [u8; 64 << 10] = [b' '; 64 << 10];
+    static PART: [u8; 64 << 10] = [b' '; 64 << 10];
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
     let address = listener.local_addr().expect("address").to_string();
     let taken = Arc::new(AtomicUsize::new(0));
