--- a/crates/daemon/tests/framing.rs
+++ b/crates/daemon/tests/framing.rs
@@ -232,6 +232,15 @@
     assert_eq!(ends.count(), GOOD.len());
 }
 
+#[test]
+fn a_request_that_is_cut_at_any_byte_does_not_end() {
+    for text in GOOD {
+        let is_over = |at: usize| read(&text.as_bytes()[..at], &[2, 1], 3).contains(&Seen::End);
+        let end = (0..=text.len()).find(|at| is_over(*at)).expect("an end");
+        assert_eq!(end, text.len(), "{text:?}");
+    }
+}
+
 #[rstest]
 #[case("GET / HTTP/1.1\r\n\r\n", true)]
 #[case("GET / HTTP/1.0\r\n\r\n", false)]
