--- a/crates/daemon/src/http1/answers.rs
+++ b/crates/daemon/src/http1/answers.rs
@@ -168,10 +168,13 @@
     ) -> Result<AnswerItem, AnswerFault> {
         let is_new = parts.version == Version::HTTP_11;
         let has_body = !is_head && head::may_have_body(parts.status);
-        let framing = match head::answer_framing(&parts.headers, is_new)? {
-            _ if !has_body => AnswerFraming::Length(0),
-            framing => framing,
+        let stated = head::answer_framing(&parts.headers, is_new)?;
+        let framing = match has_body {
+            true => stated,
+            false => AnswerFraming::Length(0),
         };
+        // A body that may not be there comes all the same, perhaps.
+        let is_doubtful = parts.status == StatusCode::NO_CONTENT && states_body(stated);
         self.interim = 0;
         self.state = match framing {
             AnswerFraming::Length(length) => State::Length(length),
@@ -179,7 +182,7 @@
             AnswerFraming::UntilClose => State::UntilClose { is_closed: false },
         };
         Ok(AnswerItem::Head(Box::new(AnswerHead {
-            persists: persists && framing != AnswerFraming::UntilClose,
+            persists: persists && !is_doubtful && framing != AnswerFraming::UntilClose,
             parts,
             framing,
         })))
@@ -214,3 +217,8 @@
         AnswerItem::End
     }
 }
+
+/// Whether an answer's head says that a body follows.
+fn states_body(framing: AnswerFraming) -> bool {
+    matches!(framing, AnswerFraming::Chunked | AnswerFraming::Length(1..))
+}
