--- a/crates/daemon/src/callers/body.rs
+++ b/crates/daemon/src/callers/body.rs
@@ -13,6 +13,8 @@
 /// A body that is read piece by piece, and of which a rest may be left.
 pub(super) struct CallerBody<B> {
     body: B,
+    /// What was put back, to be read again.
+    put_back: Option<Bytes>,
 }
 
 impl<B> CallerBody<B>
@@ -21,17 +23,33 @@
 {
     /// A body of which nothing was read.
     pub(super) fn new(body: B) -> Self {
-        CallerBody { body }
+        CallerBody {
+            body,
+            put_back: None,
+        }
+    }
+
+    /// Its length, if its caller stated it.
+    pub(super) fn length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// Puts back all that was read, to be read again.
+    pub(super) fn put_back(&mut self, read: Bytes) {
+        self.put_back = Some(read);
     }
 
     /// What the caller sends next; nothing at the end.
     pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, B::Error>> {
-        self.body.frame().await
+        match self.put_back.take() {
+            Some(read) => Some(Ok(Frame::data(read))),
+            None => self.body.frame().await,
+        }
     }
 
     /// Whether all of it was read.
     pub(super) fn is_end(&self) -> bool {
-        self.body.is_end_stream()
+        self.put_back.is_none() && self.body.is_end_stream()
     }
 }
 
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod classify;
 mod organisation;
 mod pieces;
+mod read_ahead;
 pub(crate) mod room;
 mod serve;
 mod stall;
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -1,10 +1,10 @@
 //! One request's way: accept → classify → pin → once-only guard → route → answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
-use lynxcleat_policy::{CallId, CallKind, Homes, Micros};
+use lynxcleat_policy::{BodyCoverage, CallId, CallKind, Homes, Micros, RequestFingerprints};
 use lynxcleat_settings::{Effective, NamedOrganisation, NamedRoute, Route, RouteEffects};
 use lynxcleat_wire::{BodyAnnouncement, CallingOrganisation};
 use rand::RngExt;
@@ -16,13 +16,15 @@
 use super::classify::{self, Classified, Effects};
 use super::organisation;
 use super::pieces::{self, BodyEnd};
+use super::read_ahead::{ReadAhead, read_ahead};
 use super::room::Taken;
 use crate::core::Core;
 use crate::http1::RequestBody;
 use crate::metrics::CallLabels;
 use crate::once::{self, OnceCall, OnceVerdict};
+use crate::quarantine;
 use crate::quota;
-use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, UploadReader};
+use crate::route::{self, Outbound, RouteVerdict, ServiceRouter, Upload, UploadReader};
 use crate::settings::state::InForce;
 
 /// Path under which the daemon itself answers callers.
@@ -164,19 +166,30 @@
 ) -> Result<HttpAnswer, Problem> {
     classify::check_settings(&pinned.call, &pinned.effective)?;
     let way = way(&pinned, &body);
-    let is_ahead = way == Way::Ahead;
-    let to_come = way.to_come();
-    let mut room = take_room(core, &pinned.effective, &body, to_come)?;
-    let (body, coming) = match to_come {
-        Some(to_come) => {
-            let coming = (CallerBody::new(body), route::upload(to_come));
-            (ByteBuf::new(), Some(coming))
-        }
-        None => {
+    let mut room = take_room(core, &pinned.effective, &body, way.to_come())?;
+    let pieces_from = core.clock.now().saturating_sub(waited_us);
+    let (body, is_ahead, coming) = match way {
+        Way::Whole | Way::Ahead => {
             let whole = body::read(body, &pinned.effective, &mut room).await?;
-            (whole, None)
+            (whole, way == Way::Ahead, None)
+        }
+        Way::InWindow(to_come) => {
+            let until = pieces_from + deadline_us(&pinned);
+            match upcoming(core, &pinned, (body, to_come), until).await? {
+                Upcoming::Whole(whole) => {
+                    let is_ahead = whole.len() > pinned.effective.body_whole_bytes;
+                    (whole, is_ahead, None)
+                }
+                Upcoming::InPieces(coming) => (ByteBuf::new(), false, Some(coming)),
+            }
         }
     };
+    // The time of a body in pieces is the call's own, wherever it is read.
+    let waited_us = match way {
+        Way::Whole | Way::Ahead => waited_us,
+        Way::InWindow(_) => core.clock.now().saturating_sub(pieces_from),
+    };
+    let deadline_us = deadline_us(&pinned);
     let Pinned {
         call,
         effective,
@@ -190,14 +203,10 @@
         .map_err(|over| Problem::OverQuota {
             retry_after_us: over.retry_after_us,
         })?;
-    let deadline_ms = call
-        .deadline_ms
-        .unwrap_or(effective.deadline_ms)
-        .min(terms.timeout_ms);
     let outbound = Outbound {
         id,
         name: name.to_owned(),
-        deadline: (core.clock.now() + deadline_ms * 1_000).saturating_sub(waited_us),
+        deadline: (core.clock.now() + deadline_us).saturating_sub(waited_us),
         operation: None,
         may_retry: call.may_retry,
         attempt_limit: terms.attempts,
@@ -294,6 +303,67 @@
     Way::InWindow(BodyAnnouncement { length, ahead })
 }
 
+/// Time that a call has from its arrival.
+fn deadline_us(pinned: &Pinned) -> Micros {
+    let deadline_ms = pinned.call.deadline_ms;
+    let deadline_ms = deadline_ms.unwrap_or(pinned.effective.deadline_ms);
+    deadline_ms.min(pinned.terms.timeout_ms) * 1_000
+}
+
+/// A body that is passed on in pieces, or was read whole for its fingerprints.
+enum Upcoming<B> {
+    Whole(ByteBuf),
+    InPieces((CallerBody<B>, (Upload, UploadReader))),
+}
+
+/// Prepares a body that is passed on in pieces. While some request is suspect, it is read first
+/// as far as the request is named by it.
+async fn upcoming<B>(
+    core: &Core,
+    pinned: &Pinned,
+    (body, to_come): (B, BodyAnnouncement),
+    until: Micros,
+) -> Result<Upcoming<B>, Problem>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut body = CallerBody::new(body);
+    let (mut upload, reader) = route::upload(to_come);
+    if !core.quarantine.any() {
+        return Ok(Upcoming::InPieces((body, (upload, reader))));
+    }
+    let until = core.clock.instant(until);
+    match read_ahead(&mut body, &pinned.effective, until).await? {
+        ReadAhead::Whole(whole) => Ok(Upcoming::Whole(whole)),
+        ReadAhead::Part(part, coverage) => {
+            upload.prints = Some(prints_of_part(core, pinned, (&part, coverage)));
+            Ok(Upcoming::InPieces((body, (upload, reader))))
+        }
+    }
+}
+
+/// Fingerprints of a call of whose body a part was read.
+fn prints_of_part(
+    core: &Core,
+    pinned: &Pinned,
+    (part, coverage): (&[u8], BodyCoverage),
+) -> RequestFingerprints {
+    let caller_service = caller_service(core);
+    let organisation = pinned.organisation.as_deref();
+    let request = quarantine::Request {
+        quarantine: &core.quarantine,
+        dialect: &core.dialect,
+        call: "",
+        head: &pinned.call.head,
+        body: part,
+        coverage,
+        caller_service: caller_service.as_deref(),
+        organisation: organisation.map(|named| named.name.as_str()),
+        prints: &OnceLock::new(),
+    };
+    request.prints()
+}
+
 /// Runs a call whose body is read while it runs. Its answer may come before the body's end.
 async fn run_with_body<B>(
     core: &Core,
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -5,8 +5,8 @@
 
 use lynxcleat_once::{Admission, FenceRefusal, FenceReply, Operation};
 use lynxcleat_policy::{
-    AdmissionEvent, AttemptId, CallAttributes, CallId, Micros, Refusal, RefusalReason,
-    RequestFingerprints, TargetExitId,
+    AdmissionEvent, AttemptId, BodyCoverage, CallAttributes, CallId, Micros, Refusal,
+    RefusalReason, RequestFingerprints, TargetExitId,
 };
 use lynxcleat_settings::Effective;
 use lynxcleat_wire::{Answer, CallFrame, Frame};
@@ -368,7 +368,8 @@
         (!admits).then(|| refused(RefusalReason::Version, NOT_READY_RETRY_AFTER_US))
     }
 
-    /// A call as the quarantine knows it. A body that comes in pieces is not here to be named.
+    /// A call as the quarantine knows it. A body that comes in pieces is not here to be named:
+    /// its router looks at its beginning.
     fn known_as<'b>(
         &'b self,
         call: &'b CallFrame,
@@ -380,6 +381,7 @@
             call: &call.call,
             head: &call.head,
             body: &call.body,
+            coverage: BodyCoverage::Whole,
             caller_service: call.caller_service.as_deref(),
             organisation: call
                 .organisation
--- a/crates/daemon/src/quarantine/request.rs
+++ b/crates/daemon/src/quarantine/request.rs
@@ -4,9 +4,9 @@
 
 use hyper::header::HeaderName;
 use lynxcleat_policy::{
-    Micros, QuarantineStatus, RequestFingerprints, SuspectUpdate, TargetExitId,
+    BodyCoverage, Micros, QuarantineStatus, RequestFingerprints, SuspectUpdate, TargetExitId,
 };
-use lynxcleat_wire::{RequestHead, request_fingerprints};
+use lynxcleat_wire::{RequestHead, partial_request_fingerprints};
 
 use super::QuarantineState;
 use crate::dialect::Dialect;
@@ -23,8 +23,10 @@
     pub call: &'a str,
     /// Head of the request.
     pub head: &'a RequestHead,
-    /// Its body.
+    /// Its body, as far as it was read.
     pub body: &'a [u8],
+    /// How much of its body that is.
+    pub coverage: BodyCoverage,
     /// Service of the host where it began, where targets are told it.
     pub caller_service: Option<&'a str>,
     /// Name of the calling organisation.
@@ -41,9 +43,9 @@
                 let name = HeaderName::from_bytes(name.as_bytes());
                 name.is_ok_and(|name| (self.dialect.is_ours)(&name))
             };
-            request_fingerprints(
+            partial_request_fingerprints(
                 self.head,
-                self.body,
+                (self.body, self.coverage),
                 self.caller_service,
                 self.organisation,
                 is_ours,
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -12,4 +12,4 @@
 pub use run::{Outbound, RouteVerdict, run, run_until_gone};
 pub use service::{Routers, ServiceRouter};
 pub use settle::fence_at;
-pub use upload::{Opened, UploadReader, upload};
+pub use upload::{Opened, Upload, UploadReader, upload};
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -9,9 +9,9 @@
 
 use lynxcleat_once::Operation;
 use lynxcleat_policy::{
-    Action, AnswerStatus, AttemptId, CallId, CallKind, Event, Homes, Micros, NotRunReason,
-    OfferShare, QuarantineStatus, RequestFingerprints, TargetExitId, TargetId, UnknownReason,
-    Verdict,
+    Action, AnswerStatus, AttemptId, BodyCoverage, CallId, CallKind, Event, Homes, Micros,
+    NotRunReason, OfferShare, QuarantineStatus, RequestFingerprints, TargetExitId, TargetId,
+    UnknownReason, Verdict,
 };
 use lynxcleat_wire::{Answer, CallingOrganisation, RequestHead};
 use serde_bytes::ByteBuf;
@@ -104,6 +104,7 @@
     let deadline = core.clock.instant(call.deadline);
     let _ = tokio::time::timeout_at(deadline, service.ready(core, &call.homes)).await;
     let (sender, signals) = flume::unbounded();
+    let prints = call.upload.as_ref().and_then(|upload| upload.prints);
     let mut in_hand = InHand {
         core,
         service,
@@ -121,7 +122,7 @@
         attempts: Vec::new(),
         answer: None,
         share: None,
-        prints: OnceLock::new(),
+        prints: prints.map_or_else(OnceLock::new, OnceLock::from),
         finished: false,
     };
     let verdict = in_hand.drive(signals, gone).await;
@@ -250,20 +251,37 @@
         }
     }
 
-    /// The call as the quarantine knows it. A body that is passed on in pieces is not here to
-    /// be named.
+    /// The call as the quarantine knows it. A body that is passed on in pieces is named only
+    /// where its beginning was read before.
     pub(super) fn request(&self) -> Option<quarantine::Request<'_>> {
+        let request = self.request_as_read();
+        request.coverage.identifies_request().then_some(request)
+    }
+
+    /// The call with what was read of its body.
+    fn request_as_read(&self) -> quarantine::Request<'_> {
         let call = &self.call;
-        call.upload.is_none().then(|| quarantine::Request {
+        quarantine::Request {
             quarantine: &self.core.quarantine,
             dialect: &self.core.dialect,
             call: &call.name,
             head: &call.head,
             body: &call.body,
+            coverage: self.coverage(),
             caller_service: call.caller_service.as_deref(),
             organisation: organisation_name(&call.organisation),
             prints: &self.prints,
-        })
+        }
+    }
+
+    fn coverage(&self) -> BodyCoverage {
+        match &self.call.upload {
+            None => BodyCoverage::Whole,
+            Some(upload) if upload.prints.is_some() => BodyCoverage::Beginning {
+                length: upload.to_come.length,
+            },
+            Some(_) => BodyCoverage::Nothing,
+        }
     }
 
     /// Feeds the decisions until they ask for nothing more at once.
@@ -408,14 +426,16 @@
         })
     }
 
-    /// Notes the request under which a target ended: it may come again under another name.
+    /// Notes the request under which a target ended: it may come again under another name. One
+    /// whose body was not read is noted too, so that bodies are read before they are passed on.
     fn target_ended(&mut self, attempt: AttemptId, end: TargetExitId) {
-        let sent_at = self.out(attempt).map(|out| out.sent_at);
-        let (Some(sent_at), Some(request)) = (sent_at, self.request()) else {
+        let Some(sent_at) = self.out(attempt).map(|out| out.sent_at) else {
             return;
         };
+        let request = self.request_as_read();
         request.ended(end, sent_at);
-        self.trace.request = self.request_name();
+        let name = request.prints().full.to_string();
+        self.trace.request = name;
     }
 
     /// Says what the request holds, so that what it fails by itself is charged to no target.
--- a/crates/daemon/src/route/upload.rs
+++ b/crates/daemon/src/route/upload.rs
@@ -6,7 +6,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use lynxcleat_policy::AttemptId;
+use lynxcleat_policy::{AttemptId, RequestFingerprints};
 use lynxcleat_wire::BodyAnnouncement;
 
 use crate::mesh::Link;
@@ -38,6 +38,8 @@
 pub struct Upload {
     /// What is said of it beforehand.
     pub to_come: BodyAnnouncement,
+    /// Fingerprints of the request, where the beginning of the body was read for them.
+    pub prints: Option<RequestFingerprints>,
     opened: flume::Sender<Opened>,
     place: Arc<Mutex<Place>>,
 }
@@ -55,6 +57,7 @@
     let place = Arc::new(Mutex::new(Place::default()));
     let upload = Upload {
         to_come,
+        prints: None,
         opened: sender,
         place: Arc::clone(&place),
     };
--- a/crates/policy/src/fingerprint.rs
+++ b/crates/policy/src/fingerprint.rs
@@ -41,6 +41,38 @@
     }
 }
 
+/// How much of a request's body its fingerprints cover. Requests whose fingerprints cover
+/// different parts never have the same ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum BodyCoverage {
+    /// All of the body.
+    #[default]
+    Whole,
+    /// The beginning of a longer body.
+    Beginning {
+        /// Length of the whole body, if its sender stated it.
+        length: Option<u64>,
+    },
+    /// None of it. Such fingerprints show that some request is suspect, not which one.
+    Nothing,
+}
+
+impl BodyCoverage {
+    /// Coverage of a body of which `available` bytes were read, up to its end or until there
+    /// were more than `limit`.
+    pub fn of_read(available: usize, limit: usize, length: Option<u64>) -> Self {
+        match available <= limit {
+            true => BodyCoverage::Whole,
+            false => BodyCoverage::Beginning { length },
+        }
+    }
+
+    /// Whether a request may be refused, or found harmless, by such fingerprints.
+    pub fn identifies_request(self) -> bool {
+        self != BodyCoverage::Nothing
+    }
+}
+
 /// Fingerprints of one request.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub struct RequestFingerprints {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -75,7 +75,7 @@
     Verdict,
 };
 pub use fair_budget::FairBudget;
-pub use fingerprint::{Fingerprint, ParseFingerprintError, RequestFingerprints};
+pub use fingerprint::{BodyCoverage, Fingerprint, ParseFingerprintError, RequestFingerprints};
 pub use hold_queue::{CallAttributes, HeldCall, HoldQueue};
 pub use homes::{Homes, subset_with_homes};
 pub use ids::{AttemptId, CallId, Micros, TargetExitId, TargetId};
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -60,7 +60,7 @@
     /// Says on its health endpoint that it drains.
     pub draining: bool,
     /// Path of requests that end it once it has run them, whose body and `authorization` are
-    /// absent or say `ends`. Nothing where it is empty.
+    /// absent or say `ends`; a body may be filled up with dots. Nothing where it is empty.
     pub ends_on: String,
     /// Time in milliseconds after which it is back once it ended.
     pub back_ms: u64,
@@ -108,7 +108,7 @@
     /// Whether a request ends the target: by its path, its body and its caller together.
     fn is_ended_by(&self, call: &Call) -> bool {
         let by_path = !self.ends_on.is_empty() && call.parts.uri.path() == self.ends_on;
-        let by_body = call.body.is_empty() || call.body[..] == *b"ends";
+        let by_body = call.body.is_empty() || says_ends(&call.body);
         let by_caller = call
             .header("authorization")
             .is_none_or(|name| name == "ends");
@@ -116,6 +116,12 @@
     }
 }
 
+/// Whether a body says `ends`, filled up with any number of dots.
+fn says_ends(body: &[u8]) -> bool {
+    let filling = body.strip_prefix(b"ends");
+    filling.is_some_and(|filling| filling.iter().all(|byte| *byte == b'.'))
+}
+
 /// How often each operation ran.
 pub type Ledger = HashMap<String, u32>;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings_part;
 
 pub use codec::{CodecError, decode, encode};
-pub use fingerprints::request_fingerprints;
+pub use fingerprints::{partial_request_fingerprints, request_fingerprints};
 pub use frame::{
     Answer, BodyAnnouncement, BodyChunkFrame, CallFrame, CallingOrganisation, DeparturesFrame,
     Envelope, Frame, GuardedVerdict, Header, QuotaRequest, RequestHead, RolloutIdleFrame,
--- a/crates/wire/tests/fingerprints.rs
+++ b/crates/wire/tests/fingerprints.rs
@@ -1,7 +1,7 @@
 //! Which parts of a request determine its fingerprints.
 
-use lynxcleat_policy::{Fingerprint, RequestFingerprints};
-use lynxcleat_wire::{Header, RequestHead, request_fingerprints};
+use lynxcleat_policy::{BodyCoverage, Fingerprint, RequestFingerprints};
+use lynxcleat_wire::{Header, RequestHead, partial_request_fingerprints, request_fingerprints};
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 
@@ -71,6 +71,46 @@
     assert_ne!(other.full, baseline().full);
 }
 
+fn partial(body: &str, coverage: BodyCoverage) -> RequestFingerprints {
+    let head = head("GET", "/items/1", HEADERS);
+    let is_internal = |name: &str| name.starts_with("lynxcleat-");
+    partial_request_fingerprints(
+        &head,
+        (body.as_bytes(), coverage),
+        Some("shop"),
+        None,
+        is_internal,
+    )
+}
+
+/// A body that was passed on in pieces comes again with its length, and names the same request.
+#[test]
+fn a_body_that_was_read_whole_has_the_fingerprints_of_one_with_a_length() {
+    assert_eq!(partial("body", BodyCoverage::Whole), baseline());
+}
+
+/// Otherwise a quarantine of one would refuse the other.
+#[test]
+fn parts_of_bodies_are_told_from_whole_ones_and_by_their_length() {
+    let beginning = |length| BodyCoverage::Beginning { length };
+    let all = [
+        partial("body", BodyCoverage::Whole),
+        partial("body", beginning(None)),
+        partial("body", beginning(Some(5))),
+        partial("body", beginning(Some(6))),
+        partial("bodY", beginning(Some(6))),
+        partial("body", BodyCoverage::Nothing),
+        partial("", BodyCoverage::Nothing),
+        partial("", BodyCoverage::Whole),
+    ];
+    for (nth, one) in all.iter().enumerate() {
+        for other in &all[..nth] {
+            assert_ne!(one.content, other.content, "{nth}");
+            assert_ne!(one.full, other.full, "{nth}");
+        }
+    }
+}
+
 #[test]
 fn displayed_fingerprints_parse_and_malformed_ones_are_rejected() {
     let full = baseline().full;
