--- a/crates/policy/src/router/outcomes.rs
+++ b/crates/policy/src/router/outcomes.rs
@@ -216,6 +216,10 @@
         let Some(ended) = self.end_attempt(attempt) else {
             return Vec::new();
         };
+        if settlement != Settlement::Unknown {
+            // The link failed, which says nothing about the target.
+            self.with_target(ended.target, TargetState::end_trial);
+        }
         match settlement {
             Settlement::NeverRan => {
                 if let Some(call) = self.calls.get_mut(&ended.call) {
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -150,6 +150,45 @@
     assert_eq!(verdict(&router.on(20, ran)), Verdict::Answer { attempt });
 }
 
+/// A router sent a target no call again after the link was lost under a trial call.
+#[rstest]
+#[case::ran(Settlement::Ran)]
+#[case::never_ran(Settlement::NeverRan)]
+#[case::unknown(Settlement::Unknown)]
+fn an_ejected_target_gets_another_trial_call_after_a_link_lost_under_one(
+    #[case] settlement: Settlement,
+) {
+    let mut router = router(1);
+    for call in 0..3 {
+        let (attempt, _) = sent(&arrive(&mut router, CallId(1_000 + call), true));
+        router.on(0, answered(attempt, AnswerStatus::Failed));
+    }
+    let arrive_at = |router: &mut Router, now, call| {
+        let event = Event::Arrived {
+            call: CallId(call),
+            deadline: now + DEADLINE,
+            has_effects: true,
+            may_retry: true,
+            attempt_limit: None,
+            goal: None,
+            kind: lynxcleat_policy::CallKind::default(),
+        };
+        router.on(now, event)
+    };
+    let (attempt, _) = sent(&arrive_at(&mut router, 200_000, 2_000));
+    router.on(200_010, Event::LinkLost { attempt });
+    let settled = Event::Settled {
+        attempt,
+        settlement,
+    };
+    for action in router.on(200_020, settled) {
+        if let Action::Send { attempt, .. } = action {
+            router.on(200_030, refused(attempt, RefusalReason::Full));
+        }
+    }
+    sent(&arrive_at(&mut router, 5_000_000, 2_001));
+}
+
 #[test]
 fn a_lookup_that_may_have_run_is_never_reported_as_not_run() {
     let mut router = router(1);
