Links send large messages in fragments, and allocate a message's memory once

What callers saw: nothing; daemons kept as much memory a link as the largest message that ever went over it: 146 to 163 MB each where six daemons pass answers of 16 MiB, one a caller at a time. Cause: a socket's buffer takes a frame whole and never shrinks, a link has one of its own, and each write moved all that was left of it. The encoder's buffer grew by doubling.

--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 
 mod beat;
 mod dial;
+mod fragments;
 pub(crate) mod handlers;
 mod handshake;
 pub(crate) mod link;
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 use tokio_tungstenite::tungstenite::{self, Message};
 
+use super::fragments::fragments;
 use super::handshake::Socket;
 use super::link::Link;
 use super::queue::{Next, Out, Queue};
@@ -105,9 +106,9 @@
             }
         };
         let bytes = encode_counted(core, link, frame)?;
-        sink.feed(Message::Binary(bytes.into()))
-            .await
-            .map_err(Box::new)?;
+        for fragment in fragments(bytes.into()) {
+            sink.feed(fragment).await.map_err(Box::new)?;
+        }
         // A piece leaves before the next is taken, so that small messages pass the rest.
         if left.is_some() || queue.has_no_small() {
             sink.flush().await.map_err(Box::new)?;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -54,6 +54,8 @@
     departures: &'a DeparturesFrame,
 }
 
+/// Memory allocated for what a message has beside a body, in bytes. It grows where needed.
+const HEAD_BYTES: usize = 1 << 10;
 /// Maximum nesting depth of a message.
 const MAX_NESTING_DEPTH: usize = 32;
 
@@ -62,7 +64,7 @@
 /// # Errors
 /// Failure to encode the message; does not occur for the types of this crate.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, CodecError> {
-    let mut bytes = Vec::with_capacity(256);
+    let mut bytes = Vec::with_capacity(HEAD_BYTES + body_bytes(&envelope.frame));
     match &envelope.frame {
         Frame::Departures(departures) => {
             let extended = DeparturesEnvelope {
@@ -77,6 +79,16 @@
     Ok(bytes)
 }
 
+/// Size of the body that a message carries, in bytes.
+fn body_bytes(frame: &Frame) -> usize {
+    match frame {
+        Frame::Call(call) => call.body.len(),
+        Frame::Piece(piece) => piece.bytes.len(),
+        Frame::Answer { answer, .. } => answer.body.len(),
+        _ => 0,
+    }
+}
+
 /// Decodes a message that must occupy all of `bytes`.
 ///
 /// # Errors
