--- a/crates/daemon/src/half/connection.rs
+++ b/crates/daemon/src/half/connection.rs
@@ -224,7 +224,7 @@
     let written = writer.write_rest();
     let noted = tokio::time::sleep(WRITTEN_PAUSE);
     tokio::pin!(read, written, noted);
-    let (mut so_far, mut is_over, mut is_noted) = (Written::Partly, false, false);
+    let (mut written_so_far, mut is_over, mut is_noted) = (Written::Partly, false, false);
     loop {
         tokio::select! {
             biased;
@@ -232,17 +232,17 @@
                 if !is_noted {
                     sends();
                 }
-                return read.map(|read| (read, so_far));
+                return read.map(|read| (read, written_so_far));
             }
             done = &mut written, if !is_over => {
                 is_over = true;
                 match done {
-                    Ok(()) => so_far = Written::Whole,
+                    Ok(()) => written_so_far = Written::Whole,
                     Err(WriteError::BodyCut) => return Err(ConnectionError::BodyCut),
                     // A target that answers early may close before it has all of the request.
                     Err(WriteError::Failed(error)) => {
                         log::debug!("request cut: {error}");
-                        so_far = Written::Failed;
+                        written_so_far = Written::Failed;
                     }
                 }
             }
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -2,31 +2,21 @@
 
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
-use hyper::http::response::Parts;
-use lynxcleat_policy::{Micros, ResponseMatch, ResponseMatcher};
+use lynxcleat_policy::Micros;
 use lynxcleat_wire::{Answer, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
-use super::answer_memory::HeldAnswer;
 use super::bodies::{BodyCut, Expected};
 use super::connection::{
-    Asked, Begun, Connection, ConnectionError, ConnectionHistory, EncodedRequest, Reader, Written,
-    read_while_writing,
+    Asked, Begun, Connection, ConnectionError, EncodedRequest, Written, read_while_writing,
 };
-use super::pool::{Kept, Pool, Use};
+use super::pool::{Pool, Purpose, QuestionConnection};
+use super::reading::{CallReading, OwnAnswer, Told, read_own, read_told};
 use super::request::{encode, encode_question};
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
-use crate::http1::{AnswerFault, AnswerFraming, AnswerHead, AnswerItem};
+use crate::http1::AnswerFault;
 
-/// Largest answer to the question for the load, in bytes.
-const LOAD_ANSWER_BYTES: usize = 16 << 10;
-/// Bytes of surplus answers that are thrown away while a call waits for its own.
-const SURPLUS_BYTES: usize = 1 << 20;
-/// Part of its size, as a divisor, by which the memory of a body of unknown length grows.
-const GROWTH_DIVISOR: usize = 4;
-/// Least growth of that memory.
-const LEAST_GROWTH_BYTES: usize = 8 << 10;
 /// Connections that are tried for a call where each is found unfit before it is used.
 const CONNECTION_TRIES: u32 = 4;
 /// Hint for callers where a target that sheds gives none.
@@ -69,46 +59,6 @@
     Lost,
 }
 
-/// What a target tells that was asked for its load.
-pub(super) struct Told {
-    /// Its load, where it tells it.
-    pub load: Option<TargetLoad>,
-    /// How much longer it is cold, in microseconds, where it tells it.
-    pub cold_left_us: Option<Micros>,
-    /// Its incarnation, where it tells it.
-    pub instance: Option<String>,
-    /// Whether it says that it is well and takes calls.
-    pub well: bool,
-}
-
-impl Told {
-    /// Whether there is nothing to learn from asking the target.
-    pub fn is_empty(&self) -> bool {
-        self.load.is_none() && self.cold_left_us.is_none()
-    }
-}
-
-/// What reading the answer to a call takes.
-struct CallReading<'a> {
-    dialect: &'a Dialect,
-    call: &'a str,
-    body_limit: usize,
-    held: HeldAnswer,
-}
-
-/// The whole answer to a call.
-struct OwnAnswer {
-    kind: AnswerKind,
-    parts: Parts,
-    body: Vec<u8>,
-    /// Whether the connection may carry another call.
-    is_reusable: bool,
-    /// Whether only the end of the connection says that the body is whole.
-    ends_with_connection: bool,
-    /// Counts the memory of the body.
-    _held: HeldAnswer,
-}
-
 impl Pool {
     /// Writes a request and reads the whole answer; `sends` is called once it is written, and
     /// `hears` with the headers of an answer of the incarnation meant. If the future is dropped,
@@ -158,7 +108,7 @@
                 Ok((answer, written)) => {
                     connection.answered(Asked::Call);
                     if answer.is_reusable && written == Written::Whole {
-                        self.put_back(connection, Use::Calls);
+                        self.put_back(connection, Purpose::Calls);
                     }
                     return finish(dialect, answer, &call, is_head);
                 }
@@ -185,7 +135,7 @@
     }
 
     async fn take_logged(&self) -> Option<Connection> {
-        match self.take(Use::Calls).await {
+        match self.take(Purpose::Calls).await {
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!("target: {error}");
@@ -196,10 +146,15 @@
 
     /// Asks the target for its load at a path that it answers at once. Nothing where no
     /// whole answer came.
-    pub(super) async fn ask_load(&self, dialect: &Dialect, path: &str, kept: Kept) -> Option<Told> {
-        let connection = match kept {
-            Kept::Kept => self.take(Use::Questions).await,
-            Kept::Single => self.take_new(Use::Questions).await,
+    pub(super) async fn ask_load(
+        &self,
+        dialect: &Dialect,
+        path: &str,
+        kind: QuestionConnection,
+    ) -> Option<Told> {
+        let connection = match kind {
+            QuestionConnection::Shared => self.take(Purpose::Questions).await,
+            QuestionConnection::Single => self.take_new(Purpose::Questions).await,
         };
         let mut connection = connection.ok()?;
         let mut question = encode_question(path)?;
@@ -211,8 +166,8 @@
             .inspect_err(|error| log::debug!("question to the target: {error}"))
             .ok()?;
         connection.answered(Asked::Load);
-        if is_reusable && written == Written::Whole && kept == Kept::Kept {
-            self.put_back(connection, Use::Questions);
+        if is_reusable && written == Written::Whole && kind == QuestionConnection::Shared {
+            self.put_back(connection, Purpose::Questions);
         }
         Some(told)
     }
@@ -240,132 +195,6 @@
     Ok((answer, written))
 }
 
-/// Reads until the answer to the call is there, past surplus ones to earlier calls.
-async fn read_own(
-    mut reader: Reader<'_>,
-    (matcher, history): (&mut ResponseMatcher, &ConnectionHistory),
-    mut reading: CallReading<'_>,
-    hears: impl Fn(&HeaderMap),
-) -> Result<OwnAnswer, ConnectionError> {
-    let dialect = reading.dialect;
-    loop {
-        let head = read_head(&mut reader).await?;
-        let matched = matcher.on_response(dialect.response_name(&head.parts.headers));
-        let reusable = match matched {
-            ResponseMatch::Own { reusable } => reusable,
-            ResponseMatch::Surplus | ResponseMatch::Unmatched => {
-                log_unmatched(dialect, &head.parts, Some(reading.call), history);
-                if matched == ResponseMatch::Unmatched {
-                    return Err(ConnectionError::Unmatched);
-                }
-                skip_body(&mut reader, &head, SURPLUS_BYTES).await?;
-                continue;
-            }
-        };
-        let kind = (dialect.answer_kind)(&head.parts);
-        if kind != AnswerKind::OtherInstance {
-            hears(&head.parts.headers);
-        }
-        let body = read_body(&mut reader, &head, &mut reading).await?;
-        return Ok(OwnAnswer {
-            kind,
-            is_reusable: reusable && head.persists,
-            ends_with_connection: head.framing == AnswerFraming::UntilClose,
-            parts: head.parts,
-            body,
-            _held: reading.held,
-        });
-    }
-}
-
-/// Reads the answer to a question for the load, and whether its connection may carry another.
-async fn read_told(
-    dialect: &Dialect,
-    mut reader: Reader<'_>,
-    history: &ConnectionHistory,
-) -> Result<(Told, bool), ConnectionError> {
-    let head = read_head(&mut reader).await?;
-    let headers = &head.parts.headers;
-    if headers.contains_key(&dialect.call) {
-        log_unmatched(dialect, &head.parts, None, history);
-        return Err(ConnectionError::Unmatched);
-    }
-    let told = Told {
-        load: dialect.load(headers),
-        cold_left_us: dialect.cold_left(headers).unwrap_or_else(|error| {
-            log::warn!("the target told no cold time: {error}");
-            None
-        }),
-        instance: dialect.told_instance(headers),
-        well: head.parts.status.is_success() && !dialect.is_leaving(headers),
-    };
-    skip_body(&mut reader, &head, LOAD_ANSWER_BYTES).await?;
-    Ok((told, head.persists))
-}
-
-async fn read_head(reader: &mut Reader<'_>) -> Result<AnswerHead, ConnectionError> {
-    match reader.next().await? {
-        AnswerItem::Head(head) => Ok(*head),
-        // A body is read to its end before the next head.
-        AnswerItem::Data(_) | AnswerItem::End => Err(ConnectionError::Unmatched),
-    }
-}
-
-/// Reads the body of an answer and keeps it.
-async fn read_body(
-    reader: &mut Reader<'_>,
-    head: &AnswerHead,
-    reading: &mut CallReading<'_>,
-) -> Result<Vec<u8>, ConnectionError> {
-    let limit = reading.body_limit;
-    let too_large = || ConnectionError::TooLarge { limit };
-    let mut body = Vec::new();
-    if let AnswerFraming::Length(length) = head.framing {
-        let length = usize::try_from(length).ok().filter(|bytes| *bytes <= limit);
-        let length = length.ok_or_else(too_large)?;
-        reading.held.grow(length).await;
-        body.reserve_exact(length);
-    }
-    while let AnswerItem::Data(data) = reader.next().await? {
-        let bytes = body.len() + data.len();
-        if bytes > limit {
-            return Err(too_large());
-        }
-        if bytes > body.capacity() {
-            let step = growth(body.capacity()).min(limit - body.capacity());
-            let step = step.max(bytes - body.capacity());
-            reading.held.grow(step).await;
-            body.reserve_exact(body.capacity() + step - body.len());
-        }
-        body.extend_from_slice(&data);
-    }
-    Ok(body)
-}
-
-/// Bytes by which the memory of a body without a stated length grows.
-fn growth(capacity: usize) -> usize {
-    (capacity / GROWTH_DIVISOR).max(LEAST_GROWTH_BYTES)
-}
-
-/// Reads the body of an answer and throws it away.
-async fn skip_body(
-    reader: &mut Reader<'_>,
-    head: &AnswerHead,
-    limit: usize,
-) -> Result<(), ConnectionError> {
-    if head.framing == AnswerFraming::UntilClose {
-        return Err(ConnectionError::Unmatched);
-    }
-    let mut bytes = 0;
-    while let AnswerItem::Data(data) = reader.next().await? {
-        bytes += data.len();
-        if bytes > limit {
-            return Err(ConnectionError::TooLarge { limit });
-        }
-    }
-    Ok(())
-}
-
 /// What an answer is to the caller.
 fn finish(dialect: &Dialect, own: OwnAnswer, call: &str, is_head: bool) -> Exchange {
     match own.kind {
@@ -395,30 +224,6 @@
     stamp.is_none_or(|stamp| headers.iter().any(|header| header.0 == stamp.as_str()))
 }
 
-/// Logs an answer that is not the one waited for: what it looks like, and what its connection
-/// was used for before. A question for the load has no call.
-fn log_unmatched(
-    dialect: &Dialect,
-    parts: &Parts,
-    call: Option<&str>,
-    history: &ConnectionHistory,
-) {
-    let headers = &parts.headers;
-    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
-    log::error!(
-        call:? = call,
-        answers:? = text(&dialect.call),
-        status = parts.status.as_u16(),
-        length:? = text(&CONTENT_LENGTH),
-        instance:? = dialect.told_instance(headers),
-        connection = history.number,
-        exchanges = history.exchanges,
-        asked_before:? = history.last,
-        idle_ms = history.since.elapsed().as_millis() as u64;
-        "the target answered another call on this connection"
-    );
-}
-
 /// Headers for the caller. The length is that of the body we send, except for
 /// HEAD, whose answer has a length and no body.
 fn end_to_end(dialect: &Dialect, headers: &HeaderMap, is_head: bool) -> Vec<Header> {
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod notices;
 mod pool;
+mod reading;
 mod request;
 mod serve;
 pub(crate) mod state;
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -49,20 +49,20 @@
 
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Use {
+pub(super) enum Purpose {
     /// Calls.
     Calls,
     /// Questions for the load.
     Questions,
 }
 
-/// Whether a question for the load may share a connection with others.
+/// Which connection a question for the load goes over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Kept {
-    /// On a connection that is kept. A surplus answer to the question before may be taken for
+pub(super) enum QuestionConnection {
+    /// One that is kept for other questions. A surplus answer to the question before may be taken for
     /// its own.
-    Kept,
-    /// On a connection of its own.
+    Shared,
+    /// One of its own.
     Single,
 }
 
@@ -87,10 +87,10 @@
 }
 
 impl IdleConnections {
-    fn of(&mut self, purpose: Use) -> &mut VecDeque<Idle> {
+    fn of(&mut self, purpose: Purpose) -> &mut VecDeque<Idle> {
         match purpose {
-            Use::Calls => &mut self.calls,
-            Use::Questions => &mut self.questions,
+            Purpose::Calls => &mut self.calls,
+            Purpose::Questions => &mut self.questions,
         }
     }
 
@@ -100,18 +100,18 @@
     }
 
     /// Takes out those that are not to be used again.
-    fn take_unfit(&mut self, purpose: Use) -> Vec<Idle> {
+    fn take_unfit(&mut self, purpose: Purpose) -> Vec<Idle> {
         let all = std::mem::take(self.of(purpose));
         let (usable, unfit): (Vec<Idle>, Vec<Idle>) = all.into_iter().partition(Idle::is_usable);
         *self.of(purpose) = usable.into();
         unfit
     }
 
-    /// Closes one of the other use, the longest rested.
-    fn make_room(&mut self, purpose: Use) -> bool {
+    /// Closes one of the other purpose, the longest rested.
+    fn make_room(&mut self, purpose: Purpose) -> bool {
         let other = match purpose {
-            Use::Calls => &mut self.questions,
-            Use::Questions => &mut self.calls,
+            Purpose::Calls => &mut self.questions,
+            Purpose::Questions => &mut self.calls,
         };
         other.pop_front().is_some()
     }
@@ -166,7 +166,7 @@
         while self.open() < count {
             let Some(place) = self.reserve() else { return };
             match self.connect(place).await {
-                Ok(connection) => self.put_back(connection, Use::Calls),
+                Ok(connection) => self.put_back(connection, Purpose::Calls),
                 Err(_) => return,
             }
         }
@@ -179,7 +179,7 @@
 
     /// Closes idle connections that have grown old, ended, or received something.
     pub fn drop_old(&self) {
-        for purpose in [Use::Calls, Use::Questions] {
+        for purpose in [Purpose::Calls, Purpose::Questions] {
             let unfit = lock(&self.idle).take_unfit(purpose);
             for idle in unfit {
                 self.note_surplus(&idle.connection, purpose);
@@ -189,20 +189,20 @@
 
     /// A connection that is ready for a request: the one that rested longest, or
     /// a new one.
-    pub(super) async fn take(&self, purpose: Use) -> Result<Connection, PoolError> {
+    pub(super) async fn take(&self, purpose: Purpose) -> Result<Connection, PoolError> {
         tokio::time::timeout(CONNECT_LIMIT, self.take_any(purpose))
             .await
             .unwrap_or(Err(PoolError::TooSlow))
     }
 
     /// A new connection.
-    pub(super) async fn take_new(&self, purpose: Use) -> Result<Connection, PoolError> {
+    pub(super) async fn take_new(&self, purpose: Purpose) -> Result<Connection, PoolError> {
         tokio::time::timeout(CONNECT_LIMIT, self.connect_in_turn(purpose))
             .await
             .unwrap_or(Err(PoolError::TooSlow))
     }
 
-    async fn connect_in_turn(&self, purpose: Use) -> Result<Connection, PoolError> {
+    async fn connect_in_turn(&self, purpose: Purpose) -> Result<Connection, PoolError> {
         loop {
             if let Some(place) = self.reserve() {
                 return self.connect(place).await;
@@ -211,7 +211,7 @@
         }
     }
 
-    async fn take_any(&self, purpose: Use) -> Result<Connection, PoolError> {
+    async fn take_any(&self, purpose: Purpose) -> Result<Connection, PoolError> {
         loop {
             while let Some(idle) = self.pop_rested(purpose) {
                 if idle.is_usable() {
@@ -226,8 +226,8 @@
         }
     }
 
-    /// Closes an idle connection of the other use, or waits until one is closed or rested.
-    async fn wait_for_room(&self, purpose: Use) {
+    /// Closes an idle connection of the other purpose, or waits until one is closed or rested.
+    async fn wait_for_room(&self, purpose: Purpose) {
         let closed = self.closed.notified();
         if !lock(&self.idle).make_room(purpose) {
             let _ = tokio::time::timeout(REST, closed).await;
@@ -235,11 +235,11 @@
     }
 
     /// Logs what came on an idle connection that is not used again.
-    fn note_surplus(&self, connection: &Connection, purpose: Use) {
+    fn note_surplus(&self, connection: &Connection, purpose: Purpose) {
         if connection.rest() != Rest::Surplus {
             return;
         }
-        if purpose == Use::Questions {
+        if purpose == Purpose::Questions {
             let mut idle = lock(&self.idle);
             idle.queries.on_surplus(self.now());
             idle.questions.clear();
@@ -269,7 +269,7 @@
                 Ok(Ok(connection)) => {
                     tokio::time::sleep(LOOK_PAUSE).await;
                     if connection.rest() != Rest::Ended {
-                        self.put_back(connection, Use::Calls);
+                        self.put_back(connection, Purpose::Calls);
                         return false;
                     }
                 }
@@ -293,21 +293,21 @@
         let Some(place) = self.reserve() else { return };
         let connected = tokio::time::timeout(CONNECT_LIMIT, self.connect(place)).await;
         if let Ok(Ok(connection)) = connected {
-            self.put_back(connection, Use::Calls);
+            self.put_back(connection, Purpose::Calls);
         }
     }
 
     /// Keeps a connection whose last exchange ended cleanly.
-    pub(super) fn put_back(&self, connection: Connection, purpose: Use) {
+    pub(super) fn put_back(&self, connection: Connection, purpose: Purpose) {
         let mut idle = lock(&self.idle);
-        if purpose == Use::Questions && !idle.queries.is_reusable(self.now()) {
+        if purpose == Purpose::Questions && !idle.queries.is_reusable(self.now()) {
             return;
         }
         let since = Instant::now();
         idle.of(purpose).push_back(Idle { connection, since });
     }
 
-    fn pop_rested(&self, purpose: Use) -> Option<Idle> {
+    fn pop_rested(&self, purpose: Purpose) -> Option<Idle> {
         let mut idle = lock(&self.idle);
         let idle = idle.of(purpose);
         let rested = idle.front()?.since.elapsed() >= REST;
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -10,8 +10,8 @@
 };
 use lynxcleat_wire::{Answer, Frame};
 
-use super::exchange::Told;
-use super::pool::Kept;
+use super::pool::QuestionConnection;
+use super::reading::Told;
 use super::state::{EarlierTarget, Half, TELLS_NO_LOAD};
 use crate::core::Core;
 use crate::homes;
@@ -79,7 +79,9 @@
         if !core.budget.ask_load(ASK_COST) {
             return;
         }
-        let asked = self.pool.ask_load(&core.dialect, path, Kept::Kept);
+        let asked = self
+            .pool
+            .ask_load(&core.dialect, path, QuestionConnection::Shared);
         match tokio::time::timeout(limit, asked).await {
             Ok(Some(told)) if told.is_empty() => {
                 let until = self.clock.now() + ASK_PAUSE_US;
@@ -213,7 +215,10 @@
 
     async fn ask_repeatedly(&self, core: &Core, path: &str) -> Option<Told> {
         for _ in 0..INSTANCE_QUESTIONS {
-            let told = self.pool.ask_load(&core.dialect, path, Kept::Single).await;
+            let told = self
+                .pool
+                .ask_load(&core.dialect, path, QuestionConnection::Single)
+                .await;
             if told.is_some() {
                 return told;
             }
