Calls that come again under their name are not refused for their connections

Now the pool gives only connections that may carry the call, the others stay for other calls, and one of them is closed where the limit leaves no room.

--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -123,27 +123,21 @@
         Exchange::NotWritten
     }
 
-    /// A connection on which the answer to a call can be told from those to others.
+    /// A connection for a call that has received nothing so far.
     async fn take_for(&self, call: &str) -> Option<Connection> {
         for _ in 0..CONNECTION_TRIES {
-            let connection = self.take_logged().await?;
-            if connection.matcher.may_send(call) && connection.is_quiet() {
+            let connection = self
+                .take_for_call(call)
+                .await
+                .inspect_err(|error| log::debug!("target: {error}"))
+                .ok()?;
+            if connection.is_quiet() {
                 return Some(connection);
             }
         }
         None
     }
 
-    async fn take_logged(&self) -> Option<Connection> {
-        match self.take(Purpose::Calls).await {
-            Ok(connection) => Some(connection),
-            Err(error) => {
-                log::debug!("target: {error}");
-                None
-            }
-        }
-    }
-
     /// Asks the target for its load at a path that it answers at once. Nothing where no
     /// whole answer came.
     pub(super) async fn ask_load(
@@ -153,7 +147,7 @@
         kind: QuestionConnection,
     ) -> Option<Told> {
         let connection = match kind {
-            QuestionConnection::Shared => self.take(Purpose::Questions).await,
+            QuestionConnection::Shared => self.take_for_question().await,
             QuestionConnection::Single => self.take_new(Purpose::Questions).await,
         };
         let mut connection = connection.ok()?;
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -107,13 +107,26 @@
         unfit
     }
 
-    /// Closes one of the other purpose, the longest rested.
+    /// Closes one of the other purpose, or else one that rested and may not carry what is to be
+    /// sent, the longest rested.
     fn make_room(&mut self, purpose: Purpose) -> bool {
         let other = match purpose {
             Purpose::Calls => &mut self.questions,
             Purpose::Questions => &mut self.calls,
         };
-        other.pop_front().is_some()
+        other.pop_front().is_some() || self.take_rested(purpose, |_| true).is_some()
+    }
+
+    /// Takes out the longest rested of those that are fit.
+    fn take_rested(
+        &mut self,
+        purpose: Purpose,
+        is_fit: impl Fn(&Connection) -> bool,
+    ) -> Option<Idle> {
+        let idle = self.of(purpose);
+        let is_ready = |idle: &Idle| idle.since.elapsed() >= REST && is_fit(&idle.connection);
+        let at = idle.iter().position(is_ready)?;
+        idle.remove(at)
     }
 }
 
@@ -187,10 +200,24 @@
         }
     }
 
-    /// A connection that is ready for a request: the one that rested longest, or
-    /// a new one.
-    pub(super) async fn take(&self, purpose: Purpose) -> Result<Connection, PoolError> {
-        tokio::time::timeout(CONNECT_LIMIT, self.take_any(purpose))
+    /// A connection that is ready for a call: the one that rested longest of those on which the
+    /// answer to it can be told from others, or a new one.
+    pub(super) async fn take_for_call(&self, call: &str) -> Result<Connection, PoolError> {
+        let is_fit = |connection: &Connection| connection.matcher.may_send(call);
+        self.take(Purpose::Calls, is_fit).await
+    }
+
+    /// A connection that is ready for a question.
+    pub(super) async fn take_for_question(&self) -> Result<Connection, PoolError> {
+        self.take(Purpose::Questions, |_| true).await
+    }
+
+    async fn take(
+        &self,
+        purpose: Purpose,
+        is_fit: impl Fn(&Connection) -> bool,
+    ) -> Result<Connection, PoolError> {
+        tokio::time::timeout(CONNECT_LIMIT, self.take_any(purpose, is_fit))
             .await
             .unwrap_or(Err(PoolError::TooSlow))
     }
@@ -211,9 +238,14 @@
         }
     }
 
-    async fn take_any(&self, purpose: Purpose) -> Result<Connection, PoolError> {
+    async fn take_any(
+        &self,
+        purpose: Purpose,
+        is_fit: impl Fn(&Connection) -> bool,
+    ) -> Result<Connection, PoolError> {
+        let next = || lock(&self.idle).take_rested(purpose, &is_fit);
         loop {
-            while let Some(idle) = self.pop_rested(purpose) {
+            while let Some(idle) = next() {
                 if idle.is_usable() {
                     return Ok(idle.connection);
                 }
@@ -307,13 +339,6 @@
         idle.of(purpose).push_back(Idle { connection, since });
     }
 
-    fn pop_rested(&self, purpose: Purpose) -> Option<Idle> {
-        let mut idle = lock(&self.idle);
-        let idle = idle.of(purpose);
-        let rested = idle.front()?.since.elapsed() >= REST;
-        if rested { idle.pop_front() } else { None }
-    }
-
     async fn connect(&self, place: OpenPlace) -> Result<Connection, PoolError> {
         let stream = TcpStream::connect(self.target).await;
         let stream = stream.inspect_err(|error| self.note_failed(error))?;
