--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -47,7 +47,7 @@
 }
 
 /// What the target states in an answer, as headers.
-pub type Notices = Vec<(&'static str, String)>;
+pub type Notices = Vec<(String, String)>;
 
 /// What becomes of a call.
 pub enum Done {
@@ -248,7 +248,9 @@
         .unwrap_or((Done::Drop, Notices::new()));
     let mut response = respond(done, life)?;
     for (name, value) in notices {
-        if let Ok(value) = hyper::header::HeaderValue::from_str(&value) {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        let value = hyper::header::HeaderValue::from_str(&value);
+        if let (Ok(name), Ok(value)) = (name, value) {
             response.headers_mut().insert(name, value);
         }
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -73,6 +73,8 @@
     pub rate_limit: String,
     /// Says in its answers that it leaves.
     pub says_leaving: bool,
+    /// Headers of requests whose values its answers repeat, and the headers of the answers.
+    pub repeats: Vec<(String, String)>,
     /// Load that its health endpoint claims, instead of the true one.
     pub false_load: Option<u32>,
 }
@@ -91,13 +93,17 @@
 }
 
 impl TargetFaults {
-    fn notices(&self) -> Notices {
+    fn notices(&self, call: &Call) -> Notices {
         let limit = (!self.rate_limit.is_empty())
-            .then(|| ("lynxcleat-rate-limit", self.rate_limit.clone()));
+            .then(|| ("lynxcleat-rate-limit".to_owned(), self.rate_limit.clone()));
         let leaving = self
             .says_leaving
-            .then(|| ("lynxcleat-leaving", "1".to_owned()));
-        limit.into_iter().chain(leaving).collect()
+            .then(|| ("lynxcleat-leaving".to_owned(), "1".to_owned()));
+        let repeated = self.repeats.iter().filter_map(|(of, name)| {
+            let value = call.header(of)?;
+            Some((name.clone(), value.to_owned()))
+        });
+        limit.into_iter().chain(leaving).chain(repeated).collect()
     }
 
     /// How a request fails here; nothing where it does not.
@@ -261,7 +267,7 @@
             self.run(call, &faults)
         };
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
-        (done, faults.notices())
+        (done, faults.notices(call))
     }
 
     fn run(&self, call: &Call, faults: &TargetFaults) -> Done {
