A connection whose answer comes at once is used again

The writing is looked at once more when the answer is there.

By reading, mended with it: at the limit of connections, one that had come to rest meanwhile could be closed though it was fit for the call.

--- a/crates/daemon/src/half/connection.rs
+++ b/crates/daemon/src/half/connection.rs
@@ -4,6 +4,7 @@
 use std::mem::MaybeUninit;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use lynxcleat_policy::{ResponseMatcher, ResponseNaming};
@@ -232,18 +233,17 @@
                 if !is_noted {
                     sends();
                 }
+                // The answer may be there before the writing was looked at once.
+                if !is_over && let Some(done) = written.as_mut().now_or_never() {
+                    written_so_far = outcome(&done);
+                }
                 return read.map(|read| (read, written_so_far));
             }
             done = &mut written, if !is_over => {
                 is_over = true;
-                match done {
-                    Ok(()) => written_so_far = Written::Whole,
-                    Err(WriteError::BodyCut) => return Err(ConnectionError::BodyCut),
-                    // A target that answers early may close before it has all of the request.
-                    Err(WriteError::Failed(error)) => {
-                        log::debug!("request cut: {error}");
-                        written_so_far = Written::Failed;
-                    }
+                written_so_far = outcome(&done);
+                if let Err(WriteError::BodyCut) = done {
+                    return Err(ConnectionError::BodyCut);
                 }
             }
             () = &mut noted, if !is_noted => {
@@ -254,6 +254,18 @@
     }
 }
 
+/// How much was written. A target that answers early may close before it has all of the request.
+fn outcome(done: &Result<(), WriteError>) -> Written {
+    match done {
+        Ok(()) => Written::Whole,
+        Err(WriteError::BodyCut) => Written::Partly,
+        Err(WriteError::Failed(error)) => {
+            log::debug!("request cut: {error}");
+            Written::Failed
+        }
+    }
+}
+
 /// Reads what the target sends on a connection.
 pub(super) struct Reader<'a> {
     stream: ReadHalf<'a>,
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -109,12 +109,13 @@
 
     /// Closes one of the other purpose, or else one that rested and may not carry what is to be
     /// sent, the longest rested.
-    fn make_room(&mut self, purpose: Purpose) -> bool {
+    fn make_room(&mut self, purpose: Purpose, is_fit: impl Fn(&Connection) -> bool) -> bool {
         let other = match purpose {
             Purpose::Calls => &mut self.questions,
             Purpose::Questions => &mut self.calls,
         };
-        other.pop_front().is_some() || self.take_rested(purpose, |_| true).is_some()
+        let is_closed = other.pop_front().is_some();
+        is_closed || self.take_rested(purpose, |idle| !is_fit(idle)).is_some()
     }
 
     /// Takes out the longest rested of those that are fit.
@@ -234,7 +235,7 @@
             if let Some(place) = self.reserve() {
                 return self.connect(place).await;
             }
-            self.wait_for_room(purpose).await;
+            self.wait_for_room(purpose, |_| false).await;
         }
     }
 
@@ -254,14 +255,14 @@
             if let Some(place) = self.reserve() {
                 return self.connect(place).await;
             }
-            self.wait_for_room(purpose).await;
+            self.wait_for_room(purpose, &is_fit).await;
         }
     }
 
     /// Closes an idle connection of the other purpose, or waits until one is closed or rested.
-    async fn wait_for_room(&self, purpose: Purpose) {
+    async fn wait_for_room(&self, purpose: Purpose, is_fit: impl Fn(&Connection) -> bool) {
         let closed = self.closed.notified();
-        if !lock(&self.idle).make_room(purpose) {
+        if !lock(&self.idle).make_room(purpose, is_fit) {
             let _ = tokio::time::timeout(REST, closed).await;
         }
     }
--- a/crates/daemon/tests/regression.rs
+++ b/crates/daemon/tests/regression.rs
@@ -2,13 +2,18 @@
 
 mod support;
 
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use lynxcleat_standin::{PlatformFaults, wait_until};
 use lynxcleat_store::HostEntry;
 use serde_json::json;
 use support::{
-    PATIENCE, Plan, answer, call, each_gets_its_own, odd_target, read_path, tree, try_call,
+    PATIENCE, Plan, answer, call, each_gets_its_own, odd_target, read_call, read_path, tree,
+    try_call,
 };
 
 /// The second answer on a connection was given to the next caller: connections
@@ -162,3 +167,25 @@
     assert_eq!(health.status, 503, "no call can be served yet");
     assert_eq!(worker.get("/items/1", &[]).status, 200);
 }
+
+/// A connection was closed where the whole answer was there before the writing of the request was
+/// looked at.
+#[test]
+fn a_connection_whose_answer_comes_at_once_is_used_again() {
+    let closed = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&closed);
+    let target = odd_target(move |mut stream, _| {
+        while let Some((_, call)) = read_call(&mut stream) {
+            let head = format!("HTTP/1.1 200 OK\r\nLynxcleat-Call: {call}\r\n");
+            let _ = stream.write_all((head + "Content-Length: 2\r\n\r\nok").as_bytes());
+        }
+        count.fetch_add(1, Ordering::Relaxed);
+    });
+    let fleet = Plan::new("answers-at-once").start_with_target(&target);
+    for _ in 0..300 {
+        assert_eq!(fleet.workers[0].get("/items/1", &[]).status, 200);
+        // The connection rests meanwhile.
+        thread::sleep(Duration::from_millis(4));
+    }
+    assert_eq!(closed.load(Ordering::Relaxed), 0, "connections closed");
+}
