The stand-in for a target that ends closes its listener before its connections

A process that ends closes its listener first, since that was opened first. The stand-in dropped both with its runtime, in any order and up to tens of milliseconds apart on a busy machine, so that a daemon that had lost a call found a listener that still took connections.

--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -1,13 +1,14 @@
 //! Delivering a call that has a slot to the target, and what its end tells.
 
+use std::sync::atomic::Ordering;
+
 use hyper::HeaderMap;
 use lynxcleat_once::OpId;
-use lynxcleat_policy::{AdmissionEvent, AttemptId, Micros, Outcome, RefusalReason};
+use lynxcleat_policy::{AdmissionEvent, AttemptId, FoundExit, Micros, Outcome, RefusalReason};
 use lynxcleat_wire::{BodyAnnouncement, CallFrame};
 
 use super::bodies::Expected;
 use super::cut::note_cut;
-use super::ends::Found;
 use super::exchange::{Exchange, Request, RequestBody};
 use super::notices::Answerer;
 use super::serve::{
@@ -100,7 +101,7 @@
     /// Whether the end of a call tells anything of the target's version. One end of the target
     /// is one failure: counted for each call in hand, an end with four calls reverted a good
     /// version. An end under a suspect tells of the request.
-    fn speaks_of_version(&self, end: Option<Found>) -> bool {
+    fn speaks_of_version(&self, end: Option<FoundExit>) -> bool {
         end.is_none_or(|end| end.is_new && !self.half.suspects.any_runs())
     }
 
@@ -128,12 +129,20 @@
     }
 
     /// The end of the target under a call whose answer was lost; nothing where it lives.
-    async fn end_of_target(&self) -> Option<Found> {
+    async fn end_of_target(&self) -> Option<FoundExit> {
         // One that ends as planned may end with calls in hand.
-        if self.half.is_leaving() || !self.half.pool.is_refused().await {
+        if self.half.is_leaving() {
             return None;
         }
-        let found = self.half.pool.ends.found();
+        let ends = &self.half.pool.ends;
+        let begun = self.write_began.load(Ordering::Relaxed);
+        if let Some(known) = ends.known_since(begun) {
+            return Some(known);
+        }
+        if !self.half.pool.is_refused().await {
+            return ends.known_since(begun);
+        }
+        let found = ends.found(begun, self.core.clock.now());
         if found.is_new {
             self.core.metrics.target_ends.inc();
             log::info!(end = found.id.0; "target ended");
@@ -232,6 +241,10 @@
     fn exchange<'b>(&'b self, request: Request<'b>) -> impl Future<Output = Exchange> + 'b {
         let sent_at = self.core.clock.now();
         let instance = request.instance.clone();
+        let begins = || {
+            let now = self.core.clock.now();
+            self.write_began.store(now, Ordering::Relaxed);
+        };
         let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
         let hears = move |headers: &HeaderMap| {
             let answerer = Answerer {
@@ -241,7 +254,8 @@
             self.half.hear(self.core, headers, &answerer);
         };
         let dialect = &self.core.dialect;
-        self.half.pool.exchange(dialect, request, (sends, hears))
+        let follows = (begins, sends, hears);
+        self.half.pool.exchange(dialect, request, follows)
     }
 
     /// How long the answer of the target is waited for.
--- a/crates/daemon/src/half/ends.rs
+++ b/crates/daemon/src/half/ends.rs
@@ -1,12 +1,12 @@
 //! Whether the target listens, and whether it ended under the calls that it had in hand.
 //!
 //! A call whose answer is lost may have lost it alone. Where nothing listens at the target's
-//! address right after, the target ended, and all calls that are lost until it takes a
-//! connection again were in hand at that end.
+//! address right after, the target ended, and the calls that it had in hand were lost with it;
+//! see [`lynxcleat_policy::TargetExits`].
 
 use std::sync::Mutex;
 
-use lynxcleat_policy::TargetExitId;
+use lynxcleat_policy::{FoundExit, Micros, TargetExitId, TargetExits};
 use tokio::sync::watch;
 
 use crate::sync::lock;
@@ -14,25 +14,16 @@
 /// What is known of whether the target listens.
 #[derive(Default)]
 pub(super) struct Ends {
-    /// The end since which it took no connection, where it ended under calls.
-    open: Mutex<Option<TargetExitId>>,
+    /// Its ends under calls.
+    exits: Mutex<TargetExits>,
     /// Whether nothing listens at its address.
     down: watch::Sender<bool>,
 }
 
-/// One end, as one of its calls finds it.
-#[derive(Clone, Copy)]
-pub(super) struct Found {
-    /// Its name.
-    pub id: TargetExitId,
-    /// Whether no other call found it before.
-    pub is_new: bool,
-}
-
 impl Ends {
     /// The target took a connection.
     pub(super) fn listens(&self) {
-        *lock(&self.open) = None;
+        lock(&self.exits).on_connected();
         self.down.send_if_modified(std::mem::take);
     }
 
@@ -52,11 +43,13 @@
         self.down.subscribe()
     }
 
-    /// A call was lost, and nothing listens at the target's address.
-    pub(super) fn found(&self) -> Found {
-        let mut open = lock(&self.open);
-        let is_new = open.is_none();
-        let id = *open.get_or_insert_with(|| TargetExitId(rand::random()));
-        Found { id, is_new }
+    /// The end under which a call was lost that began at `begun`, where one was found since.
+    pub(super) fn known_since(&self, begun: Micros) -> Option<FoundExit> {
+        lock(&self.exits).known_since(begun)
+    }
+
+    /// A call that began at `begun` was lost, and nothing listens at the target's address.
+    pub(super) fn found(&self, begun: Micros, now: Micros) -> FoundExit {
+        lock(&self.exits).on_lost(begun, now, TargetExitId(rand::random()))
     }
 }
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -60,14 +60,14 @@
 }
 
 impl Pool {
-    /// Writes a request and reads the whole answer; `sends` is called once it is written, and
-    /// `hears` with the headers of an answer of the incarnation meant. If the future is dropped,
-    /// the connection is closed.
+    /// Writes a request and reads the whole answer; `begins` is called when its first byte is about
+    /// to be written, `sends` once it is written, and `hears` with the headers of an answer of the
+    /// incarnation meant. If the future is dropped, the connection is closed.
     pub(super) async fn exchange(
         &self,
         dialect: &Dialect,
         request: Request<'_>,
-        (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
+        (begins, sends, hears): (impl Fn(), impl Fn(), impl Fn(&HeaderMap)),
     ) -> Exchange {
         // A body is asked for only when there is a connection for it.
         let mut connection = self.take_for(&request.call).await;
@@ -98,6 +98,7 @@
             if let Some(expected) = expected {
                 expected.set_begun();
             }
+            begins();
             let reading = CallReading {
                 dialect,
                 call: &call,
--- a/crates/daemon/src/rollout/mod.rs
+++ b/crates/daemon/src/rollout/mod.rs
@@ -47,7 +47,8 @@
         stored = state.stored,
         left_ms = state.left_ms,
         calls = state.calls,
-        bad = state.bad;
+        bad = state.bad,
+        failed = state.failed;
         "rollout"
     );
 }
--- a/crates/daemon/src/rollout/state.rs
+++ b/crates/daemon/src/rollout/state.rs
@@ -76,6 +76,9 @@
     pub calls: u32,
     /// Failed and slow ones among them.
     pub bad: u32,
+    /// Failed ones among them.
+    #[serde(default)]
+    pub failed: u32,
 }
 
 /// What a daemon knows of rollouts.
@@ -147,7 +150,7 @@
 
 /// A rollout as operators see it now.
 pub(super) fn state(now: Micros, rollout: &Rollout) -> RolloutState {
-    let (calls, bad) = rollout.analysis().observed_calls();
+    let observed = rollout.analysis().observed_calls();
     RolloutState {
         service: rollout.service().to_owned(),
         target: rollout.version().to_owned(),
@@ -155,7 +158,8 @@
         phase: rollout.phase(),
         stored: rollout.is_stored(),
         left_ms: rollout.to_update(now).remaining_us / 1_000,
-        calls,
-        bad,
+        calls: observed.calls,
+        bad: observed.bad(),
+        failed: observed.failed,
     }
 }
--- a/crates/daemon/src/rollout/work.rs
+++ b/crates/daemon/src/rollout/work.rs
@@ -133,15 +133,16 @@
 
 /// One line with the evidence that decided.
 fn log_step(rollout: &Rollout, step: Option<Step>) {
-    let (calls, bad) = rollout.analysis().observed_calls();
+    let observed = rollout.analysis().observed_calls();
     log::info!(
         service = rollout.service(),
         target_version = rollout.version(),
         order = rollout.number(),
         step:? = step,
         readiness:? = rollout.analysis().readiness(),
-        calls,
-        bad,
+        calls = observed.calls,
+        bad = observed.bad(),
+        failed = observed.failed,
         set_aside:? = rollout.analysis().excluded_hosts();
         "rollout decided"
     );
@@ -189,7 +190,7 @@
         let rollout = known.get(service)?;
         Some((rollout.phase(), rollout.analysis().observed_calls()))
     });
-    let Some((phase, (calls, bad))) = found else {
+    let Some((phase, observed)) = found else {
         return;
     };
     let phase = match phase {
@@ -203,11 +204,11 @@
     metrics
         .rollout_calls_seen
         .get_or_create(&labels)
-        .set(calls.into());
+        .set(observed.calls.into());
     metrics
         .rollout_bad_seen
         .get_or_create(&labels)
-        .set(bad.into());
+        .set(observed.bad().into());
     let routers = core.routers.all();
     let router = routers.iter().find(|router| router.name == service);
     let canary = router.map_or(0, |router| router.with(|router| router.canary_calls()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,6 +50,7 @@
 mod start_decision;
 mod subset;
 mod target;
+mod target_exits;
 mod target_load;
 mod target_notice;
 mod token_bucket;
@@ -110,8 +111,8 @@
 pub use retry::{RetryAllowance, RetryBound, RetryBudget, RetryParams, RetryWindow};
 pub use rollout::{
     AdmittedCalls, CANARY_SHARE_FACTOR, CallCounts, CanaryAnalysis, Cause, Exposure, Fault,
-    MemberSummary, Outcome, Phase, Readiness, Rollout, RolloutChange, RolloutOrder, RolloutTargets,
-    RolloutUpdate, Rollouts, Step, TargetEvidence, canary_target_count,
+    MemberSummary, ObservedCalls, Outcome, Phase, Readiness, Rollout, RolloutChange, RolloutOrder,
+    RolloutTargets, RolloutUpdate, Rollouts, Step, TargetEvidence, canary_target_count,
 };
 pub use router::{Router, RouterCounts, RouterParams};
 pub use sample::{SampleRates, Sampler};
@@ -124,6 +125,7 @@
 pub use start_decision::{StartDecision, StartRequest, TargetConditions};
 pub use subset::{Candidate, Location, MIN_OTHER_REGION_TARGETS, subset};
 pub use target::{Health, ServiceAverages, TargetState};
+pub use target_exits::{FoundExit, TargetExits};
 pub use target_load::TargetLoad;
 pub use target_notice::{OfferShare, RateLimit, StatedLimit, TargetNotice};
 pub use urgency::Urgency;
--- a/crates/policy/src/rollout/analysis.rs
+++ b/crates/policy/src/rollout/analysis.rs
@@ -235,21 +235,47 @@
     }
 }
 
-/// Calls and bad answers, with the expected number of bad answers.
+/// Calls of the new version that were analysed, and the bad answers among them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ObservedCalls {
+    /// All of them.
+    pub calls: u32,
+    /// Calls that the target failed, or whose answer it lost.
+    pub failed: u32,
+    /// Calls that were slow compared with the old version.
+    pub slow: u32,
+}
+
+impl ObservedCalls {
+    /// Failed and slow calls.
+    pub fn bad(&self) -> u32 {
+        self.failed.saturating_add(self.slow)
+    }
+
+    fn add(&mut self, other: ObservedCalls) {
+        self.calls = self.calls.saturating_add(other.calls);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.slow = self.slow.saturating_add(other.slow);
+    }
+}
+
+/// Observed calls, with the expected number of bad answers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Total {
-    calls: u32,
-    bad: u32,
+    observed: ObservedCalls,
     expected: f64,
 }
 
 impl Total {
-    fn add(&mut self, sample: Sample, counts_calls: bool) {
-        if counts_calls {
-            self.calls = self.calls.saturating_add(sample.calls);
+    fn add(&mut self, failures: Sample, slowness: Sample) {
+        self.observed.add(ObservedCalls {
+            calls: failures.calls,
+            failed: failures.bad,
+            slow: slowness.bad,
+        });
+        for sample in [failures, slowness] {
+            self.expected += f64::from(sample.calls) * sample.expected_rate;
         }
-        self.bad = self.bad.saturating_add(sample.bad);
-        self.expected += f64::from(sample.calls) * sample.expected_rate;
     }
 }
 
@@ -341,8 +367,7 @@
         });
         let slowness = slowness.unwrap_or_default();
         let total = self.totals.entry((host.to_owned(), kind)).or_default();
-        total.add(failures, true);
-        total.add(slowness, false);
+        total.add(failures, slowness);
         self.update_tests(host, Some(kind), failures, slowness);
         self.update_tests(host, None, failures, slowness);
         if !self.excluded.contains(host) {
@@ -389,8 +414,9 @@
     fn are_bad_answers_spread(&self, kind: Option<CallKind>) -> bool {
         let mut by_host: BTreeMap<&str, u32> = BTreeMap::new();
         for ((host, of), total) in &self.totals {
-            if total.bad > 0 && kind.is_none_or(|kind| kind == *of) {
-                *by_host.entry(host).or_default() += total.bad;
+            let bad = total.observed.bad();
+            if bad > 0 && kind.is_none_or(|kind| kind == *of) {
+                *by_host.entry(host).or_default() += bad;
             }
         }
         let all: u32 = by_host.values().sum();
@@ -402,7 +428,7 @@
         let totals = self.totals.iter();
         let kept = totals.filter(|((host, _), _)| !self.excluded.contains(host));
         let excess: f64 = kept
-            .map(|(_, total)| f64::from(total.bad) - total.expected)
+            .map(|(_, total)| f64::from(total.observed.bad()) - total.expected)
             .sum();
         if excess >= MAX_EXCESS_BAD {
             self.fault.get_or_insert(Fault::TooManyBad);
@@ -420,15 +446,13 @@
         &self.excluded
     }
 
-    /// Calls and bad answers of the new version in the evidence so far.
-    pub fn observed_calls(&self) -> (u32, u32) {
-        let totals = self.totals.values();
-        totals.fold((0, 0), |(calls, bad), total| {
-            (
-                calls.saturating_add(total.calls),
-                bad.saturating_add(total.bad),
-            )
-        })
+    /// Calls of the new version in the evidence so far.
+    pub fn observed_calls(&self) -> ObservedCalls {
+        let mut all = ObservedCalls::default();
+        for total in self.totals.values() {
+            all.add(total.observed);
+        }
+        all
     }
 
     /// Whether the version is fit to take all calls.
@@ -438,8 +462,9 @@
             false => (SECOND_MIN_CALLS_FACTOR, SECOND_DOUBTFUL_THRESHOLD),
         };
         let all = self.total(None);
-        if all.calls < MIN_CALLS * factor || !self.has_enough_per_kind(MIN_CALLS_PER_KIND * factor)
-        {
+        let has_enough = all.observed.calls >= MIN_CALLS * factor
+            && self.has_enough_per_kind(MIN_CALLS_PER_KIND * factor);
+        if !has_enough {
             return Readiness::TooFew;
         }
         let mut kinds: Vec<Option<CallKind>> = self.baseline.keys().copied().map(Some).collect();
@@ -447,7 +472,7 @@
         let has_excess = |kind: Option<CallKind>| {
             let total = self.total(kind);
             let allowed = total.expected + GOOD_DEVIATIONS * total.expected.sqrt() + GOOD_ALLOWANCE;
-            f64::from(total.bad) > allowed
+            f64::from(total.observed.bad()) > allowed
         };
         let tests = self.tests.iter();
         let mut kept = tests.filter(|((host, _), _)| !self.excluded.contains(host));
@@ -465,7 +490,7 @@
         let mut main = self.baseline.iter().filter(|(_, baseline)| {
             baseline.calls() >= MAIN_KIND_SHARE * all && baseline.calls() > 0.0
         });
-        main.all(|(kind, _)| self.total(Some(*kind)).calls >= min_calls)
+        main.all(|(kind, _)| self.total(Some(*kind)).observed.calls >= min_calls)
     }
 
     /// Totals of a kind of call, or of all kinds, over the targets that are not excluded.
@@ -474,11 +499,12 @@
         let wanted = totals.filter(|((host, of), _)| {
             kind.is_none_or(|kind| kind == *of) && !self.excluded.contains(host)
         });
-        wanted.fold(Total::default(), |sum, (_, total)| Total {
-            calls: sum.calls.saturating_add(total.calls),
-            bad: sum.bad.saturating_add(total.bad),
-            expected: sum.expected + total.expected,
-        })
+        let mut sum = Total::default();
+        for (_, total) in wanted {
+            sum.observed.add(total.observed);
+            sum.expected += total.expected;
+        }
+        sum
     }
 }
 
--- a/crates/policy/src/rollout/mod.rs
+++ b/crates/policy/src/rollout/mod.rs
@@ -11,7 +11,7 @@
 mod phase;
 mod routing;
 
-pub use analysis::{CanaryAnalysis, Fault, Readiness};
+pub use analysis::{CanaryAnalysis, Fault, ObservedCalls, Readiness};
 pub use evidence::{CallCounts, Outcome, TargetEvidence};
 pub use exposure::{CANARY_SHARE_FACTOR, Exposure, RolloutTargets, canary_target_count};
 pub use phase::{
--- /dev/null
+++ b/crates/policy/src/target_exits.rs
@@ -0,0 +1,54 @@
+//! Attributes lost calls to the exit of the target that lost them.
+//!
+//! All calls that a target has in hand when it exits are lost to one cause, so they count as one
+//! exit. Some of these losses are noticed late, when the target already listens again or takes a
+//! last connection while it exits; the time at which a call began still shows that it was in hand.
+
+use crate::ids::{Micros, TargetExitId};
+
+/// The exit under which a call was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FoundExit {
+    /// Its name.
+    pub id: TargetExitId,
+    /// Whether no other call showed it before.
+    pub is_new: bool,
+}
+
+/// Exits of one target, as far as lost calls are attributed to them.
+#[derive(Clone, Debug, Default)]
+pub struct TargetExits {
+    /// The exit since which the target took no connection.
+    open: Option<TargetExitId>,
+    /// The latest exit, and when it was noticed.
+    latest: Option<(TargetExitId, Micros)>,
+}
+
+impl TargetExits {
+    /// The target took a connection.
+    pub fn on_connected(&mut self) {
+        self.open = None;
+    }
+
+    /// The known exit under which a call that began at `begun` was lost; nothing where none was
+    /// noticed since then.
+    pub fn known_since(&self, begun: Micros) -> Option<FoundExit> {
+        let (id, noticed) = self.latest?;
+        (begun <= noticed).then_some(FoundExit { id, is_new: false })
+    }
+
+    /// A call that began at `begun` was lost, and nothing listens at the target's address. A new
+    /// exit is named `fresh`.
+    pub fn on_lost(&mut self, begun: Micros, now: Micros, fresh: TargetExitId) -> FoundExit {
+        let open = self.open.map(|id| FoundExit { id, is_new: false });
+        if let Some(known) = self.known_since(begun).or(open) {
+            return known;
+        }
+        self.open = Some(fresh);
+        self.latest = Some((fresh, now));
+        FoundExit {
+            id: fresh,
+            is_new: true,
+        }
+    }
+}
--- a/crates/policy/tests/rollout/analysis.rs
+++ b/crates/policy/tests/rollout/analysis.rs
@@ -1,6 +1,8 @@
 //! Canary analysis of the evidence from targets.
 
-use lynxcleat_policy::{CallKind, CanaryAnalysis, Fault, Outcome, Readiness, TargetEvidence};
+use lynxcleat_policy::{
+    CallKind, CanaryAnalysis, Fault, ObservedCalls, Outcome, Readiness, TargetEvidence,
+};
 
 /// Evidence of a hundred calls at one target, of which `failed` fail and `slow` are slow.
 fn evidence(host: &str, version: &str, failed: u32, slow: u32) -> TargetEvidence {
@@ -58,7 +60,12 @@
     later.count(CallKind(0), Outcome::Served(Some(100_000)));
     analysis.add_evidence(0, &later, true);
     let observed = analysis.observed_calls();
-    assert_eq!(observed, (101, 2));
+    let expected = ObservedCalls {
+        calls: 101,
+        failed: 2,
+        slow: 0,
+    };
+    assert_eq!(observed, expected);
     for copy in [&early, &later, &early] {
         analysis.add_evidence(0, copy, true);
     }
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -6,7 +6,7 @@
 //! their own because the runtime's timers are a millisecond coarse.
 
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::runtime::{Builder, Runtime};
 
@@ -84,15 +85,22 @@
     life: Arc<Life>,
 }
 
-/// What ends and returns: the runtime with its listener and connections.
+/// What ends and returns.
 struct Life {
     address: SocketAddr,
     work: flume::Sender<Work>,
     front: Option<Arc<Front>>,
-    runtime: Mutex<Option<Runtime>>,
+    running: Mutex<Option<Running>>,
     ends: AtomicU64,
 }
 
+/// A target that listens.
+struct Running {
+    runtime: Runtime,
+    /// The same socket as the one that connections are accepted from.
+    listener: TcpListener,
+}
+
 impl Serving {
     /// Listens on `address` and answers with `slots` threads, behind a front where there is one.
     pub fn start<F>(
@@ -114,7 +122,7 @@
             address: bound,
             work: start_slots(slots, answer),
             front,
-            runtime: Mutex::default(),
+            running: Mutex::default(),
             ends: AtomicU64::new(0),
         });
         life.serve(listener).map_err(failed)?;
@@ -150,23 +158,25 @@
 impl Life {
     fn serve(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<()> {
         listener.set_nonblocking(true)?;
+        let accepted = listener.try_clone()?;
         let runtime = Builder::new_multi_thread()
             .worker_threads(CONNECTION_THREADS)
             .enable_all()
             .build()?;
-        runtime.spawn(accept(listener, Arc::clone(self)));
-        *lock(&self.runtime) = Some(runtime);
+        runtime.spawn(accept(accepted, Arc::clone(self)));
+        *lock(&self.running) = Some(Running { runtime, listener });
         Ok(())
     }
 
-    /// Returns whether there was something to stop.
+    /// Returns whether there was something to stop. Nothing listens from then on, and the
+    /// connections close next, in the order in which a process that ends closes them.
     fn stop(&self) -> bool {
-        let runtime = lock(&self.runtime).take();
-        let served = runtime.is_some();
-        if let Some(runtime) = runtime {
-            runtime.shutdown_background();
-        }
-        served
+        let Some(running) = lock(&self.running).take() else {
+            return false;
+        };
+        let _ = SockRef::from(&running.listener).shutdown(Shutdown::Both);
+        running.runtime.shutdown_background();
+        true
     }
 
     /// One that ended already does not end again.
