Calls that were lost with one exit of the target count as one, however late that is noticed

Cause: a lost call was attributed to an exit by whether anything listened at the target's address when the loss was looked at. Losses that are looked at once the target is back, or after it took a last connection, counted as failures of their own: evidence against its version, and a further name of the exit for the quarantine of requests.

Change: policy::TargetExits. A connection that was opened before an exit was noticed ended with it, and so did the call on it. The age of the connection is what tells, not the time at which the call began: an upload may begin before an exit and be written after it.

--- a/crates/daemon/src/half/connection.rs
+++ b/crates/daemon/src/half/connection.rs
@@ -110,6 +110,8 @@
     pub history: ConnectionHistory,
     /// Whose answers come on it.
     pub matcher: ResponseMatcher,
+    /// When it was opened.
+    pub opened: Instant,
     stream: TcpStream,
     answers: Answers,
     _place: OpenPlace,
@@ -123,13 +125,15 @@
         naming: ResponseNaming,
         place: OpenPlace,
     ) -> Self {
+        let opened = Instant::now();
         Connection {
             history: ConnectionHistory {
                 number,
                 exchanges: 0,
                 last: Asked::Nothing,
-                since: Instant::now(),
+                since: opened,
             },
+            opened,
             matcher: ResponseMatcher::new(naming),
             stream,
             answers: Answers::default(),
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -1,6 +1,7 @@
 //! Delivering a call that has a slot to the target, and what its end tells.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::HeaderMap;
 use lynxcleat_once::OpId;
@@ -135,14 +136,14 @@
             return None;
         }
         let ends = &self.half.pool.ends;
-        let begun = self.write_began.load(Ordering::Relaxed);
-        if let Some(known) = ends.known_since(begun) {
+        let connected_at = self.connected_at.load(Ordering::Relaxed);
+        if let Some(known) = ends.known_since(connected_at) {
             return Some(known);
         }
         if !self.half.pool.is_refused().await {
-            return ends.known_since(begun);
+            return ends.known_since(connected_at);
         }
-        let found = ends.found(begun, self.core.clock.now());
+        let found = ends.found(connected_at, self.core.clock.now());
         if found.is_new {
             self.core.metrics.target_ends.inc();
             log::info!(end = found.id.0; "target ended");
@@ -241,9 +242,10 @@
     fn exchange<'b>(&'b self, request: Request<'b>) -> impl Future<Output = Exchange> + 'b {
         let sent_at = self.core.clock.now();
         let instance = request.instance.clone();
-        let begins = || {
-            let now = self.core.clock.now();
-            self.write_began.store(now, Ordering::Relaxed);
+        let begins = |age: Duration| {
+            let age_us = Micros::try_from(age.as_micros()).unwrap_or(Micros::MAX);
+            let connected_at = self.core.clock.now().saturating_sub(age_us);
+            self.connected_at.store(connected_at, Ordering::Relaxed);
         };
         let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
         let hears = move |headers: &HeaderMap| {
--- a/crates/daemon/src/half/ends.rs
+++ b/crates/daemon/src/half/ends.rs
@@ -43,13 +43,15 @@
         self.down.subscribe()
     }
 
-    /// The end under which a call was lost that began at `begun`, where one was found since.
-    pub(super) fn known_since(&self, begun: Micros) -> Option<FoundExit> {
-        lock(&self.exits).known_since(begun)
+    /// The end under which a call was lost on a connection opened at `connected_at`, where one
+    /// was found since.
+    pub(super) fn known_since(&self, connected_at: Micros) -> Option<FoundExit> {
+        lock(&self.exits).known_since(connected_at)
     }
 
-    /// A call that began at `begun` was lost, and nothing listens at the target's address.
-    pub(super) fn found(&self, begun: Micros, now: Micros) -> FoundExit {
-        lock(&self.exits).on_lost(begun, now, TargetExitId(rand::random()))
+    /// A call was lost on a connection opened at `connected_at`, and nothing listens at the
+    /// target's address.
+    pub(super) fn found(&self, connected_at: Micros, now: Micros) -> FoundExit {
+        lock(&self.exits).on_lost(connected_at, now, TargetExitId(rand::random()))
     }
 }
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -1,5 +1,7 @@
 //! One request to the target and its whole answer.
 
+use std::time::Duration;
+
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use lynxcleat_policy::Micros;
@@ -60,14 +62,14 @@
 }
 
 impl Pool {
-    /// Writes a request and reads the whole answer; `begins` is called when its first byte is about
-    /// to be written, `sends` once it is written, and `hears` with the headers of an answer of the
+    /// Writes a request and reads the whole answer; `begins` is called with the age of the
+    /// connection that it is about to be written on, `sends` once it is written, and `hears` with the headers of an answer of the
     /// incarnation meant. If the future is dropped, the connection is closed.
     pub(super) async fn exchange(
         &self,
         dialect: &Dialect,
         request: Request<'_>,
-        (begins, sends, hears): (impl Fn(), impl Fn(), impl Fn(&HeaderMap)),
+        (begins, sends, hears): (impl Fn(Duration), impl Fn(), impl Fn(&HeaderMap)),
     ) -> Exchange {
         // A body is asked for only when there is a connection for it.
         let mut connection = self.take_for(&request.call).await;
@@ -98,7 +100,7 @@
             if let Some(expected) = expected {
                 expected.set_begun();
             }
-            begins();
+            begins(connection.opened.elapsed());
             let reading = CallReading {
                 dialect,
                 call: &call,
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -74,8 +74,8 @@
     pub(super) settings: Arc<Effective>,
     pub(super) cancelled: flume::Receiver<()>,
     pub(super) link: &'a Arc<Link>,
-    /// When the request was about to be written to the target, in microseconds.
-    pub(super) write_began: AtomicU64,
+    /// When the connection to the target was opened that the call is written on, in microseconds.
+    pub(super) connected_at: AtomicU64,
 }
 
 /// Serves a call that arrived on a link, in a task of its own.
@@ -266,7 +266,7 @@
         settings,
         cancelled,
         link,
-        write_began: AtomicU64::new(0),
+        connected_at: AtomicU64::new(0),
     };
     match call.operation {
         None => incoming.take_slot_and_run(call).await,
--- a/crates/policy/src/target_exits.rs
+++ b/crates/policy/src/target_exits.rs
@@ -1,8 +1,9 @@
 //! Attributes lost calls to the exit of the target that lost them.
 //!
-//! All calls that a target has in hand when it exits are lost to one cause, so they count as one
-//! exit. Some of these losses are noticed late, when the target already listens again or takes a
-//! last connection while it exits; the time at which a call began still shows that it was in hand.
+//! All connections of a target end when it exits, and the calls on them are lost to one cause, so
+//! they count as one exit. Some of these losses are noticed late, when the target already listens
+//! again, or when it took a last connection while it exited. A connection that was opened before
+//! an exit was noticed is one of those that ended with it.
 
 use crate::ids::{Micros, TargetExitId};
 
@@ -30,18 +31,18 @@
         self.open = None;
     }
 
-    /// The known exit under which a call that began at `begun` was lost; nothing where none was
-    /// noticed since then.
-    pub fn known_since(&self, begun: Micros) -> Option<FoundExit> {
+    /// The exit under which a call was lost on a connection opened at `connected_at`; nothing where
+    /// none was noticed since then.
+    pub fn known_since(&self, connected_at: Micros) -> Option<FoundExit> {
         let (id, noticed) = self.latest?;
-        (begun <= noticed).then_some(FoundExit { id, is_new: false })
+        (connected_at <= noticed).then_some(FoundExit { id, is_new: false })
     }
 
-    /// A call that began at `begun` was lost, and nothing listens at the target's address. A new
-    /// exit is named `fresh`.
-    pub fn on_lost(&mut self, begun: Micros, now: Micros, fresh: TargetExitId) -> FoundExit {
+    /// A call was lost on a connection opened at `connected_at`, and nothing listens at the target's
+    /// address. A new exit is named `fresh`.
+    pub fn on_lost(&mut self, connected_at: Micros, now: Micros, fresh: TargetExitId) -> FoundExit {
         let open = self.open.map(|id| FoundExit { id, is_new: false });
-        if let Some(known) = self.known_since(begun).or(open) {
+        if let Some(known) = self.known_since(connected_at).or(open) {
             return known;
         }
         self.open = Some(fresh);
--- a/crates/policy/tests/target_exits.rs
+++ b/crates/policy/tests/target_exits.rs
@@ -33,7 +33,7 @@
     assert_eq!(exits.on_lost(95, 101, SECOND), known(FIRST));
 }
 
-/// A call that began after an exit was noticed was not in hand at it.
+/// A connection that was opened after an exit was noticed did not end with it.
 #[test]
 fn a_further_exit_is_taken_for_the_one_before() {
     let mut exits = TargetExits::default();
@@ -44,7 +44,7 @@
     assert_eq!(exits.known_since(150), Some(known(SECOND)));
 }
 
-/// Calls that find the target gone later, on connections of before, show the same exit.
+/// The target takes a connection without being able to serve it, and is gone all the same.
 #[test]
 fn calls_that_begin_while_the_target_is_gone_count_as_exits_of_their_own() {
     let mut exits = TargetExits::default();
