A status that says "not run" goes to no caller whose call may have run

Callers saw a target's own 408, 429 and 503 as it gave them, without the word by which targets say that they did not run a call; they may take it as a promise and repeat what ran. A 421 in which a target names itself as the incarnation that was meant took it for replaced and ended in 503. The word was believed on any status, a success as well.

Cause: the daemon asked an answer only for the word, and a 421 for nothing. Whether an answer says that the call ran now takes status, word and the incarnation meant together (Dialect::answer_kind). What does not fit together passes for a lost answer: 502 or 504, another try for a lookup. The product's own protocol says it by a header alone; there every status passes as before. The word itself is neither taken from callers nor passed on to them.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -61,6 +61,9 @@
     /// Another incarnation than the one meant stands at the address; it did not
     /// run the call.
     OtherInstance,
+    /// It says both that the call ran and that it did not, or tells callers that it did not run
+    /// without the word by which targets say so. The call may have run, and callers get none of it.
+    Contradictory,
 }
 
 /// A header with a target's load, and how to read it.
@@ -105,8 +108,8 @@
     pub rate_limit: HeaderName,
     /// Says that the target is leaving, from targets.
     pub leaving: HeaderName,
-    /// How a target's answer is to be taken.
-    pub answer_kind: fn(&Parts) -> AnswerKind,
+    /// How a target's answer to a call is to be taken, with the incarnation that was meant.
+    pub answer_kind: fn(&Parts, Option<&str>) -> AnswerKind,
     /// Headers of ours that are neither taken from callers nor from targets.
     pub is_ours: fn(&HeaderName) -> bool,
     /// Whether answers carry our own headers, and tickets and keys are served.
@@ -220,7 +223,8 @@
     }
 }
 
-fn own_answer_kind(parts: &Parts) -> AnswerKind {
+/// Statuses promise nothing here; only the header says that a call was not run.
+fn own_answer_kind(parts: &Parts, _: Option<&str>) -> AnswerKind {
     let says_not_run = parts
         .headers
         .get(OUTCOME)
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -75,6 +75,7 @@
             return Exchange::NotWritten;
         }
         let (call, body_limit) = (request.call.clone(), request.body_limit);
+        let meant = request.instance.clone();
         let expected = match request.body {
             RequestBody::Pieces(expected) => Some(expected),
             RequestBody::Whole(_) => None,
@@ -101,6 +102,7 @@
             let reading = CallReading {
                 dialect,
                 call: &call,
+                meant: meant.as_deref(),
                 body_limit,
                 held: self.memory.enter(),
             };
@@ -198,6 +200,11 @@
             return Exchange::Shed { retry_after_us };
         }
         AnswerKind::OtherInstance => return Exchange::OtherInstance,
+        AnswerKind::Contradictory => {
+            let status = own.parts.status.as_u16();
+            log::error!(call, status; "the target's answer does not say whether the call ran");
+            return Exchange::Lost;
+        }
     }
     let headers = end_to_end(dialect, &own.parts.headers, is_head);
     if own.parts.status.is_success() && !has_stamp(dialect, &headers) {
--- a/crates/daemon/src/half/reading.rs
+++ b/crates/daemon/src/half/reading.rs
@@ -42,6 +42,8 @@
 pub(super) struct CallReading<'a> {
     pub dialect: &'a Dialect,
     pub call: &'a str,
+    /// The incarnation that the call is meant for, where it has a name.
+    pub meant: Option<&'a str>,
     pub body_limit: usize,
     pub held: HeldAnswer,
 }
@@ -81,7 +83,7 @@
                 continue;
             }
         };
-        let kind = (dialect.answer_kind)(&head.parts);
+        let kind = (dialect.answer_kind)(&head.parts, reading.meant);
         if kind != AnswerKind::OtherInstance {
             hears(&head.parts.headers);
         }
