Status shows what a daemon believes of its target, and since when

Cause: a limit, a departure, a slowness, a cold time or an incarnation that was learned from somebody else's answer could not be seen: status told limit and departure without their age, and neither incarnation, slowness nor cold time.

Change: status has `target`: the incarnation in place, slowness and its age, the time for which it is cold by its last word, and the time since the limit in force and the departure were first stated. One record of six figures, no list.

--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -6,6 +6,7 @@
 
 mod ahead;
 mod answer_memory;
+mod belief;
 mod bodies;
 mod connection;
 mod cut;
@@ -29,6 +30,7 @@
 use crate::core::Core;
 use crate::mesh::Link;
 
+pub use belief::TargetBelief;
 pub use pool::Pool;
 pub use serve::{spawn_call, spawn_fence};
 pub use state::{EarlierTarget, Half};
--- a/crates/daemon/src/half/notices.rs
+++ b/crates/daemon/src/half/notices.rs
@@ -52,7 +52,8 @@
 #[derive(Default)]
 pub(super) struct Notices {
     limit: StatedLimit,
-    leaving: bool,
+    /// When it said first that it leaves.
+    leaving_at: Option<Micros>,
     /// Whether this run of the daemon had an answer of it.
     is_heard: bool,
     /// Whether routers are told: an incarnation stated something, or a router believes so.
@@ -123,7 +124,7 @@
             if !notices.is_told {
                 return None;
             }
-            (notices.limit.current(), notices.leaving)
+            (notices.limit.current(), notices.leaving_at.is_some())
         };
         Some(TargetNotice {
             incarnation: self.incarnation_print(),
@@ -145,7 +146,13 @@
 
     /// Whether the target says that it leaves.
     pub fn says_leaving(&self) -> bool {
-        lock(&self.notices).leaving
+        lock(&self.notices).leaving_at.is_some()
+    }
+
+    /// When the limit in force was stated first, and when the target said first that it leaves.
+    pub(super) fn stated_at(&self) -> (Option<Micros>, Option<Micros>) {
+        let notices = lock(&self.notices);
+        (notices.limit.heard_at(), notices.leaving_at)
     }
 
     fn hear_limit(&self, core: &Core, headers: &HeaderMap, answerer: &Answerer<'_>) {
@@ -204,9 +211,10 @@
         {
             let mut notices = lock(&self.notices);
             notices.is_told = true;
-            if std::mem::replace(&mut notices.leaving, true) {
+            if notices.leaving_at.is_some() {
                 return;
             }
+            notices.leaving_at = Some(self.clock.now());
         }
         log::info!("the target says that it leaves");
         core.target_says_leaving();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -46,6 +46,7 @@
     StatusRows, TranslateError, TranslatedTree, WantedRollout,
 };
 pub use explain::{AttemptTrace, ScoredHost, Trace};
+pub use half::TargetBelief;
 pub use life::StopReport;
 pub use mesh::{connect_soon, prepare_connection};
 pub use ops::{Lift, Lifted, Status};
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -15,6 +15,7 @@
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::core::Core;
+use crate::half::TargetBelief;
 use crate::life::{LeaveCause, Phase};
 use crate::rollout::RolloutState;
 
@@ -103,6 +104,9 @@
     /// Whether its target says in its answers that it leaves.
     #[serde(default)]
     pub says_leaving: bool,
+    /// What it believes of its target by the target's own words.
+    #[serde(default)]
+    pub target: TargetBelief,
     /// Availability zones that are evacuated, as far as it knows.
     #[serde(default)]
     pub evacuated_zones: Vec<String>,
@@ -210,6 +214,7 @@
         cold: core.half.is_cold(),
         limit_per_1000_s: core.half.rate_limit().map(|limit| limit.calls_per_1000_s),
         says_leaving: core.half.says_leaving(),
+        target: core.half.belief(),
         evacuated_zones: core.evacuated_zones(),
         rollouts: core.rollouts.status(core.clock.now()),
         stopping: core.life.phase() > Phase::Serving,
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -220,6 +220,12 @@
         self.cold_start.is_cold(now)
     }
 
+    /// Returns how much longer the target is cold by its own last word, in microseconds; `None`
+    /// if that word no longer holds.
+    pub fn cold_left(&self, now: Micros) -> Option<Micros> {
+        self.cold_start.cold_left(now)
+    }
+
     /// Returns whether the target should be asked for its remaining cold time.
     pub fn needs_cold_report(&self) -> bool {
         self.cold_start.needs_report()
--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -157,6 +157,15 @@
             }
     }
 
+    /// Returns how much longer the target is cold by its own last word, in microseconds; `None`
+    /// if that word no longer holds.
+    pub fn cold_left(&self, now: Micros) -> Option<Micros> {
+        match self.state {
+            ColdState::WarmFrom(at) => Some(at.saturating_sub(now)),
+            ColdState::Uncertain => None,
+        }
+    }
+
     /// Returns whether the target should be asked for its remaining cold time: either it
     /// may be cold, or so many calls were admitted since its last report that they would be
     /// too many if it had turned cold in the meantime.
--- a/crates/policy/src/target_notice.rs
+++ b/crates/policy/src/target_notice.rs
@@ -53,6 +53,11 @@
         self.heard.map(|heard| heard.limit)
     }
 
+    /// When the limit in force was heard first.
+    pub fn heard_at(&self) -> Option<Micros> {
+        self.heard.map(|heard| heard.heard_at)
+    }
+
     /// Records the limit of an answer to a call that was sent at `sent_at`. Returns whether the
     /// limit changed. An answer that was possibly written before the current limit does not
     /// raise or end it.
