Logs tell which bucket granted how many tokens of an organisation

An excess over a quota while zones do not reach each other could not be traced: nothing told which daemon granted from which bucket, with which share of the limit. No decision changes.

--- a/crates/daemon/src/quota/owners.rs
+++ b/crates/daemon/src/quota/owners.rs
@@ -37,9 +37,35 @@
     if owners.contains(&core.config.host) {
         connect_owners(core, &owners).await;
     }
+    log_grants(core, &owners);
     core.quota.retain(|name| tree.organisation(name).is_some());
 }
 
+/// Logs which buckets granted tokens since the last refresh, so that the logs of several daemons
+/// together tell who granted how much of a limit. The first owner's grants are only logged at this
+/// level if it refused some.
+fn log_grants(core: &Core, owners: &BucketOwners) {
+    for (organisation, tally) in core.quota.take_tallies() {
+        let first = owners.preference_order(&organisation).first().copied();
+        let is_first = first == Some(core.config.host.as_str());
+        let level = match is_first && tally.refused == 0 {
+            true => log::Level::Debug,
+            false => log::Level::Info,
+        };
+        let left = tally.level.map(|level| level.token_parts / 1_000);
+        log::log!(
+            level,
+            organisation:% = organisation,
+            owner:? = first,
+            granted = tally.granted,
+            refused = tally.refused,
+            share = tally.share,
+            left:? = left;
+            "quota tokens granted"
+        );
+    }
+}
+
 /// Selects the bucket owners from the live members and stores them.
 fn update(core: &Core) -> Arc<BucketOwners> {
     let members = core.hosts.all();
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_policy::{
-    BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
+    BucketLevel, BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit,
+    TokenRequest,
 };
 use lynxcleat_settings::Organisation;
 use tokio::sync::Notify;
@@ -23,11 +24,25 @@
     pub(super) answered: Notify,
 }
 
+/// Grants of one bucket since they were logged last.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct GrantTally {
+    /// Tokens granted.
+    pub(super) granted: u64,
+    /// Tokens requested in excess of them.
+    pub(super) refused: u64,
+    /// Fraction of the limit that applied to the last grant.
+    pub(super) share: f64,
+    /// Level after the last grant.
+    pub(super) level: Option<BucketLevel>,
+}
+
 /// Leases, and the buckets that this daemon owns.
 pub struct QuotaState {
     clock: Clock,
     leases: Mutex<HashMap<String, Arc<SharedLease>>>,
     buckets: Mutex<HashMap<String, QuotaBucket>>,
+    tallies: Mutex<HashMap<String, GrantTally>>,
     bucket_owners: Mutex<Arc<BucketOwners>>,
     /// Time until which no requests are sent to a host that did not respond.
     host_backoffs: Mutex<HashMap<String, Micros>>,
@@ -40,6 +55,7 @@
             clock,
             leases: Mutex::default(),
             buckets: Mutex::default(),
+            tallies: Mutex::default(),
             bucket_owners: Mutex::default(),
             host_backoffs: Mutex::default(),
         }
@@ -64,6 +80,7 @@
         request: TokenRequest,
     ) -> QuotaGrant {
         let now = self.clock.now();
+        let wanted = request.tokens;
         let mut buckets = lock(&self.buckets);
         let bucket = match buckets.get_mut(organisation) {
             Some(bucket) => bucket,
@@ -71,7 +88,24 @@
                 .entry(organisation.to_owned())
                 .or_insert_with(|| QuotaBucket::new(rand::random(), limit, share, now)),
         };
-        bucket.grant(now, limit, share, request)
+        let grant = bucket.grant(now, limit, share, request);
+        drop(buckets);
+        self.tally(organisation, wanted, share, grant);
+        grant
+    }
+
+    fn tally(&self, organisation: &str, wanted: u32, share: f64, grant: QuotaGrant) {
+        let mut tallies = lock(&self.tallies);
+        let tally = tallies.entry(organisation.to_owned()).or_default();
+        tally.granted += u64::from(grant.tokens);
+        tally.refused += u64::from(wanted - grant.tokens);
+        tally.share = share;
+        tally.level = grant.level;
+    }
+
+    /// Grants since the last call of this function, by organisation.
+    pub(super) fn take_tallies(&self) -> HashMap<String, GrantTally> {
+        std::mem::take(&mut lock(&self.tallies))
     }
 
     pub(super) fn bucket_owners(&self) -> Arc<BucketOwners> {
