While zones do not reach each other, each side grants its part of a quota only

Between 9.0 and 15.5 s, while zones b and c did not reach each other, up to 19 daemons of zone c at a time granted 50 to 500 more each half second, from buckets of their own and with a share of 1 at first and 0.5 later. An ask waits 200 ms in all and a silent host takes 100, so that two silent hosts sent a daemon to its own bucket although a third zone reached the owner; and a daemon that owns nothing counted itself among the owners, with all links that had not been found silent yet.

Change: an owner grants the part of the owners that it heard within 0.45 s, by way of others too, so that the sides of a cut sum to the limit. Owners whose machine refuses connections have ended; a majority does not leave them a part. An owner grants in place of a silent one once it has been silent for 0.75 s, by when that one grants its part, and begins with an empty bucket. One that is asked though it reaches a preferred owner forwards to it. A daemon that finds no bucket grants half of one member's part. An ask waits 320 ms in all, enough for two silent hosts and a third.

--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -291,7 +291,8 @@
         self.doubted.store(true, Ordering::Relaxed);
     }
 
-    pub(super) fn heard_at(&self) -> Micros {
+    /// When something arrived last.
+    pub fn heard_at(&self) -> Micros {
         self.heard_at.load(Ordering::Relaxed)
     }
 
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) mod region_egress;
 
 pub use handlers::Handlers;
-pub use handshake::{connect as connect_soon, prepare as prepare_connection};
+pub use handshake::{HandshakeError, connect as connect_soon, prepare as prepare_connection};
 pub use link::{Link, Signal, SignalKind};
 pub use links::Links;
 pub use listener::listen;
--- a/crates/daemon/src/quota/ask.rs
+++ b/crates/daemon/src/quota/ask.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lynxcleat_policy::{Micros, QuotaGrant, TokenRequest};
+use lynxcleat_policy::{GrantRight, Granter, Micros, QuotaGrant, TokenRequest};
 use lynxcleat_settings::NamedOrganisation;
 use lynxcleat_wire::{Frame, QuotaRequest};
 
@@ -20,8 +20,11 @@
 const HOST_BACKOFF_US: Micros = 500_000;
 /// Timeout for the response of a host, connection setup included.
 const ANSWER_LIMIT: Duration = Duration::from_millis(100);
-/// Timeout for all hosts together, after which the local bucket is used; bounds how long calls wait.
-const ASK_LIMIT: Duration = Duration::from_millis(200);
+/// Timeout for all hosts together, after which the local bucket is used; bounds how long calls wait. Covers
+/// an owner and two relays that do not respond.
+const ASK_LIMIT: Duration = Duration::from_millis(320);
+/// Delay before a retry where no tokens were granted since no bucket was found.
+const NO_BUCKET_RETRY_US: Micros = 50_000;
 
 /// Requests tokens in a background task and notifies the calls that wait for them.
 pub(super) fn spawn(
@@ -52,7 +55,7 @@
         None => (None, "own-bucket"),
     };
     count(&core.metrics.quota_asks, outcome);
-    grant.unwrap_or_else(|| grant_locally(core, named, request))
+    grant.unwrap_or_else(|| grant_alone(core, named, request))
 }
 
 /// Requests tokens from the owner, directly or through other owners, to avoid grants from a second
@@ -66,7 +69,7 @@
     (owner, others): (&str, &[&str]),
 ) -> (Option<QuotaGrant>, &'static str) {
     if owner == core.config.host {
-        return (None, "own-bucket");
+        return (grant_here(core, named, request), "own-bucket");
     }
     if let AskOutcome::Granted(grant) = ask_host(core, owner, owner, named, request).await {
         return (Some(grant), "answered");
@@ -84,13 +87,14 @@
         }
     }
     match fallbacks.first() {
-        Some(fallback) if *fallback != core.config.host => {
-            match ask_host(core, fallback, fallback, named, request).await {
-                AskOutcome::Granted(grant) => (Some(grant), "deputy"),
-                _ => (None, "no-answer"),
-            }
+        Some(fallback) if *fallback == core.config.host => {
+            (grant_here(core, named, request), "deputy")
         }
-        _ => (None, "no-answer"),
+        Some(fallback) => match ask_host(core, fallback, fallback, named, request).await {
+            AskOutcome::Granted(grant) => (Some(grant), "deputy"),
+            _ => (None, "no-answer"),
+        },
+        None => (None, "no-answer"),
     }
 }
 
@@ -167,23 +171,48 @@
     }
 }
 
-/// Answers a token request of another daemon or forwards it to the owner of the bucket.
+/// Answers a token request of another daemon or forwards it: to the owner that it names, or to one
+/// that is preferred to this daemon and in reach. The order of preference rules out cycles.
 pub fn answer(core: &Arc<Core>, link: &Arc<Link>, ask: QuotaRequest) {
-    if ask.owner == core.config.host {
-        let reply = answer_as_owner(core, &ask);
-        let _ = link.send(reply);
-        return;
-    }
-    let entry = core.hosts.get(&ask.owner);
+    let owner = match ask.owner == core.config.host {
+        true => match granter(core, &ask.organisation) {
+            Granter::There(preferred) if !is_probe(&ask) => preferred,
+            granter => {
+                let reply = answer_here(core, &ask, &granter);
+                let _ = link.send(reply);
+                return;
+            }
+        },
+        false => ask.owner.clone(),
+    };
+    let entry = core.hosts.get(&owner);
     let owner_link = entry.and_then(|entry| core.links.live(&entry.mesh));
     let link = Arc::clone(link);
     tokio::spawn(async move {
-        let reply = forward(owner_link, &ask).await;
+        let request = QuotaRequest { owner, ..ask };
+        let reply = forward(owner_link, &request).await;
         let _ = link.send(reply);
     });
 }
 
-fn answer_as_owner(core: &Core, ask: &QuotaRequest) -> Frame {
+/// Whether a request asks only whether this daemon is in reach.
+fn is_probe(ask: &QuotaRequest) -> bool {
+    ask.tokens == 0 && ask.returned == 0
+}
+
+fn granter(core: &Core, organisation: &str) -> Granter {
+    let owners = owners::current(core);
+    let now = core.clock.now();
+    lock(&core.quota.reach).granter(&owners, organisation, &core.config.host, now)
+}
+
+fn answer_here(core: &Core, ask: &QuotaRequest, granter: &Granter) -> Frame {
+    if is_probe(ask) {
+        return reply_with(ask, QuotaGrant::default());
+    }
+    let Granter::Here(right) = granter else {
+        return unreachable(ask);
+    };
     let in_force = core.settings.current();
     let tree = in_force.as_ref().map(|in_force| &in_force.generation.tree);
     let named = tree.and_then(|tree| tree.organisation(&ask.organisation));
@@ -194,11 +223,15 @@
                 returned: ask.returned,
                 seen: ask.seen,
             };
-            grant_locally(core, named, request)
+            grant_locally(core, named, *right, request)
         }
         // The two daemons have different generations of the settings.
         None => QuotaGrant::default(),
     };
+    reply_with(ask, grant)
+}
+
+fn reply_with(ask: &QuotaRequest, grant: QuotaGrant) -> Frame {
     Frame::Quota {
         ask: ask.ask,
         tokens: grant.tokens,
@@ -208,18 +241,21 @@
     }
 }
 
-/// Forwards a request to the owner. Reports the owner as unreachable if there is no link to it or
-/// no response in time.
-async fn forward(owner_link: Option<Arc<Link>>, request: &QuotaRequest) -> Frame {
-    let unreachable = Frame::Quota {
-        ask: request.ask,
+fn unreachable(ask: &QuotaRequest) -> Frame {
+    Frame::Quota {
+        ask: ask.ask,
         tokens: 0,
         retry_after_us: 0,
         unreachable: true,
         level: None,
-    };
+    }
+}
+
+/// Forwards a request to the owner. Reports the owner as unreachable if there is no link to it or
+/// no response in time.
+async fn forward(owner_link: Option<Arc<Link>>, request: &QuotaRequest) -> Frame {
     let Some(link) = owner_link else {
-        return unreachable;
+        return unreachable(request);
     };
     let answered = link.ask(|ask| {
         Frame::AskQuota(QuotaRequest {
@@ -241,11 +277,38 @@
             unreachable,
             level,
         },
-        _ => unreachable,
+        _ => unreachable(request),
     }
 }
 
-fn grant_locally(core: &Core, named: &NamedOrganisation, request: TokenRequest) -> QuotaGrant {
+/// Grants from the bucket of this daemon, if it is the one to grant.
+fn grant_here(core: &Core, named: &NamedOrganisation, request: TokenRequest) -> Option<QuotaGrant> {
+    match granter(core, &named.name) {
+        Granter::Here(right) => Some(grant_locally(core, named, right, request)),
+        Granter::There(_) | Granter::Unknown => None,
+    }
+}
+
+/// Grants the part of a daemon that found no bucket, since it heard of one last.
+fn grant_alone(core: &Core, named: &NamedOrganisation, request: TokenRequest) -> QuotaGrant {
+    let now = core.clock.now();
+    let seen = request.seen;
+    let since = seen.map(|seen| now.saturating_sub(seen.age_us));
+    let right = GrantRight::alone(core.hosts.len(), since);
+    let grant = grant_locally(core, named, right, request);
+    QuotaGrant {
+        retry_after_us: grant.retry_after_us.max(NO_BUCKET_RETRY_US),
+        level: None,
+        ..grant
+    }
+}
+
+fn grant_locally(
+    core: &Core,
+    named: &NamedOrganisation,
+    right: GrantRight,
+    request: TokenRequest,
+) -> QuotaGrant {
     let Some(limit) = limit_of(&named.organisation) else {
         return QuotaGrant {
             tokens: request.tokens,
@@ -253,6 +316,5 @@
             level: None,
         };
     };
-    let share = owners::share(core);
-    core.quota.grant(&named.name, limit, share, request)
+    core.quota.grant(&named.name, limit, right, request)
 }
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -5,9 +5,19 @@
 
 mod ask;
 mod owners;
+mod reach;
 pub(crate) mod state;
 mod take;
 
 pub use ask::answer;
-pub use owners::start;
 pub use take::take;
+
+use std::sync::Arc;
+
+use crate::core::Core;
+
+/// Starts the selection of the bucket owners, and the probes between them.
+pub fn start(core: &Arc<Core>) {
+    owners::start(core);
+    reach::start(core);
+}
--- a/crates/daemon/src/quota/owners.rs
+++ b/crates/daemon/src/quota/owners.rs
@@ -8,7 +8,6 @@
 
 use super::state::limit_of;
 use crate::core::Core;
-use crate::mesh::Links;
 
 /// Interval between refreshes of the owners.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
@@ -34,9 +33,6 @@
         return;
     }
     let owners = update(core);
-    if owners.contains(&core.config.host) {
-        connect_owners(core, &owners).await;
-    }
     log_grants(core, &owners);
     core.quota.retain(|name| tree.organisation(name).is_some());
 }
@@ -84,30 +80,3 @@
         false => owners,
     }
 }
-
-/// Connects this owner to the others, so that it can count those that it reaches.
-async fn connect_owners(core: &Arc<Core>, owners: &BucketOwners) {
-    for host in owners.hosts() {
-        let entry = core.hosts.get(host);
-        if let Some(entry) = entry.filter(|entry| core.links.live(&entry.mesh).is_none()) {
-            let core = Arc::clone(core);
-            tokio::spawn(async move {
-                let _ = Links::dial(&core, &entry.mesh).await;
-            });
-        }
-    }
-}
-
-/// Fraction of a limit that this daemon may grant.
-pub(super) fn share(core: &Core) -> f64 {
-    let owners = current(core);
-    let is_reachable = |host: &&String| {
-        **host == core.config.host
-            || core
-                .hosts
-                .get(host)
-                .is_some_and(|entry| core.links.live(&entry.mesh).is_some())
-    };
-    let reached = owners.hosts().iter().filter(is_reachable).count();
-    owners.share(reached, core.hosts.len())
-}
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_policy::{
-    BucketLevel, BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit,
-    TokenRequest,
+    BucketLevel, BucketOwners, GrantRight, Micros, OwnerReach, QuotaBucket, QuotaGrant, QuotaLease,
+    QuotaLimit, TokenRequest,
 };
 use lynxcleat_settings::Organisation;
 use tokio::sync::Notify;
@@ -44,6 +44,8 @@
     buckets: Mutex<HashMap<String, QuotaBucket>>,
     tallies: Mutex<HashMap<String, GrantTally>>,
     bucket_owners: Mutex<Arc<BucketOwners>>,
+    /// Owners that this daemon reaches; kept up to date if it is an owner.
+    pub(super) reach: Mutex<OwnerReach>,
     /// Time until which no requests are sent to a host that did not respond.
     host_backoffs: Mutex<HashMap<String, Micros>>,
 }
@@ -51,8 +53,10 @@
 impl QuotaState {
     /// Creates a state without leases or buckets.
     pub fn new(clock: Clock) -> Self {
+        let reach = Mutex::new(OwnerReach::new(clock.now()));
         QuotaState {
             clock,
+            reach,
             leases: Mutex::default(),
             buckets: Mutex::default(),
             tallies: Mutex::default(),
@@ -76,7 +80,7 @@
         &self,
         organisation: &str,
         limit: QuotaLimit,
-        share: f64,
+        right: GrantRight,
         request: TokenRequest,
     ) -> QuotaGrant {
         let now = self.clock.now();
@@ -86,11 +90,11 @@
             Some(bucket) => bucket,
             None => buckets
                 .entry(organisation.to_owned())
-                .or_insert_with(|| QuotaBucket::new(rand::random(), limit, share, now)),
+                .or_insert_with(|| QuotaBucket::new(rand::random(), limit, right, now)),
         };
-        let grant = bucket.grant(now, limit, share, request);
+        let grant = bucket.grant(now, limit, right, request);
         drop(buckets);
-        self.tally(organisation, wanted, share, grant);
+        self.tally(organisation, wanted, right.share, grant);
         grant
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -95,8 +95,8 @@
     SuspectUpdate,
 };
 pub use quota::{
-    BucketLevel, BucketOwners, LeaseOutcome, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit,
-    SeenLevel, TokenRequest, owner_count,
+    BucketLevel, BucketOwners, GrantRight, Granter, LeaseOutcome, OwnerReach, QuotaBucket,
+    QuotaGrant, QuotaLease, QuotaLimit, SeenLevel, TokenRequest, owner_count,
 };
 pub use rate_limit::TargetRateLimiter;
 pub use reconnect::{ReconnectBackoff, ReconnectEvent};
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::lease::TokenRequest;
+use super::reach::GrantRight;
 use crate::ids::Micros;
 use crate::token_bucket::{BucketSize, RetrySpacing, TokenBucket};
 
@@ -31,6 +32,8 @@
 const MIN_INITIAL_TOKENS: f64 = 5.0;
 /// Time for which grants are remembered, to tell what a report of another bucket does not include.
 const GRANT_MEMORY_US: Micros = 2_000_000;
+/// Times at which standing in began that are closer than this are the same beginning.
+const STAND_IN_GAP_US: Micros = 100_000;
 /// Parts of a token in which levels are told.
 const PARTS_PER_TOKEN: f64 = 1_000.0;
 
@@ -89,12 +92,14 @@
     is_new: bool,
     /// Recent grants, with their times.
     grants: VecDeque<(Micros, u32)>,
+    /// Since when this bucket stands in for others; its older tokens are void.
+    since: Option<Micros>,
 }
 
 impl QuotaBucket {
-    /// Creates the bucket of a daemon that takes over the given share of the limit, with a random
-    /// number.
-    pub fn new(id: u64, limit: QuotaLimit, share: f64, now: Micros) -> Self {
+    /// Creates the bucket of a daemon that takes over with the given right, with a random number.
+    pub fn new(id: u64, limit: QuotaLimit, right: GrantRight, now: Micros) -> Self {
+        let share = right.share;
         let initial = (limit.rate_per_us() * INITIAL_FILL_US).max(MIN_INITIAL_TOKENS);
         QuotaBucket {
             id,
@@ -102,23 +107,24 @@
             retries: RetrySpacing::new(now),
             is_new: true,
             grants: VecDeque::new(),
+            since: None,
         }
     }
 
-    /// Grants tokens and accepts returned unused ones; `share` is the fraction of the limit that
-    /// this daemon may grant.
+    /// Grants tokens and accepts returned unused ones.
     pub fn grant(
         &mut self,
         now: Micros,
         limit: QuotaLimit,
-        share: f64,
+        right: GrantRight,
         request: TokenRequest,
     ) -> QuotaGrant {
         let wanted = request.tokens;
         let size = BucketSize {
-            rate_per_us: limit.rate_per_us() * share,
-            capacity: limit.capacity(),
+            rate_per_us: limit.rate_per_us() * right.share,
+            capacity: (limit.capacity() * right.share).max(1.0),
         };
+        self.begin_standing_in(right.since, size);
         if let Some(seen) = request.seen {
             self.take_over(now, size, seen);
         }
@@ -142,6 +148,24 @@
         }
     }
 
+    /// A bucket that begins to stand in for silent ones is empty: they may have granted the burst
+    /// before they noticed.
+    fn begin_standing_in(&mut self, since: Option<Micros>, size: BucketSize) {
+        let begins = match (since, self.since) {
+            (Some(since), Some(before)) => since > before + STAND_IN_GAP_US,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if let Some(since) = since.filter(|_| begins) {
+            let level = self.bucket.tokens_at(since, size).min(0.0);
+            self.bucket = TokenBucket::new(level, since);
+            self.is_new = false;
+        }
+        if begins || since.is_none() {
+            self.since = since;
+        }
+    }
+
     /// Lowers the level to what another bucket had left, refilled since, less what this one granted
     /// meanwhile. A new bucket starts with that.
     fn take_over(&mut self, now: Micros, size: BucketSize, seen: SeenLevel) {
--- a/crates/policy/src/quota/owners.rs
+++ b/crates/policy/src/quota/owners.rs
@@ -46,18 +46,6 @@
         order.sort_by_cached_key(|host| hash_of(&[organisation, host]));
         order
     }
-
-    /// Fraction of a limit that one daemon may grant, given how many owners it can reach (itself
-    /// included). With a majority of them it grants the whole limit; otherwise a proportional
-    /// share, which bounds the excess during a network partition.
-    pub fn share(&self, reached: usize, members: usize) -> f64 {
-        let total = self.hosts.len();
-        if reached * 2 > total {
-            return 1.0;
-        }
-        let min_share = 1.0 / members.max(1) as f64;
-        (reached as f64 / total.max(1) as f64).max(min_share)
-    }
 }
 
 fn hash_of(parts: &[&str]) -> u64 {
