--- a/crates/daemon/src/quota/reach.rs
+++ b/crates/daemon/src/quota/reach.rs
@@ -6,11 +6,12 @@
 
 use lynxcleat_policy::{BucketOwners, Micros};
 use lynxcleat_wire::{Frame, QuotaRequest};
+use rand::seq::IteratorRandom;
 
 use super::owners;
 use super::state::limit_of;
 use crate::core::Core;
-use crate::mesh::{HandshakeError, Links};
+use crate::mesh::{HandshakeError, Link, Links};
 use crate::sync::lock;
 
 /// Interval between probes of the owners.
@@ -85,57 +86,50 @@
 /// Asks an owner that is silent for no tokens by way of others: what it grants to those that reach
 /// it so counts as long as any way leads to it.
 fn probe_by_relays(core: &Arc<Core>, owners: &BucketOwners, host: &str, organisation: &str) {
-    let now = core.clock.now();
-    let is_silent = |reach: &lynxcleat_policy::OwnerReach, host: &str| {
-        !reach.is_heard_within(host, now, RELAY_AFTER_US)
-    };
-    let relays: Vec<&String> = {
-        let reach = lock(&core.quota.reach);
-        if !is_silent(&reach, host) {
-            return;
-        }
-        let others = owners.hosts().iter().filter(|relay| *relay != host);
-        let reached = others.filter(|relay| !is_silent(&reach, relay));
-        reached.collect()
-    };
-    let skipped = match relays.len() {
-        0 => 0,
-        count => rand::random::<u32>() as usize % count,
-    };
-    for relay in relays
-        .iter()
-        .cycle()
-        .skip(skipped)
-        .take(RELAYS_TRIED.min(relays.len()))
-    {
-        let Some(link) = core
-            .hosts
-            .get(relay)
-            .and_then(|entry| core.links.live(&entry.mesh))
-        else {
-            continue;
+    let asked_at = core.clock.now();
+    for relay in relays_to(core, owners, host, asked_at) {
+        let ask = QuotaRequest {
+            ask: 0,
+            organisation: organisation.to_owned(),
+            owner: host.to_owned(),
+            tokens: 0,
+            returned: 0,
+            seen: None,
         };
         let core = Arc::clone(core);
-        let host = host.to_owned();
-        let organisation = organisation.to_owned();
         tokio::spawn(async move {
-            let owner = host.clone();
-            let asked = link.ask(|ask| {
-                Frame::AskQuota(QuotaRequest {
-                    ask,
-                    organisation,
-                    owner,
-                    tokens: 0,
-                    returned: 0,
-                    seen: None,
-                })
-            });
-            if let Ok(Ok(Frame::Quota {
-                unreachable: false, ..
-            })) = tokio::time::timeout(RELAY_LIMIT, asked).await
-            {
-                lock(&core.quota.reach).record_answer(&host, now);
+            if is_answered(&relay, &ask).await {
+                lock(&core.quota.reach).record_answer(&ask.owner, asked_at);
             }
         });
     }
 }
+
+/// Links to a few random owners that are heard, if the given one is not.
+fn relays_to(core: &Core, owners: &BucketOwners, host: &str, now: Micros) -> Vec<Arc<Link>> {
+    let reach = lock(&core.quota.reach);
+    let is_heard = |host: &str| reach.is_heard_within(host, now, RELAY_AFTER_US);
+    if is_heard(host) {
+        return Vec::new();
+    }
+    let heard = owners.hosts().iter().filter(|relay| is_heard(relay));
+    let entries = heard.filter_map(|relay| core.hosts.get(relay));
+    let links = entries.filter_map(|entry| core.links.live(&entry.mesh));
+    links.sample(&mut rand::rng(), RELAYS_TRIED)
+}
+
+async fn is_answered(relay: &Link, request: &QuotaRequest) -> bool {
+    let asked = relay.ask(|ask| {
+        Frame::AskQuota(QuotaRequest {
+            ask,
+            ..request.clone()
+        })
+    });
+    matches!(
+        tokio::time::timeout(RELAY_LIMIT, asked).await,
+        Ok(Ok(Frame::Quota {
+            unreachable: false,
+            ..
+        }))
+    )
+}
