--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex};
 
 use lynxcleat_policy::{
-    BucketOwners, Micros, QuotaBucket, QuotaGrant, QuotaLease, QuotaLimit, TokenRequest,
+    BucketLevel, BucketOwners, GrantRight, Micros, OwnerReach, QuotaBucket, QuotaGrant, QuotaLease,
+    QuotaLimit, TokenRequest,
 };
 use lynxcleat_settings::Organisation;
 use tokio::sync::Notify;
@@ -23,12 +24,28 @@
     pub(super) answered: Notify,
 }
 
+/// Grants of one bucket since they were logged last.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct GrantTally {
+    /// Tokens granted.
+    pub(super) granted: u64,
+    /// Tokens requested in excess of them.
+    pub(super) refused: u64,
+    /// Fraction of the limit that applied to the last grant.
+    pub(super) share: f64,
+    /// Level after the last grant.
+    pub(super) level: Option<BucketLevel>,
+}
+
 /// Leases, and the buckets that this daemon owns.
 pub struct QuotaState {
     clock: Clock,
     leases: Mutex<HashMap<String, Arc<SharedLease>>>,
     buckets: Mutex<HashMap<String, QuotaBucket>>,
+    tallies: Mutex<HashMap<String, GrantTally>>,
     bucket_owners: Mutex<Arc<BucketOwners>>,
+    /// Owners that this daemon reaches; kept up to date if it is an owner.
+    pub(super) reach: Mutex<OwnerReach>,
     /// Time until which no requests are sent to a host that did not respond.
     host_backoffs: Mutex<HashMap<String, Micros>>,
 }
@@ -36,10 +53,13 @@
 impl QuotaState {
     /// Creates a state without leases or buckets.
     pub fn new(clock: Clock) -> Self {
+        let reach = Mutex::new(OwnerReach::new(clock.now()));
         QuotaState {
             clock,
+            reach,
             leases: Mutex::default(),
             buckets: Mutex::default(),
+            tallies: Mutex::default(),
             bucket_owners: Mutex::default(),
             host_backoffs: Mutex::default(),
         }
@@ -60,18 +80,36 @@
         &self,
         organisation: &str,
         limit: QuotaLimit,
-        share: f64,
+        right: GrantRight,
         request: TokenRequest,
     ) -> QuotaGrant {
         let now = self.clock.now();
+        let wanted = request.tokens;
         let mut buckets = lock(&self.buckets);
         let bucket = match buckets.get_mut(organisation) {
             Some(bucket) => bucket,
             None => buckets
                 .entry(organisation.to_owned())
-                .or_insert_with(|| QuotaBucket::new(rand::random(), limit, share, now)),
+                .or_insert_with(|| QuotaBucket::new(rand::random(), limit, right, now)),
         };
-        bucket.grant(now, limit, share, request)
+        let grant = bucket.grant(now, limit, right, request);
+        drop(buckets);
+        self.tally(organisation, wanted, right.share, grant);
+        grant
+    }
+
+    fn tally(&self, organisation: &str, wanted: u32, share: f64, grant: QuotaGrant) {
+        let mut tallies = lock(&self.tallies);
+        let tally = tallies.entry(organisation.to_owned()).or_default();
+        tally.granted += u64::from(grant.tokens);
+        tally.refused += u64::from(wanted - grant.tokens);
+        tally.share = share;
+        tally.level = grant.level;
+    }
+
+    /// Grants since the last call of this function, by organisation.
+    pub(super) fn take_tallies(&self) -> HashMap<String, GrantTally> {
+        std::mem::take(&mut lock(&self.tallies))
     }
 
     pub(super) fn bucket_owners(&self) -> Arc<BucketOwners> {
