Answers that wait on links count within answer_memory_bytes

Cause: what an answer holds of `answer_memory_bytes` was given back once it was read. It then waited in the queue of its link, which is bounded by messages (8,192) and not by bytes, and the queue of a lost link stayed in memory for as long as something knew the link.

Seen: a daemon beside a target grew with all large answers for a peer that took nothing.

Change: what counts an answer goes with it through the queue and is given back once its message was handed to the socket, or the link is lost; the queue is emptied with its writer. Since more answers may now be held than are read at a time, allowances have a sum that is bounded, too (`policy::AnswerMemory`), and a small answer that waits for it goes before large ones.

Open: what the daemon of the caller has taken from links has no bound (docs/design/answers.md).

--- a/crates/daemon/src/half/answer_memory.rs
+++ b/crates/daemon/src/answer_memory.rs
@@ -1,4 +1,5 @@
-//! Memory of the answers that are read from the target: see [`policy::AnswerMemory`].
+//! Memory of the target's answers, from their first byte read until they are written on a link:
+//! see [`policy::AnswerMemory`].
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,9 +18,9 @@
     answers: 200,
 };
 
-/// One bound over all answers that are read at a time.
+/// One bound over all answers that are read, or wait to be written.
 #[derive(Clone)]
-pub(super) struct AnswerMemory {
+pub(crate) struct AnswerMemory {
     shared: Arc<Shared>,
 }
 
@@ -35,8 +36,8 @@
     waiting: HashMap<u64, oneshot::Sender<()>>,
 }
 
-/// One answer that is read. What it holds is given back when it is dropped.
-pub(super) struct HeldAnswer {
+/// What one answer holds. It goes where the answer goes, and is given back when dropped.
+pub(crate) struct HeldAnswer {
     shared: Arc<Shared>,
     number: u64,
     holds_any: bool,
@@ -60,7 +61,7 @@
 
 impl AnswerMemory {
     /// Puts settings in force. What answers hold stays theirs.
-    pub(super) fn apply(&self, own: &Effective) {
+    pub(crate) fn apply(&self, own: &Effective) {
         let mut state = lock(&self.shared.state);
         state.memory.set_limits(AnswerMemoryLimits {
             total_bytes: own.answer_memory_bytes as u64,
@@ -71,7 +72,7 @@
     }
 
     /// An answer that is read, and holds nothing so far.
-    pub(super) fn enter(&self) -> HeldAnswer {
+    pub(crate) fn enter(&self) -> HeldAnswer {
         HeldAnswer {
             shared: Arc::clone(&self.shared),
             number: self.shared.next.fetch_add(1, Ordering::Relaxed),
@@ -93,7 +94,7 @@
 impl HeldAnswer {
     /// Waits until the answer may hold `bytes` more. If the future is dropped it waits no longer;
     /// what was granted by then is given back with the rest.
-    pub(super) async fn grow(&mut self, bytes: usize) {
+    pub(crate) async fn grow(&mut self, bytes: usize) {
         if bytes == 0 {
             return;
         }
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -50,7 +50,8 @@
         let now = self.core.clock.now();
         let took = now.saturating_sub(served_from.unwrap_or(now));
         let took_us = u32::try_from(took).unwrap_or(u32::MAX);
-        let is_good = matches!(&exchange, Exchange::Answer(answer, _) if answer.status < 500);
+        let is_good =
+            matches!(&exchange, Exchange::Answer(counted, _) if counted.answer.status < 500);
         let served = is_good && served_from.is_some();
         let load = match &exchange {
             Exchange::Answer(_, load) => *load,
@@ -71,9 +72,9 @@
         }
         self.half.tell_slowness(self.core);
         match exchange {
-            Exchange::Answer(answer, load) => {
+            Exchange::Answer(counted, load) => {
                 let work_us = load.filter(|_| served).map(|load| load.work_us(took_us));
-                Ended::Answer(answer, work_us)
+                Ended::Answer(counted, work_us)
             }
             Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
             Exchange::OtherInstance => {
@@ -113,7 +114,7 @@
         took_us: Option<u32>,
     ) -> Option<Outcome> {
         match exchange {
-            Exchange::Answer(answer, _) if answer.status >= 500 => Some(Outcome::Failed),
+            Exchange::Answer(counted, _) if counted.answer.status >= 500 => Some(Outcome::Failed),
             Exchange::Answer(_, load) => {
                 let took_us = took_us.filter(|_| !self.half.is_cold());
                 let at_usual_speed = |took_us| load.map_or(took_us, |load| load.work_us(took_us));
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -13,6 +13,7 @@
 use super::pool::{Pool, Purpose, QuestionConnection};
 use super::reading::{CallReading, OwnAnswer, Told, read_own, read_told};
 use super::request::{encode, encode_question};
+use crate::answer_memory::HeldAnswer;
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::headers::{is_hop_by_hop, listed_in_connection};
 use crate::http1::AnswerFault;
@@ -43,10 +44,16 @@
     Pieces(&'a Expected),
 }
 
+/// An answer, and what counts its memory.
+pub(super) struct CountedAnswer {
+    pub answer: Answer,
+    pub held: HeldAnswer,
+}
+
 /// How an exchange with the target ended.
 pub(super) enum Exchange {
     /// The whole answer arrived, with the target's load where it tells it.
-    Answer(Answer, Option<TargetLoad>),
+    Answer(CountedAnswer, Option<TargetLoad>),
     /// The target says that it did not run the call.
     Shed { retry_after_us: Micros },
     /// Another incarnation of the target answered; the call was not run.
@@ -209,7 +216,11 @@
         headers,
         body: ByteBuf::from(own.body),
     };
-    Exchange::Answer(answer, dialect.load(&own.parts.headers))
+    let counted = CountedAnswer {
+        answer,
+        held: own.held,
+    };
+    Exchange::Answer(counted, dialect.load(&own.parts.headers))
 }
 
 /// Whether the headers have what targets put on every success, where they do.
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -5,7 +5,6 @@
 //! connections to the target.
 
 mod ahead;
-mod answer_memory;
 mod bodies;
 mod connection;
 mod cut;
--- a/crates/daemon/src/half/pool.rs
+++ b/crates/daemon/src/half/pool.rs
@@ -18,9 +18,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::answer_memory::AnswerMemory;
 use super::connection::{Connection, Rest};
 use super::ends::Ends;
+use crate::answer_memory::AnswerMemory;
 use crate::sync::lock;
 
 /// Longest time to open a connection to the target, which is on this host.
--- a/crates/daemon/src/half/reading.rs
+++ b/crates/daemon/src/half/reading.rs
@@ -5,8 +5,8 @@
 use hyper::http::response::Parts;
 use lynxcleat_policy::{Micros, ResponseMatch, ResponseMatcher};
 
-use super::answer_memory::HeldAnswer;
 use super::connection::{ConnectionError, ConnectionHistory, Reader};
+use crate::answer_memory::HeldAnswer;
 use crate::dialect::{AnswerKind, Dialect, TargetLoad};
 use crate::http1::{AnswerFraming, AnswerHead, AnswerItem};
 
@@ -56,7 +56,7 @@
     /// Whether only the end of the connection says that the body is whole.
     pub ends_with_connection: bool,
     /// Counts the memory of the body.
-    _held: HeldAnswer,
+    pub held: HeldAnswer,
 }
 
 /// Reads until the answer to the call is there, past surplus ones to earlier calls.
@@ -92,7 +92,7 @@
             ends_with_connection: head.framing == AnswerFraming::UntilClose,
             parts: head.parts,
             body,
-            _held: reading.held,
+            held: reading.held,
         });
     }
 }
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -12,6 +12,7 @@
 use lynxcleat_wire::{Answer, CallFrame, Frame};
 
 use super::ahead;
+use super::exchange::CountedAnswer;
 use super::state::{Go, Half};
 use super::{send, suspects};
 use crate::control::asks_for_load;
@@ -56,7 +57,7 @@
 /// How a call ended at the half.
 pub(super) enum Ended {
     /// The answer, and the time at usual speed where it is known.
-    Answer(Answer, Option<u32>),
+    Answer(CountedAnswer, Option<u32>),
     Refused(Refusal),
     /// Its answer was lost, where the target ended under it by which end.
     Lost(Option<TargetExitId>),
@@ -144,13 +145,18 @@
     let there_us = core.clock.now().saturating_sub(arrived);
     let there_us = u32::try_from(there_us).unwrap_or(u32::MAX);
     let frame = match ended {
-        Ended::Answer(answer, work_us) => Frame::Answer {
-            attempt,
-            answer,
-            figures: core.half.figures_to_send(core),
-            there_us,
-            work_us,
-        },
+        Ended::Answer(counted, work_us) => {
+            let CountedAnswer { answer, held } = counted;
+            let frame = Frame::Answer {
+                attempt,
+                answer,
+                figures: core.half.figures_to_send(core),
+                there_us,
+                work_us,
+            };
+            let _ = link.send_answer(frame, held);
+            return;
+        }
         Ended::Refused(refusal) => {
             count_refusal(core, refusal.reason);
             Frame::Refused {
@@ -300,7 +306,10 @@
         };
         let ended = self.take_slot_and_run(call).await;
         match &ended {
-            Ended::Answer(answer, _) => self.half.record_ran(self.core, op, answer, &keeping),
+            Ended::Answer(counted, _) => {
+                let answer = &counted.answer;
+                self.half.record_ran(self.core, op, answer, &keeping);
+            }
             Ended::Refused(_) | Ended::Unwanted => lock(&self.half.fence).not_run(op),
             Ended::Lost(_) => lock(&self.half.fence).lost(op),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! holds or refuses, fences once-only operations and delivers to its target. All
 //! decisions are made by the pure crates; what is here feeds them from sockets.
 
+mod answer_memory;
 mod callers;
 mod clock;
 mod config;
--- a/crates/daemon/src/mesh/link.rs
+++ b/crates/daemon/src/mesh/link.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use super::queue::{Out, PieceOut, Queue};
+use crate::answer_memory::HeldAnswer;
 use crate::sync::lock;
 
 /// Messages queued on a link before it counts as lost.
@@ -150,6 +151,19 @@
         self.lost_if_failed(pushed)
     }
 
+    /// Sends an answer. What counts its memory is given back once it was written, or the link
+    /// is lost.
+    ///
+    /// # Errors
+    /// As [`Link::send`].
+    pub(crate) fn send_answer(&self, answer: Frame, held: HeldAnswer) -> Result<(), LinkClosed> {
+        if lock(&self.pending).closed {
+            return Err(LinkClosed);
+        }
+        let pushed = self.out.try_send(Out::Frame(answer, Some(held)));
+        self.lost_if_failed(pushed.map_err(|_| LinkClosed))
+    }
+
     /// Sends a call; what becomes of it is told to `signals`.
     ///
     /// # Errors
@@ -341,6 +355,7 @@
     }
 
     fn push(&self, frame: Frame) -> Result<(), LinkClosed> {
-        self.out.try_send(Out::Frame(frame)).map_err(|_| LinkClosed)
+        let pushed = self.out.try_send(Out::Frame(frame, None));
+        pushed.map_err(|_| LinkClosed)
     }
 }
--- a/crates/daemon/src/mesh/pump.rs
+++ b/crates/daemon/src/mesh/pump.rs
@@ -74,7 +74,9 @@
     tokio::spawn(async move {
         loop {
             match queue.next().await {
-                Some(Next::Small(Out::Frame(frame))) => (core.handlers.frame)(&core, &far, frame),
+                Some(Next::Small(Out::Frame(frame, _held))) => {
+                    (core.handlers.frame)(&core, &far, frame);
+                }
                 Some(Next::Piece(out)) => {
                     (core.handlers.frame)(&core, &far, Frame::Piece(out.piece));
                     let _ = out.left.send(());
@@ -97,9 +99,9 @@
             next = queue.next() => next,
             () = link.closed() => return Ok(()),
         };
-        let (frame, left) = match next {
-            Some(Next::Small(Out::Frame(frame))) => (frame, None),
-            Some(Next::Piece(out)) => (Frame::Piece(out.piece), Some(out.left)),
+        let (frame, held, left) = match next {
+            Some(Next::Small(Out::Frame(frame, held))) => (frame, held, None),
+            Some(Next::Piece(out)) => (Frame::Piece(out.piece), None, Some(out.left)),
             Some(Next::Small(Out::Close)) | None => {
                 sink.close().await.map_err(Box::new)?;
                 return Ok(());
@@ -109,6 +111,7 @@
         for fragment in fragments(bytes.into()) {
             sink.feed(fragment).await.map_err(Box::new)?;
         }
+        drop(held);
         // A piece leaves before the next is taken, so that small messages pass the rest.
         if left.is_some() || queue.has_no_small() {
             sink.flush().await.map_err(Box::new)?;
--- a/crates/daemon/src/mesh/queue.rs
+++ b/crates/daemon/src/mesh/queue.rs
@@ -2,14 +2,16 @@
 
 use lynxcleat_wire::{BodyChunkFrame, Frame};
 
+use crate::answer_memory::HeldAnswer;
+
 /// Small messages sent in a row before a piece that waits has its turn: bodies go on
 /// however many small messages there are.
 const SMALL_IN_A_ROW: u32 = 64;
 
 /// What the writer of a link is told.
 pub(super) enum Out {
-    /// Send this.
-    Frame(Frame),
+    /// Send this. What counts the memory of an answer is given back once it was written.
+    Frame(Frame, Option<HeldAnswer>),
     /// Send all that came before, then close.
     Close,
 }
@@ -80,3 +82,11 @@
         Next::Piece(piece)
     }
 }
+
+impl Drop for Queue {
+    /// The channel would keep what nobody writes any more for as long as its link is known.
+    fn drop(&mut self) {
+        self.small.drain();
+        self.pieces.drain();
+    }
+}
--- a/crates/policy/src/answer_memory.rs
+++ b/crates/policy/src/answer_memory.rs
@@ -1,18 +1,22 @@
-//! One bound over the memory of all answers that a daemon reads from its target at a time.
+//! One bound over the memory of all answers of its target that a daemon reads, or has read and
+//! not yet written.
 //!
-//! Every answer may hold a small allowance without asking, so that small answers never wait
-//! for large ones. What an answer holds beyond it comes from a pool that all share. Where the
-//! pool is full, one answer at a time goes on in a reserve as large as the largest answer, and
-//! what it took from the pool goes back; the others wait in the order in which they asked.
+//! Every answer may hold a small allowance without waiting for large ones. What an answer holds
+//! beyond it comes from a pool that all share. Where the pool is full, one answer at a time goes
+//! on in a reserve as large as the largest answer, and all that it took goes back; the others
+//! wait in the order in which they asked.
 //!
 //! Allowances, pool and reserve together are the bound: the reserve is the size of the largest
 //! answer, the allowances are one for each answer that can be read at a time, and the pool is
 //! what is left. Where too little is left, allowances shrink to [`MIN_ALLOWANCE_BYTES`], and
-//! that much an answer is held beyond the bound at most.
+//! that much an answer is held beyond the bound at most. More answers than can be read at a time
+//! may be held, since those that were read wait to be written: small ones wait for each other
+//! where together they hold as much as all allowances.
 //!
 //! The answer in the reserve never waits, and whoever waits first moves into the reserve when
-//! it ends. So nobody waits longer than those that asked before take to end, and an answer that
-//! stalls in the reserve delays others up to the deadline of its own call, not longer.
+//! it ends. So nobody waits longer than those that asked before take to end. An answer that
+//! stalls in the reserve delays others up to the deadline of its own call while it is read, and
+//! until its link takes it or counts as lost while it is written.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -42,15 +46,18 @@
 
     /// Bytes of the pool that answers share beyond their allowances.
     pub fn pool_bytes(&self) -> u64 {
-        let allowances = self.answers.saturating_mul(self.allowance_bytes());
-        let taken = allowances.saturating_add(self.answer_bytes);
+        let taken = self.allowances_bytes().saturating_add(self.answer_bytes);
         self.total_bytes.saturating_sub(taken)
     }
 
+    /// Bytes that all allowances have together.
+    pub fn allowances_bytes(&self) -> u64 {
+        self.answers.saturating_mul(self.allowance_bytes())
+    }
+
     /// Most bytes that all answers hold together.
     pub fn bound_bytes(&self) -> u64 {
-        let allowances = self.answers.saturating_mul(self.allowance_bytes());
-        let fixed = allowances.saturating_add(self.answer_bytes);
+        let fixed = self.allowances_bytes().saturating_add(self.answer_bytes);
         fixed.saturating_add(self.pool_bytes())
     }
 }
@@ -59,6 +66,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Held {
     bytes: u64,
+    /// How much of it is of the allowances.
+    allowance_bytes: u64,
     /// How much of it is the pool's.
     pool_bytes: u64,
 }
@@ -68,6 +77,7 @@
 pub struct AnswerMemory {
     limits: AnswerMemoryLimits,
     answers: HashMap<u64, Held>,
+    allowances_used: u64,
     pool_used: u64,
     /// The answer that goes on in the reserve.
     in_reserve: Option<u64>,
@@ -80,6 +90,7 @@
         AnswerMemory {
             limits,
             answers: HashMap::new(),
+            allowances_used: 0,
             pool_used: 0,
             in_reserve: None,
             waiting: VecDeque::new(),
@@ -116,22 +127,30 @@
             self.in_reserve = None;
         }
         let held = self.answers.remove(&answer).unwrap_or_default();
+        self.allowances_used -= held.allowance_bytes;
         self.pool_used -= held.pool_bytes;
     }
 
     /// The next answer that waited and now holds what it asked for. To be asked until there is
     /// none whenever limits were set, or an answer was removed or waits no longer.
     pub fn next_grant(&mut self) -> Option<u64> {
-        let (answer, bytes) = *self.waiting.front()?;
-        let is_granted = self.fits_allowance(answer, bytes) || self.may_go_on(answer, bytes);
-        if !is_granted {
-            return None;
-        }
-        self.waiting.pop_front();
+        let place = self.next_place()?;
+        let (answer, bytes) = self.waiting.remove(place)?;
         self.hold(answer, bytes);
         Some(answer)
     }
 
+    /// Place of the next that may go on: the first within its allowance, or the first of all.
+    fn next_place(&mut self) -> Option<usize> {
+        let (answer, bytes) = *self.waiting.front()?;
+        let mut waiting = self.waiting.iter();
+        let small = waiting.position(|(answer, bytes)| self.fits_allowance(*answer, *bytes));
+        if small.is_some() {
+            return small;
+        }
+        self.may_go_on(answer, bytes).then_some(0)
+    }
+
     /// Bytes that all answers hold.
     pub fn held_bytes(&self) -> u64 {
         self.answers.values().map(|held| held.bytes).sum()
@@ -147,7 +166,13 @@
     }
 
     fn fits_allowance(&self, answer: u64, bytes: u64) -> bool {
-        self.pool_bytes_of(answer, bytes) == 0
+        self.pool_bytes_of(answer, bytes) == 0 && self.fits_allowances(bytes)
+    }
+
+    /// Whether all allowances together have room for `bytes` more.
+    fn fits_allowances(&self, bytes: u64) -> bool {
+        let used = self.allowances_used.saturating_add(bytes);
+        used <= self.limits.allowances_bytes()
     }
 
     /// How much of `bytes` more is beyond the allowance.
@@ -159,10 +184,9 @@
 
     /// Whether the pool or the reserve, which it then moves into, takes `bytes` more.
     fn may_go_on(&mut self, answer: u64, bytes: u64) -> bool {
-        let used = self
-            .pool_used
-            .saturating_add(self.pool_bytes_of(answer, bytes));
-        if used <= self.limits.pool_bytes() {
+        let pool_bytes = self.pool_bytes_of(answer, bytes);
+        let used = self.pool_used.saturating_add(pool_bytes);
+        if used <= self.limits.pool_bytes() && self.fits_allowances(bytes - pool_bytes) {
             return true;
         }
         let is_free = self.in_reserve.is_none();
@@ -175,18 +199,23 @@
     fn move_to_reserve(&mut self, answer: u64) {
         self.in_reserve = Some(answer);
         let held = self.answers.entry(answer).or_default();
+        self.allowances_used -= held.allowance_bytes;
         self.pool_used -= held.pool_bytes;
+        held.allowance_bytes = 0;
         held.pool_bytes = 0;
     }
 
     fn hold(&mut self, answer: u64, bytes: u64) {
-        let pool_bytes = match self.in_reserve == Some(answer) {
-            true => 0,
-            false => self.pool_bytes_of(answer, bytes),
-        };
-        self.pool_used += pool_bytes;
+        let is_in_reserve = self.in_reserve == Some(answer);
+        let pool_bytes = self.pool_bytes_of(answer, bytes);
         let held = self.answers.entry(answer).or_default();
         held.bytes += bytes;
+        if is_in_reserve {
+            return;
+        }
+        held.allowance_bytes += bytes - pool_bytes;
         held.pool_bytes += pool_bytes;
+        self.allowances_used += bytes - pool_bytes;
+        self.pool_used += pool_bytes;
     }
 }
--- a/crates/policy/tests/answer_memory.rs
+++ b/crates/policy/tests/answer_memory.rs
@@ -193,3 +193,78 @@
     });
     assert_eq!(memory.next_grant(), Some(waiting));
 }
+
+/// Answers that wait to be written, beside those that are read: more than are read at a time.
+const HELD_ANSWERS: u64 = 6 * ANSWERS;
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(69), cases: 300, failure_persistence: None, ..Config::default() })]
+
+    /// For any order of growing, giving up and ending of more answers than can be read at a time:
+    /// all stay within the bound, and all come to their end.
+    #[test]
+    fn answers_that_wait_to_be_written_stay_within_the_bound_and_all_end(
+        total in (LARGEST + ANSWERS * (4 << 10)..6 * LARGEST),
+        steps in prop::collection::vec((0..8_u8, 0..HELD_ANSWERS, 0..2 * LARGEST), 1..600),
+    ) {
+        let limits = AnswerMemoryLimits { total_bytes: total, ..LIMITS };
+        let mut memory = AnswerMemory::new(limits);
+        let mut readers = Readers::new();
+        for (kind, answer, drawn) in steps {
+            match kind {
+                0 => {
+                    memory.remove(answer);
+                    readers.remove(&answer);
+                }
+                1 => {
+                    memory.cancel(answer);
+                    readers.entry(answer).or_default().waits_for = None;
+                }
+                2 => grow(&mut memory, &mut readers, answer, drawn),
+                _ => grow(&mut memory, &mut readers, answer, drawn % (200 << 10)),
+            }
+            take_grants(&mut memory, &mut readers);
+            prop_assert!(memory.held_bytes() <= limits.total_bytes);
+            let waiting = memory.waiting();
+            prop_assert!(waiting == 0 || waiting < readers.len());
+        }
+        while !readers.is_empty() {
+            let held = readers.iter().find(|(_, reader)| reader.waits_for.is_none());
+            let answer = *held.expect("one that goes on").0;
+            memory.remove(answer);
+            readers.remove(&answer);
+            take_grants(&mut memory, &mut readers);
+        }
+        prop_assert_eq!(memory.held_bytes(), 0);
+    }
+}
+
+#[test]
+fn small_answers_that_nobody_takes_stay_within_their_allowances() {
+    let mut memory = AnswerMemory::new(LIMITS);
+    let mut answer = 0;
+    while memory.grow(answer, LIMITS.allowance_bytes()) {
+        answer += 1;
+        assert!(answer <= LIMITS.total_bytes / LIMITS.allowance_bytes());
+    }
+    assert!(answer >= ANSWERS);
+    assert!(memory.held_bytes() <= LIMITS.total_bytes);
+    memory.remove(0);
+    assert_eq!(memory.next_grant(), Some(answer));
+}
+
+#[test]
+fn a_small_answer_goes_on_before_large_ones_that_wait() {
+    let mut memory = AnswerMemory::new(LIMITS);
+    let small = LIMITS.allowance_bytes();
+    let mut answer = 0;
+    while memory.grow(answer, small) {
+        answer += 1;
+    }
+    assert!(!memory.grow(answer + 1, LARGEST));
+    assert!(!memory.grow(answer + 2, small));
+    memory.remove(0);
+    assert_eq!(memory.next_grant(), Some(answer));
+    memory.remove(1);
+    assert_eq!(memory.next_grant(), Some(answer + 2));
+}
