--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -5,7 +5,6 @@
 //! connections to the target.
 
 mod ahead;
-mod answer_memory;
 mod belief;
 mod bodies;
 mod connection;
