The load that another incarnation tells is not learned

A router saw a target as 99 times slower than it was, and turned calls away, since an answer to a question for the load was learned whichever incarnation it named; only the cold time looked at that. Nobody is in place before the first report, and then any load is learned as before. Such an answer still counts as a reading, so that a target that names another incarnation is not asked more often.

--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -235,6 +235,15 @@
         in_place.unwrap_or(true)
     }
 
+    /// Whether an incarnation that answered is another than the one in place.
+    pub(super) fn is_another(&self, instance: Option<&str>) -> bool {
+        let is_another = self.with_reports(|reports| {
+            let in_place = reports.current()?;
+            Some(instance.is_some_and(|instance| instance != in_place.instance))
+        });
+        is_another.flatten().unwrap_or(false)
+    }
+
     /// Changes what is known of the reports; another incarnation in place starts anew.
     pub fn change_reports(
         &self,
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -101,8 +101,14 @@
         {
             self.learn_cold(left_us);
         }
-        if let Some(load) = told.load {
+        if told.load.is_some() {
             self.count_reading();
+        }
+        if self.is_another(told.instance.as_deref()) {
+            log::debug!(instance:? = told.instance; "the load of another incarnation");
+            return;
+        }
+        if let Some(load) = told.load {
             self.admit(AdmissionEvent::Slowness(load.slowness_percent));
             self.tell_slowness(core);
         }
