A surplus health answer does not say that a cold target is warm

A cold target got many times the calls that it bears: on the connection that questions share, its answer to the question before, given once more, passed for the next and said that it was warm. That held until the next question. With the load alone, such an answer decides a choice; here it lifts a limit.

Where the target may have turned cold since, the question has a connection of its own; where it counts as cold and an answer on the shared one says that it is warm, it is asked again on one of its own, within the measuring budget. That costs a connection where a cold time ends or is in doubt, and none where no limit for cold targets is set. Whether a target is well, and which incarnation it is, was asked on a connection of its own already.

--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -289,6 +289,11 @@
         lock(&self.admit).is_cold(self.clock.now())
     }
 
+    /// Whether the target may have turned cold unheard.
+    pub(super) fn is_warmth_doubted(&self) -> bool {
+        lock(&self.admit).is_cold_uncertain()
+    }
+
     /// Whether the target is to be asked how much longer it is cold.
     pub fn wants_cold_reading(&self) -> bool {
         lock(&self.admit).needs_cold_report()
--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -79,10 +79,7 @@
         if !core.budget.ask_load(ASK_COST) {
             return;
         }
-        let asked = self
-            .pool
-            .ask_load(&core.dialect, path, QuestionConnection::Shared);
-        match tokio::time::timeout(limit, asked).await {
+        match tokio::time::timeout(limit, self.ask_warmth(core, path)).await {
             Ok(Some(told)) if told.is_empty() => {
                 let until = self.clock.now() + ASK_PAUSE_US;
                 self.ask_again_at.store(until, Ordering::Relaxed);
@@ -93,6 +90,24 @@
         }
     }
 
+    /// Asks the target for its load. An answer on a connection that carried a question before may
+    /// be a surplus one to that. So the word that a target is warm is taken from a connection of
+    /// its own where the target counts as cold, or may have turned cold since.
+    async fn ask_warmth(&self, core: &Core, path: &str) -> Option<Told> {
+        let ask = |kind| self.pool.ask_load(&core.dialect, path, kind);
+        if self.is_warmth_doubted() {
+            return ask(QuestionConnection::Single).await;
+        }
+        let told = ask(QuestionConnection::Shared).await?;
+        if told.cold_left_us != Some(0) || !self.is_cold() {
+            return Some(told);
+        }
+        if !core.budget.ask_load(ASK_COST) {
+            return None;
+        }
+        ask(QuestionConnection::Single).await
+    }
+
     /// Takes what the target told that was asked. How much longer it is cold counts from now,
     /// since the answer may be old by a little.
     pub(super) fn take_told(&self, core: &Core, told: Told) {
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -220,6 +220,11 @@
         self.cold_start.is_cold(now)
     }
 
+    /// Returns whether the target may have turned cold while no report was received.
+    pub fn is_cold_uncertain(&self) -> bool {
+        self.cold_start.is_uncertain()
+    }
+
     /// Returns whether the target should be asked for its remaining cold time.
     pub fn needs_cold_report(&self) -> bool {
         self.cold_start.needs_report()
--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -157,6 +157,11 @@
             }
     }
 
+    /// Returns whether the target may have turned cold while no report was received.
+    pub fn is_uncertain(&self) -> bool {
+        self.calls_per_s > 0 && self.state == ColdState::Uncertain
+    }
+
     /// Returns whether the target should be asked for its remaining cold time: either it
     /// may be cold, or so many calls were admitted since its last report that they would be
     /// too many if it had turned cold in the meantime.
