--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -235,6 +235,15 @@
         in_place.unwrap_or(true)
     }
 
+    /// Whether an incarnation that answered is another than the one in place.
+    pub(super) fn is_another(&self, instance: Option<&str>) -> bool {
+        let is_another = self.with_reports(|reports| {
+            let in_place = reports.current()?;
+            Some(instance.is_some_and(|instance| instance != in_place.instance))
+        });
+        is_another.flatten().unwrap_or(false)
+    }
+
     /// Changes what is known of the reports; another incarnation in place starts anew.
     pub fn change_reports(
         &self,
@@ -280,6 +289,11 @@
         lock(&self.admit).is_cold(self.clock.now())
     }
 
+    /// Whether the target may have turned cold unheard.
+    pub(super) fn is_warmth_doubted(&self) -> bool {
+        lock(&self.admit).is_cold_uncertain()
+    }
+
     /// Whether the target is to be asked how much longer it is cold.
     pub fn wants_cold_reading(&self) -> bool {
         lock(&self.admit).needs_cold_report()
