The load that another incarnation tells is not taken

Cause: a target's answer to a question for the load was taken whatever incarnation it named; only its cold time was compared with the incarnation in place. Callers saw nothing directly: the daemon held its target for 90 times as slow until the next reading, and refused calls (503) or sent them elsewhere.

Change: nothing is taken from an answer that names another incarnation than the one in place.

--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -94,11 +94,13 @@
     }
 
     /// Takes what the target told that was asked. How much longer it is cold counts from now,
-    /// since the answer may be old by a little.
+    /// since the answer may be old by a little. What another incarnation tells is not taken.
     pub(super) fn take_told(&self, core: &Core, told: Told) {
-        if let Some(left_us) = told.cold_left_us
-            && self.is_in_place(told.instance.as_deref())
-        {
+        if !self.is_in_place(told.instance.as_deref()) {
+            log::debug!(instance:? = told.instance; "load of another target than the one in place");
+            return;
+        }
+        if let Some(left_us) = told.cold_left_us {
             self.learn_cold(left_us);
         }
         if let Some(load) = told.load {
