Load of another incarnation: one check of the two that were merged

The form that stays takes the load where no incarnation is in place yet, as before, and counts the reading, since the target did answer.

--- a/crates/daemon/src/half/target.rs
+++ b/crates/daemon/src/half/target.rs
@@ -109,13 +109,11 @@
     }
 
     /// Takes what the target told that was asked. How much longer it is cold counts from now,
-    /// since the answer may be old by a little. What another incarnation tells is not taken.
+    /// since the answer may be old by a little.
     pub(super) fn take_told(&self, core: &Core, told: Told) {
-        if !self.is_in_place(told.instance.as_deref()) {
-            log::debug!(instance:? = told.instance; "load of another target than the one in place");
-            return;
-        }
-        if let Some(left_us) = told.cold_left_us {
+        if let Some(left_us) = told.cold_left_us
+            && self.is_in_place(told.instance.as_deref())
+        {
             self.learn_cold(left_us);
         }
         if told.load.is_some() {
