An owner that joins ahead of the one that grants was not silent before it joined

An owner of which nothing was recorded yet counted as silent since the start of the daemon that looks at it, perhaps minutes. When a host joined or returned ahead of the owner that grants, that one took itself for standing in since then, began its bucket anew at a time minutes ago, and so had the whole burst again, at each change of owners.

Change: a host counts as silent from when it became an owner on, also for a daemon that only now is one; and a bucket in use that begins to stand in is refilled from when its tokens were counted last. Owners are set before each decision.

--- a/crates/daemon/src/quota/ask.rs
+++ b/crates/daemon/src/quota/ask.rs
@@ -203,7 +203,9 @@
 fn granter(core: &Core, organisation: &str) -> Granter {
     let owners = owners::current(core);
     let now = core.clock.now();
-    lock(&core.quota.reach).granter(&owners, organisation, &core.config.host, now)
+    let mut reach = lock(&core.quota.reach);
+    reach.set_owners(&owners, now);
+    reach.granter(&owners, organisation, &core.config.host, now)
 }
 
 fn answer_here(core: &Core, ask: &QuotaRequest, granter: &Granter) -> Frame {
--- a/crates/daemon/src/quota/reach.rs
+++ b/crates/daemon/src/quota/reach.rs
@@ -42,7 +42,7 @@
     if !owners.contains(&core.config.host) {
         return;
     }
-    lock(&core.quota.reach).retain(&owners);
+    lock(&core.quota.reach).set_owners(&owners, core.clock.now());
     for host in owners.hosts() {
         if *host != core.config.host {
             probe(core, host);
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -157,8 +157,12 @@
             (None, _) => false,
         };
         if let Some(since) = since.filter(|_| begins) {
-            let level = self.bucket.tokens_at(since, size).min(0.0);
-            self.bucket = TokenBucket::new(level, since);
+            let counted_at = match self.is_new {
+                true => since,
+                false => since.max(self.bucket.refilled_at()),
+            };
+            let level = self.bucket.tokens_at(counted_at, size).min(0.0);
+            self.bucket = TokenBucket::new(level, counted_at);
             self.is_new = false;
         }
         if begins || since.is_none() {
--- a/crates/policy/src/quota/reach.rs
+++ b/crates/policy/src/quota/reach.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug)]
 pub struct OwnerReach {
     started_at: Micros,
+    /// Since when this daemon counts a host among the owners.
+    listed_at: HashMap<String, Micros>,
     answered_at: HashMap<String, Micros>,
     refused_at: HashMap<String, Micros>,
 }
@@ -64,6 +66,7 @@
     pub fn new(now: Micros) -> Self {
         OwnerReach {
             started_at: now,
+            listed_at: HashMap::new(),
             answered_at: HashMap::new(),
             refused_at: HashMap::new(),
         }
@@ -80,10 +83,17 @@
         self.refused_at.insert(host.to_owned(), at);
     }
 
-    /// Forgets hosts that own no buckets any more.
-    pub fn retain(&mut self, owners: &BucketOwners) {
+    /// Sets who the owners are. One that joins counts as silent from now on only, and hosts that
+    /// own no buckets any more are forgotten.
+    pub fn set_owners(&mut self, owners: &BucketOwners, now: Micros) {
         self.answered_at.retain(|host, _| owners.contains(host));
         self.refused_at.retain(|host, _| owners.contains(host));
+        self.listed_at.retain(|host, _| owners.contains(host));
+        for host in owners.hosts() {
+            if !self.listed_at.contains_key(host) {
+                self.listed_at.insert(host.clone(), now);
+            }
+        }
     }
 
     /// Whether an owner is in reach.
@@ -141,9 +151,13 @@
         }
     }
 
+    /// When an owner was heard last, or became one.
     fn last_answer(&self, host: &str) -> Micros {
-        let answered_at = self.answered_at.get(host).copied();
-        answered_at.unwrap_or_default().max(self.started_at)
+        let known = [&self.answered_at, &self.listed_at];
+        let times = known
+            .into_iter()
+            .filter_map(|times| times.get(host).copied());
+        times.max().unwrap_or_default().max(self.started_at)
     }
 
     /// Whether an owner refused a connection lately, and has not answered since.
--- a/crates/policy/src/token_bucket.rs
+++ b/crates/policy/src/token_bucket.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// When tokens were counted last.
+    pub fn refilled_at(&self) -> Micros {
+        self.refilled_at
+    }
+
     /// Tokens in the bucket.
     pub fn tokens_at(&self, now: Micros, size: BucketSize) -> f64 {
         let elapsed = now.saturating_sub(self.refilled_at) as f64;
--- a/crates/policy/tests/quota_partition.rs
+++ b/crates/policy/tests/quota_partition.rs
@@ -430,3 +430,46 @@
     let second = bucket.grant(11 * SECOND, limit, stands_in, request);
     assert_eq!(second.tokens, 50);
 }
+
+/// A host that becomes an owner, ahead of the one that grants, was not silent before.
+#[test]
+fn an_owner_that_joins_counts_as_silent_since_the_start() {
+    let members: Vec<String> = (0..9).map(|number| format!("host-{number}")).collect();
+    let after = BucketOwners::from_members(members.iter().map(String::as_str));
+    let order = after.preference_order(ORGANISATION);
+    let (joining, here) = (order[0], order[1]);
+    let others = members.iter().map(String::as_str);
+    let before = BucketOwners::from_members(others.filter(|host| *host != joining));
+    let mut reach = OwnerReach::new(0);
+    reach.set_owners(&before, 0);
+    let now = 100 * SECOND;
+    reach.set_owners(&after, now);
+    let granter = |now| reach.granter(&after, ORGANISATION, here, now);
+    assert_eq!(granter(now + PROBE), Granter::Unknown);
+    assert!(matches!(
+        granter(now + SECOND),
+        Granter::Here(GrantRight { since: Some(since), .. }) if since > now
+    ));
+}
+
+/// Tokens that a bucket granted are not refilled by the time before it granted them.
+#[test]
+fn a_bucket_in_use_that_stands_in_is_refilled_anew() {
+    let limit = limit(100, 100);
+    let right = |since| GrantRight { share: 1.0, since };
+    let request = TokenRequest {
+        tokens: 1_000,
+        returned: 0,
+        seen: None,
+    };
+    let mut bucket = QuotaBucket::new(0, limit, right(None), 0);
+    assert!(
+        bucket
+            .grant(100 * SECOND, limit, right(None), request)
+            .tokens
+            > 0
+    );
+    let stands_in = right(Some(SECOND));
+    let next = bucket.grant(100 * SECOND, limit, stands_in, request);
+    assert_eq!(next.tokens, 0);
+}
