What an answer states that reaches no caller does not count

Found by a reader. Limit, leaving and cold time were taken from each answer of the incarnation meant, also where the answer itself counts for nothing: a status that promises what the target does not say, or a success without stamp. One such answer took a target out for good, since leaving is never taken back within an incarnation.

--- a/crates/daemon/src/half/reading.rs
+++ b/crates/daemon/src/half/reading.rs
@@ -84,7 +84,7 @@
             }
         };
         let kind = (dialect.answer_kind)(&head.parts, reading.meant);
-        if kind != AnswerKind::OtherInstance {
+        if is_believed(dialect, &head.parts, kind) {
             hears(&head.parts.headers);
         }
         let body = read_body(&mut reader, &head, &mut reading).await?;
@@ -99,6 +99,19 @@
     }
 }
 
+/// Whether what an answer states of its target counts. That of another incarnation does not, nor
+/// that of an answer that callers get none of.
+fn is_believed(dialect: &Dialect, parts: &Parts, kind: AnswerKind) -> bool {
+    let has_stamp = |stamp| parts.headers.contains_key(stamp);
+    match kind {
+        AnswerKind::Ran if parts.status.is_success() => {
+            dialect.success_stamp.as_ref().is_none_or(has_stamp)
+        }
+        AnswerKind::Ran | AnswerKind::NotRun { .. } => true,
+        AnswerKind::OtherInstance | AnswerKind::Contradictory => false,
+    }
+}
+
 /// Reads the answer to a question for the load, and whether its connection may carry another.
 pub(super) async fn read_told(
     dialect: &Dialect,
