--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -19,6 +19,11 @@
 pub fn play(case: &str, scene: &mut Scene, is_troubled: bool) -> Played {
     match case {
         "reuse" => reuse(scene, is_troubled),
+        "upload" => upload(scene, is_troubled),
+        "born" => born(scene, is_troubled),
+        "stranger" => stranger(scene, is_troubled),
+        "refused" => refused(scene, is_troubled),
+        "caller" => caller(scene, is_troubled),
         other => Err(format!("no case {other}")),
     }
 }
@@ -142,5 +147,267 @@
     }
 }
 
-#[allow(dead_code)]
-const CONTROL_PORT: u16 = CONTROL;
+/// `drain` in the settings of the scene.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// `contact` and `converge` in the settings of the scene.
+const CONTACT_MS: u64 = 3_000;
+const CONVERGE: Duration = Duration::from_millis(2_000);
+
+/// A worker says that it leaves until it is acknowledged. Returns when that was.
+fn leave(scene: &Scene, nth: usize, worker: &Worker) -> Result<Duration, String> {
+    worker.leave();
+    for _ in 0..20 {
+        if worker.beat(scene.machines[nth].at(CONTROL), "draining") {
+            return Ok(scene.record.now());
+        }
+        pause_ms(100);
+    }
+    Err("the leaving was not acknowledged".to_owned())
+}
+
+/// Requests that reached a worker later than `drain` after the acknowledgement, and were taken.
+fn late(worker: &Worker, acknowledged: Duration) -> Vec<String> {
+    let reached = worker.reached();
+    let is_late = |at: Duration| at > acknowledged + DRAIN;
+    let late = reached.iter().filter(|one| one.ran && is_late(one.at));
+    late.map(|one| format!("{} {:.3} s after it", one.id, (one.at - acknowledged).as_secs_f64())).collect()
+}
+
+fn drained(worker: &Worker, acknowledged: Duration, summary: &str) -> Played {
+    let late = late(worker, acknowledged);
+    Ok(match late.is_empty() {
+        true => Verdict::Held(summary.to_owned()),
+        false => Verdict::Broken(format!(
+            "DRAIN: after the acknowledged leaving of {} it was reached by {} requests: {}; {summary}",
+            worker.id,
+            late.len(),
+            late.join(", ")
+        )),
+    })
+}
+
+/// Some operations at once, from the machines after the first. Returns how each was answered.
+fn operations(scene: &Scene, name: &str, count: usize) -> Vec<Seen> {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        let clients = Clients { scope, scene, seen: Arc::clone(&seen) };
+        for nth in 0..count {
+            clients.send(1 + nth % 3, ("POST", "/issue/300/x"), format!("{name}-{nth}"), 2_000, b"one tyre");
+            pause_ms(5);
+        }
+    });
+    let seen = seen.lock().expect("lock");
+    seen.clone()
+}
+
+/// What became of requests: served, refused, and neither.
+fn tally(seen: &[Seen]) -> String {
+    let count = |holds: fn(u16) -> bool| seen.iter().filter(|one| holds(one.status)).count();
+    let served = count(|status| status == 200);
+    let refused = count(|status| status == 503);
+    let lost = count(|status| status != 200 && status != 503);
+    format!("{served} of {} served, {refused} refused, {lost} lost", seen.len())
+}
+
+/// A worker that was told that its leaving is known serves on for `drain` and a little longer, and
+/// ends.
+fn end_later(scene: &Scene, nth: usize, worker: &Arc<Worker>, after_ms: u64) -> thread::JoinHandle<()> {
+    let (worker, machine) = (Arc::clone(worker), Arc::clone(&scene.machines[nth]));
+    thread::spawn(move || {
+        pause_ms(after_ms);
+        worker.deregister(machine.at(CONTROL));
+        worker.end("ends as it said");
+        machine.clear_worker();
+    })
+}
+
+const ISSUE: Route =
+    Route { name: "r-issue", prefix: "/issue/", kind: "non_idempotent", times: ("2s", "1s"), attempts: 2, service: "stock" };
+
+const LOOK: Route =
+    Route { name: "r-look", prefix: "/look/", kind: "idempotent", times: ("2s", "400ms"), attempts: 2, service: "stock" };
+
+/// Uploads whose bodies begin late, to a worker that leaves meanwhile.
+fn upload(scene: &mut Scene, is_troubled: bool) -> Played {
+    let batch = Route {
+        name: "r-batch",
+        prefix: "/batch/",
+        kind: "upload",
+        times: ("12s", "2s"),
+        attempts: 2,
+        service: "stock",
+    };
+    scene.store.put("op", "config", &configuration(7, &[LOOK, batch], &["stock", "other"]));
+    scene.start(&[("stock", 4), ("stock", 4), ("other", 4), ("other", 4)])?;
+    let (first, second) = (scene.machines[0].worker(), scene.machines[1].worker());
+    warm(scene, 2, "/look/20/warm", &[&first, &second])?;
+    pause_ms(4_000);
+    let scene = &*scene;
+    let mut acknowledged = Err("it did not leave".to_owned());
+    let (mut served, mut refused) = (0, 0);
+    thread::scope(|scope| {
+        let uploads: Vec<_> = (0..6)
+            .map(|nth| {
+                pause_ms(40);
+                scope.spawn(move || scene.upload(2 + nth % 2, "/batch/200/y", &format!("upload-{nth}"), Duration::from_secs(5)))
+            })
+            .collect();
+        pause_ms(700);
+        acknowledged = match is_troubled {
+            true => leave(scene, 0, &first),
+            false => Ok(scene.record.now()),
+        };
+        if is_troubled {
+            end_later(scene, 0, &first, 4_300);
+        }
+        let ends: Vec<u16> = uploads.into_iter().filter_map(|upload| upload.join().ok()).collect();
+        served = ends.iter().filter(|status| **status == 200).count();
+        refused = ends.iter().filter(|status| **status == 503).count();
+    });
+    let acknowledged = acknowledged?;
+    let summary = format!("{served} of 6 uploads served, {refused} refused, {} lost", 6 - served - refused);
+    match is_troubled {
+        true => drained(&first, acknowledged, &summary),
+        false => Ok(Verdict::Held(summary)),
+    }
+}
+
+/// A worker starts again under its id after the time of day has jumped back, and leaves later.
+fn born(scene: &mut Scene, is_troubled: bool) -> Played {
+    scene.store.put("op", "config", &configuration(7, &[LOOK, ISSUE], &["stock", "other"]));
+    scene.start(&[("stock", 6), ("stock", 6), ("stock", 6), ("other", 6)])?;
+    let workers = [0, 1, 2].map(|nth: usize| scene.machines[nth].worker());
+    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1], &workers[2]])?;
+    pause_ms(2_000);
+    let ahead = if is_troubled { 2_000 } else { 0 };
+    scene.record.note(&format!("the time of day of sidecar-east-1 is {ahead} ms ahead"));
+    let mut worker = Arc::clone(&workers[0]);
+    for ahead in [ahead, 0] {
+        worker.end("crashes");
+        scene.machines[0].clear_worker();
+        pause_ms(700);
+        if ahead == 0 {
+            scene.record.note("the time of day of sidecar-east-1 is right");
+        }
+        worker = Worker::start(&scene.record, (&worker.id, "stock"), scene.machines[0].app(), (unix_ms() + ahead, 6));
+        scene.machines[0].set_worker(Arc::clone(&worker));
+        pause_ms(700);
+    }
+    pause_ms(CONTACT_MS + 1_500);
+    let before = operations(scene, "before", 18);
+    let took = worker.reached().len();
+    pause_ms(1_000);
+    let acknowledged = leave(scene, 0, &worker)?;
+    let ending = end_later(scene, 0, &worker, 2_750);
+    pause_ms(2_550);
+    let after = operations(scene, "after", 18);
+    let _ = ending.join();
+    pause_ms(500);
+    let summary = format!("before: {}, {took} of them by the worker that started again; after: {}", tally(&before), tally(&after));
+    drained(&worker, acknowledged, &summary)
+}
+
+/// A heartbeat of another writer names a service that there is not; later the worker leaves while
+/// the store is down.
+fn stranger(scene: &mut Scene, is_troubled: bool) -> Played {
+    let only = std::env::var("ONLY").unwrap_or_default();
+    scene.store.put("op", "config", &configuration(7, &[LOOK, ISSUE], &["stock", "other"]));
+    scene.start(&[("stock", 6), ("stock", 6), ("stock", 6), ("other", 6)])?;
+    let workers = [0, 1, 2].map(|nth: usize| scene.machines[nth].worker());
+    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1], &workers[2]])?;
+    pause_ms(CONTACT_MS + 1_000);
+    let worker = &workers[0];
+    if is_troubled && only != "store" {
+        let body = worker.heartbeat("nosuch", "ready", worker.last_seq() + 1_000);
+        let status = scene.report(0, &format!("{}/heartbeat", worker.id), &body);
+        scene.record.note(&format!("a heartbeat of another writer: {body}: {status}"));
+    }
+    pause_ms(2_000);
+    let before = operations(scene, "before", 18);
+    pause_ms(500);
+    if is_troubled && only != "beat" {
+        scene.record.note("the store falls silent");
+        scene.store.set_silent(true);
+    }
+    pause_ms(400);
+    let acknowledged = leave(scene, 0, worker)?;
+    let ending = end_later(scene, 0, worker, 2_400);
+    pause_ms(2_200);
+    let after = operations(scene, "after", 18);
+    // It was silent for less than 4.5 s.
+    scene.store.set_silent(false);
+    scene.record.note("the store answers");
+    let _ = ending.join();
+    pause_ms(1_000);
+    drained(worker, acknowledged, &format!("before: {}; after: {}", tally(&before), tally(&after)))
+}
+
+/// A configuration moves a route, and another route of it may go to ten workers.
+fn refused(scene: &mut Scene, is_troubled: bool) -> Played {
+    scene.store.put("op", "config", &configuration(7, &[LOOK], &["stock", "other"]));
+    scene.start(&[("stock", 6), ("stock", 6), ("other", 6), ("other", 6)])?;
+    let workers = [0, 1].map(|nth: usize| scene.machines[nth].worker());
+    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1]])?;
+    pause_ms(CONTACT_MS);
+    let wide = Route { name: "r-wide", prefix: "/wide/", kind: "idempotent", times: ("2s", "400ms"), attempts: 10, service: "stock" };
+    let fresh = Route { name: "r-fresh", prefix: "/fresh/", service: "other", ..LOOK };
+    let moved = Route { service: "other", ..LOOK };
+    let mut routes = vec![moved, fresh];
+    if is_troubled {
+        routes.push(wide);
+    }
+    let configuration = configuration(9, &routes, &["stock", "other"]);
+    scene.store.put("op", "config", &configuration);
+    let acknowledged = scene.record.now();
+    scene.record.note(&format!("the store has {configuration}"));
+    pause_ms(4_000);
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let scene = &*scene;
+    thread::scope(|scope| {
+        let clients = Clients { scope, scene, seen };
+        for nth in 0..18 {
+            clients.send(1 + nth % 3, ("GET", "/look/40/x"), format!("after-{nth}"), 2_000, b"");
+            pause_ms(5);
+        }
+    });
+    let fresh = scene.request(3, ("GET", "/fresh/20/z"), "fresh-1", 2_000, b"");
+    let old = workers.iter().flat_map(|worker| worker.reached());
+    let late = old.filter(|one| one.ran && one.at > acknowledged + CONVERGE).count();
+    let summary = format!("a request on the new route got {}", fresh.status);
+    Ok(match late == 0 && fresh.status == 200 {
+        true => Verdict::Held(summary),
+        false => Verdict::Broken(format!("CONFIG: {late} of 18 requests sent 4 s after the acknowledgement of r9 were run by the service of r7; {summary}")),
+    })
+}
+
+/// A worker crashes for good, and its address is given to a worker of another service: requests that
+/// begin at that machine.
+fn caller(scene: &mut Scene, is_troubled: bool) -> Played {
+    let photo = Route { name: "r-photo", prefix: "/photo/", service: "other", ..LOOK };
+    scene.store.put("op", "config", &configuration(7, &[LOOK, photo], &["stock", "other"]));
+    scene.start(&[("stock", 6), ("stock", 6), ("other", 6), ("other", 6)])?;
+    let first = scene.machines[0].worker();
+    warm(scene, 3, "/look/20/warm", &[&first, &scene.machines[1].worker()])?;
+    pause_ms(2_000);
+    first.end("crashes for good");
+    scene.machines[0].clear_worker();
+    // `reuse` is 2 s.
+    pause_ms(2_100);
+    let service = if is_troubled { "other" } else { "stock" };
+    scene.change_service(0, service)?;
+    let next = Worker::start(&scene.record, ("i-next-9", service), scene.machines[0].app(), (unix_ms(), 6));
+    scene.machines[0].set_worker(next);
+    pause_ms(CONTACT_MS + 2_000);
+    for nth in 0..20 {
+        let target = if nth % 2 == 0 { "/look/20/x" } else { "/photo/20/x" };
+        scene.request(0, ("GET", target), &format!("from-first-{nth}"), 2_000, b"");
+    }
+    let reached: Vec<_> = (0..4).flat_map(|nth| scene.machines[nth].worker().reached()).collect();
+    let of_first = reached.iter().filter(|one| one.ran && one.id.starts_with("from-first-"));
+    let wrong = of_first.clone().filter(|one| one.caller != service).count();
+    let summary = format!("{} requests that began at the machine of {service} were run", of_first.count());
+    Ok(match wrong {
+        0 => Verdict::Held(summary),
+        _ => Verdict::Broken(format!("UNASKED: {summary}, {wrong} of them with another X-Caller-Service")),
+    })
+}
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -19,10 +19,6 @@
         found.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/stand-ins-2/machine.rs
+++ b/review/stand-ins-2/machine.rs
@@ -44,11 +44,8 @@
 /// An answer as its client saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
-    pub id: String,
-    pub sent_at: Duration,
     /// 0 where no whole answer came.
     pub status: u16,
-    pub stamp: Option<String>,
 }
 
 impl Scene {
@@ -180,10 +177,46 @@
         }
     }
 
+    /// A report to the process of a machine, by whoever.
+    pub fn report(&self, nth: usize, path: &str, body: &str) -> u16 {
+        let path = format!("/lynxcleat/instances/{path}");
+        let headers = [("Host", "control"), ("Content-Type", "application/json"), ("Connection", "close")];
+        let answer = http::call(self.machines[nth].at(CONTROL), ("POST", &path), &headers, body.as_bytes(), Duration::from_secs(1));
+        answer.map_or(0, |answer| answer.status())
+    }
+
+    /// An upload of 3 MB whose client pauses between head and body. Returns its status, 0 for none.
+    pub fn upload(&self, nth: usize, target: &str, id: &str, pause: Duration) -> u16 {
+        let machine = &self.machines[nth];
+        let body = vec![b'x'; 3 << 20];
+        self.record.note(&format!("client at {} sends the head of POST {target}, id {id}, {} bytes", machine.node, body.len()));
+        let sent = || -> io::Result<u16> {
+            let stream = std::net::TcpStream::connect_timeout(&machine.at(OUTBOUND), Duration::from_secs(1))?;
+            stream.set_read_timeout(Some(Duration::from_secs(12)))?;
+            let mut connection = http::Connection::new(stream);
+            let headers = [("Host", "shop.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "12000")];
+            let request = http::request(("POST", target), &headers, &body);
+            let head = request.len() - body.len();
+            io::Write::write_all(&mut connection.stream, &request[..head])?;
+            thread::sleep(pause);
+            // One that was answered already sends no body.
+            connection.stream.set_nonblocking(true)?;
+            let is_answered = connection.stream.peek(&mut [0]).is_ok();
+            connection.stream.set_nonblocking(false)?;
+            if !is_answered {
+                self.record.note(&format!("client sends the body of {id}"));
+                io::Write::write_all(&mut connection.stream, &request[head..])?;
+            }
+            Ok(connection.message()?.status())
+        };
+        let status = sent().unwrap_or(0);
+        self.record.note(&format!("client gets {status} for {id}"));
+        status
+    }
+
     /// A request of a client on a machine.
     pub fn request(&self, nth: usize, call: (&str, &str), id: &str, deadline_ms: u64, body: &[u8]) -> Seen {
         let machine = &self.machines[nth];
-        let sent_at = self.record.now();
         self.record.note(&format!("client at {} sends {} {}, id {id}, deadline {deadline_ms} ms", machine.node, call.0, call.1));
         let deadline = deadline_ms.to_string();
         let headers = [("Host", "shop.example"), ("X-Request-Id", id), ("X-Deadline-Ms", &deadline), ("Connection", "close")];
@@ -194,7 +227,7 @@
             Err(_) => (0, None),
         };
         self.record.note(&format!("client gets {status} for {id}, stamp {}", stamp.as_deref().unwrap_or("none")));
-        Seen { id: id.to_owned(), sent_at, status, stamp }
+        Seen { status }
     }
 }
 
--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -14,6 +14,8 @@
 pub struct Reached {
     pub id: String,
     pub target: String,
+    /// Its X-Caller-Service.
+    pub caller: String,
     /// When its head was there.
     pub at: Duration,
     /// Whether it was run.
@@ -216,13 +218,14 @@
         let at = self.record.now();
         let is_meant = named.as_deref().is_none_or(|named| named == self.id);
         let deadline = head.header("x-deadline-ms").unwrap_or("none").to_owned();
+        let caller = head.header("x-caller-service").unwrap_or_default().to_owned();
         self.record.note(&format!(
-            "worker {} of {}: {} arrives, id {id}, for instance {}, deadline {deadline} ms",
+            "worker {} of {}: {} arrives, id {id}, for instance {}, deadline {deadline} ms, caller {caller}",
             self.id, self.service, head.first, named.as_deref().unwrap_or("none")
         ));
         let nth = {
             let mut reached = self.reached.lock().expect("lock");
-            reached.push(Reached { id: id.clone(), target: head.target().to_owned(), at, ran: false, body: 0 });
+            reached.push(Reached { id: id.clone(), target: head.target().to_owned(), caller: caller.clone(), at, ran: false, body: 0 });
             reached.len() - 1
         };
         let body = connection.body(&head)?;
