Review case 5: a stop ends connections whose requests wait for a slot, without an answer

Disruption: roll_term: one machine gets SIGTERM, nothing else is disturbed.

Cause, as far as known: a stop ends the process at 0.9 of grace with what is in hand; the router half neither shortens the calls that it takes after SIGTERM nor answers those that no worker has by then.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -23,6 +23,7 @@
         "born" => born(scene, is_troubled),
         "stranger" => stranger(scene, is_troubled),
         "refused" => refused(scene, is_troubled),
+        "term" => term(scene, is_troubled),
         "caller" => caller(scene, is_troubled),
         other => Err(format!("no case {other}")),
     }
@@ -411,3 +412,48 @@
         _ => Verdict::Broken(format!("UNASKED: {summary}, {wrong} of them with another X-Caller-Service")),
     })
 }
+
+/// A machine is stopped as planned while requests that began there wait for a slot.
+fn term(scene: &mut Scene, is_troubled: bool) -> Played {
+    let issue = Route { times: ("10s", "1500ms"), ..ISSUE };
+    scene.store.put("op", "config", &configuration(7, &[LOOK, issue], &["stock", "other"]));
+    scene.start(&[("stock", 2), ("stock", 2), ("other", 2), ("other", 2)])?;
+    let workers = [0, 1].map(|nth: usize| scene.machines[nth].worker());
+    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1]])?;
+    for nth in 0..30 {
+        scene.request(2 + nth % 2, ("POST", "/issue/100/x"), &format!("usual-{nth}"), 10_000, b"one tyre");
+    }
+    pause_ms(3_500);
+    let scene = &*scene;
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let long = Arc::new(Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        let longer = Clients { scope, scene, seen: Arc::clone(&long) };
+        for nth in 0..4 {
+            longer.send(3, ("POST", "/issue/6000/x"), format!("long-{nth}"), 10_000, b"one tyre");
+            pause_ms(60);
+        }
+        if is_troubled {
+            scene.record.note("SIGTERM to the process of sidecar-east-3");
+            scene.machines[2].signal("TERM");
+        }
+        pause_ms(1_400);
+        let clients = Clients { scope, scene, seen: Arc::clone(&seen) };
+        for nth in 0..6 {
+            clients.send(2, ("POST", "/issue/100/x"), format!("last-{nth}"), 10_000, b"one tyre");
+            pause_ms(120);
+        }
+    });
+    if is_troubled {
+        scene.machines[2].forget();
+    }
+    let seen = seen.lock().expect("lock");
+    let lost = seen.iter().filter(|one| one.status == 0).count();
+    let ran = |id: &str| workers.iter().any(|worker| worker.reached().iter().any(|one| one.id == id));
+    let reached = (0..6).filter(|nth| ran(&format!("last-{nth}"))).count();
+    let summary = format!("of the requests sent 1.4 to 2.0 s after SIGTERM: {}, {reached} reached a worker; long ones: {}", tally(&seen), tally(&long.lock().expect("lock")));
+    Ok(match lost {
+        0 => Verdict::Held(summary),
+        _ => Verdict::Broken(format!("LOST: {lost} connections ended without an answer; {summary}")),
+    })
+}
--- a/review/stand-ins-2/machine.rs
+++ b/review/stand-ins-2/machine.rs
@@ -270,6 +270,14 @@
         }
     }
 
+    /// Its process was stopped as planned and may have ended.
+    pub fn forget(&self) {
+        if let Some(mut child) = self.child.lock().expect("lock").take() {
+            let _ = child.wait();
+            STARTED.lock().expect("lock").retain(|pid| *pid != child.id());
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         let headers = [("Host", "ready"), ("Connection", "close")];
         let answer = http::call(self.at(READY), ("GET", "/lynxcleat/ready"), &headers, b"", Duration::from_millis(500));
