--- a/review/stand-ins-2/machine.rs
+++ b/review/stand-ins-2/machine.rs
@@ -185,19 +185,19 @@
         answer.map_or(0, |answer| answer.status())
     }
 
-    /// An upload of 3 MB whose client pauses between head and body. Returns its status, 0 for none.
+    /// An upload of 300 KB in chunks whose client pauses between head and body. Returns its status,
+    /// 0 for none.
     pub fn upload(&self, nth: usize, target: &str, id: &str, pause: Duration) -> u16 {
         let machine = &self.machines[nth];
-        let body = vec![b'x'; 3 << 20];
-        self.record.note(&format!("client at {} sends the head of POST {target}, id {id}, {} bytes", machine.node, body.len()));
+        self.record.note(&format!("client at {} sends the head of POST {target}, id {id}", machine.node));
         let sent = || -> io::Result<u16> {
             let stream = std::net::TcpStream::connect_timeout(&machine.at(OUTBOUND), Duration::from_secs(1))?;
             stream.set_read_timeout(Some(Duration::from_secs(12)))?;
             let mut connection = http::Connection::new(stream);
-            let headers = [("Host", "shop.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "12000")];
-            let request = http::request(("POST", target), &headers, &body);
-            let head = request.len() - body.len();
-            io::Write::write_all(&mut connection.stream, &request[..head])?;
+            let head = format!(
+                "POST {target} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 12000\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            io::Write::write_all(&mut connection.stream, head.as_bytes())?;
             thread::sleep(pause);
             // One that was answered already sends no body.
             connection.stream.set_nonblocking(true)?;
@@ -205,7 +205,12 @@
             connection.stream.set_nonblocking(false)?;
             if !is_answered {
                 self.record.note(&format!("client sends the body of {id}"));
-                io::Write::write_all(&mut connection.stream, &request[head..])?;
+                let mut chunk = b"7530\r\n".to_vec();
+                chunk.extend_from_slice(&[b'x'; 30_000]);
+                chunk.extend_from_slice(b"\r\n");
+                let mut body = chunk.repeat(10);
+                body.extend_from_slice(b"0\r\n\r\n");
+                io::Write::write_all(&mut connection.stream, &body)?;
             }
             Ok(connection.message()?.status())
         };
