--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -45,12 +45,20 @@
         .map(|route| {
             format!(
                 r#"["{}","shop.example","{}","{}","{}","{}",1,null,{},"{}"]"#,
-                route.name, route.prefix, route.kind, route.times.0, route.times.1, route.attempts, route.service
+                route.name,
+                route.prefix,
+                route.kind,
+                route.times.0,
+                route.times.1,
+                route.attempts,
+                route.service
             )
         })
         .collect();
-    let services: Vec<String> =
-        services.iter().map(|service| format!(r#"["{service}","/health",220,"h1",false]"#)).collect();
+    let services: Vec<String> = services
+        .iter()
+        .map(|service| format!(r#"["{service}","/health",220,"h1",false]"#))
+        .collect();
     format!(
         r#"{{"version":"r{version}","routes":{{"columns":["name","host","prefix","kind","timeout","goal","priority","split","attempts","service"],"rows":[{}]}},"services":{{"columns":["name","healthPath","maxConns","protocol","tls"],"rows":[{}]}},"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}}}"#,
         rows.join(","),
@@ -65,10 +73,19 @@
 /// Sends requests one after the other until each of some workers has run one.
 fn warm(scene: &Scene, from: usize, target: &str, workers: &[&Arc<Worker>]) -> Result<(), String> {
     for turn in 0..400 {
-        if workers.iter().all(|worker| worker.reached().iter().any(|one| one.ran)) {
+        if workers
+            .iter()
+            .all(|worker| worker.reached().iter().any(|one| one.ran))
+        {
             return Ok(());
         }
-        scene.request(from, ("GET", target), &format!("warm-{turn}-{}", target.len()), 2_000, b"");
+        scene.request(
+            from,
+            ("GET", target),
+            &format!("warm-{turn}-{}", target.len()),
+            2_000,
+            b"",
+        );
         pause_ms(20);
     }
     Err("not every worker was given a request".to_owned())
@@ -82,7 +99,14 @@
 }
 
 impl<'a: 'scope, 'scope> Clients<'a, 'scope, '_> {
-    fn send(&self, from: usize, call: (&'static str, &'static str), id: String, deadline_ms: u64, body: &'static [u8]) {
+    fn send(
+        &self,
+        from: usize,
+        call: (&'static str, &'static str),
+        id: String,
+        deadline_ms: u64,
+        body: &'static [u8],
+    ) {
         let (scene, seen) = (self.scene, Arc::clone(&self.seen));
         self.scope.spawn(move || {
             let one = scene.request(from, call, &id, deadline_ms, body);
@@ -94,21 +118,61 @@
 /// A worker falls silent for good; `reuse` later its address is given to a worker of another service.
 fn reuse(scene: &mut Scene, is_troubled: bool) -> Played {
     let routes = [
-        Route { name: "r-label", prefix: "/label/", kind: "idempotent", times: ("3s", "1500ms"), attempts: 2, service: "verdict" },
-        Route { name: "r-reject", prefix: "/reject/", kind: "non_idempotent", times: ("10s", "1500ms"), attempts: 2, service: "verdict" },
-        Route { name: "r-photo", prefix: "/photo/", kind: "idempotent", times: ("6s", "1200ms"), attempts: 2, service: "gallery" },
+        Route {
+            name: "r-label",
+            prefix: "/label/",
+            kind: "idempotent",
+            times: ("3s", "1500ms"),
+            attempts: 2,
+            service: "verdict",
+        },
+        Route {
+            name: "r-reject",
+            prefix: "/reject/",
+            kind: "non_idempotent",
+            times: ("10s", "1500ms"),
+            attempts: 2,
+            service: "verdict",
+        },
+        Route {
+            name: "r-photo",
+            prefix: "/photo/",
+            kind: "idempotent",
+            times: ("6s", "1200ms"),
+            attempts: 2,
+            service: "gallery",
+        },
     ];
-    scene.store.put("op", "config", &configuration(7, &routes, &["verdict", "gallery"]));
-    scene.start(&[("verdict", 2), ("verdict", 2), ("gallery", 2), ("gallery", 2)])?;
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &routes, &["verdict", "gallery"]),
+    );
+    scene.start(&[
+        ("verdict", 2),
+        ("verdict", 2),
+        ("gallery", 2),
+        ("gallery", 2),
+    ])?;
     let (first, second) = (scene.machines[0].worker(), scene.machines[1].worker());
     warm(scene, 2, "/label/20/warm", &[&first, &second])?;
     pause_ms(4_000);
     let scene = &*scene;
     let seen = Arc::new(Mutex::new(Vec::new()));
     thread::scope(|scope| {
-        let clients = Clients { scope, scene, seen: Arc::clone(&seen) };
+        let clients = Clients {
+            scope,
+            scene,
+            seen: Arc::clone(&seen),
+        };
         for nth in 0..4 {
-            clients.send(2 + nth % 2, ("GET", "/label/480/a"), format!("label-{nth}"), 3_000, b"");
+            clients.send(
+                2 + nth % 2,
+                ("GET", "/label/480/a"),
+                format!("label-{nth}"),
+                3_000,
+                b"",
+            );
             pause_ms(15);
         }
         pause_ms(60);
@@ -116,7 +180,13 @@
             first.fall_silent();
         }
         for nth in 0..10 {
-            clients.send(2 + nth % 2, ("POST", "/reject/480/b"), format!("reject-{nth}"), 10_000, b"part 7 rejected");
+            clients.send(
+                2 + nth % 2,
+                ("POST", "/reject/480/b"),
+                format!("reject-{nth}"),
+                10_000,
+                b"part 7 rejected",
+            );
             pause_ms(30);
         }
         if is_troubled {
@@ -127,7 +197,12 @@
             if let Err(error) = scene.change_service(0, "gallery") {
                 scene.record.note(&error);
             }
-            let next = Worker::start(&scene.record, ("i-gallery-9", "gallery"), scene.machines[0].app(), (unix_ms(), 2));
+            let next = Worker::start(
+                &scene.record,
+                ("i-gallery-9", "gallery"),
+                scene.machines[0].app(),
+                (unix_ms(), 2),
+            );
             scene.machines[0].set_worker(next);
         }
     });
@@ -136,15 +211,31 @@
     let wrong: Vec<String> = all
         .iter()
         .filter(|worker| worker.service == "gallery")
-        .flat_map(|worker| worker.reached().into_iter().map(|one| (worker.id.clone(), one)))
+        .flat_map(|worker| {
+            worker
+                .reached()
+                .into_iter()
+                .map(|one| (worker.id.clone(), one))
+        })
         .filter(|(_, one)| one.ran && !one.target.starts_with("/photo/"))
         .map(|(worker, one)| format!("{worker} of gallery ran {} {}", one.target, one.id))
         .collect();
-    let answered = seen.lock().expect("lock").iter().filter(|one| one.status == 200).count();
-    let summary = format!("{answered} of 14 requests answered with 200; a request to gallery got {}", photo.status);
+    let answered = seen
+        .lock()
+        .expect("lock")
+        .iter()
+        .filter(|one| one.status == 200)
+        .count();
+    let summary = format!(
+        "{answered} of 14 requests answered with 200; a request to gallery got {}",
+        photo.status
+    );
     match wrong.is_empty() {
         true => Ok(Verdict::Held(summary)),
-        false => Ok(Verdict::Broken(format!("ROUTE: {}; {summary}", wrong.join(", ")))),
+        false => Ok(Verdict::Broken(format!(
+            "ROUTE: {}; {summary}",
+            wrong.join(", ")
+        ))),
     }
 }
 
@@ -171,7 +262,14 @@
     let reached = worker.reached();
     let is_late = |at: Duration| at > acknowledged + DRAIN;
     let late = reached.iter().filter(|one| one.ran && is_late(one.at));
-    late.map(|one| format!("{} {:.3} s after it", one.id, (one.at - acknowledged).as_secs_f64())).collect()
+    late.map(|one| {
+        format!(
+            "{} {:.3} s after it",
+            one.id,
+            (one.at - acknowledged).as_secs_f64()
+        )
+    })
+    .collect()
 }
 
 fn drained(worker: &Worker, acknowledged: Duration, summary: &str) -> Played {
@@ -191,9 +289,19 @@
 fn operations(scene: &Scene, name: &str, count: usize) -> Vec<Seen> {
     let seen = Arc::new(Mutex::new(Vec::new()));
     thread::scope(|scope| {
-        let clients = Clients { scope, scene, seen: Arc::clone(&seen) };
+        let clients = Clients {
+            scope,
+            scene,
+            seen: Arc::clone(&seen),
+        };
         for nth in 0..count {
-            clients.send(1 + nth % 3, ("POST", "/issue/300/x"), format!("{name}-{nth}"), 2_000, b"one tyre");
+            clients.send(
+                1 + nth % 3,
+                ("POST", "/issue/300/x"),
+                format!("{name}-{nth}"),
+                2_000,
+                b"one tyre",
+            );
             pause_ms(5);
         }
     });
@@ -207,12 +315,20 @@
     let served = count(|status| status == 200);
     let refused = count(|status| status == 503);
     let lost = count(|status| status != 200 && status != 503);
-    format!("{served} of {} served, {refused} refused, {lost} lost", seen.len())
+    format!(
+        "{served} of {} served, {refused} refused, {lost} lost",
+        seen.len()
+    )
 }
 
 /// A worker that was told that its leaving is known serves on for `drain` and a little longer, and
 /// ends.
-fn end_later(scene: &Scene, nth: usize, worker: &Arc<Worker>, after_ms: u64) -> thread::JoinHandle<()> {
+fn end_later(
+    scene: &Scene,
+    nth: usize,
+    worker: &Arc<Worker>,
+    after_ms: u64,
+) -> thread::JoinHandle<()> {
     let (worker, machine) = (Arc::clone(worker), Arc::clone(&scene.machines[nth]));
     thread::spawn(move || {
         pause_ms(after_ms);
@@ -222,11 +338,23 @@
     })
 }
 
-const ISSUE: Route =
-    Route { name: "r-issue", prefix: "/issue/", kind: "non_idempotent", times: ("2s", "1s"), attempts: 2, service: "stock" };
+const ISSUE: Route = Route {
+    name: "r-issue",
+    prefix: "/issue/",
+    kind: "non_idempotent",
+    times: ("2s", "1s"),
+    attempts: 2,
+    service: "stock",
+};
 
-const LOOK: Route =
-    Route { name: "r-look", prefix: "/look/", kind: "idempotent", times: ("2s", "400ms"), attempts: 2, service: "stock" };
+const LOOK: Route = Route {
+    name: "r-look",
+    prefix: "/look/",
+    kind: "idempotent",
+    times: ("2s", "400ms"),
+    attempts: 2,
+    service: "stock",
+};
 
 /// Uploads whose bodies begin late, to a worker that leaves meanwhile.
 fn upload(scene: &mut Scene, is_troubled: bool) -> Played {
@@ -238,7 +366,11 @@
         attempts: 2,
         service: "stock",
     };
-    scene.store.put("op", "config", &configuration(7, &[LOOK, batch], &["stock", "other"]));
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK, batch], &["stock", "other"]),
+    );
     scene.start(&[("stock", 4), ("stock", 4), ("other", 4), ("other", 4)])?;
     let (first, second) = (scene.machines[0].worker(), scene.machines[1].worker());
     warm(scene, 2, "/look/20/warm", &[&first, &second])?;
@@ -250,7 +382,14 @@
         let uploads: Vec<_> = (0..6)
             .map(|nth| {
                 pause_ms(40);
-                scope.spawn(move || scene.upload(2 + nth % 2, "/batch/200/y", &format!("upload-{nth}"), Duration::from_secs(5)))
+                scope.spawn(move || {
+                    scene.upload(
+                        2 + nth % 2,
+                        "/batch/200/y",
+                        &format!("upload-{nth}"),
+                        Duration::from_secs(5),
+                    )
+                })
             })
             .collect();
         pause_ms(700);
@@ -261,12 +400,18 @@
         if is_troubled {
             end_later(scene, 0, &first, 4_300);
         }
-        let ends: Vec<u16> = uploads.into_iter().filter_map(|upload| upload.join().ok()).collect();
+        let ends: Vec<u16> = uploads
+            .into_iter()
+            .filter_map(|upload| upload.join().ok())
+            .collect();
         served = ends.iter().filter(|status| **status == 200).count();
         refused = ends.iter().filter(|status| **status == 503).count();
     });
     let acknowledged = acknowledged?;
-    let summary = format!("{served} of 6 uploads served, {refused} refused, {} lost", 6 - served - refused);
+    let summary = format!(
+        "{served} of 6 uploads served, {refused} refused, {} lost",
+        6 - served - refused
+    );
     match is_troubled {
         true => drained(&first, acknowledged, &summary),
         false => Ok(Verdict::Held(summary)),
@@ -275,22 +420,40 @@
 
 /// A worker starts again under its id after the time of day has jumped back, and leaves later.
 fn born(scene: &mut Scene, is_troubled: bool) -> Played {
-    scene.store.put("op", "config", &configuration(7, &[LOOK, ISSUE], &["stock", "other"]));
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK, ISSUE], &["stock", "other"]),
+    );
     scene.start(&[("stock", 6), ("stock", 6), ("stock", 6), ("other", 6)])?;
     let workers = [0, 1, 2].map(|nth: usize| scene.machines[nth].worker());
-    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1], &workers[2]])?;
+    warm(
+        scene,
+        3,
+        "/look/20/warm",
+        &[&workers[0], &workers[1], &workers[2]],
+    )?;
     pause_ms(2_000);
     let ahead = if is_troubled { 2_000 } else { 0 };
-    scene.record.note(&format!("the time of day of sidecar-east-1 is {ahead} ms ahead"));
+    scene.record.note(&format!(
+        "the time of day of sidecar-east-1 is {ahead} ms ahead"
+    ));
     let mut worker = Arc::clone(&workers[0]);
     for ahead in [ahead, 0] {
         worker.end("crashes");
         scene.machines[0].clear_worker();
         pause_ms(700);
         if ahead == 0 {
-            scene.record.note("the time of day of sidecar-east-1 is right");
+            scene
+                .record
+                .note("the time of day of sidecar-east-1 is right");
         }
-        worker = Worker::start(&scene.record, (&worker.id, "stock"), scene.machines[0].app(), (unix_ms() + ahead, 6));
+        worker = Worker::start(
+            &scene.record,
+            (&worker.id, "stock"),
+            scene.machines[0].app(),
+            (unix_ms() + ahead, 6),
+        );
         scene.machines[0].set_worker(Arc::clone(&worker));
         pause_ms(700);
     }
@@ -304,7 +467,11 @@
     let after = operations(scene, "after", 18);
     let _ = ending.join();
     pause_ms(500);
-    let summary = format!("before: {}, {took} of them by the worker that started again; after: {}", tally(&before), tally(&after));
+    let summary = format!(
+        "before: {}, {took} of them by the worker that started again; after: {}",
+        tally(&before),
+        tally(&after)
+    );
     drained(&worker, acknowledged, &summary)
 }
 
@@ -312,16 +479,27 @@
 /// the store is down.
 fn stranger(scene: &mut Scene, is_troubled: bool) -> Played {
     let only = std::env::var("ONLY").unwrap_or_default();
-    scene.store.put("op", "config", &configuration(7, &[LOOK, ISSUE], &["stock", "other"]));
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK, ISSUE], &["stock", "other"]),
+    );
     scene.start(&[("stock", 6), ("stock", 6), ("stock", 6), ("other", 6)])?;
     let workers = [0, 1, 2].map(|nth: usize| scene.machines[nth].worker());
-    warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1], &workers[2]])?;
+    warm(
+        scene,
+        3,
+        "/look/20/warm",
+        &[&workers[0], &workers[1], &workers[2]],
+    )?;
     pause_ms(CONTACT_MS + 1_000);
     let worker = &workers[0];
     if is_troubled && only != "store" {
         let body = worker.heartbeat("nosuch", "ready", worker.last_seq() + 1_000);
         let status = scene.report(0, &format!("{}/heartbeat", worker.id), &body);
-        scene.record.note(&format!("a heartbeat of another writer: {body}: {status}"));
+        scene
+            .record
+            .note(&format!("a heartbeat of another writer: {body}: {status}"));
     }
     pause_ms(2_000);
     let before = operations(scene, "before", 18);
@@ -340,55 +518,109 @@
     scene.record.note("the store answers");
     let _ = ending.join();
     pause_ms(1_000);
-    drained(worker, acknowledged, &format!("before: {}; after: {}", tally(&before), tally(&after)))
+    drained(
+        worker,
+        acknowledged,
+        &format!("before: {}; after: {}", tally(&before), tally(&after)),
+    )
+}
+
+/// A configuration with a longer idle time, or with what VALUE names in its place.
+fn alter(configuration: String) -> String {
+    match std::env::var("VALUE").unwrap_or_default().as_str() {
+        "attempts" => configuration.replacen(",null,2,", ",null,10,", 1),
+        "priority" => configuration.replacen(",1,null,", ",null,null,", 1),
+        "conns" => configuration.replacen(",220,", ",70000,", 1),
+        _ => configuration.replace("15000ms", "900s"),
+    }
 }
 
-/// A configuration moves a route, and another route of it may go to ten workers.
+/// The idle time is changed, and a route is moved by the next version.
 fn refused(scene: &mut Scene, is_troubled: bool) -> Played {
-    scene.store.put("op", "config", &configuration(7, &[LOOK], &["stock", "other"]));
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK], &["stock", "other"]),
+    );
     scene.start(&[("stock", 6), ("stock", 6), ("other", 6), ("other", 6)])?;
     let workers = [0, 1].map(|nth: usize| scene.machines[nth].worker());
     warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1]])?;
     pause_ms(CONTACT_MS);
-    let wide = Route { name: "r-wide", prefix: "/wide/", kind: "idempotent", times: ("2s", "400ms"), attempts: 10, service: "stock" };
-    let fresh = Route { name: "r-fresh", prefix: "/fresh/", service: "other", ..LOOK };
-    let moved = Route { service: "other", ..LOOK };
-    let mut routes = vec![moved, fresh];
-    if is_troubled {
-        routes.push(wide);
-    }
-    let configuration = configuration(9, &routes, &["stock", "other"]);
-    scene.store.put("op", "config", &configuration);
+    let fresh = Route {
+        name: "r-fresh",
+        prefix: "/fresh/",
+        service: "other",
+        ..LOOK
+    };
+    let moved = Route {
+        service: "other",
+        ..LOOK
+    };
+    let services = ["stock", "other"];
+    let altered = |configuration: String| match is_troubled {
+        true => alter(configuration),
+        false => configuration,
+    };
+    let first = altered(configuration(8, &[LOOK], &services));
+    scene.store.put("op", "config", &first);
+    scene.record.note(&format!("the store has {first}"));
+    pause_ms(1_000);
+    let second = altered(configuration(9, &[moved, fresh], &services));
+    scene.store.put("op", "config", &second);
     let acknowledged = scene.record.now();
-    scene.record.note(&format!("the store has {configuration}"));
+    scene.record.note(&format!("the store has {second}"));
     pause_ms(4_000);
     let seen = Arc::new(Mutex::new(Vec::new()));
     let scene = &*scene;
     thread::scope(|scope| {
         let clients = Clients { scope, scene, seen };
         for nth in 0..18 {
-            clients.send(1 + nth % 3, ("GET", "/look/40/x"), format!("after-{nth}"), 2_000, b"");
+            clients.send(
+                1 + nth % 3,
+                ("GET", "/look/40/x"),
+                format!("after-{nth}"),
+                2_000,
+                b"",
+            );
             pause_ms(5);
         }
     });
     let fresh = scene.request(3, ("GET", "/fresh/20/z"), "fresh-1", 2_000, b"");
     let old = workers.iter().flat_map(|worker| worker.reached());
-    let late = old.filter(|one| one.ran && one.at > acknowledged + CONVERGE).count();
+    let late = old
+        .filter(|one| one.ran && one.at > acknowledged + CONVERGE)
+        .count();
     let summary = format!("a request on the new route got {}", fresh.status);
     Ok(match late == 0 && fresh.status == 200 {
         true => Verdict::Held(summary),
-        false => Verdict::Broken(format!("CONFIG: {late} of 18 requests sent 4 s after the acknowledgement of r9 were run by the service of r7; {summary}")),
+        false => Verdict::Broken(format!(
+            "CONFIG: {late} of 18 requests sent 4 s after the acknowledgement of r9 were run by the service of r7; {summary}"
+        )),
     })
 }
 
 /// A worker crashes for good, and its address is given to a worker of another service: requests that
 /// begin at that machine.
 fn caller(scene: &mut Scene, is_troubled: bool) -> Played {
-    let photo = Route { name: "r-photo", prefix: "/photo/", service: "other", ..LOOK };
-    scene.store.put("op", "config", &configuration(7, &[LOOK, photo], &["stock", "other"]));
+    let photo = Route {
+        name: "r-photo",
+        prefix: "/photo/",
+        service: "other",
+        ..LOOK
+    };
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK, photo], &["stock", "other"]),
+    );
     scene.start(&[("stock", 6), ("stock", 6), ("other", 6), ("other", 6)])?;
     let first = scene.machines[0].worker();
-    warm(scene, 3, "/look/20/warm", &[&first, &scene.machines[1].worker()])?;
+    warm(
+        scene,
+        3,
+        "/look/20/warm",
+        &[&first, &scene.machines[1].worker()],
+    )?;
     pause_ms(2_000);
     first.end("crashes for good");
     scene.machines[0].clear_worker();
@@ -396,52 +628,119 @@
     pause_ms(2_100);
     let service = if is_troubled { "other" } else { "stock" };
     scene.change_service(0, service)?;
-    let next = Worker::start(&scene.record, ("i-next-9", service), scene.machines[0].app(), (unix_ms(), 6));
+    let next = Worker::start(
+        &scene.record,
+        ("i-next-9", service),
+        scene.machines[0].app(),
+        (unix_ms(), 6),
+    );
     scene.machines[0].set_worker(next);
     pause_ms(CONTACT_MS + 2_000);
     for nth in 0..20 {
-        let target = if nth % 2 == 0 { "/look/20/x" } else { "/photo/20/x" };
+        let target = if nth % 2 == 0 {
+            "/look/20/x"
+        } else {
+            "/photo/20/x"
+        };
         scene.request(0, ("GET", target), &format!("from-first-{nth}"), 2_000, b"");
     }
-    let reached: Vec<_> = (0..4).flat_map(|nth| scene.machines[nth].worker().reached()).collect();
-    let of_first = reached.iter().filter(|one| one.ran && one.id.starts_with("from-first-"));
+    let reached: Vec<_> = (0..4)
+        .flat_map(|nth| scene.machines[nth].worker().reached())
+        .collect();
+    let of_first = reached
+        .iter()
+        .filter(|one| one.ran && one.id.starts_with("from-first-"));
     let wrong = of_first.clone().filter(|one| one.caller != service).count();
-    let summary = format!("{} requests that began at the machine of {service} were run", of_first.count());
+    let summary = format!(
+        "{} requests that began at the machine of {service} were run",
+        of_first.count()
+    );
     Ok(match wrong {
         0 => Verdict::Held(summary),
-        _ => Verdict::Broken(format!("UNASKED: {summary}, {wrong} of them with another X-Caller-Service")),
+        _ => Verdict::Broken(format!(
+            "UNASKED: {summary}, {wrong} of them with another X-Caller-Service"
+        )),
     })
 }
 
 /// A machine is stopped as planned while requests that began there wait for a slot.
 fn term(scene: &mut Scene, is_troubled: bool) -> Played {
-    let issue = Route { times: ("10s", "1500ms"), ..ISSUE };
-    scene.store.put("op", "config", &configuration(7, &[LOOK, issue], &["stock", "other"]));
+    let issue = Route {
+        times: ("10s", "1500ms"),
+        ..ISSUE
+    };
+    scene.store.put(
+        "op",
+        "config",
+        &configuration(7, &[LOOK, issue], &["stock", "other"]),
+    );
     scene.start(&[("stock", 2), ("stock", 2), ("other", 2), ("other", 2)])?;
     let workers = [0, 1].map(|nth: usize| scene.machines[nth].worker());
     warm(scene, 3, "/look/20/warm", &[&workers[0], &workers[1]])?;
     for nth in 0..30 {
-        scene.request(2 + nth % 2, ("POST", "/issue/100/x"), &format!("usual-{nth}"), 10_000, b"one tyre");
+        scene.request(
+            2 + nth % 2,
+            ("POST", "/issue/100/x"),
+            &format!("usual-{nth}"),
+            10_000,
+            b"one tyre",
+        );
     }
     pause_ms(3_500);
     let scene = &*scene;
     let seen = Arc::new(Mutex::new(Vec::new()));
     let long = Arc::new(Mutex::new(Vec::new()));
     thread::scope(|scope| {
-        let longer = Clients { scope, scene, seen: Arc::clone(&long) };
+        let longer = Clients {
+            scope,
+            scene,
+            seen: Arc::clone(&long),
+        };
         for nth in 0..4 {
-            longer.send(3, ("POST", "/issue/6000/x"), format!("long-{nth}"), 10_000, b"one tyre");
+            longer.send(
+                3,
+                ("POST", "/issue/5900/x"),
+                format!("long-{nth}"),
+                10_000,
+                b"one tyre",
+            );
             pause_ms(60);
         }
+        // The platform asks once a second; after two misses it sends no new clients.
+        let asked_at = scene.record.now();
+        let ask = move |nth: u32| {
+            let due = asked_at + Duration::from_millis(1_000) * nth;
+            thread::sleep(due.saturating_sub(scene.record.now()));
+            let is_ready = scene.machines[2].is_ready();
+            scene.record.note(&format!(
+                "the platform asks sidecar-east-3: {}",
+                if is_ready { "ready" } else { "not ready" }
+            ));
+        };
+        ask(0);
+        scope.spawn(move || [1, 2, 3].map(ask));
+        pause_ms(50);
         if is_troubled {
-            scene.record.note("SIGTERM to the process of sidecar-east-3");
+            scene
+                .record
+                .note("SIGTERM to the process of sidecar-east-3");
             scene.machines[2].signal("TERM");
         }
-        pause_ms(1_400);
-        let clients = Clients { scope, scene, seen: Arc::clone(&seen) };
+        pause_ms(1_250);
+        let clients = Clients {
+            scope,
+            scene,
+            seen: Arc::clone(&seen),
+        };
         for nth in 0..6 {
-            clients.send(2, ("POST", "/issue/100/x"), format!("last-{nth}"), 10_000, b"one tyre");
-            pause_ms(120);
+            clients.send(
+                2,
+                ("POST", "/issue/100/x"),
+                format!("last-{nth}"),
+                10_000,
+                b"one tyre",
+            );
+            pause_ms(90);
         }
     });
     if is_troubled {
@@ -449,11 +748,21 @@
     }
     let seen = seen.lock().expect("lock");
     let lost = seen.iter().filter(|one| one.status == 0).count();
-    let ran = |id: &str| workers.iter().any(|worker| worker.reached().iter().any(|one| one.id == id));
+    let ran = |id: &str| {
+        workers
+            .iter()
+            .any(|worker| worker.reached().iter().any(|one| one.id == id))
+    };
     let reached = (0..6).filter(|nth| ran(&format!("last-{nth}"))).count();
-    let summary = format!("of the requests sent 1.4 to 2.0 s after SIGTERM: {}, {reached} reached a worker; long ones: {}", tally(&seen), tally(&long.lock().expect("lock")));
+    let summary = format!(
+        "of the requests sent 1.3 to 1.8 s after SIGTERM: {}, {reached} reached a worker; long ones: {}",
+        tally(&seen),
+        tally(&long.lock().expect("lock"))
+    );
     Ok(match lost {
         0 => Verdict::Held(summary),
-        _ => Verdict::Broken(format!("LOST: {lost} connections ended without an answer; {summary}")),
+        _ => Verdict::Broken(format!(
+            "LOST: {lost} connections ended without an answer; {summary}"
+        )),
     })
 }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -16,7 +16,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut found = self.headers.iter();
-        found.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        found
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn target(&self) -> &str {
@@ -38,7 +40,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Connection { stream, rest: Vec::new() }
+        Connection {
+            stream,
+            rest: Vec::new(),
+        }
     }
 
     fn more(&mut self) -> io::Result<()> {
@@ -64,7 +69,11 @@
                     Some((name.trim().to_owned(), value.trim().to_owned()))
                 };
                 let headers = lines.filter_map(split).collect();
-                return Ok(Message { first, headers, body: Vec::new() });
+                return Ok(Message {
+                    first,
+                    headers,
+                    body: Vec::new(),
+                });
             }
             self.more()?;
         }
@@ -75,7 +84,10 @@
         if head.header("transfer-encoding").is_some() {
             return self.chunks();
         }
-        let length = head.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length = head
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         self.bytes(length)
     }
 
@@ -155,7 +167,9 @@
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(limit))?;
     let mut connection = Connection::new(stream);
-    connection.stream.write_all(&request((method, target), headers, body))?;
+    connection
+        .stream
+        .write_all(&request((method, target), headers, body))?;
     connection.message()
 }
 
--- a/review/stand-ins-2/json.rs
+++ b/review/stand-ins-2/json.rs
@@ -59,7 +59,10 @@
 }
 
 pub fn parse(text: &str) -> Option<Json> {
-    let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+    let mut parser = Parser {
+        bytes: text.as_bytes(),
+        at: 0,
+    };
     let value = parser.value()?;
     parser.blanks();
     (parser.at == parser.bytes.len()).then_some(value)
@@ -105,7 +108,11 @@
 
     fn number(&mut self) -> Option<Json> {
         let begin = self.at;
-        while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[begin..self.at]).ok()?;
@@ -128,7 +135,8 @@
                         b't' => text.push(b'\t'),
                         b'r' => text.push(b'\r'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let sign = char::from_u32(u32::from_str_radix(digits, 16).ok()?)?;
                             text.extend_from_slice(sign.to_string().as_bytes());
--- a/review/stand-ins-2/machine.rs
+++ b/review/stand-ins-2/machine.rs
@@ -54,7 +54,13 @@
         let folder = std::env::temp_dir().join(format!("lynxcleat-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let store = Store::start(&format!("{net}.250"));
-        Ok(Scene { record, store, machines: Vec::new(), folder, net })
+        Ok(Scene {
+            record,
+            store,
+            machines: Vec::new(),
+            folder,
+            net,
+        })
     }
 
     /// Adds machines of these services, starts the processes and the workers, and waits until
@@ -73,7 +79,12 @@
         for (nth, (service, slots)) in services.iter().enumerate() {
             let machine = Arc::clone(&self.machines[nth]);
             let id = format!("i-{service}-{}", nth + 1);
-            let worker = Worker::start(&self.record, (&id, service), machine.app(), (unix_ms(), *slots));
+            let worker = Worker::start(
+                &self.record,
+                (&id, service),
+                machine.app(),
+                (unix_ms(), *slots),
+            );
             machine.set_worker(worker);
             self.start_process(nth, true)?;
             thread::spawn(move || machine.beat_on());
@@ -94,8 +105,16 @@
         let machine = &self.machines[nth];
         let run = deploy_run()?;
         let settings = self.folder.join(format!("{}.json", machine.node));
-        fs::write(&settings, self.settings(machine, &machine.service, is_first)?).map_err(|error| error.to_string())?;
-        let log = self.folder.join(format!("{}-{}.log", machine.node, self.record.now().as_millis()));
+        fs::write(
+            &settings,
+            self.settings(machine, &machine.service, is_first)?,
+        )
+        .map_err(|error| error.to_string())?;
+        let log = self.folder.join(format!(
+            "{}-{}.log",
+            machine.node,
+            self.record.now().as_millis()
+        ));
         let log = File::create(log).map_err(|error| error.to_string())?;
         let mut words = run.split(' ');
         let program = words.next().unwrap_or_default();
@@ -110,7 +129,8 @@
             .spawn()
             .map_err(|error| format!("{program}: {error}"))?;
         STARTED.lock().expect("lock").push(child.id());
-        self.record.note(&format!("process of {} starts", machine.node));
+        self.record
+            .note(&format!("process of {} starts", machine.node));
         *machine.child.lock().expect("lock") = Some(child);
         Ok(())
     }
@@ -119,17 +139,26 @@
     pub fn change_service(&self, nth: usize, service: &str) -> Result<(), String> {
         let machine = &self.machines[nth];
         let file = self.folder.join(format!("{}.json", machine.node));
-        fs::write(file, self.settings(machine, service, false)?).map_err(|error| error.to_string())?;
+        fs::write(file, self.settings(machine, service, false)?)
+            .map_err(|error| error.to_string())?;
         machine.signal("HUP");
-        self.record.note(&format!("settings of {} name the service {service}, SIGHUP", machine.node));
+        self.record.note(&format!(
+            "settings of {} name the service {service}, SIGHUP",
+            machine.node
+        ));
         Ok(())
     }
 
     /// The project's template, filled in.
     fn settings(&self, machine: &Machine, service: &str, is_first: bool) -> Result<String, String> {
-        let template = fs::read_to_string("platform/settings.json.template").map_err(|error| error.to_string())?;
+        let template = fs::read_to_string("platform/settings.json.template")
+            .map_err(|error| error.to_string())?;
         let ip = machine.ip.as_str();
-        let (yes, no) = if is_first { ("true", "") } else { ("", "false") };
+        let (yes, no) = if is_first {
+            ("true", "")
+        } else {
+            ("", "false")
+        };
         let at = |port: u16| format!("{ip}:{port}");
         let filled = template
             .replace("{{#bootstrap}}true{{/bootstrap}}", yes)
@@ -148,7 +177,9 @@
             .replace("{{zones|json}}", r#"{"east":"land"}"#)
             .replace("{{bounds|json}}", BOUNDS);
         match filled.contains("{{") {
-            true => Err(format!("the template has gaps that are not known here: {filled}")),
+            true => Err(format!(
+                "the template has gaps that are not known here: {filled}"
+            )),
             false => Ok(filled),
         }
     }
@@ -157,9 +188,14 @@
     pub fn any_ended(&self) -> Option<String> {
         let ended = |machine: &&Arc<Machine>| {
             let mut child = machine.child.lock().expect("lock");
-            child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+            child
+                .as_mut()
+                .is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
         };
-        self.machines.iter().find(ended).map(|machine| machine.node.clone())
+        self.machines
+            .iter()
+            .find(ended)
+            .map(|machine| machine.node.clone())
     }
 
     /// Ends all processes, and keeps their logs where that is asked for.
@@ -168,7 +204,10 @@
             if let Some(mut child) = machine.child.lock().expect("lock").take() {
                 let _ = child.kill();
                 let _ = child.wait();
-                STARTED.lock().expect("lock").retain(|pid| *pid != child.id());
+                STARTED
+                    .lock()
+                    .expect("lock")
+                    .retain(|pid| *pid != child.id());
             }
         }
         match std::env::var("KEEP_LOGS") {
@@ -180,8 +219,18 @@
     /// A report to the process of a machine, by whoever.
     pub fn report(&self, nth: usize, path: &str, body: &str) -> u16 {
         let path = format!("/lynxcleat/instances/{path}");
-        let headers = [("Host", "control"), ("Content-Type", "application/json"), ("Connection", "close")];
-        let answer = http::call(self.machines[nth].at(CONTROL), ("POST", &path), &headers, body.as_bytes(), Duration::from_secs(1));
+        let headers = [
+            ("Host", "control"),
+            ("Content-Type", "application/json"),
+            ("Connection", "close"),
+        ];
+        let answer = http::call(
+            self.machines[nth].at(CONTROL),
+            ("POST", &path),
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
         answer.map_or(0, |answer| answer.status())
     }
 
@@ -189,9 +238,15 @@
     /// 0 for none.
     pub fn upload(&self, nth: usize, target: &str, id: &str, pause: Duration) -> u16 {
         let machine = &self.machines[nth];
-        self.record.note(&format!("client at {} sends the head of POST {target}, id {id}", machine.node));
+        self.record.note(&format!(
+            "client at {} sends the head of POST {target}, id {id}",
+            machine.node
+        ));
         let sent = || -> io::Result<u16> {
-            let stream = std::net::TcpStream::connect_timeout(&machine.at(OUTBOUND), Duration::from_secs(1))?;
+            let stream = std::net::TcpStream::connect_timeout(
+                &machine.at(OUTBOUND),
+                Duration::from_secs(1),
+            )?;
             stream.set_read_timeout(Some(Duration::from_secs(12)))?;
             let mut connection = http::Connection::new(stream);
             let head = format!(
@@ -220,18 +275,39 @@
     }
 
     /// A request of a client on a machine.
-    pub fn request(&self, nth: usize, call: (&str, &str), id: &str, deadline_ms: u64, body: &[u8]) -> Seen {
+    pub fn request(
+        &self,
+        nth: usize,
+        call: (&str, &str),
+        id: &str,
+        deadline_ms: u64,
+        body: &[u8],
+    ) -> Seen {
         let machine = &self.machines[nth];
-        self.record.note(&format!("client at {} sends {} {}, id {id}, deadline {deadline_ms} ms", machine.node, call.0, call.1));
+        self.record.note(&format!(
+            "client at {} sends {} {}, id {id}, deadline {deadline_ms} ms",
+            machine.node, call.0, call.1
+        ));
         let deadline = deadline_ms.to_string();
-        let headers = [("Host", "shop.example"), ("X-Request-Id", id), ("X-Deadline-Ms", &deadline), ("Connection", "close")];
+        let headers = [
+            ("Host", "shop.example"),
+            ("X-Request-Id", id),
+            ("X-Deadline-Ms", &deadline),
+            ("Connection", "close"),
+        ];
         let limit = Duration::from_millis(deadline_ms);
         let answer = http::call(machine.at(OUTBOUND), call, &headers, body, limit);
         let (status, stamp) = match &answer {
-            Ok(answer) => (answer.status(), answer.header("x-response-stamp").map(str::to_owned)),
+            Ok(answer) => (
+                answer.status(),
+                answer.header("x-response-stamp").map(str::to_owned),
+            ),
             Err(_) => (0, None),
         };
-        self.record.note(&format!("client gets {status} for {id}, stamp {}", stamp.as_deref().unwrap_or("none")));
+        self.record.note(&format!(
+            "client gets {status} for {id}, stamp {}",
+            stamp.as_deref().unwrap_or("none")
+        ));
         Seen { status }
     }
 }
@@ -246,7 +322,13 @@
     }
 
     pub fn worker(&self) -> Arc<Worker> {
-        Arc::clone(self.worker.lock().expect("lock").as_ref().expect("a worker"))
+        Arc::clone(
+            self.worker
+                .lock()
+                .expect("lock")
+                .as_ref()
+                .expect("a worker"),
+        )
     }
 
     pub fn set_worker(&self, worker: Arc<Worker>) {
@@ -266,7 +348,11 @@
             let worker = self.worker.lock().expect("lock").clone();
             if let Some(worker) = worker {
                 let is_new = beaten != (worker.id.clone(), worker.born);
-                if !worker.has_ended() && !worker.is_quiet() && (is_new || last.elapsed() >= BEAT) && worker.beat(self.at(CONTROL), "ready") {
+                if !worker.has_ended()
+                    && !worker.is_quiet()
+                    && (is_new || last.elapsed() >= BEAT)
+                    && worker.beat(self.at(CONTROL), "ready")
+                {
                     beaten = (worker.id.clone(), worker.born);
                     last = Instant::now();
                 }
@@ -279,13 +365,22 @@
     pub fn forget(&self) {
         if let Some(mut child) = self.child.lock().expect("lock").take() {
             let _ = child.wait();
-            STARTED.lock().expect("lock").retain(|pid| *pid != child.id());
+            STARTED
+                .lock()
+                .expect("lock")
+                .retain(|pid| *pid != child.id());
         }
     }
 
     pub fn is_ready(&self) -> bool {
         let headers = [("Host", "ready"), ("Connection", "close")];
-        let answer = http::call(self.at(READY), ("GET", "/lynxcleat/ready"), &headers, b"", Duration::from_millis(500));
+        let answer = http::call(
+            self.at(READY),
+            ("GET", "/lynxcleat/ready"),
+            &headers,
+            b"",
+            Duration::from_millis(500),
+        );
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -306,25 +401,34 @@
 }
 
 pub fn send_signal(pid: u32, name: &str) {
-    let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
+    let _ = Command::new("sh")
+        .arg("-c")
+        .arg(format!("kill -{name} {pid}"))
+        .status();
 }
 
 /// The command of the deploy file's only role.
 fn deploy_run() -> Result<String, String> {
-    let deploy = fs::read_to_string(Path::new("deploy/system.toml")).map_err(|error| error.to_string())?;
+    let deploy =
+        fs::read_to_string(Path::new("deploy/system.toml")).map_err(|error| error.to_string())?;
     let line = deploy.lines().find_map(|line| line.strip_prefix("run = "));
-    line.map(|line| line.trim().trim_matches('"').to_owned()).ok_or_else(|| "no run in the deploy file".to_owned())
+    line.map(|line| line.trim().trim_matches('"').to_owned())
+        .ok_or_else(|| "no run in the deploy file".to_owned())
 }
 
 /// Loopback addresses on which the ports are free.
 fn free_net() -> Option<String> {
     let process = std::process::id();
-    (0..50).map(|nth| format!("127.{}.{}", 60 + (process + nth) % 150, process / 150 % 250)).find(|net| {
-        let is_free = |host: u8| {
-            [OUTBOUND, READY, CONTROL, APP, MESH, 9100]
-                .iter()
-                .all(|port| TcpListener::bind((format!("{net}.{host}").as_str(), *port)).is_ok())
-        };
-        (1..=8).all(is_free)
-    })
+    (0..50)
+        .map(|nth| format!("127.{}.{}", 60 + (process + nth) % 150, process / 150 % 250))
+        .find(|net| {
+            let is_free = |host: u8| {
+                [OUTBOUND, READY, CONTROL, APP, MESH, 9100]
+                    .iter()
+                    .all(|port| {
+                        TcpListener::bind((format!("{net}.{host}").as_str(), *port)).is_ok()
+                    })
+            };
+            (1..=8).all(is_free)
+        })
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -64,8 +64,14 @@
     });
     let code = match ended {
         Ok((Ok(Verdict::Held(text)), None)) => say(&record, &format!("the rule held: {text}"), 0),
-        Ok((Ok(Verdict::Broken(text)), _)) => say(&record, &format!("the rule was BROKEN: {text}"), 1),
-        Ok((Ok(Verdict::Held(_)), Some(node))) => say(&record, &format!("the process of {node} ended by itself"), 1),
+        Ok((Ok(Verdict::Broken(text)), _)) => {
+            say(&record, &format!("the rule was BROKEN: {text}"), 1)
+        }
+        Ok((Ok(Verdict::Held(_)), Some(node))) => say(
+            &record,
+            &format!("the process of {node} ended by itself"),
+            1,
+        ),
         Ok((Err(error), _)) => say(&record, &format!("the case could not run: {error}"), 2),
         Err(_) => {
             scene.end();
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        Ok(Record { started: Instant::now(), file: Mutex::new(File::create(path)?) })
+        Ok(Record {
+            started: Instant::now(),
+            file: Mutex::new(File::create(path)?),
+        })
     }
 
     pub fn note(&self, text: &str) {
@@ -30,6 +33,8 @@
 
 /// The time of day.
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     since.as_millis() as u64
 }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -27,13 +27,19 @@
 
 impl State {
     fn put(&mut self, table: &str, key: &str, value: Option<String>, ver: u64) {
-        let row = Row { table: table.to_owned(), key: key.to_owned(), value, ver };
+        let row = Row {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            value,
+            ver,
+        };
         self.rows.insert((table.to_owned(), key.to_owned()), row);
     }
 
     fn ver_of(&self, table: &str, key: &str) -> u64 {
         let row = self.rows.get(&(table.to_owned(), key.to_owned()));
-        row.filter(|row| row.value.is_some()).map_or(0, |row| row.ver)
+        row.filter(|row| row.value.is_some())
+            .map_or(0, |row| row.ver)
     }
 }
 
@@ -91,7 +97,12 @@
                 return hold(connection);
             }
             thread::sleep(Duration::from_millis(2));
-            let path = request.target().split('?').next().unwrap_or_default().to_owned();
+            let path = request
+                .target()
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             let answer = match path.rsplit('/').next() {
                 Some("rows-get") => Some(self.read(&request)),
                 Some("rows-feed") => self.feed(&request),
@@ -102,7 +113,10 @@
                 return hold(connection);
             };
             let headers = [("Content-Type", "application/json")];
-            if connection.answer(status, &headers, body.as_bytes()).is_err() {
+            if connection
+                .answer(status, &headers, body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -111,7 +125,10 @@
     fn tell(&self, rows: &[Row], ver: u64) -> String {
         let now = self.started.elapsed().as_millis();
         let rows: Vec<String> = rows.iter().map(tell).collect();
-        format!("{{\"rows\":[{}],\"more\":false,\"ver\":{ver},\"now\":\"{now}ms\"}}", rows.join(","))
+        format!(
+            "{{\"rows\":[{}],\"more\":false,\"ver\":{ver},\"now\":\"{now}ms\"}}",
+            rows.join(",")
+        )
     }
 
     fn read(&self, request: &Message) -> (u16, String) {
@@ -178,7 +195,12 @@
         state.ver += 1;
         let ver = state.ver;
         for entry in call.get("put").list() {
-            state.put(&name(entry, "table"), &name(entry, "key"), Some(name(entry, "value")), ver);
+            state.put(
+                &name(entry, "table"),
+                &name(entry, "key"),
+                Some(name(entry, "value")),
+                ver,
+            );
         }
         for entry in call.get("remove").list() {
             state.put(&name(entry, "table"), &name(entry, "key"), None, ver);
@@ -197,7 +219,10 @@
 }
 
 fn tell(row: &Row) -> String {
-    let value = row.value.as_ref().map_or("null".to_owned(), |value| json::quote(value));
+    let value = row
+        .value
+        .as_ref()
+        .map_or("null".to_owned(), |value| json::quote(value));
     format!(
         "{{\"table\":{},\"part\":\"\",\"key\":{},\"value\":{value},\"ver\":{},\"gone\":{}}}",
         json::quote(&row.table),
@@ -208,9 +233,15 @@
 }
 
 fn parameter(request: &Message, name: &str) -> String {
-    let query = request.target().split_once('?').map_or("", |(_, query)| query);
+    let query = request
+        .target()
+        .split_once('?')
+        .map_or("", |(_, query)| query);
     let found = query.split('&').filter_map(|pair| pair.split_once('='));
-    let value = found.filter(|(known, _)| *known == name).map(|(_, value)| value).next();
+    let value = found
+        .filter(|(known, _)| *known == name)
+        .map(|(_, value)| value)
+        .next();
     unescape(value.unwrap_or_default())
 }
 
@@ -219,7 +250,9 @@
     let mut rest = text.as_bytes();
     while let Some((byte, after)) = rest.split_first() {
         rest = after;
-        let digits = rest.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        let digits = rest
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
         let escaped = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
         match escaped.filter(|_| *byte == b'%') {
             Some(escaped) => {
--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -73,7 +73,9 @@
             has_ended: AtomicBool::new(false),
             reached: Mutex::default(),
         });
-        record.note(&format!("worker {id} of {service} starts at {address}, born {born}"));
+        record.note(&format!(
+            "worker {id} of {service} starts at {address}, born {born}"
+        ));
         let served = Arc::clone(&worker);
         thread::spawn(move || served.listen(listener));
         worker
@@ -125,7 +127,8 @@
 
     /// Falls silent: what it has is never answered, and nothing is closed.
     pub fn fall_silent(&self) {
-        self.record.note(&format!("worker {} falls silent", self.id));
+        self.record
+            .note(&format!("worker {} falls silent", self.id));
         self.is_dark.store(true, Ordering::SeqCst);
     }
 
@@ -139,7 +142,12 @@
     pub fn beat(&self, control: SocketAddr, state: &str) -> bool {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let body = self.heartbeat(&self.service, state, seq);
-        self.report(control, &format!("heartbeat {state} seq {seq}"), "heartbeat", &body)
+        self.report(
+            control,
+            &format!("heartbeat {state} seq {seq}"),
+            "heartbeat",
+            &body,
+        )
     }
 
     /// The body of a heartbeat.
@@ -162,12 +170,25 @@
 
     fn report(&self, control: SocketAddr, what: &str, call: &str, body: &str) -> bool {
         let path = format!("/lynxcleat/instances/{}/{call}", self.id);
-        let headers = [("Host", "control"), ("Content-Type", "application/json"), ("Connection", "close")];
-        let answer = http::call(control, ("POST", &path), &headers, body.as_bytes(), Duration::from_secs(1));
+        let headers = [
+            ("Host", "control"),
+            ("Content-Type", "application/json"),
+            ("Connection", "close"),
+        ];
+        let answer = http::call(
+            control,
+            ("POST", &path),
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
         let status = answer.map_or(0, |answer| answer.status());
         let is_ready_beat = what.starts_with("heartbeat ready") && status == 200;
         if !is_ready_beat || self.last_seq() == 1 {
-            self.record.note(&format!("worker {} says {what} (born {}): {status}", self.id, self.born));
+            self.record.note(&format!(
+                "worker {} says {what} (born {}): {status}",
+                self.id, self.born
+            ));
         }
         (200..300).contains(&status)
     }
@@ -218,26 +239,42 @@
         let at = self.record.now();
         let is_meant = named.as_deref().is_none_or(|named| named == self.id);
         let deadline = head.header("x-deadline-ms").unwrap_or("none").to_owned();
-        let caller = head.header("x-caller-service").unwrap_or_default().to_owned();
+        let caller = head
+            .header("x-caller-service")
+            .unwrap_or_default()
+            .to_owned();
         self.record.note(&format!(
             "worker {} of {}: {} arrives, id {id}, for instance {}, deadline {deadline} ms, caller {caller}",
             self.id, self.service, head.first, named.as_deref().unwrap_or("none")
         ));
         let nth = {
             let mut reached = self.reached.lock().expect("lock");
-            reached.push(Reached { id: id.clone(), target: head.target().to_owned(), caller: caller.clone(), at, ran: false, body: 0 });
+            reached.push(Reached {
+                id: id.clone(),
+                target: head.target().to_owned(),
+                caller: caller.clone(),
+                at,
+                ran: false,
+                body: 0,
+            });
             reached.len() - 1
         };
         let body = connection.body(&head)?;
         headers.push(("X-Request-Id", id.as_str()));
         if !is_meant {
-            self.record.note(&format!("worker {}: 421 to {id}", self.id));
+            self.record
+                .note(&format!("worker {}: 421 to {id}", self.id));
             headers.push(("X-Instance-Id", self.id.as_str()));
             return connection.answer(421, &headers, b"");
         }
         self.take_slot();
         self.hold_if_dark();
-        self.record.note(&format!("worker {} of {} runs {id} ({} bytes)", self.id, self.service, body.len()));
+        self.record.note(&format!(
+            "worker {} of {} runs {id} ({} bytes)",
+            self.id,
+            self.service,
+            body.len()
+        ));
         {
             let mut reached = self.reached.lock().expect("lock");
             (reached[nth].ran, reached[nth].body) = (true, body.len());
@@ -269,7 +306,11 @@
 
 /// The work of a request, as its path says: `/name/MS/...`.
 fn work_ms(target: &str) -> u64 {
-    target.split('/').nth(2).and_then(|text| text.parse().ok()).unwrap_or(10)
+    target
+        .split('/')
+        .nth(2)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(10)
 }
 
 fn bind(address: SocketAddr) -> TcpListener {
