--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
     echo "build first: the command of deploy/system.toml, then review/build-2.sh"
     exit 2
 fi
-exec target/review-2/scene refused review/8
+exec target/review-2/scene refused review/8/record.txt
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,4 +1,4 @@
-//! Plays one case of the review: `scene CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
+//! Plays one case of the review: `scene CASE FILE`, with the file of its record. Exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run. With TROUBLE=0 it leaves the disruption out.
 
 mod cases;
@@ -24,15 +24,15 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("scene CASE FOLDER");
+    let [_, case, file] = arguments.as_slice() else {
+        eprintln!("scene CASE FILE");
         exit(2);
     };
     let is_troubled = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+    let record = match Record::create(Path::new(file)) {
         Ok(record) => Arc::new(record),
         Err(error) => {
-            eprintln!("record.txt: {error}");
+            eprintln!("{file}: {error}");
             exit(2);
         }
     };
