--- a/crates/daemon/src/half/connection.rs
+++ b/crates/daemon/src/half/connection.rs
@@ -76,19 +76,22 @@
 }
 
 /// A request's body as it is written.
-pub(super) enum TargetBody {
+pub(super) enum TargetBody<'a> {
     /// It is written with the head.
     WithHead,
     /// It is here.
-    Whole(Vec<u8>),
+    Whole(&'a [u8]),
     /// It comes in pieces; `is_chunked` where its length is not known.
-    Pieces { body: PieceBody, is_chunked: bool },
+    Pieces {
+        body: &'a mut PieceBody,
+        is_chunked: bool,
+    },
 }
 
 /// A request as it is written: its head, with the whole body where that is here.
-pub(super) struct EncodedRequest {
+pub(super) struct EncodedRequest<'a> {
     pub first: Vec<u8>,
-    pub body: TargetBody,
+    pub body: TargetBody<'a>,
     /// The method is HEAD.
     pub is_head: bool,
 }
@@ -172,10 +175,10 @@
     ///
     /// # Errors
     /// `NotWritten` where nothing could be written.
-    pub(super) async fn begin<'a>(
+    pub(super) async fn begin<'a, 'b>(
         &'a mut self,
-        request: &'a mut EncodedRequest,
-    ) -> Result<Begun<'a>, ConnectionError> {
+        request: &'a mut EncodedRequest<'b>,
+    ) -> Result<Begun<'a, 'b>, ConnectionError> {
         let (reading, mut writing) = self.stream.split();
         let written = writing.write(&request.first).await;
         let written = written.map_err(ConnectionError::NotWritten)?;
@@ -197,9 +200,9 @@
 }
 
 /// An exchange of which something was written.
-pub(super) struct Begun<'a> {
+pub(super) struct Begun<'a, 'b> {
     pub reader: Reader<'a>,
-    pub writer: Writer<'a>,
+    pub writer: Writer<'a, 'b>,
     pub matcher: &'a mut ResponseMatcher,
     pub history: &'a ConnectionHistory,
 }
@@ -223,7 +226,7 @@
 /// What `read` fails with, and a body that did not come whole.
 pub(super) async fn read_while_writing<T>(
     read: impl Future<Output = Result<T, ConnectionError>>,
-    writer: Writer<'_>,
+    writer: Writer<'_, '_>,
     sends: impl Fn(),
 ) -> Result<(T, Written), ConnectionError> {
     let written = writer.write_rest();
@@ -297,13 +300,13 @@
 }
 
 /// Writes the rest of a request.
-pub(super) struct Writer<'a> {
+pub(super) struct Writer<'a, 'b> {
     stream: WriteHalf<'a>,
     first: &'a [u8],
-    body: &'a mut TargetBody,
+    body: &'a mut TargetBody<'b>,
 }
 
-impl Writer<'_> {
+impl Writer<'_, '_> {
     async fn write_rest(mut self) -> Result<(), WriteError> {
         let stream = &mut self.stream;
         stream.write_all(self.first).await?;
--- a/crates/daemon/src/half/deliver.rs
+++ b/crates/daemon/src/half/deliver.rs
@@ -5,23 +5,32 @@
 
 use hyper::HeaderMap;
 use lynxcleat_once::OpId;
-use lynxcleat_policy::{AdmissionEvent, AttemptId, FoundExit, Micros, Outcome, RefusalReason};
+use lynxcleat_policy::{
+    AdmissionEvent, AttemptId, FoundExit, Micros, Outcome, Refusal, RefusalReason,
+};
 use lynxcleat_wire::{BodyAnnouncement, CallFrame};
 
 use super::bodies::Expected;
 use super::cut::note_cut;
-use super::exchange::{Exchange, Request, RequestBody};
+use super::exchange::{Exchange, Follower, Request, RequestBody};
 use super::notices::Answerer;
+use super::permit::Permit;
 use super::serve::{
-    BODY_RETRY_AFTER_US, DOWN_RETRY_AFTER_US, Ended, Incoming, NOT_READY_RETRY_AFTER_US,
-    ONCE_RETRY_AFTER_US, OUTCOME_WAIT_US, refused,
+    BODY_RETRY_AFTER_US, DOWN_RETRY_AFTER_US, Ended, Incoming, ONCE_RETRY_AFTER_US,
+    OUTCOME_WAIT_US, refused,
 };
 use crate::dialect::TargetLoad;
 use crate::metrics::count;
+use crate::quarantine;
 use crate::sync::lock;
 
 impl Incoming<'_> {
-    pub(super) async fn deliver(&self, call: CallFrame) -> Ended {
+    /// Delivers a call that has a slot.
+    pub(super) async fn deliver(
+        &self,
+        call: &CallFrame,
+        request: Option<quarantine::Request<'_>>,
+    ) -> Ended {
         let op = call.operation.map(|operation| operation.op);
         if let Some(op) = op
             && !lock(&self.half.fence).deliver(op)
@@ -29,25 +38,15 @@
             self.done(None);
             return refused(RefusalReason::Once, ONCE_RETRY_AFTER_US);
         }
-        let Some(instance) = self.half.instance_for_call() else {
-            self.done(None);
-            return refused(RefusalReason::Leaving, NOT_READY_RETRY_AFTER_US);
-        };
         count(
             &self.core.metrics.target_deliveries,
-            self.delivery_kind(&call),
+            self.delivery_kind(call),
         );
         let (kind, attempt) = (call.kind, call.attempt);
         let begun = self.core.clock.now();
         let (exchange, served_from) = match call.to_come {
-            Some(to_come) => {
-                self.exchange_in_pieces(op, (call, to_come), instance.clone())
-                    .await
-            }
-            None => (
-                self.exchange_whole(op, call, instance.clone()).await,
-                Some(begun),
-            ),
+            Some(to_come) => self.exchange_in_pieces(op, (call, to_come), request).await,
+            None => (self.exchange_whole(op, call, request).await, Some(begun)),
         };
         let now = self.core.clock.now();
         let took = now.saturating_sub(served_from.unwrap_or(now));
@@ -79,10 +78,11 @@
                 Ended::Answer(counted, work_us)
             }
             Exchange::Shed { retry_after_us } => refused(RefusalReason::Shed, retry_after_us),
-            Exchange::OtherInstance => {
-                self.core.target_replaced(instance.as_deref());
+            Exchange::OtherInstance { meant } => {
+                self.core.target_replaced(meant.as_deref());
                 refused(RefusalReason::Shed, DOWN_RETRY_AFTER_US)
             }
+            Exchange::Forbidden(refusal) => Ended::Refused(refusal),
             Exchange::NotWritten => refused(RefusalReason::TargetDown, DOWN_RETRY_AFTER_US),
             Exchange::NoBody => refused(RefusalReason::TooLate, BODY_RETRY_AFTER_US),
             Exchange::Lost if op.is_none() && self.link.is_closed() => Ended::Unwanted,
@@ -124,7 +124,8 @@
             }
             Exchange::Lost => Some(cut_after_us.map_or(Outcome::Failed, Outcome::Aborted)),
             Exchange::Shed { .. }
-            | Exchange::OtherInstance
+            | Exchange::OtherInstance { .. }
+            | Exchange::Forbidden(_)
             | Exchange::NotWritten
             | Exchange::NoBody => None,
         }
@@ -163,13 +164,11 @@
     async fn exchange_whole(
         &self,
         op: Option<OpId>,
-        mut call: CallFrame,
-        instance: Option<String>,
+        call: &CallFrame,
+        request: Option<quarantine::Request<'_>>,
     ) -> Exchange {
-        let body = RequestBody::Whole(std::mem::take(&mut call.body).into_vec());
-        let request = self.request(call, instance, body);
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
-        let exchange = self.exchange(request);
+        let exchange = self.exchange(call, request, RequestBody::Whole(&call.body));
         if op.is_some() {
             return tokio::select! {
                 exchange = exchange => exchange,
@@ -190,8 +189,8 @@
     async fn exchange_in_pieces(
         &self,
         op: Option<OpId>,
-        (call, to_come): (CallFrame, BodyAnnouncement),
-        instance: Option<String>,
+        (call, to_come): (&CallFrame, BodyAnnouncement),
+        request: Option<quarantine::Request<'_>>,
     ) -> (Exchange, Option<Micros>) {
         let window = self.settings.body_window_bytes;
         let room = self
@@ -201,14 +200,15 @@
         if room.is_none() {
             return (Exchange::NoBody, None);
         }
-        let (attempt, name) = (call.attempt, call.call.clone());
         let bodies = &self.half.bodies;
-        let expected = bodies.expect(self.link, attempt, (to_come, window));
-        let request = self.request(call, instance, RequestBody::Pieces(&expected));
+        let expected = bodies.expect(self.link, call.attempt, (to_come, window));
         let over = tokio::time::sleep_until(self.core.clock.instant(self.awaited_until(op)));
-        let exchange = self.exchange(request);
+        let exchange = self.exchange(call, request, RequestBody::Pieces(&expected));
         let (exchange, ended_by) = tokio::select! {
             exchange = exchange => (exchange, "target"),
+            refusal = self.forbidden_before(call, request, &expected) => {
+                (Exchange::Forbidden(refusal), "target")
+            }
             by = self.unwanted(op, &expected) => (Exchange::Lost, by),
             () = over => (Exchange::Lost, "deadline"),
             never = bodies.go_on() => never,
@@ -218,7 +218,7 @@
             other => other,
         };
         if !expected.is_handed_over() {
-            note_cut(self.core, (&name, self.link), &expected, ended_by);
+            note_cut(self.core, (&call.call, self.link), &expected, ended_by);
         }
         drop(room);
         (exchange, expected.whole_at())
@@ -238,27 +238,45 @@
         by
     }
 
+    /// Returns once the call may not go to the target any more, if none of its body was written
+    /// by then.
+    async fn forbidden_before(
+        &self,
+        call: &CallFrame,
+        request: Option<quarantine::Request<'_>>,
+        expected: &Expected,
+    ) -> Refusal {
+        let refusal = self.forbidden(call, request).await;
+        if expected.is_begun() {
+            std::future::pending::<()>().await;
+        }
+        refusal
+    }
+
     /// Exchanges a request for its answer. Notes when it is sent, and what the answer says of the
     /// target.
-    fn exchange<'b>(&'b self, request: Request<'b>) -> impl Future<Output = Exchange> + 'b {
-        let sent_at = self.core.clock.now();
-        let instance = request.instance.clone();
-        let begins = |age: Duration| {
-            let age_us = Micros::try_from(age.as_micros()).unwrap_or(Micros::MAX);
-            let connected_at = self.core.clock.now().saturating_sub(age_us);
-            self.connected_at.store(connected_at, Ordering::Relaxed);
+    async fn exchange(
+        &self,
+        call: &CallFrame,
+        request: Option<quarantine::Request<'_>>,
+        body: RequestBody<'_>,
+    ) -> Exchange {
+        let written = Request {
+            call: &call.call,
+            head: &call.head,
+            body,
+            body_limit: self.settings.body_limit_bytes,
+            caller_service: call.caller_service.as_deref(),
+            organisation: (call.organisation.as_ref()).map(|calling| calling.name.as_str()),
         };
-        let sends = || self.half.admit(AdmissionEvent::Sent { call: self.id });
-        let hears = move |headers: &HeaderMap| {
-            let answerer = Answerer {
-                instance: instance.as_deref(),
-                sent_at,
-            };
-            self.half.hear(self.core, headers, &answerer);
+        let delivery = Delivery {
+            incoming: self,
+            call,
+            request,
+            sent_at: self.core.clock.now(),
         };
         let dialect = &self.core.dialect;
-        let follows = (begins, sends, hears);
-        self.half.pool.exchange(dialect, request, follows)
+        self.half.pool.exchange(dialect, written, &delivery).await
     }
 
     /// How long the answer of the target is waited for.
@@ -269,24 +287,6 @@
         }
     }
 
-    fn request<'b>(
-        &self,
-        call: CallFrame,
-        instance: Option<String>,
-        body: RequestBody<'b>,
-    ) -> Request<'b> {
-        Request {
-            call: call.call,
-            head: call.head,
-            body,
-            left_us: self.deadline.saturating_sub(self.core.clock.now()),
-            body_limit: self.settings.body_limit_bytes,
-            instance,
-            caller_service: call.caller_service,
-            organisation: call.organisation.map(|calling| calling.name),
-        }
-    }
-
     /// Gives back the slot of a call that was not delivered.
     pub(super) fn done(&self, service_us: Option<u32>) {
         self.ended(service_us, None);
@@ -300,3 +300,38 @@
         });
     }
 }
+
+/// A call on its way to the target.
+struct Delivery<'a> {
+    incoming: &'a Incoming<'a>,
+    call: &'a CallFrame,
+    request: Option<quarantine::Request<'a>>,
+    sent_at: Micros,
+}
+
+impl Follower for Delivery<'_> {
+    fn permit(&self) -> Result<Permit, Refusal> {
+        self.incoming.permit(self.call, self.request)
+    }
+
+    fn begins(&self, age: Duration) {
+        let age_us = Micros::try_from(age.as_micros()).unwrap_or(Micros::MAX);
+        let connected_at = self.incoming.core.clock.now().saturating_sub(age_us);
+        let noted = &self.incoming.connected_at;
+        noted.store(connected_at, Ordering::Relaxed);
+    }
+
+    fn sends(&self) {
+        let call = self.incoming.id;
+        self.incoming.half.admit(AdmissionEvent::Sent { call });
+    }
+
+    fn hears(&self, meant: Option<&str>, headers: &HeaderMap) {
+        let answerer = Answerer {
+            instance: meant,
+            sent_at: self.sent_at,
+        };
+        let Incoming { core, half, .. } = self.incoming;
+        half.hear(core, headers, &answerer);
+    }
+}
--- a/crates/daemon/src/half/exchange.rs
+++ b/crates/daemon/src/half/exchange.rs
@@ -4,7 +4,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
-use lynxcleat_policy::Micros;
+use lynxcleat_policy::{Micros, Refusal};
 use lynxcleat_wire::{Answer, Header, RequestHead};
 use serde_bytes::ByteBuf;
 
@@ -12,6 +12,7 @@
 use super::connection::{
     Asked, Begun, Connection, ConnectionError, EncodedRequest, Written, read_while_writing,
 };
+use super::permit::Permit;
 use super::pool::{Pool, Purpose, QuestionConnection};
 use super::reading::{CallReading, OwnAnswer, Told, read_own, read_told};
 use super::request::{encode, encode_question};
@@ -27,25 +28,41 @@
 
 /// What is written to the target.
 pub(super) struct Request<'a> {
-    pub call: String,
-    pub head: RequestHead,
+    pub call: &'a str,
+    pub head: &'a RequestHead,
     pub body: RequestBody<'a>,
-    pub left_us: Micros,
     pub body_limit: usize,
-    pub instance: Option<String>,
-    pub caller_service: Option<String>,
+    pub caller_service: Option<&'a str>,
     /// Name of the calling organisation.
-    pub organisation: Option<String>,
+    pub organisation: Option<&'a str>,
 }
 
 /// The body that is written.
 pub(super) enum RequestBody<'a> {
     /// It is here.
-    Whole(Vec<u8>),
+    Whole(&'a [u8]),
     /// It comes in pieces once its window is open.
     Pieces(&'a Expected),
 }
 
+/// Who follows an exchange with the target.
+pub(super) trait Follower {
+    /// What the request is written with if it is written now.
+    ///
+    /// # Errors
+    /// Why it may not be written any more.
+    fn permit(&self) -> Result<Permit, Refusal>;
+
+    /// The request is about to be written on a connection of this age.
+    fn begins(&self, age: Duration);
+
+    /// The request was written.
+    fn sends(&self);
+
+    /// The headers of an answer came, of the incarnation that the request was meant for.
+    fn hears(&self, meant: Option<&str>, headers: &HeaderMap);
+}
+
 /// An answer, and what counts its memory.
 pub(super) struct CountedAnswer {
     pub answer: Answer,
@@ -58,8 +75,10 @@
     Answer(CountedAnswer, Option<TargetLoad>),
     /// The target says that it did not run the call.
     Shed { retry_after_us: Micros },
-    /// Another incarnation of the target answered; the call was not run.
-    OtherInstance,
+    /// Another incarnation of the target answered than the one meant; the call was not run.
+    OtherInstance { meant: Option<String> },
+    /// Nothing was written, since the call may not go to the target any more.
+    Forbidden(Refusal),
     /// Nothing was written, since the target cannot be reached.
     NotWritten,
     /// Nothing was written, since the body did not come.
@@ -69,65 +88,72 @@
 }
 
 impl Pool {
-    /// Writes a request and reads the whole answer; `begins` is called with the age of the
-    /// connection that it is about to be written on, `sends` once it is written, and `hears` with the headers of an answer of the
-    /// incarnation meant. If the future is dropped, the connection is closed.
+    /// Writes a request and reads the whole answer. If the future is dropped, the connection is
+    /// closed.
     pub(super) async fn exchange(
         &self,
         dialect: &Dialect,
         request: Request<'_>,
-        (begins, sends, hears): (impl Fn(Duration), impl Fn(), impl Fn(&HeaderMap)),
+        follower: &impl Follower,
     ) -> Exchange {
         // A body is asked for only when there is a connection for it.
-        let mut connection = self.take_for(&request.call).await;
+        let mut connection = self.take_for(request.call).await;
         if connection.is_none() {
             return Exchange::NotWritten;
         }
-        let (call, body_limit) = (request.call.clone(), request.body_limit);
-        let meant = request.instance.clone();
-        let expected = match request.body {
-            RequestBody::Pieces(expected) => Some(expected),
+        let mut pieces = match request.body {
             RequestBody::Whole(_) => None,
+            RequestBody::Pieces(expected) => match expected.begin().await {
+                Ok(pieces) => Some(pieces),
+                Err(BodyCut) => return Exchange::NoBody,
+            },
         };
-        let mut encoded = match encode(dialect, request).await {
-            Ok(Some(encoded)) => encoded,
-            Ok(None) => return Exchange::NotWritten,
-            Err(BodyCut) => return Exchange::NoBody,
-        };
-        let is_head = encoded.is_head;
         for _ in 0..CONNECTION_TRIES {
             // It may have ended while the first of the body came.
             let still_quiet = connection.take().filter(Connection::is_quiet);
             let taken = match still_quiet {
                 Some(connection) => Some(connection),
-                None => self.take_for(&call).await,
+                None => self.take_for(request.call).await,
             };
             let Some(mut connection) = taken else {
                 return Exchange::NotWritten;
             };
-            if let Some(expected) = expected {
+            // What was decided before the waits is decided again.
+            let permit = match follower.permit() {
+                Ok(permit) => permit,
+                Err(refusal) => {
+                    self.put_back(connection, Purpose::Calls);
+                    return Exchange::Forbidden(refusal);
+                }
+            };
+            let Some(mut encoded) = encode(dialect, &request, &permit, pieces.as_mut()) else {
+                return Exchange::NotWritten;
+            };
+            if let RequestBody::Pieces(expected) = request.body {
                 expected.set_begun();
             }
-            begins(connection.opened.elapsed());
+            follower.begins(connection.opened.elapsed());
+            let meant = permit.instance;
             let reading = CallReading {
                 dialect,
-                call: &call,
+                call: request.call,
                 meant: meant.as_deref(),
-                body_limit,
+                body_limit: request.body_limit,
                 held: self.memory.enter(),
             };
-            match exchange_on(&mut connection, &mut encoded, reading, (&sends, &hears)).await {
+            let is_head = encoded.is_head;
+            match exchange_on(&mut connection, &mut encoded, reading, follower).await {
                 Ok((answer, written)) => {
                     connection.answered(Asked::Call);
                     if answer.is_reusable && written == Written::Whole {
                         self.put_back(connection, Purpose::Calls);
                     }
-                    return finish(dialect, answer, &call, is_head);
+                    return finish(dialect, answer, (request.call, meant), is_head);
                 }
                 // The target had closed an idle connection.
                 Err(ConnectionError::NotWritten(error)) => log::debug!("target: {error}"),
                 Err(error) => {
-                    log::warn!(call = call.as_str(); "answer of the target: {error}");
+                    log::warn!(call = request.call; "answer of the target: {error}");
                     return Exchange::Lost;
                 }
             }
@@ -182,10 +208,12 @@
 /// Writes a call on a connection and reads its answer.
 async fn exchange_on(
     connection: &mut Connection,
-    request: &mut EncodedRequest,
+    request: &mut EncodedRequest<'_>,
     reading: CallReading<'_>,
-    (sends, hears): (impl Fn(), impl Fn(&HeaderMap)),
+    follower: &impl Follower,
 ) -> Result<(OwnAnswer, Written), ConnectionError> {
+    let meant = reading.meant;
+    let hears = |headers: &HeaderMap| follower.hears(meant, headers);
     connection.matcher.on_request(reading.call, request.is_head);
     let Begun {
         reader,
@@ -194,7 +222,7 @@
         history,
     } = connection.begin(request).await?;
     let read = read_own(reader, (matcher, history), reading, hears);
-    let (answer, written) = read_while_writing(read, writer, sends).await?;
+    let (answer, written) = read_while_writing(read, writer, || follower.sends()).await?;
     if answer.ends_with_connection && written == Written::Failed {
         return Err(AnswerFault::Cut.into());
     }
@@ -202,14 +230,19 @@
 }
 
 /// What an answer is to the caller.
-fn finish(dialect: &Dialect, own: OwnAnswer, call: &str, is_head: bool) -> Exchange {
+fn finish(
+    dialect: &Dialect,
+    own: OwnAnswer,
+    (call, meant): (&str, Option<String>),
+    is_head: bool,
+) -> Exchange {
     match own.kind {
         AnswerKind::Ran => {}
         AnswerKind::NotRun { retry_after_us } => {
             let retry_after_us = retry_after_us.unwrap_or(SHED_RETRY_AFTER_US);
             return Exchange::Shed { retry_after_us };
         }
-        AnswerKind::OtherInstance => return Exchange::OtherInstance,
+        AnswerKind::OtherInstance => return Exchange::OtherInstance { meant },
         AnswerKind::Contradictory => {
             let status = own.parts.status.as_u16();
             log::error!(call, status; "the target's answer does not say whether the call ran");
--- a/crates/daemon/src/half/mod.rs
+++ b/crates/daemon/src/half/mod.rs
@@ -14,6 +14,7 @@
 mod ends;
 mod exchange;
 mod notices;
+mod permit;
 mod pool;
 mod reading;
 mod request;
--- a/crates/daemon/src/half/request.rs
+++ b/crates/daemon/src/half/request.rs
@@ -8,9 +8,10 @@
 use hyper::{Method, Uri};
 use lynxcleat_wire::Header;
 
-use super::bodies::{BodyCut, PieceBody};
+use super::bodies::PieceBody;
 use super::connection::{EncodedRequest, TargetBody};
 use super::exchange::{Request, RequestBody};
+use super::permit::Permit;
 use crate::dialect::Dialect;
 
 /// Room for the request line and the fields that are added.
@@ -21,32 +22,30 @@
 /// than two.
 const COPIED_BYTES: usize = 16 << 10;
 
-/// Encodes a call, with a body in pieces once its first piece is there. Nothing where the
-/// request cannot be written.
-///
-/// # Errors
-/// A body that does not come.
-pub(super) async fn encode(
+/// Encodes a call; `pieces` is its body where that comes in pieces. Nothing where the request
+/// cannot be written.
+pub(super) fn encode<'a>(
     dialect: &Dialect,
-    request: Request<'_>,
-) -> Result<Option<EncodedRequest>, BodyCut> {
-    let Some(parts) = parts(dialect, &request) else {
-        return Ok(None);
-    };
+    request: &Request<'a>,
+    permit: &Permit,
+    pieces: Option<&'a mut PieceBody>,
+) -> Option<EncodedRequest<'a>> {
+    let parts = parts(dialect, request, permit)?;
     let mut first = head(&parts);
-    let body = match request.body {
-        RequestBody::Whole(body) => whole(&mut first, &parts.method, body),
-        RequestBody::Pieces(expected) => in_pieces(&mut first, expected.begin().await?),
+    let body = match (&request.body, pieces) {
+        (RequestBody::Whole(body), _) => whole(&mut first, &parts.method, body),
+        (RequestBody::Pieces(_), Some(pieces)) => in_pieces(&mut first, pieces),
+        (RequestBody::Pieces(_), None) => return None,
     };
-    Ok(Some(EncodedRequest {
+    Some(EncodedRequest {
         first,
         body,
         is_head: parts.method == Method::HEAD,
-    }))
+    })
 }
 
 /// Encodes a question for the load. Nothing where the path is none.
-pub(super) fn encode_question(path: &str) -> Option<EncodedRequest> {
+pub(super) fn encode_question(path: &str) -> Option<EncodedRequest<'static>> {
     let uri: Uri = path.parse().ok()?;
     Some(EncodedRequest {
         first: format!("GET {uri} HTTP/1.1\r\nhost: target\r\n\r\n").into_bytes(),
@@ -56,7 +55,7 @@
 }
 
 /// Method, path and headers, checked: they came from another daemon.
-fn parts(dialect: &Dialect, request: &Request<'_>) -> Option<Parts> {
+fn parts(dialect: &Dialect, request: &Request<'_>, permit: &Permit) -> Option<Parts> {
     let method = Method::from_bytes(request.head.method.as_bytes()).ok()?;
     let uri: Uri = request.head.path.parse().ok()?;
     let mut http = hyper::Request::builder().method(method).uri(uri);
@@ -64,19 +63,19 @@
         http = http.header(name.as_str(), value.as_slice());
     }
     let named = [
-        (&dialect.instance, &request.instance),
-        (&dialect.caller_service, &request.caller_service),
-        (&dialect.organisation, &request.organisation),
+        (&dialect.instance, permit.instance.as_deref()),
+        (&dialect.caller_service, request.caller_service),
+        (&dialect.organisation, request.organisation),
     ];
     for (name, value) in named {
         if let (Some(name), Some(value)) = (name, value) {
             http = http.header(name, value);
         }
     }
-    let left_ms = request.left_us / 1_000;
+    let left_ms = permit.left_us / 1_000;
     let http = http
         .header(&dialect.deadline, left_ms)
-        .header(&dialect.call, &request.call)
+        .header(&dialect.call, request.call)
         .body(());
     Some(http.ok()?.into_parts().0)
 }
@@ -95,7 +94,7 @@
     head
 }
 
-fn whole(first: &mut Vec<u8>, method: &Method, body: Vec<u8>) -> TargetBody {
+fn whole<'a>(first: &mut Vec<u8>, method: &Method, body: &'a [u8]) -> TargetBody<'a> {
     let usually_has_none = [Method::GET, Method::HEAD, Method::CONNECT].contains(method);
     if !body.is_empty() || !usually_has_none {
         length(first, body.len() as u64);
@@ -104,11 +103,11 @@
     if body.len() > COPIED_BYTES {
         return TargetBody::Whole(body);
     }
-    first.extend_from_slice(&body);
+    first.extend_from_slice(body);
     TargetBody::WithHead
 }
 
-fn in_pieces(first: &mut Vec<u8>, body: PieceBody) -> TargetBody {
+fn in_pieces<'a>(first: &mut Vec<u8>, body: &'a mut PieceBody) -> TargetBody<'a> {
     let stated = body.size_hint().exact();
     match stated {
         Some(bytes) => length(first, bytes),
--- a/crates/daemon/src/half/serve.rs
+++ b/crates/daemon/src/half/serve.rs
@@ -14,11 +14,10 @@
 
 use super::ahead;
 use super::exchange::CountedAnswer;
+use super::send;
 use super::state::{Go, Half};
-use super::{send, suspects};
 use crate::control::asks_for_load;
 use crate::core::Core;
-use crate::homes;
 use crate::kept::Keeping;
 use crate::mesh::Link;
 use crate::metrics::count;
@@ -34,12 +33,14 @@
 /// Hint for callers while the target cannot be reached.
 pub(super) const DOWN_RETRY_AFTER_US: Micros = 250_000;
 /// Hint for callers whose call could outlast the daemon, which stops.
-const STOPPING_RETRY_AFTER_US: Micros = 250_000;
+pub(super) const STOPPING_RETRY_AFTER_US: Micros = 250_000;
+/// Hint for callers whose call waited at a target that leaves now.
+pub(super) const LEAVING_RETRY_AFTER_US: Micros = 1_000_000;
 /// Hint for callers before settings are in force.
 pub(super) const NOT_READY_RETRY_AFTER_US: Micros = 500_000;
 /// Hint for callers whose call came to a target outside its home regions: its router hears
 /// of the change by then.
-const OUTSIDE_RETRY_AFTER_US: Micros = 500_000;
+pub(super) const OUTSIDE_RETRY_AFTER_US: Micros = 500_000;
 /// Time past the deadline for which the answer of an operation is awaited, so
 /// that its outcome can still be told later.
 pub(super) const OUTCOME_WAIT_US: Micros = 30_000_000;
@@ -244,15 +245,6 @@
     call: CallFrame,
     cancelled: flume::Receiver<()>,
 ) -> Ended {
-    if call.service != core.half.service(core) {
-        return refused(RefusalReason::WrongService, NOT_READY_RETRY_AFTER_US);
-    }
-    if !homes::may_serve(core, link, &call) {
-        return refused_outside(core, link, &call);
-    }
-    if !core.rollouts.admits(call.canary) {
-        return refused(RefusalReason::Version, NOT_READY_RETRY_AFTER_US);
-    }
     let half = &core.half;
     let Some(settings) = half.settings() else {
         return refused(RefusalReason::TargetDown, NOT_READY_RETRY_AFTER_US);
@@ -261,9 +253,6 @@
         half.learn_notice(core, notice);
     }
     let deadline = core.clock.now() + call.left_us;
-    if !core.life.outlasts(deadline) {
-        return refused(RefusalReason::Busy, STOPPING_RETRY_AFTER_US);
-    }
     let incoming = Incoming {
         core,
         half,
@@ -274,18 +263,18 @@
         link,
         connected_at: AtomicU64::new(0),
     };
+    if let Some(refusal) = incoming.misplaced(&call, None) {
+        return Ended::Refused(refusal);
+    }
+    if !core.life.outlasts(deadline) {
+        return refused(RefusalReason::Busy, STOPPING_RETRY_AFTER_US);
+    }
     match call.operation {
         None => incoming.take_slot_and_run(call).await,
         Some(operation) => incoming.run_once(operation, call).await,
     }
 }
 
-/// A call that may not be served here, or no more.
-fn refused_outside(core: &Core, link: &Link, call: &CallFrame) -> Ended {
-    homes::log_refused(core, link, call);
-    refused(RefusalReason::OutsideHome, OUTSIDE_RETRY_AFTER_US)
-}
-
 pub(super) fn refused(reason: RefusalReason, retry_after_us: Micros) -> Ended {
     Ended::Refused(Refusal {
         reason,
@@ -344,41 +333,30 @@
             Ok(turn) => turn,
             Err(refusal) => return Ended::Refused(refusal),
         };
-        let go = self.take_slot(&call).await;
-        if let Some(ended) = self.changed_meanwhile(&call, request) {
-            if let Go::Deliver = go {
-                self.done(None);
-            }
-            return ended;
-        }
-        let suspect = request.filter(|_| self.core.quarantine.any());
-        let suspect = suspect.map(|request| (call.call.clone(), request.prints()));
-        match go {
+        match self.take_slot(&call, request).await {
             Go::Refuse(refusal) => Ended::Refused(refusal),
-            Go::Deliver => {
-                let ended = self.deliver(call).await;
-                if let (Ended::Answer(..), Some((name, prints))) = (&ended, suspect) {
-                    self.core.quarantine.survived(&name, prints);
-                }
-                ended
-            }
+            Go::Deliver => self.deliver_if_permitted(&call, request).await,
         }
     }
 
-    /// Why a call may not be delivered any more, after it was held.
-    fn changed_meanwhile(
+    /// Delivers a call that has a slot, unless something changed for which it may not go to the
+    /// target any more.
+    async fn deliver_if_permitted(
         &self,
         call: &CallFrame,
         request: Option<quarantine::Request<'_>>,
-    ) -> Option<Ended> {
-        if let Some(refusal) = request.and_then(|request| suspects::refusal(&request)) {
-            return Some(Ended::Refused(refusal));
+    ) -> Ended {
+        if let Err(refusal) = self.permit(call, request) {
+            self.done(None);
+            return Ended::Refused(refusal);
         }
-        if !homes::may_serve(self.core, self.link, call) {
-            return Some(refused_outside(self.core, self.link, call));
+        let suspect = request.filter(|_| self.core.quarantine.any());
+        let suspect = suspect.map(|request| request.prints());
+        let ended = self.deliver(call, request).await;
+        if let (Ended::Answer(..), Some(prints)) = (&ended, suspect) {
+            self.core.quarantine.survived(&call.call, prints);
         }
-        let admits = self.core.rollouts.admits(call.canary);
-        (!admits).then(|| refused(RefusalReason::Version, NOT_READY_RETRY_AFTER_US))
+        ended
     }
 
     /// A call as the quarantine knows it. A body that comes in pieces is not here to be named:
@@ -406,7 +384,7 @@
 
     /// Slots and hold: waits for a slot until the deadline, a cancellation, or
     /// the loss of the link that the call came on.
-    async fn take_slot(&self, call: &CallFrame) -> Go {
+    async fn take_slot(&self, call: &CallFrame, request: Option<quarantine::Request<'_>>) -> Go {
         let terms = self.terms(call);
         self.ask_if_worth_it(&terms).await;
         let now = self.core.clock.now();
@@ -426,12 +404,12 @@
         };
         tokio::select! {
             Ok(go) = receiver.recv_async() => return go,
+            refusal = self.forbidden(call, request) => return self.withdraw(&receiver, refusal),
             _ = self.cancelled.recv_async() => {}
             () = self.link.closed() => {}
-            () = homes::left(self.core, self.link, call) => {}
             () = tokio::time::sleep_until(self.core.clock.instant(held_until)) => {}
         }
-        self.withdraw(&receiver)
+        self.withdraw(&receiver, self.too_late())
     }
 
     fn terms(&self, call: &CallFrame) -> CallAttributes {
@@ -459,17 +437,17 @@
     }
 
     /// Gives up the wait. A slot that was given meanwhile is given back.
-    fn withdraw(&self, receiver: &flume::Receiver<Go>) -> Go {
+    fn withdraw(&self, receiver: &flume::Receiver<Go>, refusal: Refusal) -> Go {
         self.half.admit(AdmissionEvent::Withdraw { call: self.id });
         lock(&self.half.waiting).remove(&self.id);
         if let Ok(Go::Deliver) = receiver.try_recv() {
             self.done(None);
         }
-        Go::Refuse(self.too_late())
+        Go::Refuse(refusal)
     }
 
     /// A call that was given up before it had a slot. Its router may wait for word of it.
-    fn too_late(&self) -> Refusal {
+    pub(super) fn too_late(&self) -> Refusal {
         Refusal {
             reason: RefusalReason::TooLate,
             retry_after_us: Micros::from(self.half.figures().service_us),
--- a/crates/daemon/src/half/state.rs
+++ b/crates/daemon/src/half/state.rs
@@ -74,6 +74,8 @@
     pub(super) asking: tokio::sync::Mutex<()>,
     /// Told when held calls want to be looked at again.
     pub(super) look_wanted: Notify,
+    /// Counts changes for which a call that waits may not go to the target any more.
+    changes: watch::Sender<u64>,
     /// Bodies in pieces on their way to the target.
     pub bodies: Bodies,
     /// What the target says of itself in its answers.
@@ -121,6 +123,7 @@
             load_readings: AtomicU32::new(0),
             asking: tokio::sync::Mutex::default(),
             look_wanted: Notify::new(),
+            changes: watch::Sender::new(0),
             bodies: Bodies::new(clock),
             notices: Mutex::default(),
             suspects: Suspects::default(),
@@ -187,9 +190,19 @@
             false => AdmissionEvent::Rejoin,
         };
         self.admit(event);
+        self.tell_change();
         changed
     }
 
+    /// Told when the target leaves, or another takes its place.
+    pub(super) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn tell_change(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Whether the target takes no new calls.
     pub fn is_leaving(&self) -> bool {
         lock(&self.admit).is_leaving()
@@ -266,6 +279,9 @@
             self.forget_notices(core);
             self.admit(AdmissionEvent::Replaced);
         }
+        if effect == ReportEffect::Changed {
+            self.tell_change();
+        }
         effect
     }
 
--- a/crates/daemon/src/homes.rs
+++ b/crates/daemon/src/homes.rs
@@ -134,16 +134,6 @@
     call.homes.allows(&region) && (sender_is_newer || own_allow())
 }
 
-/// Returns when a call that the target here might serve may be served here no more.
-pub async fn left(core: &Core, link: &Link, call: &CallFrame) {
-    let mut raised = core.settings.subscribe();
-    while may_serve(core, link, call) {
-        if raised.changed().await.is_err() {
-            return std::future::pending().await;
-        }
-    }
-}
-
 /// Counts and logs a call that the target half refuses.
 pub fn log_refused(core: &Core, link: &Link, call: &CallFrame) {
     count(&core.metrics.home_refusals, "half");
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -124,6 +124,18 @@
         !causes.is_empty()
     }
 
+    /// Whether the target takes no new calls for a cause of its own: one beside the stop of the
+    /// daemon, which leaves it running.
+    pub fn is_target_leaving(&self) -> bool {
+        let causes = lock(&self.causes);
+        causes.iter().any(|cause| *cause != LeaveCause::Stop)
+    }
+
+    /// Whether the target takes no new calls since the daemon stops.
+    pub fn leaves_for_stop(&self) -> bool {
+        lock(&self.causes).contains(&LeaveCause::Stop)
+    }
+
     /// Waits until the daemon stands at `phase` or later.
     pub async fn reached(&self, phase: Phase) {
         let mut watch = self.phase.subscribe();
