--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -287,6 +287,7 @@
         NotRunReason::Deadline => "deadline",
         NotRunReason::NoLink => "no-link",
         NotRunReason::Quarantined => "quarantined",
+        NotRunReason::Stopping => "stopping",
     }
 }
 
@@ -295,6 +296,7 @@
         NotRunReason::Quarantined => {
             "the call was not run: targets ended each time that they ran the same request"
         }
+        NotRunReason::Stopping => "the call was not run: this daemon is stopping",
         _ => "the call was not run",
     }
 }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -4,7 +4,9 @@
 
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
-use lynxcleat_policy::{BodyCoverage, CallId, CallKind, Homes, Micros, RequestFingerprints};
+use lynxcleat_policy::{
+    BodyCoverage, CallId, CallKind, Homes, Micros, NotRunReason, RequestFingerprints,
+};
 use lynxcleat_settings::{Effective, NamedOrganisation, NamedRoute, Route, RouteEffects};
 use lynxcleat_wire::{BodyAnnouncement, CallingOrganisation};
 use rand::RngExt;
@@ -33,6 +35,9 @@
 /// Tickets handed out at once.
 const TICKETS_LIMIT: usize = 100;
 
+/// Hint for callers whose call no target has when the daemon stops: it may be back by then.
+const STOPPING_RETRY_AFTER_US: Micros = 500_000;
+
 /// Shortest wait for a turn that is told: a call that need not wait begins in less.
 const WAIT_US: Micros = 1_000;
 
@@ -156,7 +161,8 @@
     http
 }
 
-/// The time for which the call waited for its turn on its connection is part of its own.
+/// Serves a call on the terms that it is pinned to. A stop that goes on answers it before the
+/// daemon ends, whatever it waits for.
 async fn serve_pinned(
     core: &Arc<Core>,
     (id, name, nested): (CallId, &str, bool),
@@ -165,6 +171,66 @@
     body: RequestBody,
 ) -> Result<HttpAnswer, Problem> {
     classify::check_settings(&pinned.call, &pinned.effective)?;
+    let (service, effects) = (Arc::clone(&pinned.service), pinned.terms.effects.clone());
+    let effective = Arc::clone(&pinned.effective);
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare(core, (id, name, nested), pinned, waited_us, body) => prepared?,
+        () = core.withdrawal() => return Err(stopping()),
+    };
+    let Prepared {
+        mut outbound,
+        coming,
+        token,
+        room,
+    } = prepared;
+    let running = async {
+        let Some((body, (upload, reader))) = coming else {
+            return run(core, effects, service, outbound).await;
+        };
+        outbound.upload = Some(upload);
+        let running = run(core, effects, service, outbound);
+        run_with_body(core, (name, &effective), running, (body, reader)).await
+    };
+    let answered = tokio::select! {
+        biased;
+        answered = running => answered,
+        () = core.last_answers() => Err(Problem::Unknown { retry_after_us: None }),
+    };
+    drop(room);
+    if let Err(Problem::NotRun { .. }) = &answered {
+        token.return_to_lease();
+    }
+    answered
+}
+
+/// What a caller is told whose call no target has when the daemon stops.
+fn stopping() -> Problem {
+    Problem::NotRun {
+        reason: NotRunReason::Stopping,
+        retry_after_us: STOPPING_RETRY_AFTER_US,
+    }
+}
+
+/// A call that is ready to be run.
+struct Prepared<'a> {
+    outbound: Outbound,
+    /// Its body where that comes in pieces.
+    coming: Option<Coming<RequestBody>>,
+    token: quota::Token<'a>,
+    room: Taken<'a>,
+}
+
+/// Reads the body of a call as far as it is read before a target is chosen, and takes what it
+/// needs of its organisation's quota. The time for which the call waited for its turn on its
+/// connection is part of its own.
+async fn prepare<'a>(
+    core: &'a Arc<Core>,
+    (id, name, nested): (CallId, &str, bool),
+    pinned: Pinned,
+    waited_us: Micros,
+    body: RequestBody,
+) -> Result<Prepared<'a>, Problem> {
     let way = way(&pinned, &body);
     let mut room = take_room(core, &pinned.effective, &body, way.to_come())?;
     let pieces_from = core.clock.now().saturating_sub(waited_us);
@@ -192,21 +258,21 @@
     let deadline_us = deadline_us(&pinned);
     let Pinned {
         call,
-        effective,
         generation,
-        service,
         organisation,
         terms,
+        ..
     } = pinned;
     let token = quota::take(core, organisation.as_ref())
         .await
         .map_err(|over| Problem::OverQuota {
             retry_after_us: over.retry_after_us,
         })?;
+    let deadline = (core.clock.now() + deadline_us).saturating_sub(waited_us);
     let outbound = Outbound {
         id,
         name: name.to_owned(),
-        deadline: (core.clock.now() + deadline_us).saturating_sub(waited_us),
+        deadline: core.life.before_stop(deadline),
         operation: None,
         may_retry: call.may_retry,
         attempt_limit: terms.attempts,
@@ -225,22 +291,12 @@
         body,
         upload: None,
     };
-    let answered = match coming {
-        None => run(core, terms.effects, service, outbound).await,
-        Some((body, (upload, reader))) => {
-            let outbound = Outbound {
-                upload: Some(upload),
-                ..outbound
-            };
-            let running = run(core, terms.effects, service, outbound);
-            run_with_body(core, (name, &effective), running, (body, reader)).await
-        }
-    };
-    drop(room);
-    if let Err(Problem::NotRun { .. }) = &answered {
-        token.return_to_lease();
-    }
-    answered
+    Ok(Prepared {
+        outbound,
+        coming,
+        token,
+        room,
+    })
 }
 
 /// The organisation in its wire form.
@@ -310,10 +366,13 @@
     deadline_ms.min(pinned.terms.timeout_ms) * 1_000
 }
 
+/// A body that is passed on in pieces, and both ends of its way to the target.
+type Coming<B> = (CallerBody<B>, (Upload, UploadReader));
+
 /// A body that is passed on in pieces, or was read whole for its fingerprints.
 enum Upcoming<B> {
     Whole(ByteBuf),
-    InPieces((CallerBody<B>, (Upload, UploadReader))),
+    InPieces(Coming<B>),
 }
 
 /// Prepares a body that is passed on in pieces. While some request is suspect, it is read first
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -174,6 +174,18 @@
         }
     }
 
+    /// Waits until a stop withdraws the calls that no target has.
+    pub async fn withdrawal(&self) {
+        let times = self.life.stop_begun().await;
+        tokio::time::sleep_until(self.clock.instant(times.withdraw_at)).await;
+    }
+
+    /// Waits until a stop answers what is still in hand.
+    pub async fn last_answers(&self) {
+        let times = self.life.stop_begun().await;
+        tokio::time::sleep_until(self.clock.instant(times.answer_at)).await;
+    }
+
     /// Adds or takes away a cause for this daemon's target to leave, and tells
     /// every peer where that changes something.
     pub fn set_leaving(&self, cause: LeaveCause, stands: bool) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -207,14 +207,13 @@
     }
 
     /// Stops as planned: nothing in hand is cut off before the limit in the
-    /// settings. Returns what was cut off.
+    /// settings, and what cannot end by then is answered. Returns what was cut off.
     pub async fn stop(self) -> StopReport {
         let in_hand = self.in_hand();
         let core = &self.core;
         let (linger, limit) = stop_times(core);
         log::info!("stopping");
-        core.life
-            .stop_by(core.clock.now() + limit.as_micros() as u64);
+        core.life.begin_stop(core.clock.now(), limit);
         core.life.enter(Phase::Lingering);
         let finished = tokio::time::timeout(limit, finish(core, linger, self.listeners)).await;
         core.life.enter(Phase::Closing);
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -6,13 +6,40 @@
 //! lingering the listener is drained and closed, and what is in hand is finished.
 
 use std::collections::HashSet;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use lynxcleat_policy::Micros;
 use tokio::sync::watch;
 
 use crate::sync::{Busy, lock};
 
+/// Part of the time of a stop after which a call with effects that no target has is withdrawn,
+/// and at which calls that are taken meanwhile end.
+const WITHDRAW_PART: f64 = 0.95;
+/// Part of the time of a stop after which every call in hand is answered. The rest is for the
+/// answers to be written.
+const ANSWER_PART: f64 = 0.98;
+
+/// Times of a stop that goes on, by the daemon's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopTimes {
+    /// When calls that no target has are withdrawn.
+    pub withdraw_at: Micros,
+    /// When what is still in hand is answered.
+    pub answer_at: Micros,
+}
+
+impl StopTimes {
+    fn of(now: Micros, limit: Duration) -> Self {
+        let after = |part| now + limit.mul_f64(part).as_micros() as Micros;
+        StopTimes {
+            withdraw_at: after(WITHDRAW_PART),
+            answer_at: after(ANSWER_PART),
+        }
+    }
+}
+
 /// Where a daemon stands.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -58,8 +85,7 @@
 /// Phase and work in hand.
 pub struct Life {
     phase: watch::Sender<Phase>,
-    /// When a stop that goes on ends at the latest, by the daemon's clock.
-    stop_by: OnceLock<Micros>,
+    stop: watch::Sender<Option<StopTimes>>,
     causes: Mutex<HashSet<LeaveCause>>,
     /// Callers' calls in hand, those passed on by other daemons included.
     pub calls: Arc<Busy>,
@@ -75,7 +101,7 @@
     fn default() -> Self {
         Life {
             phase: watch::Sender::new(Phase::Serving),
-            stop_by: OnceLock::new(),
+            stop: watch::Sender::new(None),
             causes: Mutex::default(),
             calls: Arc::default(),
             connections: Arc::default(),
@@ -91,14 +117,40 @@
         *self.phase.borrow()
     }
 
-    /// A stop begins that ends at this time at the latest; a second one changes nothing.
-    pub fn stop_by(&self, limit: Micros) {
-        let _ = self.stop_by.set(limit);
+    /// A stop begins that takes `limit` at most; a second one changes nothing.
+    pub fn begin_stop(&self, now: Micros, limit: Duration) {
+        self.stop.send_if_modified(|times| {
+            let is_first = times.is_none();
+            times.get_or_insert(StopTimes::of(now, limit));
+            is_first
+        });
+    }
+
+    /// Times of the stop that goes on; nothing before one begins.
+    pub fn stop_times(&self) -> Option<StopTimes> {
+        *self.stop.borrow()
+    }
+
+    /// Waits until a stop begins, and returns its times.
+    pub async fn stop_begun(&self) -> StopTimes {
+        let mut stop = self.stop.subscribe();
+        match stop.wait_for(Option::is_some).await.map(|times| *times) {
+            Ok(Some(times)) => times,
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
     }
 
     /// Whether a call that may take until `deadline` ends before the daemon does.
     pub fn outlasts(&self, deadline: Micros) -> bool {
-        self.stop_by.get().is_none_or(|limit| deadline <= *limit)
+        let times = self.stop_times();
+        times.is_none_or(|times| deadline < times.withdraw_at)
+    }
+
+    /// The deadline of a call that is taken now: its own, or the end of a stop that goes on, which
+    /// has to leave time for its answer.
+    pub fn before_stop(&self, deadline: Micros) -> Micros {
+        let times = self.stop_times();
+        times.map_or(deadline, |times| deadline.min(times.withdraw_at))
     }
 
     /// Moves on to a later phase.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,8 +17,8 @@
 /// target that it picks; and it admits, holds or refuses calls for its own target.
 ///
 /// SIGTERM or SIGINT starts a planned stop: the target leaves, callers are asked
-/// to reconnect elsewhere, and what is in hand is finished. A second signal ends
-/// the daemon at once and says what was cut off.
+/// to reconnect elsewhere, and what is in hand is finished. During a stop, SIGINT ends
+/// the daemon at once and says what was cut off; a further SIGTERM changes nothing.
 ///
 /// Exit codes: 0 stopped as planned, 1 could not run, 2 the settings file or the
 /// command line is refused, 3 a stop cut something off.
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -44,10 +44,22 @@
             }
         }
     }
+
+    /// Waits until a process that stops is interrupted by hand. Whoever supervises processes may
+    /// repeat its order to stop, which changes nothing.
+    async fn interrupted(&mut self, reload: &impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => log::info!("stopping already"),
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => reload(),
+            }
+        }
+    }
 }
 
-/// Runs a daemon until the process is told to stop, and stops it as planned. A
-/// second signal ends the stop. `attach` is called once the daemon has started;
+/// Runs a daemon until the process is told to stop, and stops it as planned. An
+/// interrupt ends a stop that goes on. `attach` is called once the daemon has started;
 /// `reload` whenever the settings file may have changed.
 ///
 /// # Errors
@@ -67,7 +79,7 @@
         let in_hand = daemon.in_hand();
         let report = tokio::select! {
             report = daemon.stop() => report,
-            () = signals.told_to_stop(&reload) => in_hand.report(),
+            () = signals.interrupted(&reload) => in_hand.report(),
         };
         Ok::<_, RunError>(report)
     })?;
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -10,7 +10,7 @@
 mod take;
 
 pub use ask::answer;
-pub use take::take;
+pub use take::{Token, take};
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/route/run.rs
+++ b/crates/daemon/src/route/run.rs
@@ -15,6 +15,7 @@
 };
 use lynxcleat_wire::{Answer, CallingOrganisation, RequestHead};
 use serde_bytes::ByteBuf;
+use tokio::time::Instant;
 
 use super::ahead::SentAhead;
 use super::service::ServiceRouter;
@@ -102,7 +103,10 @@
     gone: impl Future<Output = ()>,
 ) -> RouteVerdict {
     let deadline = core.clock.instant(call.deadline);
-    let _ = tokio::time::timeout_at(deadline, service.ready(core, &call.homes)).await;
+    tokio::select! {
+        _ = tokio::time::timeout_at(deadline, service.ready(core, &call.homes)) => {}
+        () = core.withdrawal() => {}
+    }
     let (sender, signals) = flume::unbounded();
     let prints = call.upload.as_ref().and_then(|upload| upload.prints);
     let mut in_hand = InHand {
@@ -194,11 +198,10 @@
         if let Some(verdict) = self.feed(arrived) {
             return verdict;
         }
-        let over = self.call.deadline + DEADLINE_GRACE_US;
-        let over = tokio::time::sleep_until(self.core.clock.instant(over));
-        tokio::pin!(over);
-        tokio::pin!(gone);
-        let mut is_gone = false;
+        let over = tokio::time::sleep_until(self.answered_by());
+        let withdrawal = self.core.withdrawal();
+        tokio::pin!(over, gone, withdrawal);
+        let (mut is_gone, mut is_withdrawn) = (false, false);
         loop {
             let event = tokio::select! {
                 biased;
@@ -210,6 +213,11 @@
                     is_gone = true;
                     Event::CallerDisconnected { call: self.call.id }
                 }
+                () = &mut withdrawal, if !is_withdrawn => {
+                    is_withdrawn = true;
+                    over.as_mut().reset(self.answered_by());
+                    Event::Stopping { call: self.call.id }
+                }
                 () = &mut over => {
                     self.name_to_router();
                     Event::DeadlineExpired { call: self.call.id }
@@ -223,6 +231,15 @@
         }
     }
 
+    /// When the call is answered at the latest: a little after its deadline, or earlier where the
+    /// daemon stops.
+    fn answered_by(&self) -> Instant {
+        let over = self.call.deadline + DEADLINE_GRACE_US;
+        let times = self.core.life.stop_times();
+        let by = times.map_or(over, |times| over.min(times.answer_at));
+        self.core.clock.instant(by)
+    }
+
     /// Says that the call may not move, where some of its body was sent. What is fed next
     /// may end the attempt, so its body is begun now or not for this attempt.
     fn hold_begun_body(&mut self) {
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -330,8 +330,8 @@
 }
 
 #[test]
-fn a_second_signal_ends_a_stop_at_once_and_says_what_was_cut() {
-    let mut plan = Plan::new("stop-twice");
+fn an_interrupt_ends_a_stop_at_once_and_says_what_was_cut() {
+    let mut plan = Plan::new("stop-interrupted");
     plan.processes = true;
     plan.workers = 1;
     plan.tree = tree(json!({"stop_linger_ms": 10_000, "deadline_ms": 20_000}));
@@ -348,7 +348,7 @@
     let stopping = || fleet.workers[0].status().is_some_and(|s| s.stopping);
     assert!(wait_until(PATIENCE, stopping));
     let begun = Instant::now();
-    fleet.signal(0, "-TERM");
+    fleet.signal(0, "-INT");
     let Some(Running::Process(mut child)) = fleet.workers[0].daemon.take() else {
         unreachable!("the fleet was started");
     };
@@ -358,3 +358,46 @@
     assert!(caller.join().expect("a caller").is_err());
     fleet.workers[0].target.set_faults(TargetFaults::default());
 }
+
+/// Guards against stops that end with calls in hand unanswered: calls that wait for a slot, those
+/// that a target has, and those that are taken late. A second SIGTERM changes nothing.
+#[test]
+fn calls_that_a_stop_cannot_finish_are_answered_before_it_ends() {
+    let mut plan = Plan::new("stop-answers");
+    plan.processes = true;
+    plan.workers = 1;
+    plan.tree = tree(json!({
+        "stop_linger_ms": 2_000, "stop_limit_ms": 5_000, "deadline_ms": 20_000, "slots": 1
+    }));
+    let fleet = plan.start();
+    let worker = &fleet.workers[0];
+    worker.target.set_faults(TargetFaults {
+        frozen: true,
+        ..TargetFaults::default()
+    });
+    let post = || {
+        let address = worker.callers.clone();
+        thread::spawn(move || {
+            support::try_call(&address, "POST", "/", &[("Host", "stock")], b"one")
+                .map_or(0, |reply| reply.status)
+        })
+    };
+    let running = post();
+    assert!(wait_until(PATIENCE, || worker.target.served() == 1));
+    let mut waiting = vec![post(), post(), post()];
+    let held = || worker.status().is_some_and(|status| status.held == 3);
+    assert!(wait_until(PATIENCE, held), "they wait for the slot");
+    fleet.signal(0, "-TERM");
+    let stopping = || worker.status().is_some_and(|s| s.stopping);
+    assert!(wait_until(PATIENCE, stopping));
+    waiting.push(post());
+    fleet.signal(0, "-TERM");
+    for caller in waiting {
+        let status = caller.join().expect("a caller");
+        assert_eq!(status, 503, "no target has it");
+    }
+    let status = running.join().expect("a caller");
+    assert_eq!(status, 504, "a target has it");
+    assert_eq!(worker.target.served(), 1);
+    worker.target.set_faults(TargetFaults::default());
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -76,6 +76,8 @@
     NoLink,
     /// Targets terminated while running the same request, so it is temporarily offered to none.
     Quarantined,
+    /// The daemon is stopping, and no target has the call.
+    Stopping,
 }
 
 /// Why a caller is told that the outcome is not known.
@@ -227,6 +229,12 @@
         /// The call.
         call: CallId,
     },
+    /// The daemon is stopping and will not wait for the call much longer: no further attempt is
+    /// made, and a call with effects that no target has is withdrawn.
+    Stopping {
+        /// The call.
+        call: CallId,
+    },
     /// A call's deadline expired.
     DeadlineExpired {
         /// The call.
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -304,6 +304,7 @@
                 call,
                 retry_after_us,
             } => self.quarantined(call, retry_after_us),
+            Event::Stopping { call } => self.stopping(call),
             Event::DeadlineExpired { call } => self.deadline_expired(now, call),
             Event::CallerDisconnected { call } => self.caller_disconnected(now, call),
             Event::TargetDraining { target } => self.target_event(target, |state| state.drain()),
@@ -553,7 +554,20 @@
         vec![Action::Cancel { attempt, target }]
     }
 
-    /// Withdraws a call with effects whose caller disconnected. If it was already delivered, it
+    /// Prevents further attempts, and withdraws a call with effects. A lookup cannot be withdrawn:
+    /// its target would break it off, although its answer may be nearly there.
+    fn stopping(&mut self, id: CallId) -> Vec<Action> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Vec::new();
+        };
+        call.may_retry = false;
+        match call.has_effects {
+            true => self.withdraw_current(id),
+            false => Vec::new(),
+        }
+    }
+
+    /// Withdraws a call with effects that nobody waits for. If it was already delivered, it
     /// continues so that its outcome is known; otherwise it is not delivered.
     fn withdraw_current(&mut self, id: CallId) -> Vec<Action> {
         let attempt = self.calls.get(&id).and_then(|call| call.current);
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -635,3 +635,24 @@
     router.on(long_after, answered(attempt, AnswerStatus::Failed));
     assert_eq!(router.counts().own_failures, before);
 }
+
+/// Guards against calls that are sent on while the daemon stops, and against lookups that are
+/// broken off at their target for it.
+#[rstest]
+#[case::once(true)]
+#[case::lookup(false)]
+fn a_stop_withdraws_calls_with_effects_and_sends_nothing_again(#[case] has_effects: bool) {
+    let mut router = router_with_reroutes(Policy::ExpectedFinish, 3, 3);
+    let (attempt, target) = sent(&arrive(&mut router, CALL, has_effects));
+    let actions = router.on(10, Event::Stopping { call: CALL });
+    match has_effects {
+        true => assert_eq!(actions, [Action::Withdraw { attempt, target }]),
+        false => assert_eq!(actions, []),
+    }
+    let actions = router.on(20, refused(attempt, RefusalReason::TooLate));
+    assert!(
+        matches!(verdict(&actions), Verdict::NotRun { .. }),
+        "{actions:?}"
+    );
+    assert_eq!(actions.len(), 1, "it is offered to no other target");
+}
