--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -39,7 +39,8 @@
 pub use operator_row::{OperatorRow, OperatorRowError, ReadOperatorRow, WantedRollout};
 pub use spread::{send_rows, take_rows};
 pub use state::{
-    Directory, DirectoryState, SettingsRow, StatusRows, TranslateError, TranslatedTree,
+    AdjustedValue, Directory, DirectoryState, SettingsRow, StatusRows, TranslateError,
+    TranslatedTree,
 };
 pub use zones::take_zones;
 
--- a/crates/daemon/src/directory/state.rs
+++ b/crates/daemon/src/directory/state.rs
@@ -118,6 +118,19 @@
     pub number: u64,
     /// The tree.
     pub tree: Tree,
+    /// What is in force otherwise than it is written, of what was read anew.
+    pub adjusted: Vec<AdjustedValue>,
+}
+
+/// A value that operators accepted and that the settings cannot hold as it is written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdjustedValue {
+    /// Path of the setting.
+    pub path: String,
+    /// What is written.
+    pub written: String,
+    /// What is in force.
+    pub served: String,
 }
 
 /// Why a row's value is no tree of settings.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -43,8 +43,8 @@
 pub use daemon::{Daemon, Environment, InHand, Side, StartError};
 pub use dialect::{AnswerKind, Dialect, LoadHeader, NotARate, NotColdTime, TargetLoad};
 pub use directory::{
-    Acknowledgement, Directory, OperatorRow, OperatorRowError, ReadOperatorRow, SettingsRow,
-    StatusRows, TranslateError, TranslatedTree, WantedRollout,
+    Acknowledgement, AdjustedValue, Directory, OperatorRow, OperatorRowError, ReadOperatorRow,
+    SettingsRow, StatusRows, TranslateError, TranslatedTree, WantedRollout,
 };
 pub use explain::{AttemptTrace, ScoredHost, Trace};
 pub use half::TargetBelief;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,10 @@
     pub newest_generation: Gauge,
     /// Questions for settings to peers, by what became of them.
     pub settings_asks: Kinds,
+    /// Values of settings rows that are in force otherwise than they are written.
+    pub settings_adjusted: Counter,
+    /// Settings rows that could not be put in force.
+    pub settings_refused: Counter,
     pub settings_copies_sent: Counter,
     pub settings_bytes_sent: Counter,
     pub calls: Family<CallLabels, Counter>,
@@ -134,6 +138,8 @@
             registry: Mutex::default(),
             newest_generation: Gauge::default(),
             settings_asks: Family::default(),
+            settings_adjusted: Counter::default(),
+            settings_refused: Counter::default(),
             settings_copies_sent: Counter::default(),
             settings_bytes_sent: Counter::default(),
             calls: Family::default(),
@@ -204,6 +210,8 @@
         registry.register("generation", "Generation of settings in force", self.generation.clone());
         registry.register("newest_generation", "Newest generation of settings that a peer told of", self.newest_generation.clone());
         registry.register("settings_asks", "Questions for settings to peers, by what became of them", self.settings_asks.clone());
+        registry.register("settings_adjusted", "Values of settings rows in force otherwise than written", self.settings_adjusted.clone());
+        registry.register("settings_refused", "Settings rows that could not be put in force", self.settings_refused.clone());
         registry.register("settings_copies_sent", "Answers to peers that asked for settings", self.settings_copies_sent.clone());
         registry.register("settings_bytes_sent", "Bytes of settings sent to peers", self.settings_bytes_sent.clone());
         registry.register("calls", "Callers' calls by service and outcome", self.calls.clone());
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -106,7 +106,7 @@
     integer("hold_limit", "calls", (0, 65_536), 48, "calls queued for a slot before further ones are rejected"),
     integer("deadline_ms", "ms", (1, DAY_MS), 2_000, "deadline of a call that sets none"),
     integer("deadline_max_ms", "ms", (1, DAY_MS), 30_000, "longest deadline a caller may set"),
-    integer("caller_limit_ms", "ms", (100, 600_000), 15_000, "timeout for the head of a request, for its body, and between two requests on a connection"),
+    integer("caller_limit_ms", "ms", (100, DAY_MS), 15_000, "timeout for the head of a request, for its body, and between two requests on a connection"),
     integer("body_limit_bytes", "bytes", (0, 64 << 20), 1 << 20, "maximum size of a request or response body"),
     integer("body_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for bodies of callers' calls in progress, beyond which new calls are rejected"),
     integer("answer_memory_bytes", "bytes", (64 << 10, 64 << 30), 64 << 20, "memory for the bodies of a target's responses that are being read, beyond which large ones are read one after the other"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -33,7 +33,9 @@
 pub use field::{FIELDS, FieldKind, FieldSpec, field};
 pub use generation::{Generation, OfferError};
 pub use key_table::KeyTable;
-pub use organisation::{InvalidKeyDigest, KeyDigest, NamedOrganisation, Organisation};
-pub use route::{NamedRoute, Route, RouteEffects, RoutePart};
+pub use organisation::{
+    InvalidKeyDigest, KeyDigest, MAX_BURST, MAX_RATE, NamedOrganisation, Organisation,
+};
+pub use route::{MAX_ATTEMPTS, MAX_TIMEOUT_MS, NamedRoute, Route, RouteEffects, RoutePart};
 pub use route_table::RouteTable;
 pub use tree::{Tree, is_valid_name};
--- a/crates/settings/src/organisation.rs
+++ b/crates/settings/src/organisation.rs
@@ -17,9 +17,9 @@
 /// Maximum number of keys per organisation.
 const MAX_KEYS: u64 = 64;
 /// Maximum rate, in calls per 1,000 seconds.
-const MAX_RATE: u64 = 1_000_000_000_000;
+pub const MAX_RATE: u64 = 1_000_000_000_000;
 /// Maximum burst, in calls.
-const MAX_BURST: u64 = 1_000_000_000;
+pub const MAX_BURST: u64 = 1_000_000_000;
 
 /// The organisations of a tree by name.
 pub(crate) type OrganisationSet = EntrySet<NamedOrganisation>;
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -8,9 +8,9 @@
 use crate::tree::{Tree, is_valid_name};
 
 /// Maximum timeout and latency goal of a route, in milliseconds.
-const MAX_TIMEOUT_MS: u64 = 86_400_000;
+pub const MAX_TIMEOUT_MS: u64 = 86_400_000;
 /// Maximum number of attempts of a route.
-const MAX_ATTEMPTS: u64 = 8;
+pub const MAX_ATTEMPTS: u64 = 8;
 /// Maximum length of a route's host, in bytes: the limit of DNS names.
 const MAX_HOST_BYTES: u64 = 253;
 /// Maximum length of a route's prefix, in bytes.
