A member's row that names no address changes nothing, and its daemon puts it right

Operators of other systems reported: one odd entry of another writer stops those that read the list. Here no process ended, but a row over that of a running daemon whose mesh address had port 70000 left its target with its own daemon's calls only, and stayed; one with another port and start likewise.

Cause: the address of a row was not looked at before it took the place of the entry that was known; and a daemon that saw its own row changed noted it and wrote nothing.

Change: a row whose addresses cannot be parsed leaves the entry before it in force. A daemon that reads its own row asks for what it knows to stand there.

--- a/crates/daemon/src/directory/member.rs
+++ b/crates/daemon/src/directory/member.rs
@@ -1,11 +1,13 @@
 //! The row of one member, and what news of members change here.
 
+use std::net::{AddrParseError, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use lynxcleat_policy::{Departure, ReportEffect, ReportedState, TargetReports};
 use lynxcleat_store::{HostEntry, HostState, OwnedRow, RowWrite, StoredRow};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use super::confirm;
 use super::state::{DirectoryState, TABLE};
@@ -239,8 +241,8 @@
 fn entry(core: &Core, host: &str, row: &StoredRow) -> Option<HostEntry> {
     let member = match &row.value {
         None => None,
-        Some(value) => match serde_json::from_slice::<Member>(value) {
-            Ok(member) => Some(member.entry),
+        Some(value) => match usable_entry(value) {
+            Ok(entry) => Some(entry),
             Err(error) => {
                 log::error!(host, version = row.version; "member row: {error}");
                 return None;
@@ -256,6 +258,29 @@
     })
 }
 
+/// Why a member row names no daemon that could be called.
+#[derive(Debug, Error)]
+enum MemberError {
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
+    #[error("{text:?} is no address: {error}")]
+    Address { text: String, error: AddrParseError },
+}
+
+/// The entry that a member row stands for. Others may write to the table: one that names no
+/// address leaves the entry before it as it is.
+fn usable_entry(value: &[u8]) -> Result<HostEntry, MemberError> {
+    let entry = serde_json::from_slice::<Member>(value)?.entry;
+    for text in [&entry.mesh, &entry.ops] {
+        let parsed = text.parse::<SocketAddr>();
+        parsed.map_err(|error| MemberError::Address {
+            text: text.clone(),
+            error,
+        })?;
+    }
+    Ok(entry)
+}
+
 /// An earlier run of this daemon left word that its target takes calls. Nothing is known of
 /// it here before it reports, so it is asked.
 fn confirm_own(core: &Arc<Core>, member: Member) {
@@ -278,7 +303,9 @@
     own.get_or_insert_with(|| own_row(core)).observe(row);
     drop(own);
     directory.settled.notify_waiters();
-    let Some(member) = read(row) else { return };
+    let Some(member) = read(row) else {
+        return want_own(core);
+    };
     log::info!(
         instance = member.instance.as_str(),
         started_ms:? = member.started_ms,
@@ -297,6 +324,8 @@
     if is_changed {
         core.apply_target();
     }
+    // Another writer may have changed the row: what is known here is put back.
+    want_own(core);
     if member.entry.state == HostState::Live {
         confirm_own(core, member);
     }
