--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -302,8 +302,22 @@
 }
 
 /// A target's answer, passed on unchanged but for our own headers.
-pub(super) fn pass_on(dialect: &Dialect, answer: Answer, replayed: bool) -> HttpAnswer {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+///
+/// # Errors
+/// A message whose status is that of no final answer: nothing of it is passed on, since a failure
+/// of ours must not bear the stamp of a target.
+pub(super) fn pass_on(
+    dialect: &Dialect,
+    answer: Answer,
+    replayed: bool,
+) -> Result<HttpAnswer, Problem> {
+    let status = StatusCode::from_u16(answer.status).ok();
+    let Some(status) = status.filter(|status| !status.is_informational()) else {
+        log::error!(status = answer.status; "an answer with a status that is none");
+        return Err(Problem::Unknown {
+            retry_after_us: None,
+        });
+    };
     let mut http = Response::new(Bytes::from(answer.body.into_vec()));
     *http.status_mut() = status;
     let headers = http.headers_mut();
@@ -319,7 +333,7 @@
     if replayed {
         headers.insert(REPLAYED, HeaderValue::from_static("1"));
     }
-    http
+    Ok(http)
 }
 
 /// A JSON answer of the daemon itself.
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -615,7 +615,7 @@
 
 fn routed(core: &Core, verdict: RouteVerdict) -> Result<HttpAnswer, Problem> {
     match verdict {
-        RouteVerdict::Answer(answer) => Ok(answer::pass_on(&core.dialect, answer, false)),
+        RouteVerdict::Answer(answer) => answer::pass_on(&core.dialect, answer, false),
         RouteVerdict::NotRun {
             reason,
             retry_after_us,
@@ -631,9 +631,7 @@
 
 fn once_answer(core: &Core, verdict: OnceVerdict) -> Result<HttpAnswer, Problem> {
     match verdict {
-        OnceVerdict::Ran { answer, replayed } => {
-            Ok(answer::pass_on(&core.dialect, answer, replayed))
-        }
+        OnceVerdict::Ran { answer, replayed } => answer::pass_on(&core.dialect, answer, replayed),
         OnceVerdict::NotRun {
             reason,
             retry_after_us,
--- a/crates/daemon/tests/answer_framing/cases.rs
+++ b/crates/daemon/tests/answer_framing/cases.rs
@@ -306,6 +306,11 @@
         "HTTP/1.1 099 OK\r\n@Content-Length: 5\r\n\r\nabcde",
         Refused(Bad(Malformed::StatusLine)),
     ),
+    case(
+        "status of zeros",
+        "HTTP/1.1 000 OK\r\n@Content-Length: 5\r\n\r\nabcde",
+        Refused(Bad(Malformed::StatusLine)),
+    ),
     case(
         "signed status",
         "HTTP/1.1 +20 OK\r\n@Content-Length: 5\r\n\r\nabcde",
--- a/crates/daemon/tests/large_bodies/router.rs
+++ b/crates/daemon/tests/large_bodies/router.rs
@@ -7,56 +7,11 @@
 use lynxcleat_policy::{AttemptId, Refusal, RefusalReason};
 use lynxcleat_settings::{Tree, TreeCopy};
 use lynxcleat_standin::wait_until;
-use lynxcleat_store::{HostEntry, HostState};
 use lynxcleat_wire::{BodyAnnouncement, BodyChunkFrame, CallFrame, Frame, SettingsRequest};
 use serde_json::json;
-use tokio::net::TcpListener;
 
 use super::{body, head, piece_bytes, plan, read_answer};
-use crate::support::{Fleet, PATIENCE, Peer, Reply, Worker, call, free_address, own_ip, try_call};
-
-/// A target's daemon that the test speaks for, of the service `service`.
-struct FakeHalf {
-    listener: TcpListener,
-    deployment: String,
-    service: &'static str,
-    mesh: String,
-}
-
-impl FakeHalf {
-    fn add(fleet: &Fleet, service: &'static str) -> Self {
-        let mesh = free_address(&own_ip());
-        let listener = fleet.runtime.block_on(TcpListener::bind(&mesh));
-        fleet.platform.put_host(HostEntry {
-            host: "peer".to_owned(),
-            place: "east".to_owned(),
-            zone: "east-1".to_owned(),
-            region: String::new(),
-            version: String::new(),
-            service: service.to_owned(),
-            mesh: mesh.clone(),
-            ops: mesh.clone(),
-            state: HostState::Live,
-        });
-        let known = || {
-            fleet.workers[0]
-                .status()
-                .is_some_and(|s| s.hosts > fleet.workers.len())
-        };
-        assert!(wait_until(PATIENCE, known));
-        FakeHalf {
-            listener: listener.expect("bound"),
-            deployment: fleet.workers[0].raw.deployment.clone(),
-            service,
-            mesh,
-        }
-    }
-
-    async fn linked(&self) -> Peer {
-        let ours = Peer::hello(&self.deployment, self.service, &self.mesh);
-        Peer::accept(&self.listener, ours).await
-    }
-}
+use crate::support::{FakeHalf, PATIENCE, Peer, Reply, Worker, call, try_call};
 
 async fn next_call(peer: &mut Peer) -> CallFrame {
     let wanted = |frame| match frame {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod evenly;
+mod fake_half;
 mod http;
 mod odd;
 mod peer;
@@ -24,6 +25,7 @@
 
 pub use caller::{KeptCaller, read_reply};
 pub use evenly::{Sent, call_evenly};
+pub use fake_half::FakeHalf;
 pub use http::{Reply, call, parse, raw, try_call};
 pub use odd::{HeaderSink, answer, each_gets_its_own, odd_target, read_call, read_path};
 pub use peer::Peer;
