--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -561,10 +561,11 @@
     }
 }
 
-/// The service that targets are told a call began at.
+/// The service that targets are told a call began at: that of the target beside this daemon, which
+/// may be another than the settings file named at the start.
 fn caller_service(core: &Core) -> Option<String> {
     let told = core.dialect.caller_service.is_some();
-    told.then(|| core.config.service.clone())
+    told.then(|| core.half.service(core))
 }
 
 async fn run(
