--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use lynxcleat_policy::{ReportEffect, ReportedState, TargetReport};
+use lynxcleat_policy::{Departure, ReportEffect, ReportedState, TargetReport, TargetReports};
 use lynxcleat_store::{FeedRole, OwnedRow};
 
 use crate::control;
@@ -160,6 +160,7 @@
         is_changed |= apply::report(core, report).await;
     }
     match departure {
+        Some(departure) if is_outlived(core, &departure) => Acknowledgement::Withheld,
         Some(departure) => departures::acknowledge(core, departure).await,
         None if is_changed => {
             let _ = tokio::time::timeout(REPORT_WAIT, own_row_settled(core)).await;
@@ -169,6 +170,14 @@
     }
 }
 
+/// Whether a departure was not put in force, since a later start under the same name is ready.
+/// What is acknowledged binds, so it is not.
+fn is_outlived(core: &Core, departure: &Departure) -> bool {
+    let (instance, started_ms) = (departure.instance.as_str(), departure.started_ms);
+    let outlives = |reports: &mut TargetReports| reports.outlives(instance, started_ms);
+    core.half.with_reports(outlives) == Some(true)
+}
+
 async fn own_row_settled(core: &Core) {
     if let Some(directory) = &core.directory {
         let is_settled = || {
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -3,10 +3,14 @@
 //!
 //! Reports can be delayed, duplicated and reordered. An incarnation is identified by the instance
 //! name and the start time, because a target may restart under the same name. Three rules apply:
-//! a report counts only if its sequence number is higher than any seen from that incarnation;
-//! draining and gone are final for an incarnation; and an incarnation that was replaced by a later
-//! one never becomes current again. A daemon that has received no report since it started gives
-//! its target no calls.
+//! a report that a target is ready counts only if its sequence number is higher than any seen from
+//! that incarnation; draining and gone are final for an incarnation, whatever their sequence
+//! number; and an incarnation that was replaced by a later one never becomes current again. A
+//! daemon that has received no report since it started gives its target no calls.
+//!
+//! Start times are read from clocks that may be set back. So an incarnation that started earlier
+//! under the name of the current one becomes current if it goes on reporting while the current one
+//! is silent.
 //!
 //! Reports alone do not tell which of two incarnations is the later one: a delayed report can
 //! arrive when its sender is gone and has been replaced. On a report of an incarnation other than
@@ -132,7 +136,8 @@
 impl CurrentTarget {
     /// Whether this is another incarnation than `before`.
     pub fn is_other_than(&self, before: &CurrentTarget) -> bool {
-        self.instance != before.instance || is_later_start(self.started_ms, before.started_ms)
+        let starts = self.started_ms.zip(before.started_ms);
+        self.instance != before.instance || starts.is_some_and(|(now, before)| now != before)
     }
 }
 
@@ -159,6 +164,15 @@
     repeated: RepeatedReports,
     /// Last ended incarnation of each instance name.
     ended: HashMap<String, EndedIncarnation>,
+    /// Reports with the name of the current incarnation and an earlier start, since its last report.
+    earlier_start: Option<EarlierStart>,
+}
+
+/// Reports of an incarnation that seems to have started before the current one of its name.
+#[derive(Clone, Copy, Debug)]
+struct EarlierStart {
+    started_ms: Option<u64>,
+    sequence: u64,
 }
 
 impl TargetReports {
@@ -215,15 +229,16 @@
         match self.current.as_ref() {
             Some(target) if target.instance != report.instance => self.apply_from_other(report),
             Some(target) if is_later_start(target.started_ms, report.started_ms) => {
-                ReportEffect::Ignored
+                self.apply_from_earlier_start(report)
             }
             // A restart under the same name: sequence numbers start over, and the final state of
             // the previous incarnation does not apply. Otherwise the new incarnation received
             // calls after its drain was acknowledged.
             Some(target) if is_later_start(report.started_ms, target.started_ms) => {
+                let ended = self.ended_state(&report);
                 match self.hold_back(&report) {
                     Some(effect) => effect,
-                    None => self.set_current(report, None),
+                    None => self.set_current(report, ended),
                 }
             }
             Some(_) => self.apply_from_current(report),
@@ -231,26 +246,60 @@
         }
     }
 
+    /// Applies a report of an incarnation with the name of the current one and an earlier start: a
+    /// late one, or one of a later start under a clock that was set back. Two that follow each other
+    /// show the latter.
+    fn apply_from_earlier_start(&mut self, report: TargetReport) -> ReportEffect {
+        let Some(sequence) = report.sequence else {
+            return ReportEffect::Ignored;
+        };
+        let before = self.earlier_start.replace(EarlierStart {
+            started_ms: report.started_ms,
+            sequence,
+        });
+        let follows = before.is_some_and(|before| {
+            before.started_ms == report.started_ms && before.sequence < sequence
+        });
+        if !follows {
+            return ReportEffect::Ignored;
+        }
+        // Nothing says that the present one ended: its reports may have been delayed.
+        let ended = self.ended_state(&report);
+        self.set_current(report, ended)
+    }
+
+    /// Whether a departure under the name of the current incarnation is not in force, since it
+    /// started later and is ready.
+    pub fn outlives(&self, instance: &str, started_ms: Option<u64>) -> bool {
+        self.ready().is_some_and(|target| {
+            target.instance == instance && is_later_start(target.started_ms, started_ms)
+        })
+    }
+
     fn apply_from_current(&mut self, report: TargetReport) -> ReportEffect {
         let Some(target) = self.current.as_mut() else {
             return ReportEffect::Ignored;
         };
-        if report
+        let before = target.state;
+        let state = before.or_later(report.state);
+        let is_late = report
             .sequence
-            .is_some_and(|sequence| sequence <= target.sequence)
-        {
+            .is_some_and(|sequence| sequence <= target.sequence);
+        let services = (report.service.as_ref()).zip(target.service.as_ref());
+        let is_other_service = services.is_some_and(|(reported, known)| reported != known);
+        if state == before && (is_late || is_other_service) {
             return ReportEffect::Ignored;
         }
-        target.sequence = report.sequence.unwrap_or(target.sequence);
+        self.earlier_start = None;
+        target.sequence = report.sequence.unwrap_or(0).max(target.sequence);
         target.started_ms = target.started_ms.or(report.started_ms);
-        let before = target.state;
         let slots = report.slots.or(target.slots);
-        let is_same = before.or_later(report.state) == before && slots == target.slots;
+        let is_same = state == before && slots == target.slots;
         if is_same {
             return ReportEffect::Refreshed;
         }
         target.slots = slots;
-        target.state = before.or_later(report.state);
+        target.state = state;
         let (instance, started_ms, state) =
             (target.instance.clone(), target.started_ms, target.state);
         if state != ReportedState::Ready {
@@ -390,6 +439,7 @@
         if state != ReportedState::Ready {
             self.record_ended(&report.instance, report.started_ms, state);
         }
+        self.earlier_start = None;
         self.current = Some(CurrentTarget {
             instance: report.instance,
             started_ms: report.started_ms,
--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -177,6 +177,15 @@
     }
 }
 
+/// Reference model of the current incarnation.
+#[derive(Default)]
+struct CurrentStart {
+    start: u64,
+    sequence: Option<u64>,
+    /// The last report of an earlier start since its own last report.
+    earlier: Option<(u64, u64)>,
+}
+
 fn report_of_start(started_ms: u64, state: ReportedState, sequence: u64) -> TargetReport {
     TargetReport {
         started_ms: Some(started_ms),
@@ -224,26 +233,121 @@
 proptest! {
     #![proptest_config(Config { rng_seed: RngSeed::Fixed(3), cases: 1_000, failure_persistence: None, ..Config::default() })]
 
-    /// For reports of several starts under one name in any order, the latest start decides. Its
-    /// sequence numbers are independent of earlier starts, and its end is final.
+    /// For reports of several starts under one name in any order, the latest start decides, unless
+    /// an earlier one goes on reporting while it is silent. Its sequence numbers are independent of
+    /// those of other starts, and its end is final, however late it is reported.
     #[test]
     fn the_latest_start_decides(
         steps in prop::collection::vec((1..5_u64, any::<bool>(), 0..10_u64), 1..60)
     ) {
         let mut reports = TargetReports::default();
-        let mut latest: Option<(u64, u64, bool)> = None;
+        let mut current: Option<CurrentStart> = None;
+        let mut ended = BTreeSet::new();
         for (start, is_draining, sequence) in steps {
             let state = if is_draining { ReportedState::Draining } else { ReportedState::Ready };
             reports.apply(report_of_start(start, state, sequence));
-            latest = Some(match latest {
-                Some((known, last, ended)) if known == start && sequence > last => {
-                    (known, sequence, ended || is_draining)
-                }
-                Some(known) if known.0 >= start => known,
-                _ => (start, sequence, is_draining),
+            let known = current.get_or_insert(CurrentStart { start, ..CurrentStart::default() });
+            let follows = known.earlier.is_some_and(|(earlier, last)| {
+                earlier == start && last < sequence
             });
-            let is_ready = latest.is_some_and(|(_, _, ended)| !ended);
-            prop_assert_eq!(reports.ready().is_some(), is_ready);
+            if start > known.start || start < known.start && follows {
+                *known = CurrentStart { start, ..CurrentStart::default() };
+            }
+            if start < known.start {
+                known.earlier = Some((start, sequence));
+            } else if known.sequence.is_none_or(|last| sequence > last) {
+                known.sequence = Some(sequence);
+                known.earlier = None;
+            } else if is_draining && !ended.contains(&start) {
+                known.earlier = None;
+            }
+            if start == known.start && is_draining {
+                ended.insert(start);
+            }
+            // What is remembered of ends is the end of the latest start that ended.
+            let has_ended = ended.last().is_some_and(|last| *last >= known.start);
+            prop_assert_eq!(reports.ready().is_some(), !has_ended);
         }
     }
 }
+
+/// Guards against targets that get calls after their acknowledged departure, since their clock was
+/// set back between two starts.
+#[rstest]
+#[case::it_was_ready_twice(ReportedState::Ready)]
+#[case::it_leaves_twice(ReportedState::Draining)]
+fn a_start_under_a_clock_that_was_set_back_is_current_once_it_goes_on_reporting(
+    #[case] state: ReportedState,
+) {
+    let mut reports = TargetReports::default();
+    reports.apply(report_of_start(3_000, ReportedState::Ready, 4));
+    reports.apply(report_of_start(1_000, state, 1));
+    assert_eq!(
+        reports.current().and_then(|one| one.started_ms),
+        Some(3_000)
+    );
+    assert!(
+        reports.outlives("i-1", Some(1_000)),
+        "its end is not in force"
+    );
+    reports.apply(report_of_start(1_000, state, 2));
+    assert_eq!(
+        reports.current().and_then(|one| one.started_ms),
+        Some(1_000)
+    );
+    reports.apply(report_of_start(1_000, ReportedState::Draining, 3));
+    assert_eq!(ready(&reports), None);
+    assert!(!reports.outlives("i-1", Some(1_000)), "its end is in force");
+}
+
+#[test]
+fn late_reports_of_an_earlier_start_change_nothing() {
+    let mut reports = TargetReports::default();
+    reports.apply(report_of_start(3_000, ReportedState::Ready, 4));
+    for number in 5..8 {
+        reports.apply(report_of_start(1_000, ReportedState::Draining, 90 + number));
+        reports.apply(TargetReport {
+            sequence: None,
+            ..report_of_start(1_000, ReportedState::Gone, 0)
+        });
+        assert_eq!(ready(&reports), Some("i-1"));
+        reports.apply(report_of_start(3_000, ReportedState::Ready, number));
+    }
+    assert_eq!(
+        reports.current().and_then(|one| one.started_ms),
+        Some(3_000)
+    );
+}
+
+/// Guards against departures that are taken for old ones, since a report of another writer had a
+/// higher sequence number.
+#[rstest]
+#[case::of_no_service("nosuch")]
+#[case::of_its_service("stock")]
+fn a_departure_binds_after_a_report_of_another_writer(#[case] service: &str) {
+    let mut reports = TargetReports::default();
+    reports.apply(report(1, ReportedState::Ready, Some(3)));
+    reports.apply(TargetReport {
+        service: Some(service.to_owned()),
+        ..report(1, ReportedState::Ready, Some(1_003))
+    });
+    reports.apply(report(1, ReportedState::Draining, Some(4)));
+    assert_eq!(ready(&reports), None);
+}
+
+/// Guards against reports of a target that are taken for old ones after a report in its name of a
+/// service that is not its own.
+#[test]
+fn a_report_of_another_service_counts_for_nothing() {
+    let mut reports = TargetReports::default();
+    reports.apply(report(1, ReportedState::Ready, Some(3)));
+    let strange = TargetReport {
+        service: Some("nosuch".to_owned()),
+        slots: Some(9),
+        ..report(1, ReportedState::Ready, Some(1_003))
+    };
+    assert_eq!(reports.apply(strange), ReportEffect::Ignored);
+    let own = report(1, ReportedState::Ready, Some(4));
+    assert_eq!(reports.apply(own), ReportEffect::Refreshed);
+    assert_eq!(reports.current().and_then(|target| target.slots), Some(4));
+}
